Set up the workspace: strict compiler, Airbnb lint, jest, package faces

The faces of platform, partitions, programs, scheduling and admission are fixed first, so that the parts can be built side by side. Supervisor tree and observability are working code with tests.

--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,69 @@
+import { dirname } from 'node:path';
+import { fileURLToPath } from 'node:url';
+import { configs, plugins, rules } from 'eslint-config-airbnb-extended';
+import { globalIgnores } from 'eslint/config';
+
+/** The Airbnb rules for TypeScript on Node.js; formatting is left to Prettier. */
+const stylisticOff = Object.fromEntries(
+  Object.keys(plugins.stylistic.plugins['@stylistic'].rules).map((name) => [
+    `@stylistic/${name}`,
+    'off',
+  ]),
+);
+
+export default [
+  globalIgnores([
+    '**/dist/**',
+    'coverage/**',
+    'reports/**',
+    'packages/*/bin/**',
+    'packages/peer-protocol/src/generated/**',
+  ]),
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.node.recommended,
+  ...configs.base.typescript,
+  rules.typescript.typescriptEslintStrict,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: {
+        projectService: true,
+        tsconfigRootDir: dirname(fileURLToPath(import.meta.url)),
+      },
+    },
+    rules: {
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      // Nest controllers and small adapters have methods without state.
+      '@typescript-eslint/class-methods-use-this': 'off',
+      'class-methods-use-this': 'off',
+      // Nest modules are classes that only carry a decorator.
+      '@typescript-eslint/no-extraneous-class': ['error', { allowWithDecorator: true }],
+      'import-x/no-default-export': 'error',
+      'import-x/prefer-default-export': 'off',
+      // Tasks are written straight down: loops await one step after another.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': ['error', 'ForInStatement', 'LabeledStatement', 'WithStatement'],
+      'no-void': ['error', { allowAsStatement: true }],
+      // Interfaces read as lists of methods; the compiler checks them strictly either way.
+      '@typescript-eslint/method-signature-style': 'off',
+      '@typescript-eslint/promise-function-async': 'off',
+      // A negative amount or a bit mask is clearer than a helper around it.
+      'no-bitwise': 'off',
+    },
+  },
+  {
+    files: ['packages/*/tests/**/*.ts'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'max-classes-per-file': 'off',
+      '@typescript-eslint/no-non-null-assertion': 'off',
+    },
+  },
+  { rules: stylisticOff },
+];
--- /dev/null
+++ b/packages/admission/src/index.ts
@@ -0,0 +1,3 @@
+export type { AdmissionError } from './admissionError';
+export type { KeyIdentity } from './keyIdentity';
+export type { SliceDemand, SliceGrant } from './slice';
--- /dev/null
+++ b/packages/admission/src/slice.ts
@@ -0,0 +1,20 @@
+/** Demand of one entry for one organisation's rate. */
+export interface SliceDemand {
+  readonly organisation: string;
+  /** Requests that wait or are expected until the next exchange. */
+  readonly wanted: number;
+  /** Tokens of service given here to the organisation since the last report. */
+  readonly serviceTokens: number;
+}
+
+/** Part of an organisation's rate, lent to one entry; it counts as spent at the owner. */
+export interface SliceGrant {
+  readonly organisation: string;
+  readonly granted: number;
+  /** Time after which what is unused is dropped. */
+  readonly expiresInMilliseconds: number;
+  /** Time after which a whole request is likely to be granted, where fewer than wanted were. */
+  readonly retryAfterMilliseconds: number;
+  /** Tokens of service that other entries and owners reported since this entry's last exchange. */
+  readonly remoteServiceTokens: number;
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The binary limpetnotch: the operators' command line. */
+export {};
--- /dev/null
+++ b/packages/declarations/src/configuration.ts
@@ -0,0 +1,16 @@
+import type { BudgetSpec } from './schemas/budget';
+import type { KeySpec } from './schemas/key';
+import type { OrganisationSpec } from './schemas/organisation';
+import type { RouteSpec } from './schemas/route';
+import type { TargetSpec } from './schemas/target';
+
+/** A whole, checked set of declarations as one revision; every map is by object name. */
+export interface Configuration {
+  /** Rising number of the published set; 0 for the empty set before the first publish. */
+  readonly revision: number;
+  readonly organisations: ReadonlyMap<string, OrganisationSpec>;
+  readonly keys: ReadonlyMap<string, KeySpec>;
+  readonly routes: ReadonlyMap<string, RouteSpec>;
+  readonly targets: ReadonlyMap<string, TargetSpec>;
+  readonly budgets: ReadonlyMap<string, BudgetSpec>;
+}
--- /dev/null
+++ b/packages/declarations/src/index.ts
@@ -0,0 +1,14 @@
+export type { Configuration } from './configuration';
+export { budgetSpecSchema } from './schemas/budget';
+export type { BudgetSpec } from './schemas/budget';
+export { declarationSchema } from './schemas/declaration';
+export type { Declaration, DeclarationKind } from './schemas/declaration';
+export { keySpecSchema } from './schemas/key';
+export type { KeySpec } from './schemas/key';
+export { objectNameSchema } from './schemas/objectName';
+export { organisationSpecSchema, rateSchema } from './schemas/organisation';
+export type { OrganisationSpec, Rate } from './schemas/organisation';
+export { routeAccessSchema, routeServiceSchema, routeSpecSchema } from './schemas/route';
+export type { RouteAccess, RouteService, RouteSpec } from './schemas/route';
+export { targetBackendSchema, targetSpecSchema } from './schemas/target';
+export type { TargetBackend, TargetSpec } from './schemas/target';
--- /dev/null
+++ b/packages/integration/src/index.ts
@@ -0,0 +1,2 @@
+/** Quickstart, fault matrix, randomised runs and benchmarks. */
+export {};
--- /dev/null
+++ b/packages/observability/src/index.ts
@@ -0,0 +1,10 @@
+export { createLogger } from './createLogger';
+export type { LoggerOptions } from './createLogger';
+export { createStatsdMetrics } from './createStatsdMetrics';
+export type { StatsdMetrics, StatsdOptions } from './createStatsdMetrics';
+export type { Logger, LogFields, LogMessageId } from './logger';
+export { MemoryMetrics } from './memoryMetrics';
+export type { MetricName, Metrics, MetricTags } from './metrics';
+export { silentLogger } from './silentLogger';
+export { startTracing } from './startTracing';
+export type { Tracing, TracingOptions } from './startTracing';
--- /dev/null
+++ b/packages/observability/src/silentLogger.ts
@@ -0,0 +1,11 @@
+import type { Logger } from './logger';
+
+const discard = (): void => undefined;
+
+/** Discards every line. */
+export const silentLogger: Logger = {
+  debug: discard,
+  info: discard,
+  warn: discard,
+  error: discard,
+};
--- /dev/null
+++ b/packages/peer-protocol/src/index.ts
@@ -0,0 +1,2 @@
+/** Messages between instances, with client and service glue. */
+export {};
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,3 @@
+export type { PrefixBlock, ScheduledCall } from './scheduledCall';
+export type { CacheEvent, LoadReport, Scheduler } from './scheduler';
+export type { AttemptOutcome, SchedulingRefusal, TargetGrant } from './targetGrant';
--- /dev/null
+++ b/packages/server/bin/limpetnotchd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+require('../dist/main.js');
--- /dev/null
+++ b/packages/server/src/index.ts
@@ -0,0 +1,2 @@
+/** The binary limpetnotchd: settings, supervisor tree, HTTP entry, call owner and target client. */
+export {};
--- /dev/null
+++ b/packages/stand-ins/src/index.ts
@@ -0,0 +1,2 @@
+/** Small stand-ins of the store, engines, tools and collectors, with faults. */
+export {};
--- /dev/null
+++ b/packages/supervision/src/supervisor.ts
@@ -0,0 +1,150 @@
+import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { ChildContext, ChildSpecification } from './childSpecification';
+import { Deferred } from './deferred';
+import { delay } from './delay';
+
+const DEFAULT_MAXIMUM_RESTARTS = 8;
+const DEFAULT_WINDOW_MILLISECONDS = 30_000;
+const FIRST_BACKOFF_MILLISECONDS = 100;
+const MAXIMUM_BACKOFF_MILLISECONDS = 5_000;
+
+/** Options of a {@link Supervisor}. */
+export interface SupervisorOptions {
+  readonly name: string;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  /** Restarts of one child within the window before the supervisor itself fails; 8 by default. */
+  readonly maximumRestarts?: number;
+  /** Window in which restarts are counted, in milliseconds; 30 seconds by default. */
+  readonly windowMilliseconds?: number;
+}
+
+interface RunningChild {
+  readonly specification: ChildSpecification;
+  readonly controller: AbortController;
+  readonly finished: Promise<void>;
+}
+
+/**
+ * Starts children in order, restarts those that fail with a bounded backoff, and stops them in
+ * reverse order. Too many restarts of one child stop all children and fail the supervisor, which
+ * escalates to its own parent.
+ */
+export class Supervisor {
+  readonly #options: SupervisorOptions;
+
+  readonly #children: RunningChild[] = [];
+
+  readonly #failed = new Deferred<never>();
+
+  constructor(options: SupervisorOptions) {
+    this.#options = options;
+  }
+
+  /** Starts a child and resolves when it is ready. */
+  async startChild(specification: ChildSpecification): Promise<void> {
+    const controller = new AbortController();
+    const ready = new Deferred();
+    const finished = this.#supervise(specification, controller.signal, () =>
+      ready.resolve(undefined),
+    );
+    this.#children.push({ specification, controller, finished });
+    await Promise.race([ready.promise, finished, this.#failed.promise]);
+  }
+
+  /** Stops one child and forgets it; does nothing if there is none of that name. */
+  async stopChild(name: string): Promise<void> {
+    const index = this.#children.findIndex((child) => child.specification.name === name);
+    const [child] = index < 0 ? [] : this.#children.splice(index, 1);
+    if (!child) return;
+    child.controller.abort();
+    await child.finished;
+  }
+
+  /** Stops every child, the last started first. */
+  async stop(): Promise<void> {
+    while (this.#children.length > 0) {
+      const child = this.#children.pop();
+      child?.controller.abort();
+      await child?.finished;
+    }
+  }
+
+  /** Resolves when the signal aborts and all is stopped; rejects when a child failed too often. */
+  async run(signal: AbortSignal): Promise<void> {
+    const aborted = new Deferred();
+    if (signal.aborted) aborted.resolve(undefined);
+    signal.addEventListener('abort', () => aborted.resolve(undefined), { once: true });
+    try {
+      await Promise.race([aborted.promise, this.#failed.promise]);
+    } finally {
+      await this.stop();
+    }
+  }
+
+  /** Wraps this supervisor as a child of another one. */
+  asChild(start: () => Promise<void>): ChildSpecification {
+    return {
+      name: this.#options.name,
+      restart: 'never',
+      run: async (context: ChildContext) => {
+        await start();
+        context.ready();
+        await this.run(context.signal);
+      },
+    };
+  }
+
+  async #supervise(
+    specification: ChildSpecification,
+    signal: AbortSignal,
+    ready: () => void,
+  ): Promise<void> {
+    const restartTimes: number[] = [];
+    while (!signal.aborted) {
+      const failure = await this.#runOnce(specification, signal, ready);
+      if (signal.aborted) return;
+      if (specification.restart === 'never' && failure === undefined) return;
+      if (this.#isTooOften(restartTimes) || specification.restart === 'never') {
+        this.#escalate(specification, failure);
+        return;
+      }
+      await delay(Supervisor.#backoff(restartTimes.length), signal);
+    }
+  }
+
+  async #runOnce(
+    specification: ChildSpecification,
+    signal: AbortSignal,
+    ready: () => void,
+  ): Promise<unknown> {
+    try {
+      await specification.run({ signal, ready });
+      return undefined;
+    } catch (error) {
+      if (signal.aborted) return undefined;
+      const reason = error instanceof Error ? error.message : String(error);
+      this.#options.metrics.increment('supervisor.failures', 1, { child: specification.name });
+      this.#options.logger.warn('supervisor.child-failed', { child: specification.name, reason });
+      return error;
+    }
+  }
+
+  #isTooOften(restartTimes: number[]): boolean {
+    const now = Date.now();
+    const window = this.#options.windowMilliseconds ?? DEFAULT_WINDOW_MILLISECONDS;
+    restartTimes.push(now);
+    while ((restartTimes[0] ?? now) < now - window) restartTimes.shift();
+    return restartTimes.length > (this.#options.maximumRestarts ?? DEFAULT_MAXIMUM_RESTARTS);
+  }
+
+  #escalate(specification: ChildSpecification, failure: unknown): void {
+    const reason = failure instanceof Error ? failure.message : 'ended before it was stopped';
+    this.#options.logger.error('supervisor.escalated', { child: specification.name, reason });
+    this.#failed.reject(new Error(`${this.#options.name}: ${specification.name}: ${reason}`));
+  }
+
+  static #backoff(restarts: number): number {
+    return Math.min(MAXIMUM_BACKOFF_MILLISECONDS, FIRST_BACKOFF_MILLISECONDS * 2 ** restarts);
+  }
+}
--- /dev/null
+++ b/packages/supervision/tests/supervisor.test.ts
@@ -0,0 +1,70 @@
+import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { Supervisor } from '../src';
+import type { ChildSpecification } from '../src';
+
+const supervisorWith = (maximumRestarts: number): Supervisor =>
+  new Supervisor({
+    name: 'root',
+    logger: silentLogger,
+    metrics: new MemoryMetrics(),
+    maximumRestarts,
+  });
+
+const untilStopped = (name: string, events: string[]): ChildSpecification => ({
+  name,
+  restart: 'always',
+  run: async ({ signal, ready }) => {
+    events.push(`start ${name}`);
+    ready();
+    await new Promise((resolve) => {
+      signal.addEventListener('abort', resolve);
+    });
+    events.push(`stop ${name}`);
+  },
+});
+
+beforeEach(() => jest.useFakeTimers());
+afterEach(() => jest.useRealTimers());
+
+test('starts in order and stops in reverse', async () => {
+  const events: string[] = [];
+  const supervisor = supervisorWith(3);
+  await supervisor.startChild(untilStopped('first', events));
+  await supervisor.startChild(untilStopped('second', events));
+  await supervisor.stop();
+  expect(events).toEqual(['start first', 'start second', 'stop second', 'stop first']);
+});
+
+test('restarts a failed child after a backoff', async () => {
+  let starts = 0;
+  const supervisor = supervisorWith(3);
+  await supervisor.startChild({
+    name: 'flaky',
+    restart: 'always',
+    run: async ({ ready }) => {
+      starts += 1;
+      ready();
+      await Promise.reject(new Error('broken'));
+    },
+  });
+  expect(starts).toBe(1);
+  await jest.advanceTimersByTimeAsync(200);
+  expect(starts).toBe(2);
+  await supervisor.stop();
+});
+
+test('escalates after too many restarts', async () => {
+  const supervisor = supervisorWith(2);
+  const running = supervisor.run(new AbortController().signal);
+  const failure = expect(running).rejects.toThrow('root: flaky: broken');
+  await supervisor.startChild({
+    name: 'flaky',
+    restart: 'always',
+    run: async ({ ready }) => {
+      ready();
+      await Promise.reject(new Error('broken'));
+    },
+  });
+  await jest.advanceTimersByTimeAsync(10_000);
+  await failure;
+});
