Add the peer protocol: one control stream for each pair, calls on their own connection

Cause: instances need heartbeats and rate slices at a low cost, and calls with backpressure. Change: connect service over HTTP/2; a control stream whose silent connection is replaced by deadline.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -62,6 +62,8 @@
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'max-classes-per-file': 'off',
+      // Tests unwrap results: a wrong variant fails the test at once.
+      'no-underscore-dangle': ['error', { allow: ['_unsafeUnwrap', '_unsafeUnwrapErr'] }],
       '@typescript-eslint/no-non-null-assertion': 'off',
     },
   },
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,2 +1,8 @@
-/** Messages between instances, with client and service glue. */
-export {};
+export { AsyncQueue } from './asyncQueue';
+export type { ControlMessage, ControlReply } from './controlStream';
+export * from './generated/limpetnotch/peer/v1/peer_pb';
+export type { PeerCallError } from './peerCallError';
+export { PeerClient } from './peerClient';
+export { PeerClients } from './peerClients';
+export { PeerServer } from './peerServer';
+export type { PeerServerOptions } from './peerServer';
