Add the program ledger: order, history, budgets and idempotency of a partition

Cause: calls of a program must run in order, at most once where they may not be repeated, within a budget shared with sub-agents, through any loss of the owner or of the store.

Records may be replayed twice. Faces: program-started, memory-held and memory-freed carry a session identifier, so that a name used again never meets the memory of the program before it; a run says it too, and the wall time left; a refusal may be queue-full; a request may say the tokens below which it is of no use.

--- a/packages/programs/src/callRequest.ts
+++ b/packages/programs/src/callRequest.ts
@@ -14,6 +14,8 @@
   readonly idempotent: boolean;
   /** Worst case of the call; answers are capped to what is granted. */
   readonly worstCase: Usage;
+  /** Tokens below which the call is of no use, such as the prompt's and one more; 1 by default. */
+  readonly minimumTokens?: number | undefined;
   /** Limits for a program that starts with this call. */
   readonly limits: BudgetLimits;
   readonly requestBodyBase64: string;
--- a/packages/programs/src/callStart.ts
+++ b/packages/programs/src/callStart.ts
@@ -10,11 +10,15 @@
       readonly sequence: number;
       /** What the call may spend at the most; `tokens` caps the answer. */
       readonly reservation: Usage;
+      /** Names the program's session at engines, by which their memory is freed later. */
+      readonly sessionId: string;
+      /** Time after which the program's budget cuts the call off, if it limits wall time. */
+      readonly wallTimeLeftMilliseconds: number | undefined;
       readonly durability: JournalCommit['durability'];
     }
   /** The same call has ended before: give its recorded outcome. */
   | { readonly kind: 'replay'; readonly sequence: number; readonly outcome: CallOutcome }
-  /** The same call is under way: wait for its outcome. */
+  /** The same call is under way: wait for its outcome; the promise never rejects. */
   | {
       readonly kind: 'join';
       readonly sequence: number;
@@ -34,6 +38,7 @@
     | 'journal-unavailable'
     | 'not-owner'
     | 'cancelled'
+    | 'queue-full'
     | 'partition-stopped';
   readonly executed: Executed;
   readonly detail: string;
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -1,6 +1,12 @@
 export type { CallRequest } from './callRequest';
 export type { CallRefusal, CallStart } from './callStart';
+export type { EngineMemory } from './engineMemoryList';
 export type { Journal, JournalCommit, JournalError } from './journal';
+export type { HistoryEntry, LedgerSnapshot, ProgramEnd } from './ledgerSnapshot';
+export { ProgramLedger } from './programLedger';
+export type { ProgramLedgerOptions, RestoreOptions } from './programLedger';
+export { DEFAULT_PROGRAM_LEDGER_SETTINGS } from './programLedgerSettings';
+export type { ProgramLedgerSettings } from './programLedgerSettings';
 export {
   answerSchema,
   budgetLimitsSchema,
@@ -21,3 +27,5 @@
   ProgramRecord,
   Usage,
 } from './programRecord';
+export type { ProgramView } from './programView';
+export type { LedgerRestoreError } from './restoreTable';
--- /dev/null
+++ b/packages/programs/src/programLedgerSettings.ts
@@ -0,0 +1,22 @@
+const SECOND_MILLISECONDS = 1_000;
+const MINUTE_MILLISECONDS = 60 * SECOND_MILLISECONDS;
+
+/** Settings of a {@link ProgramLedger}. */
+export interface ProgramLedgerSettings {
+  /** Time without a call after which a program ends; 30 minutes by default. */
+  readonly idleMilliseconds: number;
+  /** Time for which an ended program can be read and its calls replayed; 1 hour by default. */
+  readonly endedRetentionMilliseconds: number;
+  /** The same for a program of one call; 5 minutes by default. */
+  readonly singleCallRetentionMilliseconds: number;
+  /** Calls that may wait for their turn in one program path; 64 by default. */
+  readonly maximumWaitingCalls: number;
+}
+
+/** Settings that hold where none are given. */
+export const DEFAULT_PROGRAM_LEDGER_SETTINGS: ProgramLedgerSettings = {
+  idleMilliseconds: 30 * MINUTE_MILLISECONDS,
+  endedRetentionMilliseconds: 60 * MINUTE_MILLISECONDS,
+  singleCallRetentionMilliseconds: 5 * MINUTE_MILLISECONDS,
+  maximumWaitingCalls: 64,
+};
--- a/packages/programs/src/programRecord.ts
+++ b/packages/programs/src/programRecord.ts
@@ -61,6 +61,8 @@
   z.object({
     kind: z.literal('program-started'),
     program: programIdentifierSchema,
+    /** Names the program's session at engines; differs when a program's name is used again. */
+    sessionId: z.string(),
     limits: budgetLimitsSchema,
     startedAtMilliseconds: z.number(),
   }),
@@ -95,13 +97,16 @@
   z.object({
     kind: z.literal('memory-held'),
     program: programIdentifierSchema,
-    /** Name of the engine target that caches the program's prefix. */
+    /** Name of the engine target that caches the program's prefix; `*` where it is not known. */
     target: z.string(),
+    /** Names the program's session at the engine. */
+    sessionId: z.string(),
   }),
   z.object({
     kind: z.literal('memory-freed'),
     program: programIdentifierSchema,
     target: z.string(),
+    sessionId: z.string(),
   }),
 ]);
 
--- /dev/null
+++ b/packages/programs/src/util/noUsage.ts
@@ -0,0 +1,4 @@
+import type { Usage } from '../programRecord';
+
+/** Usage of a call that did nothing. */
+export const NO_USAGE: Usage = { tokens: 0, calls: 0, spendMicros: 0 };
