--- /dev/null
+++ b/packages/partitions/src/appendQueue.ts
@@ -0,0 +1,118 @@
+import { Deferred } from '@limpetnotch/supervision';
+import type { Result } from 'neverthrow';
+import { err, ok, ResultAsync } from 'neverthrow';
+import type { Commit, CommitError } from './partitionHandler';
+import { WakeSignal } from './util/wakeSignal';
+
+/** Records of one call of `append`, waiting for their commit. */
+interface WaitingAppend {
+  readonly texts: readonly string[];
+  readonly bytes: number;
+  readonly expiresAt: number;
+  readonly outcome: Deferred<Result<Commit, CommitError>>;
+}
+
+/** The first appends of the queue, joined. */
+export interface AppendBatch {
+  readonly texts: readonly string[];
+  readonly bytes: number;
+  readonly appends: number;
+}
+
+/** What {@link AppendQueue.refuseExpired} did. */
+export interface Refusal {
+  readonly refused: number;
+  /** Whether one of them is in a write that may take effect yet. */
+  readonly refusedPending: boolean;
+}
+
+const UNAVAILABLE: CommitError = {
+  kind: 'unavailable',
+  detail: 'the store did not take the records in time',
+};
+
+/** Appends of one partition in order, until they are committed or refused. */
+export class AppendQueue {
+  readonly #deadlineMilliseconds: number;
+
+  readonly #wake = new WakeSignal();
+
+  #waiting: WaitingAppend[] = [];
+
+  /** Appends whose callers were told that witnesses keep the records. */
+  readonly #deferred = new Set<WaitingAppend>();
+
+  #writeRequested = false;
+
+  constructor(deadlineMilliseconds: number) {
+    this.#deadlineMilliseconds = deadlineMilliseconds;
+  }
+
+  add(texts: readonly string[], bytes: number): ResultAsync<Commit, CommitError> {
+    const outcome = new Deferred<Result<Commit, CommitError>>();
+    const expiresAt = performance.now() + this.#deadlineMilliseconds;
+    this.#waiting.push({ texts, bytes, expiresAt, outcome });
+    this.#wake.wake();
+    return new ResultAsync(outcome.promise);
+  }
+
+  /** Has a write made even if no record waits. */
+  requestWrite(): void {
+    this.#writeRequested = true;
+    this.#wake.wake();
+  }
+
+  async waitForWork(signal: AbortSignal): Promise<void> {
+    while (this.#waiting.length === 0 && !this.#writeRequested && !signal.aborted) {
+      await this.#wake.wait(signal);
+    }
+  }
+
+  /** Bytes of all records that wait. */
+  get bytes(): number {
+    return this.#waiting.reduce((sum, append) => sum + append.bytes, 0);
+  }
+
+  /** Joins all that waits. */
+  batch(): AppendBatch {
+    const texts = this.#waiting.flatMap((append) => append.texts);
+    return { texts, bytes: this.bytes, appends: this.#waiting.length };
+  }
+
+  hasDeferred(): boolean {
+    return this.#deferred.size > 0;
+  }
+
+  /** Takes the first appends out as committed. */
+  settleFirst(appends: number): { readonly hadDeferred: boolean } {
+    const settled = this.#waiting.splice(0, appends);
+    settled.forEach(({ outcome }) => outcome.resolve(ok({ durability: 'durable' })));
+    const deferred = settled.filter((append) => this.#deferred.delete(append));
+    return { hadDeferred: deferred.length > 0 };
+  }
+
+  /** Tells the callers of the first appends that witnesses keep the records. */
+  acknowledgeDeferred(appends: number): void {
+    this.#waiting.slice(0, appends).forEach((append) => {
+      this.#deferred.add(append);
+      append.outcome.resolve(ok({ durability: 'deferred' }));
+    });
+  }
+
+  /** Refuses what waited too long; the first `pending` appends are in a write under way. */
+  refuseExpired(pending: number): Refusal {
+    const now = performance.now();
+    const isExpired = (append: WaitingAppend): boolean =>
+      !this.#deferred.has(append) && append.expiresAt <= now;
+    const expired = this.#waiting.filter(isExpired);
+    const refusedPending = this.#waiting.slice(0, pending).some(isExpired);
+    this.#waiting = this.#waiting.filter((append) => !isExpired(append));
+    expired.forEach(({ outcome }) => outcome.resolve(err(UNAVAILABLE)));
+    return { refused: expired.length, refusedPending };
+  }
+
+  /** Answers all that waits with one error. */
+  refuseAll(error: CommitError): void {
+    this.#waiting.splice(0).forEach(({ outcome }) => outcome.resolve(err(error)));
+  }
+}
--- /dev/null
+++ b/packages/partitions/src/deleteOrphans.ts
@@ -0,0 +1,34 @@
+import type { BulkAccess } from './bulkText';
+import { partKeys } from './bulkText';
+import type { JournalHead } from './journalHead';
+import { withDeadline } from './util/withDeadline';
+
+const AREAS = ['segments', 'snapshots'] as const;
+
+const epochOfKey = (key: string): number => Number(key.split('/')[2]?.split('-')[0]);
+
+/**
+ * Deletes texts of earlier epochs that the claimed head does not refer to. No later head can
+ * refer to them either, since a text is only ever referred to first by the epoch that wrote it.
+ * What a failure leaves over, the next owner deletes.
+ */
+export const deleteOrphans = async (
+  access: BulkAccess,
+  partition: number,
+  head: JournalHead,
+): Promise<void> => {
+  const { store, deadlineMilliseconds } = access;
+  const references = head.snapshot ? [head.snapshot, ...head.segments] : head.segments;
+  const referenced = new Set(references.flatMap(partKeys));
+  for (const area of AREAS) {
+    const listing = await withDeadline(store.list(`${area}/${partition}/`), deadlineMilliseconds);
+    const entries = listing.isOk() ? listing.value.entries : [];
+    const orphans = entries.filter(
+      ({ key }) => !referenced.has(key) && epochOfKey(key) < head.epoch,
+    );
+    for (const { key, revision } of orphans) {
+      await access.beforeWrite();
+      await withDeadline(store.remove(key, revision), deadlineMilliseconds);
+    }
+  }
+};
--- a/packages/partitions/src/index.ts
+++ b/packages/partitions/src/index.ts
@@ -1,5 +1,7 @@
 export { memberSchema } from './member';
 export type { Member } from './member';
+export { Membership } from './membership';
+export type { MembershipOptions } from './membership';
 export type { Ownership } from './ownership';
 export type {
   Commit,
@@ -11,7 +13,11 @@
   RecoveredPartition,
   RestoreError,
 } from './partitionHandler';
+export { PartitionManager } from './partitionManager';
+export type { PartitionManagerOptions } from './partitionManager';
 export { PARTITION_COUNT, partitionOf } from './partitionOf';
+export { DEFAULT_PARTITION_SETTINGS } from './partitionSettings';
+export type { PartitionSettings } from './partitionSettings';
 export type {
   Heartbeat,
   PeerChannel,
--- /dev/null
+++ b/packages/partitions/src/ownedPartition.ts
@@ -0,0 +1,8 @@
+import type { JournalWriter } from './journalWriter';
+import type { PartitionState } from './partitionHandler';
+
+/** A partition that this instance owns and serves. */
+export interface OwnedPartition {
+  readonly writer: JournalWriter;
+  readonly state: PartitionState;
+}
--- a/packages/partitions/src/partitionHandler.ts
+++ b/packages/partitions/src/partitionHandler.ts
@@ -17,6 +17,11 @@
 export interface PartitionJournal {
   readonly partition: number;
   readonly epoch: number;
+  /**
+   * Commits records in the order of the calls, together with others that wait. `unavailable` means
+   * that the records are not in the journal and that this state will never see them committed.
+   * After `deposed` only the next owner's state tells whether they are.
+   */
   append(records: readonly JsonValue[]): ResultAsync<Commit, CommitError>;
 }
 
@@ -28,6 +33,11 @@
   readonly journal: PartitionJournal;
   /** Whether the previous owner gave the partition up itself, so that its time need not be waited out. */
   readonly handedOver: boolean;
+  /**
+   * Time (`Date.now()`) until which the previous owner may still grant rates or order engines; 0
+   * where there was none or it gave the partition up. Order and history need not wait for it.
+   */
+  readonly previousOwnerMayActUntilMilliseconds: number;
 }
 
 /** Why a partition's state was not restored; the partition stops and its data stays as it is. */
@@ -38,7 +48,11 @@
 
 /** In-memory state of one owned partition. */
 export interface PartitionState {
-  /** Returns the state to be kept in place of all records so far. */
+  /**
+   * Returns the state to be kept in place of all committed records: those whose `append` has
+   * resolved with a commit, and none that still waits. Hence a state applies a record in the same
+   * turn of the event loop in which its `append` resolves.
+   */
   snapshot(): JsonValue;
   /** Resolves when no call is under way; new ones are refused from now on. */
   drain(): Promise<void>;
--- /dev/null
+++ b/packages/partitions/src/recoverJournal.ts
@@ -0,0 +1,55 @@
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import { z } from 'zod';
+import type { BulkAccess, BulkReadError } from './bulkText';
+import { readBulk } from './bulkText';
+import type { BulkReference, PartitionHead } from './partitionHead';
+import type { JsonValue } from './partitionHandler';
+import { parseWith } from './util/parseWith';
+
+/** What a head and the texts that it refers to hold. */
+export interface RecoveredJournal {
+  readonly snapshot: JsonValue | undefined;
+  /** Records after the snapshot, the oldest first. */
+  readonly records: readonly JsonValue[];
+}
+
+/** Why a journal was not read; nothing of it was changed. */
+export type RecoverError =
+  BulkReadError | { readonly kind: 'corrupt-text'; readonly detail: string };
+
+const jsonSchema = z.custom<JsonValue>((value) => value !== undefined);
+const recordsSchema = z.array(jsonSchema);
+
+const readAs = async <Value>(
+  access: BulkAccess,
+  reference: BulkReference,
+  schema: z.ZodType<Value>,
+): Promise<Result<Value, RecoverError>> => {
+  const text = await readBulk(access, reference);
+  if (text.isErr()) return err(text.error);
+  const value = parseWith(schema, text.value);
+  if (value !== undefined) return ok(value);
+  return err({ kind: 'corrupt-text', detail: `${reference.key} does not hold what it should` });
+};
+
+/** Reads the snapshot and all records that a head refers to. */
+export const recoverJournal = async (
+  access: BulkAccess,
+  head: Pick<PartitionHead, 'snapshot' | 'segments' | 'inlineRecords'>,
+): Promise<Result<RecoveredJournal, RecoverError>> => {
+  let snapshot: JsonValue | undefined;
+  if (head.snapshot) {
+    const read = await readAs(access, head.snapshot, jsonSchema);
+    if (read.isErr()) return err(read.error);
+    snapshot = read.value;
+  }
+  const records: JsonValue[] = [];
+  for (const segment of head.segments) {
+    const read = await readAs(access, segment, recordsSchema);
+    if (read.isErr()) return err(read.error);
+    records.push(...read.value);
+  }
+  records.push(...head.inlineRecords);
+  return ok({ snapshot, records });
+};
--- /dev/null
+++ b/packages/partitions/src/swapHead.ts
@@ -0,0 +1,78 @@
+import type { KeyValueStore, StoreEntry, StoreError } from '@limpetnotch/platform';
+import type { EncodedHead } from './journalHead';
+import type { HeadError } from './partitionHead';
+import { headKey, parseHead } from './partitionHead';
+import { withDeadline } from './util/withDeadline';
+
+/** How an attempt to write a partition's head ended. */
+export type SwapOutcome =
+  | { readonly kind: 'committed'; readonly revision: number }
+  /** The head carries another commit. */
+  | { readonly kind: 'conflict'; readonly epoch: number }
+  /** The head is gone, or cannot be understood. */
+  | { readonly kind: 'unreadable'; readonly error: HeadError }
+  /** Certainly without effect. */
+  | { readonly kind: 'failed'; readonly error: StoreError }
+  /** May take effect yet: only the same value may be tried again. */
+  | { readonly kind: 'unknown'; readonly error: StoreError };
+
+/** Options of {@link swapHead}. */
+export interface SwapRequest {
+  readonly store: KeyValueStore;
+  readonly partition: number;
+  readonly expectedRevision: number;
+  readonly head: EncodedHead;
+  readonly deadlineMilliseconds: number;
+  /** Called when the store gave no answer that tells the outcome. */
+  onUnknownOutcome(): void;
+}
+
+const judge = (entry: StoreEntry | undefined, { head, partition }: SwapRequest): SwapOutcome => {
+  if (!entry) {
+    const detail = `${headKey(partition)} was removed`;
+    return { kind: 'unreadable', error: { kind: 'corrupt-head', detail } };
+  }
+  const current = parseHead(entry.value);
+  if (current.isErr()) return { kind: 'unreadable', error: current.error };
+  if (current.value.commitId === head.commitId) {
+    return { kind: 'committed', revision: entry.revision };
+  }
+  return { kind: 'conflict', epoch: current.value.epoch };
+};
+
+const resolveUnknown = async (request: SwapRequest, error: StoreError): Promise<SwapOutcome> => {
+  const { store, partition, deadlineMilliseconds, expectedRevision } = request;
+  request.onUnknownOutcome();
+  const read = await withDeadline(store.read(headKey(partition)), deadlineMilliseconds);
+  if (read.isErr()) return { kind: 'unknown', error };
+  // The write may still be on its way: an unchanged key proves nothing.
+  if ((read.value?.revision ?? 0) === expectedRevision) return { kind: 'unknown', error };
+  return judge(read.value, request);
+};
+
+/** Writes a head by compare-and-swap; an unknown outcome is looked up by the commit identifier. */
+export const swapHead = async (request: SwapRequest): Promise<SwapOutcome> => {
+  const { store, partition, expectedRevision, head, deadlineMilliseconds } = request;
+  const swap = store.compareAndSwap({
+    key: headKey(partition),
+    expectedRevision,
+    value: head.value,
+  });
+  const result = await withDeadline(swap, deadlineMilliseconds);
+  if (result.isErr()) {
+    const { error } = result;
+    switch (error.kind) {
+      case 'unavailable':
+      case 'rate-limited':
+        return { kind: 'failed', error };
+      case 'unknown-outcome':
+      case 'malformed-answer':
+      case 'lease-ended':
+        return resolveUnknown(request, error);
+      // no default
+    }
+  }
+  const outcome = result.value;
+  if (outcome.kind === 'swapped') return { kind: 'committed', revision: outcome.revision };
+  return judge(outcome.current, request);
+};
--- /dev/null
+++ b/packages/partitions/tests/partitionManager.test.ts
@@ -0,0 +1,93 @@
+import { Fleet } from './support/fleet';
+import { unwrap, unwrapError } from './support/unwrap';
+
+const PARTITIONS = 8;
+const numbers = Array.from({ length: PARTITIONS }, (_value, partition) => partition);
+
+beforeEach(() => jest.useFakeTimers());
+afterEach(() => jest.useRealTimers());
+
+const startThree = async (): Promise<Fleet> => {
+  const fleet = new Fleet(PARTITIONS);
+  fleet.start();
+  fleet.start();
+  fleet.start();
+  await jest.advanceTimersByTimeAsync(2_000);
+  return fleet;
+};
+
+const stop = async (fleet: Fleet): Promise<void> => {
+  await Promise.all(fleet.instances.map((instance) => instance.kill()));
+};
+
+test('each partition has exactly one owner', async () => {
+  const fleet = await startThree();
+  for (const partition of numbers) {
+    const owners = fleet.instances.filter((instance) => instance.owns(partition));
+    expect(owners).toHaveLength(1);
+    const others = fleet.instances.filter((instance) => !instance.owns(partition));
+    others.forEach((other) =>
+      expect(other.manager.ownershipOf(partition)).toMatchObject({
+        kind: 'remote',
+        owner: owners[0]!.member,
+      }),
+    );
+  }
+  await stop(fleet);
+});
+
+test('records outlive the death of the owner', async () => {
+  const fleet = await startThree();
+  const owner = fleet.ownerOf(0)!;
+  const appended = owner.states.get(0)!.append({ value: 1 });
+  await jest.advanceTimersByTimeAsync(100);
+  expect(unwrap(await appended)).toEqual({ durability: 'durable' });
+  await owner.kill();
+  const diedAt = Date.now();
+  await jest.advanceTimersByTimeAsync(4_000);
+  const next = fleet.ownerOf(0)!;
+  const state = next.states.get(0)!;
+  expect(state.records).toEqual([{ value: 1 }]);
+  expect(state.handedOver).toBe(false);
+  expect(state.previousOwnerMayActUntilMilliseconds).toBeGreaterThan(diedAt + 3_000);
+  await stop(fleet);
+});
+
+test('a deposed owner acknowledges nothing', async () => {
+  const fleet = await startThree();
+  const owner = fleet.ownerOf(0)!;
+  const state = owner.states.get(0)!;
+  owner.faults.isDown = true;
+  owner.faults.isWatchSilent = true;
+  await jest.advanceTimersByTimeAsync(4_500);
+  expect(fleet.instances.filter((instance) => instance.owns(0))).toHaveLength(2);
+  owner.faults.isDown = false;
+  const appended = state.append('late');
+  await jest.advanceTimersByTimeAsync(200);
+  expect(unwrapError(await appended)).toEqual({ kind: 'deposed' });
+  expect(state.isStopped).toBe(true);
+  expect(owner.metrics.counter('partition.deposed')).toBeGreaterThan(0);
+  await stop(fleet);
+});
+
+test('a head of a newer format is left alone', async () => {
+  const fleet = new Fleet(1);
+  fleet.store.swap({ key: 'partitions/0', expectedRevision: 0, value: '{"formatVersion":2}' });
+  const instance = fleet.start();
+  await jest.advanceTimersByTimeAsync(20_000);
+  expect(instance.owns(0)).toBe(false);
+  expect(instance.metrics.counter('partition.failures')).toBeGreaterThan(1);
+  expect(fleet.store.read('partitions/0')?.value).toBe('{"formatVersion":2}');
+  await stop(fleet);
+});
+
+test('an outage that ends every lease moves no partition', async () => {
+  const fleet = await startThree();
+  const before = numbers.map((partition) => fleet.ownerOf(partition)!.member.instance);
+  fleet.instances.forEach(({ faults }) => Object.assign(faults, { isDown: true }));
+  await jest.advanceTimersByTimeAsync(20_000);
+  fleet.instances.forEach(({ faults }) => Object.assign(faults, { isDown: false }));
+  await jest.advanceTimersByTimeAsync(10_000);
+  expect(numbers.map((partition) => fleet.ownerOf(partition)!.member.instance)).toEqual(before);
+  await stop(fleet);
+});
