--- a/packages/platform/src/keyValueStore.ts
+++ b/packages/platform/src/keyValueStore.ts
@@ -50,6 +50,8 @@
   /** First revision to report. */
   readonly fromRevision: number;
   readonly signal: AbortSignal;
+  /** Time without any event, `progress` included, after which the watch throws; set by the store's options by default. */
+  readonly silenceMilliseconds?: number | undefined;
 }
 
 /** The platform's key-value service, reduced to the verbs that limpetnotch uses. */
@@ -63,7 +65,7 @@
   /** Renews a lease; a lease that has ended gives a `lease-ended` error. */
   renewLease(leaseId: string): ResultAsync<Lease, StoreError>;
   revokeLease(leaseId: string): ResultAsync<void, StoreError>;
-  /** Yields changes until the signal aborts; throws when the connection is lost. */
+  /** Yields changes until the signal aborts; throws a `WatchError` when the connection is lost or silent. */
   watch(options: WatchOptions): AsyncIterable<WatchEvent>;
   /** Closes the connections. */
   close(): Promise<void>;
--- a/packages/platform/src/storeError.ts
+++ b/packages/platform/src/storeError.ts
@@ -8,5 +8,5 @@
   | { readonly kind: 'unknown-outcome'; readonly detail: string }
   /** The lease has ended. */
   | { readonly kind: 'lease-ended'; readonly detail: string }
-  /** The answer did not follow the protocol. */
+  /** The answer to a read did not follow the protocol; a write gives `unknown-outcome` then. */
   | { readonly kind: 'malformed-answer'; readonly detail: string };
--- /dev/null
+++ b/packages/platform/tests/unwrap.ts
@@ -0,0 +1,13 @@
+import type { Result } from 'neverthrow';
+
+/** Returns the value of a result, and fails the test where there is none. */
+export const valueOf = <Value, Failure>(result: Result<Value, Failure>): Value => {
+  if (result.isOk()) return result.value;
+  throw new Error(`unexpected error: ${JSON.stringify(result.error)}`);
+};
+
+/** Returns the error of a result, and fails the test where there is none. */
+export const errorOf = <Value, Failure>(result: Result<Value, Failure>): Failure => {
+  if (result.isErr()) return result.error;
+  throw new Error(`unexpected value: ${JSON.stringify(result.value)}`);
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,2 +1,5 @@
-/** Small stand-ins of the store, engines, tools and collectors, with faults. */
-export {};
+export { StoreStandIn } from './store/storeStandIn';
+export type { StoreStandInOptions } from './store/storeStandIn';
+export type { StoreFaults, StoreFaultsChange } from './store/storeFaults';
+export type { StoreStatistics } from './store/storeStatistics';
+export { StandInServer } from './util/standInServer';
--- /dev/null
+++ b/packages/stand-ins/src/store/storeState.ts
@@ -0,0 +1,170 @@
+/** One key of the store. */
+export interface StoredKey {
+  readonly key: string;
+  readonly value: string;
+  readonly createRevision: number;
+  readonly revision: number;
+  readonly version: number;
+  readonly lease: string;
+}
+
+/** One change of the store. */
+export interface StoredChange {
+  readonly kind: 'put' | 'removed';
+  readonly revision: number;
+  readonly entry: StoredKey;
+}
+
+interface StoredLease {
+  readonly identifier: string;
+  readonly timeToLiveMilliseconds: number;
+  endsAt: number;
+  readonly keys: Set<string>;
+}
+
+const KEPT_CHANGES = 20_000;
+
+/** Keys, leases and recent changes of the store stand-in; keys are binary strings in base64. */
+export class StoreState {
+  readonly #keys = new Map<string, StoredKey>();
+
+  readonly #leases = new Map<string, StoredLease>();
+
+  readonly #listeners = new Set<(changes: readonly StoredChange[]) => void>();
+
+  #changes: StoredChange[] = [];
+
+  #revision = 1;
+
+  #compactRevision = 0;
+
+  #nextLease = 1;
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  /** Oldest revision that is still kept; 0 where none was dropped. */
+  get compactRevision(): number {
+    return this.#compactRevision;
+  }
+
+  get(key: string): StoredKey | undefined {
+    return this.#keys.get(key);
+  }
+
+  /** Returns the keys that a predicate accepts, in the order of their bytes. */
+  select(accepts: (key: string) => boolean): readonly StoredKey[] {
+    return [...this.#keys.values()]
+      .filter((entry) => accepts(entry.key))
+      .sort((left, right) =>
+        Buffer.compare(Buffer.from(left.key, 'base64'), Buffer.from(right.key, 'base64')),
+      );
+  }
+
+  /** Writes a key, under a lease unless that is `0`. */
+  put(key: string, value: string, lease: string): StoredKey {
+    const previous = this.#keys.get(key);
+    if (previous) this.#leases.get(previous.lease)?.keys.delete(key);
+    this.#revision += 1;
+    const entry: StoredKey = {
+      key,
+      value,
+      createRevision: previous?.createRevision ?? this.#revision,
+      revision: this.#revision,
+      version: (previous?.version ?? 0) + 1,
+      lease,
+    };
+    this.#keys.set(key, entry);
+    this.#leases.get(lease)?.keys.add(key);
+    this.#publish([{ kind: 'put', revision: this.#revision, entry }]);
+    return entry;
+  }
+
+  /** Removes keys as one change of the store; returns how many there were. */
+  remove(keys: readonly string[]): number {
+    const present = keys.filter((key) => this.#keys.has(key));
+    if (present.length === 0) return 0;
+    this.#revision += 1;
+    this.#publish(present.map((key) => this.#removeOne(key)));
+    return present.length;
+  }
+
+  grantLease(timeToLiveMilliseconds: number): string {
+    const identifier = String(this.#nextLease);
+    this.#nextLease += 1;
+    const endsAt = Date.now() + timeToLiveMilliseconds;
+    this.#leases.set(identifier, { identifier, timeToLiveMilliseconds, endsAt, keys: new Set() });
+    return identifier;
+  }
+
+  hasLease(identifier: string): boolean {
+    return this.#leases.has(identifier);
+  }
+
+  /** Renews a lease; returns its time to live, or `undefined` where it has ended. */
+  renewLease(identifier: string): number | undefined {
+    const lease = this.#leases.get(identifier);
+    if (lease === undefined) return undefined;
+    lease.endsAt = Date.now() + lease.timeToLiveMilliseconds;
+    return lease.timeToLiveMilliseconds;
+  }
+
+  /** Ends a lease and removes its keys; returns whether there was one. */
+  revokeLease(identifier: string): boolean {
+    const lease = this.#leases.get(identifier);
+    if (lease === undefined) return false;
+    this.#leases.delete(identifier);
+    this.remove([...lease.keys]);
+    return true;
+  }
+
+  /** Ends the leases whose time is over. */
+  expireLeases(): void {
+    const now = Date.now();
+    [...this.#leases.values()]
+      .filter((lease) => lease.endsAt <= now)
+      .forEach((lease) => this.revokeLease(lease.identifier));
+  }
+
+  /** Returns the kept changes from a revision on. */
+  changesFrom(revision: number): readonly StoredChange[] {
+    return this.#changes.filter((change) => change.revision >= revision);
+  }
+
+  /** Forgets the changes so far. */
+  compact(): void {
+    this.#compactRevision = this.#revision;
+    this.#changes = this.#changes.filter((change) => change.revision >= this.#revision);
+  }
+
+  /** Calls a listener with the changes of each revision; returns the way to stop it. */
+  subscribe(listener: (changes: readonly StoredChange[]) => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #removeOne(key: string): StoredChange {
+    const previous = this.#keys.get(key);
+    this.#keys.delete(key);
+    if (previous) this.#leases.get(previous.lease)?.keys.delete(key);
+    const entry: StoredKey = {
+      key,
+      value: '',
+      createRevision: 0,
+      revision: this.#revision,
+      version: 0,
+      lease: '0',
+    };
+    return { kind: 'removed', revision: this.#revision, entry };
+  }
+
+  #publish(changes: readonly StoredChange[]): void {
+    this.#changes.push(...changes);
+    if (this.#changes.length > 2 * KEPT_CHANGES) {
+      this.#changes = this.#changes.slice(-KEPT_CHANGES);
+      this.#compactRevision = this.#changes[0]?.revision ?? this.#revision;
+    }
+    this.#listeners.forEach((listener) => listener(changes));
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/util/addControlPaths.ts
@@ -0,0 +1,20 @@
+import type { StandInServer } from './standInServer';
+
+/** What a stand-in shows and takes over its control paths. */
+export interface Controls {
+  /** Parses and applies a change of faults; resolves to the faults now in force. */
+  setFaults(change: unknown): Promise<object>;
+  statistics(): object;
+  /** Further lists to read, by path, such as `/executions`. */
+  readonly lists: Readonly<Record<string, () => unknown>>;
+}
+
+/** Adds the control paths `POST /faults`, `GET /statistics` and the lists to a server. */
+export const addControlPaths = (server: StandInServer, controls: Controls): void => {
+  const { application } = server;
+  application.post('/faults', (request) => controls.setFaults(request.body));
+  application.get('/statistics', () => controls.statistics());
+  Object.entries(controls.lists).forEach(([path, read]) => {
+    application.get(path, () => ({ items: read() }));
+  });
+};
--- /dev/null
+++ b/packages/stand-ins/src/util/standInServer.ts
@@ -0,0 +1,112 @@
+import type { Socket } from 'node:net';
+import type { FastifyInstance } from 'fastify';
+import fastify from 'fastify';
+import { z } from 'zod';
+
+const HOST = '127.0.0.1';
+const BODY_LIMIT_BYTES = 64 * 1_024 * 1_024;
+const STATUS_BAD_REQUEST = 400;
+const STATUS_INTERNAL_ERROR = 500;
+
+/**
+ * HTTP server of a stand-in, with faults of its connections: it can stop listening, break all
+ * connections, or make them silent. It listens on 127.0.0.1 only.
+ */
+export class StandInServer {
+  readonly application: FastifyInstance;
+
+  readonly #sockets = new Set<Socket>();
+
+  #port = 0;
+
+  constructor() {
+    this.application = fastify({ bodyLimit: BODY_LIMIT_BYTES, keepAliveTimeout: 0 });
+    this.application.server.headersTimeout = 0;
+    this.application.server.requestTimeout = 0;
+    this.application.server.on('connection', (socket: Socket) => this.#track(socket));
+    this.application.setErrorHandler((error, _request, reply) => {
+      const status = error instanceof z.ZodError ? STATUS_BAD_REQUEST : STATUS_INTERNAL_ERROR;
+      const message = error instanceof Error ? error.message : String(error);
+      return reply.code(status).send({ error: message, message, code: 0 });
+    });
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  get address(): string {
+    return `http://${HOST}:${this.#port}`;
+  }
+
+  /** Listens on a port, any free one where it is 0; resolves to the port. */
+  async start(port = 0): Promise<number> {
+    await this.application.ready();
+    await this.#listen(port);
+    const address = this.application.server.address();
+    if (address === null || typeof address === 'string') throw new Error('no TCP address');
+    this.#port = address.port;
+    return this.#port;
+  }
+
+  async stop(): Promise<void> {
+    await this.refuse();
+    await this.application.close();
+  }
+
+  /** Stops listening and breaks every connection, so that new ones are refused. */
+  async refuse(): Promise<void> {
+    const { server } = this.application;
+    const closed = server.listening
+      ? new Promise<void>((resolve) => {
+          server.close(() => resolve());
+        })
+      : Promise.resolve();
+    this.breakConnections();
+    await closed;
+  }
+
+  /** Listens again on the same port after {@link refuse}. */
+  async accept(): Promise<void> {
+    if (!this.application.server.listening) await this.#listen(this.#port);
+  }
+
+  /** Breaks every open connection; new ones work. */
+  breakConnections(): void {
+    this.#sockets.forEach((socket) => socket.destroy());
+  }
+
+  /**
+   * Makes every open connection pass no more bytes in either direction, for good, while it stays
+   * open; new ones work. Returns how many there were.
+   */
+  silenceConnections(except?: Socket): number {
+    const silenced = [...this.#sockets].filter((socket) => socket !== except);
+    silenced.forEach((socket) => StandInServer.#silence(socket));
+    return silenced.length;
+  }
+
+  static #silence(socket: Socket): void {
+    const silent = socket;
+    silent.pause();
+    silent.resume = () => silent;
+    silent.write = () => false;
+    silent.end = () => silent;
+  }
+
+  #track(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.once('close', () => this.#sockets.delete(socket));
+  }
+
+  #listen(port: number): Promise<void> {
+    const { server } = this.application;
+    return new Promise((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, HOST, () => {
+        server.removeListener('error', reject);
+        resolve();
+      });
+    });
+  }
+}
