Programs: survive appends that are under way, lost or given up

Change: appends of one program follow one another, and all that waits sees their end only after the table does. An intent names the lost attempt whose place it takes, so that a replay takes back what was never dispatched. Ends and sub-agents wait for a start under way. An owner that lost the partition no longer says that a call did not run.

--- a/packages/programs/src/callFinisher.ts
+++ b/packages/programs/src/callFinisher.ts
@@ -82,7 +82,8 @@
   #dropUnused(call: RunningCall): void {
     const { request, givenOutcome } = call;
     if (!request.singleCall || !givenOutcome || !didNotRun(givenOutcome)) return;
-    if (!this.#core.writer.hasKept(request.program)) this.#core.table.dropTree(request.program);
+    if (this.#core.writer.hasUncommitted(request.program)) return;
+    this.#core.table.dropTree(request.program);
   }
 
   static #recordsOf(call: RunningCall, outcome: CallOutcome): readonly ProgramRecord[] {
--- a/packages/programs/src/callStarter.ts
+++ b/packages/programs/src/callStarter.ts
@@ -13,6 +13,7 @@
 import { RunningCall } from './runningCall';
 import { sessionIdOf } from './sessionIdOf';
 import { NO_USAGE } from './util/noUsage';
+import { programPath } from './util/programPath';
 
 type Start = Result<CallStart, Problem>;
 
@@ -61,14 +62,14 @@
   }
 
   async #beginInTurn(request: CallRequest, signal: AbortSignal): Promise<Start> {
-    const { writer, table } = this.#core;
+    const { table } = this.#core;
     if (signal.aborted) return err(CANCELLED);
-    if (this.#settled(request) && writer.hasKept(request.program)) {
-      const flushed = await writer.flush(request.program);
-      if (flushed.isErr()) return err(this.#core.problemOf(flushed.error));
-    }
-    const known = this.#answerKnown(request);
-    if (known) return known;
+    while (this.#appendToAwait(request)) await this.#appendToAwait(request);
+    if (this.#settled(request)) return this.#replayWhenCommitted(request);
+    const { closed } = this.#core;
+    if (closed) return err(closed);
+    const conflict = this.#conflict(request);
+    if (conflict) return err(conflict);
     const plan = planCall(request, table, Date.now());
     if (plan.isErr()) return err(plan.error);
     const { lostAttempt } = plan.value;
@@ -76,27 +77,47 @@
     return this.#run(request, plan.value, signal);
   }
 
+  /** Returns the append of the program, or of its parent's start, that must end before a call starts. */
+  #appendToAwait({ program }: CallRequest): Promise<unknown> | undefined {
+    const { writer, table } = this.#core;
+    const parentPath = programPath.parent(program.path);
+    if (parentPath === undefined || table.find(program)) return writer.underWay(program);
+    const parent = table.find({ ...program, path: parentPath })?.program;
+    return parent?.history.length === 0 ? writer.underWay(parent.program) : undefined;
+  }
+
   /** Answers what needs no turn: the same call again, or a ledger that is closed. */
   #answerKnown(request: CallRequest): Start | undefined {
-    const { running, table, writer, stopped, closed } = this.#core;
-    if (stopped) return err(stopped);
-    const { program, idempotencyKey, requestDigest } = request;
-    const digest = table.find(program)?.program.digestOf(idempotencyKey);
-    if (digest !== undefined && digest !== requestDigest) {
-      const detail = 'the idempotency key came with another request before';
-      return err({ problem: 'idempotency-conflict', detail });
-    }
+    const { running, writer, stopped, closed } = this.#core;
+    const { program, idempotencyKey } = request;
+    const problem = stopped ?? this.#conflict(request);
+    if (problem) return err(problem);
     const call = running.findOfProgram(program);
     if (call?.request.idempotencyKey === idempotencyKey) {
       return ok({ kind: 'join', sequence: call.sequence, outcome: call.outcome });
     }
     const settled = this.#settled(request);
-    if (settled && !writer.hasKept(program)) {
-      return ok({ kind: 'replay', sequence: settled.sequence, outcome: settled.outcome });
-    }
+    if (settled && !writer.hasUncommitted(program)) return CallStarter.#replay(settled);
     return closed && err(closed);
   }
 
+  /** Gives a recorded outcome once all facts of the program are committed. */
+  async #replayWhenCommitted(request: CallRequest): Promise<Start> {
+    const conflict = this.#conflict(request);
+    if (conflict) return err(conflict);
+    const flushed = await this.#core.writer.flush(request.program);
+    if (flushed.isErr()) return err(this.#core.problemOf(flushed.error));
+    const settled = this.#settled(request);
+    return settled ? CallStarter.#replay(settled) : err(this.#core.stopped ?? CANCELLED);
+  }
+
+  #conflict({ program, idempotencyKey, requestDigest }: CallRequest): Problem | undefined {
+    const digest = this.#core.table.find(program)?.program.digestOf(idempotencyKey);
+    if (digest === undefined || digest === requestDigest) return undefined;
+    const detail = 'the idempotency key came with another request before';
+    return { problem: 'idempotency-conflict', detail };
+  }
+
   /** Closes a call that may have run under an earlier owner and may not be repeated. */
   async #refuseUnknown(request: CallRequest, { lostAttempt }: CallPlan): Promise<Start> {
     const { writer } = this.#core;
@@ -117,14 +138,12 @@
     }
     const callId = this.#nextCallId();
     this.#assertStart(request, plan);
-    const commit = await writer.append(program, CallStarter.#records(request, plan, callId));
-    if (commit.isErr()) {
-      table.withdrawIntent(program, {
-        startedProgram: plan.startLimits !== undefined,
-        lostAttempt,
-      });
-      return err(this.#core.problemOf(commit.error));
-    }
+    const records = CallStarter.#records(request, plan, callId);
+    const commit = await writer.append(program, records, () => {
+      table.withdrawIntent(program, lostAttempt?.callId);
+      if (plan.startLimits) table.withdrawStart(program);
+    });
+    if (commit.isErr()) return err(this.#core.problemOf(commit.error));
     const mayHaveRunBefore = lostAttempt !== undefined;
     const call = new RunningCall({ callId, request, sequence, reservation, mayHaveRunBefore });
     return this.#dispatchable(call, commit.value, signal);
@@ -173,12 +192,16 @@
     return this.#core.table.find(program)?.program.settledCall(idempotencyKey);
   }
 
-  /** A conflicting request did not run itself, whatever became of the one before it. */
+  /**
+   * Returns whether the request ran, as far as is known here. A conflicting request did not run
+   * itself, whatever became of the one before it; what the next owner ran is not known here.
+   */
   #executed(request: CallRequest, problem: CallRefusal['problem']): CallRefusal['executed'] {
     if (problem === 'idempotency-conflict') return 'no';
     const { program, idempotencyKey, requestDigest } = request;
-    const found = this.#core.table.find(program)?.program;
-    return found?.executed(idempotencyKey, requestDigest) ?? 'no';
+    const { stopped, table } = this.#core;
+    const executed = table.find(program)?.program.executed(idempotencyKey, requestDigest) ?? 'no';
+    return executed === 'no' && stopped?.problem === 'not-owner' ? 'unknown' : executed;
   }
 
   #nextCallId(): string {
@@ -187,14 +210,19 @@
     return [partition, epoch, this.#startedCalls].join('.');
   }
 
+  static #replay({ sequence, outcome }: HistoryEntry): Start {
+    return ok({ kind: 'replay', sequence, outcome });
+  }
+
   static #records(request: CallRequest, plan: CallPlan, callId: string): readonly ProgramRecord[] {
     const { program, idempotencyKey, requestDigest, route, idempotent } = request;
-    const { reservation, sequence, startLimits } = plan;
+    const { lostAttempt, reservation, sequence, startLimits } = plan;
     const now = Date.now();
     const intent: ProgramRecord = {
       kind: 'call-intended',
       program,
       callId,
+      ...(lostAttempt && { lostCallId: lostAttempt.callId }),
       sequence,
       idempotencyKey,
       requestDigest,
--- a/packages/programs/src/ledgerSnapshot.ts
+++ b/packages/programs/src/ledgerSnapshot.ts
@@ -42,7 +42,8 @@
   startedAtMilliseconds: z.number(),
   lastActivityMilliseconds: z.number(),
   history: z.array(historyEntrySchema),
-  current: callUnderWaySchema.optional(),
+  /** Attempts of the call under way, the latest last; the others were lost with their owners. */
+  attempts: z.array(callUnderWaySchema),
   end: programEndSchema.optional(),
 });
 
--- a/packages/programs/src/program.ts
+++ b/packages/programs/src/program.ts
@@ -37,7 +37,8 @@
 
   readonly #finishedCallIds = new Set<string>();
 
-  #current: CallUnderWay | undefined;
+  /** Attempts of the call under way, the latest last; the others were lost with their owners. */
+  readonly #attempts: CallUnderWay[] = [];
 
   #end: ProgramEnd | undefined;
 
@@ -57,7 +58,7 @@
     snapshot.history.forEach((entry) => {
       program.#remember(entry);
     });
-    program.#current = snapshot.current;
+    program.#attempts.push(...snapshot.attempts);
     program.#end = snapshot.end;
     program.#lastActivityMilliseconds = snapshot.lastActivityMilliseconds;
     return program;
@@ -70,7 +71,7 @@
       startedAtMilliseconds: this.startedAtMilliseconds,
       lastActivityMilliseconds: this.#lastActivityMilliseconds,
       history: [...this.#history],
-      ...(this.#current && { current: this.#current }),
+      attempts: [...this.#attempts],
       ...(this.#end && { end: this.#end }),
     };
   }
@@ -80,8 +81,9 @@
     return this.#history;
   }
 
+  /** The latest attempt of the call under way. */
   get current(): CallUnderWay | undefined {
-    return this.#current;
+    return this.#attempts[this.#attempts.length - 1];
   }
 
   get end(): ProgramEnd | undefined {
@@ -99,7 +101,7 @@
 
   /** Returns the digest of the request that holds an idempotency key; a key that did not run is free. */
   digestOf(idempotencyKey: string): string | undefined {
-    const current = this.#current;
+    const { current } = this;
     if (current?.idempotencyKey === idempotencyKey) return current.requestDigest;
     return this.#digestOfRunKey.get(idempotencyKey);
   }
@@ -115,28 +117,34 @@
       const outcome = this.#settledByKey.get(idempotencyKey)?.outcome;
       return outcome?.kind === 'answered' ? 'yes' : (outcome?.executed ?? 'unknown');
     }
-    const current = this.#current;
+    const { current } = this;
     const isCurrent =
       current?.idempotencyKey === idempotencyKey && current.requestDigest === requestDigest;
     return isCurrent ? 'unknown' : 'no';
   }
 
-  /** Sets the call under way; it takes the place of an attempt that was lost with its owner. */
-  intend(call: CallUnderWay): void {
-    this.#current = call;
-    this.#lastActivityMilliseconds = call.intendedAtMilliseconds;
+  /** Tells whether a call is an attempt of the call under way. */
+  hasAttempt(callId: string): boolean {
+    return this.#attempts.some((attempt) => attempt.callId === callId);
   }
 
-  /** Takes back an intent that was never recorded; the lost attempt before it stays, if any. */
-  withdrawIntent(lostAttempt: CallUnderWay | undefined): void {
-    this.#current = lostAttempt;
+  /** Adds an attempt of the call under way, behind the one that was lost, if any. */
+  intend(attempt: CallUnderWay): void {
+    this.#attempts.push(attempt);
+    this.#lastActivityMilliseconds = attempt.intendedAtMilliseconds;
+  }
+
+  /** Takes back the latest attempt, which was never dispatched; the lost one before it stays. */
+  withdrawAttempt(): CallUnderWay | undefined {
+    return this.#attempts.pop();
   }
 
   /** Moves the call under way into the history. */
   finish(outcome: CallOutcome, finishedAtMilliseconds: number): void {
-    if (!this.#current) return;
-    this.#remember({ ...this.#current, outcome, finishedAtMilliseconds });
-    this.#current = undefined;
+    const { current } = this;
+    if (!current) return;
+    this.#remember({ ...current, outcome, finishedAtMilliseconds });
+    this.#attempts.length = 0;
     this.#lastActivityMilliseconds = finishedAtMilliseconds;
   }
 
--- a/packages/programs/src/programLedger.ts
+++ b/packages/programs/src/programLedger.ts
@@ -100,7 +100,7 @@
 
   /** Ends a program and its sub-agents. */
   endProgram(program: ProgramIdentifier, reason: EndReason): ResultAsync<undefined, CallRefusal> {
-    return this.#lifecycle.end(program, reason);
+    return new ResultAsync(this.#lifecycle.end(program, reason));
   }
 
   /** Ends idle programs and those past their wall time; to be called now and then. */
--- a/packages/programs/src/programLifecycle.ts
+++ b/packages/programs/src/programLifecycle.ts
@@ -1,8 +1,9 @@
-import { err, errAsync, ok, okAsync } from 'neverthrow';
-import type { Result, ResultAsync } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { CallRefusal } from './callStart';
 import type { LedgerCore } from './ledgerCore';
 import type { EndReason, ProgramIdentifier } from './programRecord';
+import type { FoundProgram } from './programTable';
 import type { ProgramTree } from './programTree';
 import type { ProgramView } from './programView';
 
@@ -21,23 +22,20 @@
   }
 
   /** Ends a program and its sub-agents; ending it again changes nothing. */
-  end(program: ProgramIdentifier, reason: EndReason): ResultAsync<undefined, CallRefusal> {
-    const { table, turns, writer, stopped } = this.#core;
-    if (stopped) return errAsync({ ...stopped, executed: 'no' });
+  async end(
+    program: ProgramIdentifier,
+    reason: EndReason,
+  ): Promise<Result<undefined, CallRefusal>> {
+    const { table, writer } = this.#core;
+    // A start that the journal does not take never was: its end must not be recorded either.
+    while (this.#isStarting(program)) await writer.underWay(program);
+    const { stopped } = this.#core;
+    if (stopped) return err({ ...stopped, executed: 'no' });
     const found = table.find(program);
-    if (!found) return errAsync(NOT_FOUND);
-    if (!found.program.end) {
-      const kind = 'program-ended';
-      writer.keep(program, [{ kind, program, reason, endedAtMilliseconds: Date.now() }]);
-      this.#core.metrics.increment('program.ended', 1, { reason });
-      const detail = 'the program ended while the call waited';
-      found.tree.within(program.path).forEach((ended) => {
-        turns.refuseWaiting(ended.program, { problem: 'program-ended', detail });
-      });
-    }
-    if (!writer.hasKept(program)) return okAsync(undefined);
-    return writer
-      .flush(program)
+    if (!found) return err(NOT_FOUND);
+    if (!found.program.end) this.#recordEnd(found, reason);
+    const flushed = await writer.flush(program);
+    return flushed
       .map(() => undefined)
       .mapErr((error) => ({ ...this.#core.problemOf(error), executed: 'no' as const }));
   }
@@ -54,7 +52,7 @@
       return tree.root && reason ? [this.end(tree.root.program, reason)] : [];
     });
     await Promise.all(ended);
-    const flushed = await Promise.all(writer.flushAll());
+    const flushed = await writer.flushAll();
     flushed.forEach((result) => {
       if (result.isErr()) this.#core.problemOf(result.error);
     });
@@ -92,6 +90,24 @@
     });
   }
 
+  #isStarting(program: ProgramIdentifier): boolean {
+    const { table, writer } = this.#core;
+    const hasHistory = (table.find(program)?.program.history.length ?? 0) > 0;
+    return !hasHistory && writer.underWay(program) !== undefined;
+  }
+
+  #recordEnd({ program: ending, tree }: FoundProgram, reason: EndReason): void {
+    const { turns, writer, metrics } = this.#core;
+    const { program } = ending;
+    const kind = 'program-ended';
+    writer.keep(program, [{ kind, program, reason, endedAtMilliseconds: Date.now() }]);
+    metrics.increment('program.ended', 1, { reason });
+    const detail = 'the program ended while the call waited';
+    tree.within(program.path).forEach((ended) => {
+      turns.refuseWaiting(ended.program, { problem: 'program-ended', detail });
+    });
+  }
+
   #reasonToEnd(tree: ProgramTree, nowMilliseconds: number): EndReason | undefined {
     if (!tree.root || tree.root.end || this.#isBusy(tree)) return undefined;
     if (tree.budget.wallTimeLeft(nowMilliseconds) === 0) return 'budget';
@@ -101,7 +117,9 @@
 
   #isBusy(tree: ProgramTree): boolean {
     const { turns, writer } = this.#core;
-    return tree.programs.some(({ program }) => turns.isBusy(program) || writer.hasKept(program));
+    return tree.programs.some(
+      ({ program }) => turns.isBusy(program) || writer.hasUncommitted(program),
+    );
   }
 
   #retentionOf(reason: EndReason): number {
--- a/packages/programs/src/programRecord.ts
+++ b/packages/programs/src/programRecord.ts
@@ -70,6 +70,8 @@
     kind: z.literal('call-intended'),
     program: programIdentifierSchema,
     callId: z.string(),
+    /** Attempt of the same call, lost with an earlier owner, whose place this one takes. */
+    lostCallId: z.string().optional(),
     sequence: z.number().int().min(0),
     idempotencyKey: z.string(),
     /** SHA-256 of method, path and body. */
--- a/packages/programs/src/programTable.ts
+++ b/packages/programs/src/programTable.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import { EngineMemoryList } from './engineMemoryList';
 import { SNAPSHOT_FORMAT_VERSION } from './ledgerSnapshot';
-import type { CallUnderWay, LedgerSnapshot } from './ledgerSnapshot';
+import type { LedgerSnapshot } from './ledgerSnapshot';
 import { Program } from './program';
 import type { ProgramIdentifier, ProgramRecord } from './programRecord';
 import { ProgramTree } from './programTree';
@@ -18,14 +18,6 @@
   readonly program: Program;
 }
 
-/** What an intent that is taken back had changed besides. */
-export interface Withdrawal {
-  /** Whether the program started with the call. */
-  readonly startedProgram: boolean;
-  /** Attempt of an earlier owner whose place the intent had taken. */
-  readonly lostAttempt: CallUnderWay | undefined;
-}
-
 const rootOf = ({ organisation, path }: ProgramIdentifier): ProgramIdentifier => ({
   organisation,
   path: programPath.root(path),
@@ -102,16 +94,18 @@
     return applied;
   }
 
-  /** Takes back an intent that the journal did not record. */
-  withdrawIntent(identifier: ProgramIdentifier, { startedProgram, lostAttempt }: Withdrawal): void {
+  /** Takes back an intent that the journal did not record, and the start of its program with it. */
+  withdrawIntent(identifier: ProgramIdentifier, lostCallId: string | undefined): void {
+    const found = this.find(identifier);
+    if (!found) return;
+    ProgramTable.#withdrawUntil(found, lostCallId);
+  }
+
+  /** Forgets a program whose start the journal did not record. */
+  withdrawStart(identifier: ProgramIdentifier): void {
     const found = this.find(identifier);
-    if (!found?.program.current) return;
-    found.tree.budget.settle(found.program.current.reservation, NO_USAGE);
-    if (lostAttempt) found.tree.budget.reopen(lostAttempt.reservation);
-    found.program.withdrawIntent(lostAttempt);
-    if (!startedProgram) return;
-    found.tree.remove(identifier.path);
-    if (found.tree.programs.length === 0) this.dropTree(identifier);
+    found?.tree.remove(identifier.path);
+    if (found?.tree.programs.length === 0) this.dropTree(identifier);
   }
 
   #start(record: RecordOf<'program-started'>): Result<undefined, string> {
@@ -134,20 +128,20 @@
   }
 
   #intend(record: RecordOf<'call-intended'>): Result<undefined, string> {
-    const { kind, program: identifier, ...call } = record;
+    const { kind, program: identifier, lostCallId, ...call } = record;
     const found = this.find(identifier);
     if (!found) return err(`${kind} for unknown program ${identifier.path}`);
     const { program, tree } = found;
-    const { current } = program;
-    if (current?.callId === call.callId || program.hasFinished(call.callId)) return ok(undefined);
-    if (call.sequence !== program.history.length) {
-      return err(`sequence ${String(call.sequence)} of ${identifier.path} is out of order`);
-    }
-    if (current) {
-      // An attempt that was lost with its owner may have spent all that it had reserved.
-      const lost = current.idempotencyKey === call.idempotencyKey;
-      tree.budget.settle(current.reservation, lost ? current.reservation : NO_USAGE);
+    const isKnown = program.hasAttempt(call.callId) || call.sequence < program.history.length;
+    if (isKnown) return ok(undefined);
+    if (call.sequence > program.history.length) {
+      return err(`sequence ${String(call.sequence)} of ${identifier.path} comes too early`);
     }
+    ProgramTable.#withdrawUntil(found, lostCallId);
+    const lost = program.current;
+    if (lost?.callId !== lostCallId) return err(`lost attempt of ${identifier.path} is not known`);
+    // An attempt that was lost with its owner may have spent all that it had reserved.
+    if (lost) tree.budget.settle(lost.reservation, lost.reservation);
     tree.budget.reserve(call.reservation);
     program.intend(call);
     return ok(undefined);
@@ -159,10 +153,11 @@
     if (!found) return err(`outcome for unknown program ${identifier.path}`);
     const { program, tree } = found;
     if (program.hasFinished(callId)) return ok(undefined);
-    if (program.current?.callId !== callId) {
+    if (!program.hasAttempt(callId)) {
       return err(`outcome of call ${callId} of ${identifier.path} without its intent`);
     }
-    tree.budget.settle(program.current.reservation, outcome.usage);
+    ProgramTable.#withdrawUntil(found, callId);
+    if (program.current) tree.budget.settle(program.current.reservation, outcome.usage);
     program.finish(outcome, finishedAtMilliseconds);
     return ok(undefined);
   }
@@ -189,4 +184,16 @@
     this.engineMemory.free(record);
     return ok(undefined);
   }
+
+  /**
+   * Takes back the attempts after a given one, or all. Their owner never dispatched them, or a
+   * record that follows would name them.
+   */
+  static #withdrawUntil({ program, tree }: FoundProgram, callId: string | undefined): void {
+    while (program.current && program.current.callId !== callId) {
+      tree.budget.settle(program.current.reservation, NO_USAGE);
+      program.withdrawAttempt();
+      if (program.current) tree.budget.reopen(program.current.reservation);
+    }
+  }
 }
--- a/packages/programs/src/recordWriter.ts
+++ b/packages/programs/src/recordWriter.ts
@@ -1,5 +1,5 @@
-import { errAsync, okAsync } from 'neverthrow';
-import type { ResultAsync } from 'neverthrow';
+import { err, ok, ResultAsync } from 'neverthrow';
+import type { Result } from 'neverthrow';
 import type { Journal, JournalCommit, JournalError } from './journal';
 import type { LedgerAssertions } from './ledgerAssertions';
 import type { ProgramIdentifier, ProgramRecord } from './programRecord';
@@ -16,26 +16,34 @@
 }
 
 /**
- * Applies records to the table at once, so that a snapshot covers every record that was given to
- * the journal, and appends them. Facts, such as outcomes, that the journal did not take are kept
- * and go with the program's next append; intents are not kept.
+ * Applies records to the table and appends them, one append of a program after another. Facts, such
+ * as outcomes, that the journal did not take are kept and go with the program's next append;
+ * intents are not kept. A snapshot of the table covers at least what was given to the journal.
  */
 export class RecordWriter {
   readonly #options: RecordWriterOptions;
 
   readonly #kept = new Map<string, readonly ProgramRecord[]>();
 
+  /** Appends under way; none of them rejects. */
+  readonly #underWay = new Map<string, Promise<unknown>>();
+
   constructor(options: RecordWriterOptions) {
     this.#options = options;
   }
 
-  /** Keys of the programs with records that are not committed. */
-  get programsWithKept(): readonly string[] {
-    return [...this.#kept.keys()];
+  /** Whether facts of a program are not committed yet. */
+  hasUncommitted(program: ProgramIdentifier): boolean {
+    const key = programKey(program);
+    return this.#kept.has(key) || this.#underWay.has(key);
   }
 
-  hasKept(program: ProgramIdentifier): boolean {
-    return this.#kept.has(programKey(program));
+  /**
+   * Returns the append of a program that is under way; it never rejects. Whoever waits for it must
+   * look again after that, as another may have started one.
+   */
+  underWay(program: ProgramIdentifier): Promise<unknown> | undefined {
+    return this.#underWay.get(programKey(program));
   }
 
   /** Applies facts that go with the program's next append. */
@@ -45,23 +53,34 @@
     this.#kept.set(key, [...(this.#kept.get(key) ?? []), ...records]);
   }
 
-  /** Appends what is kept of a program. */
+  /** Appends what is kept of a program; on success, all facts until now are committed. */
   flush(program: ProgramIdentifier): ResultAsync<JournalCommit, JournalError> {
-    return this.#appendWithKept(programKey(program), []);
+    return new ResultAsync(this.#flush(programKey(program)));
   }
 
   /** Appends what is kept of all programs. */
-  flushAll(): readonly ResultAsync<JournalCommit, JournalError>[] {
-    return this.programsWithKept.map((key) => this.#appendWithKept(key, []));
+  flushAll(): Promise<readonly Result<JournalCommit, JournalError>[]> {
+    return Promise.all([...this.#kept.keys()].map((key) => this.#flush(key)));
   }
 
-  /** Applies intents and appends them behind what is kept; the caller takes them back on an error. */
+  /**
+   * Applies intents and appends them behind what is kept; `withdraw` takes them back on an error.
+   * No other append of the program may be under way.
+   */
   append(
     program: ProgramIdentifier,
     intents: readonly ProgramRecord[],
-  ): ResultAsync<JournalCommit, JournalError> {
+    withdraw: () => void,
+  ): Promise<Result<JournalCommit, JournalError>> {
+    const key = programKey(program);
+    this.#options.assertions.check(!this.#underWay.has(key), 'one-append-a-program');
     this.#apply(intents);
-    return this.#appendWithKept(programKey(program), intents);
+    return this.#append(key, intents, withdraw);
+  }
+
+  async #flush(key: string): Promise<Result<JournalCommit, JournalError>> {
+    while (this.#underWay.has(key)) await this.#underWay.get(key);
+    return this.#append(key, [], () => undefined);
   }
 
   #apply(records: readonly ProgramRecord[]): void {
@@ -74,25 +93,36 @@
     });
   }
 
-  #appendWithKept(
+  async #append(
     key: string,
     intents: readonly ProgramRecord[],
-  ): ResultAsync<JournalCommit, JournalError> {
+    withdraw: () => void,
+  ): Promise<Result<JournalCommit, JournalError>> {
     const { journal, assertions, onCommit } = this.#options;
     if (assertions.hasFailed) {
-      return errAsync({ kind: 'unavailable', detail: 'the partition stopped on an invariant' });
+      withdraw();
+      return err({ kind: 'unavailable', detail: 'the partition stopped on an invariant' });
     }
     const kept = this.#kept.get(key) ?? [];
     const records = [...kept, ...intents];
-    if (records.length === 0) return okAsync({ durability: 'durable' });
+    if (records.length === 0) return ok({ durability: 'durable' });
     this.#kept.delete(key);
-    return journal
-      .append(records)
-      .andTee(() => {
-        onCommit(records);
-      })
-      .orTee(() => {
-        if (kept.length > 0) this.#kept.set(key, [...kept, ...(this.#kept.get(key) ?? [])]);
-      });
+    const appending = Promise.resolve(journal.append(records));
+    this.#underWay.set(key, appending);
+    const appended = await appending;
+    // All of this before anyone that waits for the append sees its end.
+    this.#underWay.delete(key);
+    if (appended.isOk()) {
+      onCommit(records);
+      return appended;
+    }
+    withdraw();
+    this.#keepAgain(key, kept);
+    return appended;
+  }
+
+  #keepAgain(key: string, records: readonly ProgramRecord[]): void {
+    const all = [...records, ...(this.#kept.get(key) ?? [])];
+    if (all.length > 0) this.#kept.set(key, all);
   }
 }
