Add stand-ins of engines, tools and collectors

Cause: the whole path, the fault matrix and the experiments need targets that fail and that record what reached them.

Change: EngineStandIn (continuous batch, prefix cache with limited memory, priorities, cancel, resume, late and gappy cache events, lagging load, orders with fencing numbers, crash on a marked prompt), ToolStandIn (records each effect, fails before or after it, hangs), CollectorStandIn (OTLP and StatsD), and one binary that runs each as a process. Markers count requests that carry a text that must not arrive, such as a caller's key.

--- /dev/null
+++ b/packages/stand-ins/src/commands/standInCommand.ts
@@ -0,0 +1,34 @@
+import { Command, Option } from 'clipanion';
+
+/** What a command starts and stops. */
+export interface RunningStandIn {
+  start(port: number): Promise<number>;
+  stop(): Promise<void>;
+}
+
+const untilSignal = (): Promise<void> =>
+  new Promise((resolve) => {
+    process.once('SIGTERM', () => resolve());
+    process.once('SIGINT', () => resolve());
+  });
+
+const parsePort = (text: string): number => {
+  const port = Number(text);
+  if (Number.isInteger(port) && port >= 0 && port < 65_536) return port;
+  throw new RangeError(`--port ${text}: must be an integer from 0 to 65535`);
+};
+
+/** Starts a stand-in, prints one JSON line with its port, and stops it on SIGTERM or SIGINT. */
+export abstract class StandInCommand extends Command {
+  port = Option.String('--port', '0', { description: 'Port of 127.0.0.1; 0 for any free one' });
+
+  async execute(): Promise<void> {
+    const standIn = this.create();
+    const port = await standIn.start(parsePort(this.port));
+    this.context.stdout.write(`${JSON.stringify({ ready: true, port })}\n`);
+    await untilSignal();
+    await standIn.stop();
+  }
+
+  protected abstract create(): RunningStandIn;
+}
--- /dev/null
+++ b/packages/stand-ins/src/engine/modelEngine.ts
@@ -0,0 +1,179 @@
+import { prefixBlocks } from '@limpetnotch/scheduling';
+import { answerTextOf, planAnswer } from './answerText';
+import { Batch } from './batch';
+import type { CacheChange } from './cacheEventLog';
+import { CacheEventLog } from './cacheEventLog';
+import type { ChatRequest } from './chatRequest';
+import type { EngineSettings } from './engineSettings';
+import type { EngineStatistics } from './engineStatistics';
+import type { Generation, GenerationSink } from './generation';
+import { promptTokensOf } from './generation';
+import type { EngineLoad } from './loadHistory';
+import { LoadHistory } from './loadHistory';
+import type { CacheUpdate } from './prefixCache';
+import { PrefixCache } from './prefixCache';
+
+/** What an engine needs from the server around it. */
+export interface ModelEngineHost {
+  settings(): EngineSettings;
+  /** Called when the engine crashes; its memory is gone by then. */
+  crashed(): void;
+}
+
+/** Model engine without its HTTP server: continuous batch, prefix cache, events and load. */
+export class ModelEngine {
+  readonly #host: ModelEngineHost;
+
+  readonly #cache = new PrefixCache();
+
+  readonly #batch: Batch;
+
+  readonly #loads = new LoadHistory();
+
+  #events: CacheEventLog;
+
+  #arrivals = 0;
+
+  #crashes = 0;
+
+  #finished = 0;
+
+  #cancelled = 0;
+
+  #prefilledTokens = 0;
+
+  #cachedTokens = 0;
+
+  #outputTokens = 0;
+
+  constructor(host: ModelEngineHost) {
+    this.#host = host;
+    this.#events = new CacheEventLog(host.settings().seed);
+    this.#batch = new Batch({
+      settings: () => host.settings(),
+      admitted: (generation) => this.#admitted(generation),
+      prefilled: (generation) => this.#store(generation, generation.prefix),
+      finished: (generation) => this.#completed(generation),
+      crashed: () => this.crash(),
+      changed: () => this.#sampleLoad(),
+    });
+  }
+
+  get queuedCount(): number {
+    return this.#batch.queuedCount;
+  }
+
+  /** Queues a request; returns the way to cancel it. */
+  generate(request: ChatRequest, sink: GenerationSink): () => void {
+    const answer = planAnswer(request, this.#host.settings().seed);
+    const { messages } = request;
+    this.#arrivals += 1;
+    const generation: Generation = {
+      priority: request.priority,
+      arrival: this.#arrivals,
+      session: request.session_id,
+      prefix: prefixBlocks(messages),
+      historyPrefix: () =>
+        prefixBlocks([...messages, { role: 'assistant', content: answerTextOf(answer) }]),
+      answer,
+      sink,
+      cachedTokens: 0,
+      prefillTokens: 0,
+      nextToken: request.resume?.from_token ?? 0,
+      progress: 0,
+    };
+    this.#batch.add(generation);
+    return () => {
+      this.#cancelled += 1;
+      this.#batch.cancel(generation);
+    };
+  }
+
+  /** Drops the memory that only a session holds. */
+  freeSession(session: string): void {
+    this.#log({ stored: [], evicted: this.#cache.freeSession(session) });
+  }
+
+  sessions(): readonly string[] {
+    return this.#cache.sessions();
+  }
+
+  cacheEvents(after: number): readonly CacheChange[] {
+    return this.#events.after(after, this.#host.settings().cacheEventDelayMilliseconds);
+  }
+
+  /** Returns the load as it was before the lag. */
+  load(): EngineLoad {
+    return this.#loads.before(this.#host.settings().loadLagMilliseconds);
+  }
+
+  /** Loses all requests and all memory; sequences of cache events start again. */
+  crash(): void {
+    this.#crashes += 1;
+    this.#cache.clear();
+    this.#events = new CacheEventLog(this.#host.settings().seed);
+    this.#batch.clear();
+    this.#host.crashed();
+  }
+
+  stop(): void {
+    this.#batch.clear();
+  }
+
+  statistics(): EngineStatistics {
+    return {
+      finished: this.#finished,
+      cancelled: this.#cancelled,
+      crashes: this.#crashes,
+      running: this.#batch.runningCount,
+      queued: this.#batch.queuedCount,
+      prefilledTokens: this.#prefilledTokens,
+      cachedTokens: this.#cachedTokens,
+      outputTokens: this.#outputTokens,
+      cacheTokens: this.#cache.tokens,
+      sessions: this.#cache.sessions(),
+    };
+  }
+
+  #admitted(generation: Generation): void {
+    const admitted = generation;
+    const promptTokens = promptTokensOf(generation.prefix);
+    admitted.cachedTokens = this.#cache.cachedTokens(generation.prefix);
+    // At least one token is computed, as no answer starts without one.
+    admitted.prefillTokens = Math.max(1, promptTokens - generation.cachedTokens);
+    this.#prefilledTokens += promptTokens - admitted.cachedTokens;
+    this.#cachedTokens += admitted.cachedTokens;
+  }
+
+  #completed(generation: Generation): void {
+    const { prefix, answer, sink, cachedTokens } = generation;
+    this.#finished += 1;
+    this.#outputTokens += answer.tokens;
+    this.#store(generation, generation.historyPrefix());
+    sink.finished({
+      promptTokens: promptTokensOf(prefix),
+      outputTokens: answer.tokens,
+      cachedTokens,
+      finishReason: answer.finishReason,
+    });
+  }
+
+  #store({ session }: Generation, prefix: Generation['prefix']): void {
+    this.#log(this.#cache.store(prefix, session, this.#host.settings().cacheTokens));
+  }
+
+  #log({ stored, evicted }: CacheUpdate): void {
+    const { cacheEventLossRatio } = this.#host.settings();
+    this.#events.add('stored', stored, cacheEventLossRatio);
+    this.#events.add('evicted', evicted, cacheEventLossRatio);
+  }
+
+  #sampleLoad(): void {
+    this.#loads.add({
+      running: this.#batch.runningCount,
+      queued: this.#batch.queuedCount,
+      queuedTokens: this.#batch.queuedTokens,
+      cacheTokens: this.#cache.tokens,
+    });
+  }
+}
--- a/packages/stand-ins/src/store/storeStandIn.ts
+++ b/packages/stand-ins/src/store/storeStandIn.ts
@@ -1,4 +1,5 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
+import { addControlPaths } from '../util/addControlPaths';
 import { StandInServer } from '../util/standInServer';
 import { waitMilliseconds } from '../util/waitMilliseconds';
 import { CallRate } from './callRate';
@@ -153,6 +154,11 @@
     this.#addCall('/v3/lease/revoke', 'lease-revoke', (body) => this.#revokeLease(body));
     this.#addCall('/v3/kv/lease/revoke', 'lease-revoke', (body) => this.#revokeLease(body));
     this.server.application.post('/v3/watch', (request, reply) => this.#watch(request, reply));
+    addControlPaths(this.server, {
+      setFaults: (change) => this.setFaults(storeFaultsChangeSchema.parse(change)),
+      statistics: () => this.statistics(),
+      lists: {},
+    });
   }
 
   #addCall(path: string, name: StoreCallName, run: (body: unknown) => CallAnswer): void {
--- /dev/null
+++ b/packages/stand-ins/src/util/requestRecorder.ts
@@ -0,0 +1,66 @@
+import type { FastifyInstance, FastifyRequest } from 'fastify';
+
+const KEPT_REQUESTS = 5_000;
+
+/** A request as a stand-in received it. */
+export interface ReceivedRequest {
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly body: unknown;
+  readonly atMilliseconds: number;
+}
+
+/** Keeps the last requests and counts those that carry a text that must not arrive. */
+export class RequestRecorder {
+  readonly #markers: () => readonly string[];
+
+  #requests: ReceivedRequest[] = [];
+
+  #received = 0;
+
+  #sightings = 0;
+
+  constructor(markers: () => readonly string[]) {
+    this.#markers = markers;
+  }
+
+  get requests(): readonly ReceivedRequest[] {
+    return this.#requests;
+  }
+
+  get received(): number {
+    return this.#received;
+  }
+
+  /** Requests that carried a marker in their path, a header or the body. */
+  get sightings(): number {
+    return this.#sightings;
+  }
+
+  /** Records every request of an application but those to the control paths. */
+  attach(application: FastifyInstance, ignoredPaths: ReadonlySet<string>): void {
+    application.addHook('preHandler', async (request) => {
+      if (!ignoredPaths.has(request.url)) this.#record(request);
+    });
+  }
+
+  #record(request: FastifyRequest): void {
+    const received: ReceivedRequest = {
+      method: request.method,
+      path: request.url,
+      headers: request.headers,
+      body: request.body,
+      atMilliseconds: Date.now(),
+    };
+    this.#received += 1;
+    this.#requests.push(received);
+    if (this.#requests.length > 2 * KEPT_REQUESTS) {
+      this.#requests = this.#requests.slice(-KEPT_REQUESTS);
+    }
+    const markers = this.#markers();
+    if (markers.length === 0) return;
+    const text = JSON.stringify(received);
+    if (markers.some((marker) => text.includes(marker))) this.#sightings += 1;
+  }
+}
