Add the scheduler: fair queues, placement, health, retries, quarantine

Cause: the owner of a partition needs one face that decides when and where a call runs.

Change: createScheduler implements Scheduler with a queue for each route and model, weighted fair queueing over organisations by service received, least attained service over root programs in doubling levels with aging, a window split by rendezvous hashing, borrowing by load reports, placement by expected cost, ejection with a cap, probation, slow start, a retry budget for each route and a quarantine whose entries merge in any order. Round robin, least loaded and cache affinity are policies for comparison. The face gains setFleet, takeLocalService, endProgram, recordProbe, the quarantine's methods and stop; a grant says whether its target can resume; a broken attempt may say that it was only silent, which is no sign of a crash.

Lint: default-case and consistent-return are off, since both clash with exhaustive switches and are covered more strictly by switch-exhaustiveness-check and the compiler's noImplicitReturns.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -38,6 +38,9 @@
     rules: {
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      // Both are covered more strictly: by the rule above and by the compiler's noImplicitReturns.
+      'default-case': 'off',
+      'consistent-return': 'off',
       '@typescript-eslint/no-floating-promises': 'error',
       // Nest controllers and small adapters have methods without state.
       '@typescript-eslint/class-methods-use-this': 'off',
--- /dev/null
+++ b/packages/scheduling/src/cacheHints.ts
@@ -0,0 +1,120 @@
+import type { PrefixBlock } from './scheduledCall';
+import type { CacheEvent } from './scheduler';
+
+const STALE_TRUST = 0.5;
+
+/** Highest sequence with which a target that was started again may begin. */
+const FIRST_SEQUENCE = 1;
+
+/** What is believed of one target's prefix cache. */
+interface TargetCache {
+  /** Blocks, the longest untouched first, each with the number of gaps when it was noted. */
+  readonly blocks: Map<string, number>;
+  lastSequence: number | undefined;
+  /** Gaps seen in the sequence of events. */
+  gaps: number;
+}
+
+/** Prompt tokens that a target probably has in its cache. */
+export interface CachedPrefix {
+  readonly target: string;
+  readonly tokens: number;
+}
+
+/**
+ * Blocks that targets probably cache, from what was sent there and from their cache events. All
+ * are hints: a gap in a target's events halves the trust in what was noted before it.
+ */
+export class CacheHints {
+  readonly #maximumBlocksPerTarget: number;
+
+  readonly #caches = new Map<string, TargetCache>();
+
+  readonly #holders = new Map<string, Set<string>>();
+
+  constructor(maximumBlocksPerTarget: number) {
+    this.#maximumBlocksPerTarget = maximumBlocksPerTarget;
+  }
+
+  /** Notes a prompt that was sent to a target. */
+  noteSent(target: string, prefix: readonly PrefixBlock[]): void {
+    const cache = this.#cache(target);
+    prefix.forEach(({ digest }) => {
+      this.#note(target, cache, digest);
+    });
+  }
+
+  /** Takes a cache event in; a gap in the sequence makes the older view less trusted. */
+  takeEvent({ target, sequence, change, digests }: CacheEvent): void {
+    const last = this.#cache(target).lastSequence;
+    const restarted = last !== undefined && sequence < last && sequence <= FIRST_SEQUENCE;
+    if (restarted) this.forgetTarget(target);
+    const cache = this.#cache(target);
+    const expected = cache.lastSequence === undefined ? sequence : cache.lastSequence + 1;
+    if (sequence < expected) return;
+    if (sequence > expected) cache.gaps += 1;
+    cache.lastSequence = sequence;
+    digests.forEach((digest) => {
+      if (change === 'stored') this.#note(target, cache, digest);
+      else this.#drop(target, cache, digest);
+    });
+  }
+
+  /** Forgets a target's blocks, as after its restart. */
+  forgetTarget(target: string): void {
+    const cache = this.#caches.get(target);
+    if (!cache) return;
+    [...cache.blocks.keys()].forEach((digest) => {
+      this.#drop(target, cache, digest);
+    });
+    this.#caches.delete(target);
+  }
+
+  /** Returns the targets that probably cache a part of the prompt, with the tokens expected. */
+  lookUp(prefix: readonly PrefixBlock[]): readonly CachedPrefix[] {
+    const found = new Map<string, number>();
+    let tokens = prefix.reduce((sum, block) => sum + block.tokens, 0);
+    for (let index = prefix.length - 1; index >= 0; index -= 1) {
+      const block = prefix[index];
+      if (!block) break;
+      this.#collect(block.digest, tokens, found);
+      tokens -= block.tokens;
+    }
+    return [...found].map(([target, expected]) => ({ target, tokens: expected }));
+  }
+
+  #collect(digest: string, tokens: number, found: Map<string, number>): void {
+    this.#holders.get(digest)?.forEach((target) => {
+      const cache = this.#caches.get(target);
+      const gapsSince = (cache?.gaps ?? 0) - (cache?.blocks.get(digest) ?? 0);
+      const expected = tokens * STALE_TRUST ** gapsSince;
+      if (expected > (found.get(target) ?? 0)) found.set(target, expected);
+    });
+  }
+
+  #note(target: string, cache: TargetCache, digest: string): void {
+    cache.blocks.delete(digest);
+    cache.blocks.set(digest, cache.gaps);
+    const holders = this.#holders.get(digest);
+    if (holders) holders.add(target);
+    else this.#holders.set(digest, new Set([target]));
+    if (cache.blocks.size <= this.#maximumBlocksPerTarget) return;
+    const [oldest] = cache.blocks.keys();
+    if (oldest !== undefined) this.#drop(target, cache, oldest);
+  }
+
+  #drop(target: string, cache: TargetCache, digest: string): void {
+    cache.blocks.delete(digest);
+    const holders = this.#holders.get(digest);
+    holders?.delete(target);
+    if (holders?.size === 0) this.#holders.delete(digest);
+  }
+
+  #cache(target: string): TargetCache {
+    const known = this.#caches.get(target);
+    if (known) return known;
+    const cache = { blocks: new Map<string, number>(), lastSequence: undefined, gaps: 0 };
+    this.#caches.set(target, cache);
+    return cache;
+  }
+}
--- /dev/null
+++ b/packages/scheduling/src/callOrder.ts
@@ -0,0 +1,58 @@
+import type { AttainedService } from './attainedService';
+import type { OrganisationService } from './organisationService';
+import type { SchedulerSettings } from './schedulerSettings';
+import type { WaitingCall } from './waitingCall';
+
+/** Options of a {@link CallOrder}. */
+export interface CallOrderOptions {
+  readonly settings: SchedulerSettings;
+  readonly organisations: OrganisationService;
+  readonly programs: AttainedService;
+}
+
+interface RankedCall {
+  readonly waiting: WaitingCall;
+  readonly rank: number;
+}
+
+/**
+ * The order of waiting calls: organisations by the least service received, then programs by the
+ * least attained service in levels that double (as in multilevel feedback), the older call first
+ * within a level. A call sinks one level for each aging time that it waits, so none starves.
+ */
+export class CallOrder {
+  readonly #options: CallOrderOptions;
+
+  constructor(options: CallOrderOptions) {
+    this.#options = options;
+  }
+
+  /** Returns organisations with waiting calls, the one to be served next first. */
+  sortOrganisations(organisations: Iterable<string>): readonly string[] {
+    const service = this.#options.organisations;
+    return [...organisations].sort(
+      (one, other) =>
+        service.virtualTime(one) - service.virtualTime(other) || (one < other ? -1 : 1),
+    );
+  }
+
+  /** Returns an organisation's calls, the one to be served next first. */
+  sortCalls(calls: readonly WaitingCall[]): readonly WaitingCall[] {
+    const now = performance.now();
+    return calls
+      .map((waiting): RankedCall => ({ waiting, rank: this.#rank(waiting, now) }))
+      .sort((one, other) => one.rank - other.rank || one.waiting.arrival - other.waiting.arrival)
+      .map(({ waiting }) => waiting);
+  }
+
+  /** Returns the level of a call's program, from 0; a lower level runs first. */
+  level({ call }: WaitingCall): number {
+    const attained = this.#options.programs.attained(call.organisation, call.rootProgram);
+    return Math.floor(Math.log2(1 + attained / this.#options.settings.levelTokens));
+  }
+
+  #rank(waiting: WaitingCall, now: number): number {
+    const waited = now - waiting.enqueuedAtMilliseconds;
+    return this.level(waiting) - Math.floor(waited / this.#options.settings.agingMilliseconds);
+  }
+}
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,5 +1,13 @@
+export { createScheduler } from './createScheduler';
+export type { SchedulerOptions } from './createScheduler';
 export { estimateTokens, prefixBlocks } from './prefixBlocks';
 export type { PromptMessage } from './prefixBlocks';
+export { quarantineEntrySchema } from './quarantineEntry';
+export type { QuarantineEntry } from './quarantineEntry';
+export type { QuarantineListener } from './quarantine';
 export type { PrefixBlock, ScheduledCall } from './scheduledCall';
 export type { CacheEvent, LoadReport, Scheduler } from './scheduler';
+export { schedulerSettingsSchema } from './schedulerSettings';
+export type { SchedulerSettings } from './schedulerSettings';
+export type { SchedulingPolicy } from './schedulingPolicy';
 export type { AttemptOutcome, SchedulingRefusal, TargetGrant } from './targetGrant';
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -1,5 +1,7 @@
 import type { Configuration } from '@limpetnotch/declarations';
 import type { ResultAsync } from 'neverthrow';
+import type { QuarantineEntry } from './quarantineEntry';
+import type { QuarantineListener } from './quarantine';
 import type { ScheduledCall } from './scheduledCall';
 import type { SchedulingRefusal, TargetGrant } from './targetGrant';
 
@@ -25,6 +27,8 @@
 export interface Scheduler {
   /** Applies a configuration: targets, windows, weights. */
   applyConfiguration(configuration: Configuration): void;
+  /** Names the instances that share the targets' windows; this one counts in any case. */
+  setFleet(instances: readonly string[]): void;
   /** Waits for a slot; the signal cancels the wait. */
   acquire(call: ScheduledCall, signal: AbortSignal): ResultAsync<TargetGrant, SchedulingRefusal>;
   /** Decides whether a failed attempt may be sent again, and charges the route's retry budget. */
@@ -33,4 +37,20 @@
   reportCache(event: CacheEvent): void;
   /** Service that other instances gave to an organisation, in tokens, since their last report. */
   addRemoteService(organisation: string, tokens: number): void;
+  /** Returns the service given here to an organisation since the last call, in tokens. */
+  takeLocalService(organisation: string): number;
+  /** Forgets the service of a root program that ended. */
+  endProgram(organisation: string, rootProgram: string): void;
+  /** Notes whether an active probe on a new connection found a target healthy. */
+  recordProbe(target: string, healthy: boolean): void;
+  /** Returns the requests that are quarantined. */
+  listQuarantine(): readonly QuarantineEntry[];
+  /** Lifts the quarantine of a request; returns whether there was one, or a suspicion. */
+  liftQuarantine(requestDigest: string): boolean;
+  /** Takes in what other instances know of requests that crash targets. */
+  importQuarantine(entries: readonly QuarantineEntry[]): void;
+  /** Is told of each suspicion, quarantine and lift here, so that the fleet learns of it. */
+  onQuarantined(listener: QuarantineListener): void;
+  /** Refuses all waiting calls and stops the timer; calls under way can still be released. */
+  stop(): void;
 }
--- a/packages/scheduling/src/targetGrant.ts
+++ b/packages/scheduling/src/targetGrant.ts
@@ -11,7 +11,11 @@
   /** No connection was made, or the request certainly never left. */
   | { readonly kind: 'not-sent' }
   /** The connection broke, went silent or the target crashed with the call under way. */
-  | { readonly kind: 'broken' }
+  | {
+      readonly kind: 'broken';
+      /** `silent` where only the progress deadline passed; that is no sign of a crash. */
+      readonly cause?: 'connection-lost' | 'silent' | undefined;
+    }
   | { readonly kind: 'cancelled' };
 
 /** A slot at a target, held until it is released. */
@@ -23,6 +27,8 @@
   readonly priority: number;
   /** Time that the call waited, in milliseconds. */
   readonly queuedMilliseconds: number;
+  /** Whether the target can resume a cut stream at a token. */
+  readonly resumable: boolean;
   /** Reports tokens as they come, so that service received is current. */
   progress(outputTokens: number): void;
   /** Gives the slot back; must be called once. */
--- /dev/null
+++ b/packages/scheduling/src/targetPool.ts
@@ -0,0 +1,105 @@
+import { CallQueue } from './callQueue';
+import type { ScheduledCall } from './scheduledCall';
+import type { TargetTable } from './targetTable';
+import type { TargetView } from './targetView';
+
+const OUTPUT_WEIGHT = 0.05;
+
+/** Targets among which a call is placed. */
+export interface CandidateTargets {
+  readonly targets: readonly TargetView[];
+  find(name: string): TargetView | undefined;
+}
+
+/** The targets of a route and a model, and the calls that wait for them. */
+export class TargetPool implements CandidateTargets {
+  readonly queue = new CallQueue();
+
+  readonly model: string | undefined;
+
+  readonly #table: TargetTable;
+
+  #names: readonly string[] = [];
+
+  #views = new Map<string, TargetView>();
+
+  #targets: readonly TargetView[] = [];
+
+  #expectedOutputTokens: number;
+
+  constructor(table: TargetTable, model: string | undefined, expectedOutputTokens: number) {
+    this.#table = table;
+    this.model = model;
+    this.#expectedOutputTokens = expectedOutputTokens;
+  }
+
+  /** Targets that serve the model, leaving ones included. */
+  get targets(): readonly TargetView[] {
+    return this.#targets;
+  }
+
+  find(name: string): TargetView | undefined {
+    return this.#views.get(name);
+  }
+
+  /** Names the route's targets; views are looked up only when they changed. */
+  setNames(names: readonly string[]): void {
+    if (names === this.#names) return;
+    const isSame =
+      names.length === this.#names.length &&
+      names.every((name, position) => name === this.#names[position]);
+    this.#names = names;
+    if (!isSame) this.rebuild();
+  }
+
+  /** Looks the views up again, after a change of the configuration or of the fleet. */
+  rebuild(): void {
+    this.#targets = this.#names
+      .map((name) => this.#table.view(name))
+      .filter((view) => view?.serves(this.model) === true)
+      .filter((view) => view !== undefined);
+    this.#views = new Map(this.#targets.map((view) => [view.name, view]));
+    this.#keepOneSlot();
+  }
+
+  /** Returns the targets that a call may use: failed ones only where there is no other. */
+  candidates(call: ScheduledCall): CandidateTargets {
+    if (call.excludedTargets.length === 0) return this;
+    const others = this.#targets.filter(
+      (view) => view.isServing && !call.excludedTargets.includes(view.name),
+    );
+    if (others.length === 0) return this;
+    const names = new Set(others.map(({ name }) => name));
+    return {
+      targets: others,
+      find: (name) => (names.has(name) ? this.#views.get(name) : undefined),
+    };
+  }
+
+  /** Whether any target takes new calls, be it only later. */
+  get isServed(): boolean {
+    return this.#targets.some((view) => view.isServing);
+  }
+
+  /** Returns the output to be expected of a call, in tokens. */
+  expectedOutputTokens({ maximumOutputTokens }: ScheduledCall): number {
+    return Math.min(maximumOutputTokens, this.#expectedOutputTokens);
+  }
+
+  recordOutput(outputTokens: number): void {
+    this.#expectedOutputTokens += OUTPUT_WEIGHT * (outputTokens - this.#expectedOutputTokens);
+  }
+
+  /**
+   * An instance without any share in the pool keeps one slot, at the target that ranks it first,
+   * for its programs would else never run. So the calls under way in a pool are bounded by the sum
+   * of its windows or by the number of instances, whichever is larger.
+   */
+  #keepOneSlot(): void {
+    const serving = this.#targets.filter((view) => view.isServing);
+    if (serving.length === 0 || serving.some((view) => view.share > 0)) return;
+    const ranked = serving.map((view) => ({ view, rank: this.#table.rank(view.name) }));
+    ranked.sort((one, other) => one.rank - other.rank);
+    ranked[0]?.view.keepOneSlot();
+  }
+}
--- /dev/null
+++ b/packages/scheduling/tests/callScheduler.test.ts
@@ -0,0 +1,239 @@
+import fc from 'fast-check';
+import type { TargetGrant } from '../src/targetGrant';
+import { acquired, answered, never, refused, scheduledCall, startScheduler } from './fixtures';
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+const oneTarget = { one: { window: 1 } };
+
+/** Lets waiting calls run one after another, and returns the names in the order of their grants. */
+const serveAll = async (
+  waiting: readonly { readonly name: string; readonly grant: Promise<TargetGrant> }[],
+): Promise<readonly string[]> => {
+  const granted: { readonly name: string; readonly grant: TargetGrant }[] = [];
+  waiting.forEach(({ name, grant }) => {
+    void grant.then((held) => granted.push({ name, grant: held }));
+  });
+  for (let served = 0; served < waiting.length; served += 1) {
+    await jest.advanceTimersByTimeAsync(1_000);
+    granted[served]?.grant.release(answered);
+  }
+  await jest.advanceTimersByTimeAsync(0);
+  return granted.map(({ name }) => name);
+};
+
+test('grants a slot at once while there is room', async () => {
+  const { scheduler } = startScheduler();
+  const grant = await acquired(scheduler, scheduledCall());
+  expect(['one', 'two']).toContain(grant.target);
+  expect(grant.queuedMilliseconds).toBe(0);
+  expect(grant.resumable).toBe(true);
+});
+
+test('never exceeds the window', async () => {
+  const { scheduler } = startScheduler({ targets: { one: { window: 2 }, two: { window: 3 } } });
+  const underWay = new Map<string, number>();
+  const calls = Array.from({ length: 40 }, () => scheduledCall());
+  const runs = calls.map(async (call, index) => {
+    const grant = await acquired(scheduler, call);
+    const now = (underWay.get(grant.target) ?? 0) + 1;
+    underWay.set(grant.target, now);
+    expect(now).toBeLessThanOrEqual(grant.target === 'one' ? 2 : 3);
+    await jest.advanceTimersByTimeAsync(index % 7);
+    underWay.set(grant.target, (underWay.get(grant.target) ?? 0) - 1);
+    grant.release(answered);
+  });
+  await jest.advanceTimersByTimeAsync(60_000);
+  await Promise.all(runs);
+});
+
+test('serves organisations by weight', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget, weights: { north: 3, south: 1 } });
+  const held = await acquired(scheduler, scheduledCall());
+  const waiting = ['north', 'south'].flatMap((organisation) =>
+    Array.from({ length: 20 }, () => ({
+      name: organisation,
+      grant: acquired(scheduler, scheduledCall({ organisation })),
+    })),
+  );
+  await jest.advanceTimersByTimeAsync(0);
+  held.release(answered);
+  const order = await serveAll(waiting);
+  const north = order.slice(0, 24).filter((name) => name === 'north').length;
+  expect(north).toBeGreaterThanOrEqual(17);
+  expect(north).toBeLessThanOrEqual(19);
+});
+
+test('starves no call, however the others come', async () => {
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fc.tuple(fc.constantFrom('north', 'south'), fc.integer({ min: 0, max: 5 })), {
+        minLength: 1,
+        maxLength: 40,
+      }),
+      async (load) => {
+        const { scheduler } = startScheduler({ targets: oneTarget });
+        const waiting = load.map(([organisation, program], index) => ({
+          name: String(index),
+          grant: acquired(
+            scheduler,
+            scheduledCall({ organisation, rootProgram: `program-${program}` }),
+          ),
+        }));
+        const order = await serveAll(waiting);
+        expect(new Set(order).size).toBe(load.length);
+        scheduler.stop();
+      },
+    ),
+    { seed: 6, numRuns: 15 },
+  );
+});
+
+test('a program with much service waits behind a new one, until it aged', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget }, { agingMilliseconds: 5_000 });
+  const large = await acquired(scheduler, scheduledCall({ rootProgram: 'large' }));
+  large.release({ ...answered, promptTokens: 500_000 });
+  const held = await acquired(scheduler, scheduledCall());
+  const old = {
+    name: 'large',
+    grant: acquired(scheduler, scheduledCall({ rootProgram: 'large' })),
+  };
+  const fresh = { name: 'new', grant: acquired(scheduler, scheduledCall()) };
+  await jest.advanceTimersByTimeAsync(100);
+  held.release(answered);
+  expect(await serveAll([old, fresh])).toEqual(['new', 'large']);
+
+  const next = await acquired(scheduler, scheduledCall());
+  const aged = {
+    name: 'large',
+    grant: acquired(scheduler, scheduledCall({ rootProgram: 'large' })),
+  };
+  await jest.advanceTimersByTimeAsync(60_000);
+  const late = { name: 'new', grant: acquired(scheduler, scheduledCall()) };
+  next.release(answered);
+  expect(await serveAll([aged, late])).toEqual(['large', 'new']);
+});
+
+test('a full queue is refused with the time in which it drains', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget, maximumQueuedCalls: 4 });
+  let held = await acquired(scheduler, scheduledCall());
+  const waiting = Array.from({ length: 4 }, () => acquired(scheduler, scheduledCall()));
+  for (const next of waiting.slice(0, 3)) {
+    await jest.advanceTimersByTimeAsync(2_000);
+    held.release(answered);
+    held = await next;
+    void acquired(scheduler, scheduledCall());
+  }
+  const refusal = await refused(scheduler, scheduledCall());
+  expect(refusal.problem).toBe('queue-full');
+  expect(refusal.retryAfterMilliseconds).toBe(8_000);
+});
+
+test('a call that is given up on is answered at once', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget });
+  await acquired(scheduler, scheduledCall());
+  const controller = new AbortController();
+  const waiting = refused(scheduler, scheduledCall(), controller.signal);
+  controller.abort();
+  expect((await waiting).problem).toBe('cancelled');
+});
+
+test('the deadline of the route ends the wait', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget, route: { deadlineSeconds: 10 } });
+  await acquired(scheduler, scheduledCall());
+  const waiting = refused(scheduler, scheduledCall());
+  await jest.advanceTimersByTimeAsync(10_050);
+  expect((await waiting).problem).toBe('queue-full');
+});
+
+test('leaving targets and other models get nothing', async () => {
+  const { scheduler } = startScheduler({
+    targets: {
+      one: { state: 'leaving' },
+      two: { backend: { kind: 'engine', models: ['large'], fencing: 'obeyed', resumable: true } },
+    },
+  });
+  const refusal = await refused(scheduler, scheduledCall());
+  expect(refusal.problem).toBe('no-target');
+});
+
+test('a retry goes to another target first', async () => {
+  const { scheduler } = startScheduler();
+  const grant = await acquired(scheduler, scheduledCall({ excludedTargets: ['one'] }));
+  expect(grant.target).toBe('two');
+});
+
+test('the next call of a program follows its cached prefix, until the load is skewed', async () => {
+  const { scheduler } = startScheduler({ targets: { one: { window: 64 }, two: { window: 64 } } });
+  const prefix = [{ digest: 'history', tokens: 5_000 }];
+  const first = await acquired(scheduler, scheduledCall({ prefix }));
+  first.release(answered);
+  const others = Array.from({ length: 20 }, () =>
+    acquired(scheduler, scheduledCall({ prefix: [...prefix, { digest: 'next', tokens: 100 }] })),
+  );
+  const targets = (await Promise.all(others)).map(({ target }) => target);
+  expect(targets[0]).toBe(first.target);
+  expect(new Set(targets).size).toBe(2);
+});
+
+test('borrows only an equal part of the room that a report shows', async () => {
+  const { scheduler } = startScheduler({ targets: { one: { window: 8 } } });
+  scheduler.setFleet(['instance-1', 'instance-2']);
+  const take = async (): Promise<boolean> => {
+    let granted = false;
+    void acquired(scheduler, scheduledCall()).then(() => {
+      granted = true;
+    });
+    await jest.advanceTimersByTimeAsync(100);
+    return granted;
+  };
+  const report = { target: 'one', queuedCalls: 0, queuedTokens: 0, ageMilliseconds: 0 };
+  for (let call = 0; call < 4; call += 1) expect(await take()).toBe(true);
+  scheduler.reportLoad({ ...report, runningCalls: 7 });
+  expect(await take()).toBe(false);
+  scheduler.reportLoad({ ...report, runningCalls: 4 });
+  await jest.advanceTimersByTimeAsync(100);
+  expect(await take()).toBe(true);
+  expect(await take()).toBe(false);
+});
+
+test('service elsewhere counts', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget });
+  const held = await acquired(scheduler, scheduledCall({ organisation: 'south' }));
+  const waiting = ['north', 'south'].map((organisation) => ({
+    name: organisation,
+    grant: acquired(scheduler, scheduledCall({ organisation })),
+  }));
+  scheduler.addRemoteService('north', 50_000);
+  held.release(answered);
+  expect(await serveAll(waiting)).toEqual(['south', 'north']);
+  expect(scheduler.takeLocalService('south')).toBe(2 * (1_000 + 400));
+  expect(scheduler.takeLocalService('south')).toBe(0);
+});
+
+test('a request under way at two crashes is quarantined', async () => {
+  const { scheduler } = startScheduler();
+  const seen: string[] = [];
+  scheduler.onQuarantined(({ requestDigest }) => seen.push(requestDigest));
+  const call = scheduledCall({ requestDigest: 'deadly' });
+  (await acquired(scheduler, call)).release({ kind: 'broken' });
+  expect(scheduler.mayRetry(call, 1)).toBe(true);
+  const retry = { ...call, excludedTargets: ['one'] };
+  (await acquired(scheduler, retry)).release({ kind: 'broken' });
+  const again = { ...call, callId: 'again', excludedTargets: ['two'] };
+  const result = await scheduler.acquire(again, never);
+  if (result.isOk()) result.value.release({ kind: 'broken' });
+  expect(scheduler.mayRetry(again, 1)).toBe(false);
+  const refusal = await refused(scheduler, again);
+  expect(refusal.problem).toBe('quarantined');
+  expect(scheduler.listQuarantine().map(({ requestDigest }) => requestDigest)).toEqual(['deadly']);
+  expect(seen).toContain('deadly');
+  expect(scheduler.liftQuarantine('deadly')).toBe(true);
+  expect((await scheduler.acquire(again, never)).isOk()).toBe(true);
+});
--- /dev/null
+++ b/packages/scheduling/tests/quarantine.test.ts
@@ -0,0 +1,75 @@
+import fc from 'fast-check';
+import { Quarantine } from '../src/quarantine';
+import type { QuarantineEntry } from '../src/quarantineEntry';
+import { mergeQuarantineEntries } from '../src/quarantineEntry';
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+const request = { requestDigest: 'deadly', organisation: 'north', route: 'chat' };
+
+const quarantine = (): Quarantine => new Quarantine({ crashes: 2, expiryMilliseconds: 60_000 });
+
+test('two crashes of one target are not enough', () => {
+  const requests = quarantine();
+  expect(requests.recordCrash(request, 'one')).toBe(false);
+  expect(requests.recordCrash(request, 'one')).toBe(false);
+  expect(requests.recordCrash(request, 'two')).toBe(true);
+});
+
+test('crashes at two instances count together', () => {
+  const [here, there] = [quarantine(), quarantine()];
+  here.onChange((entry) => {
+    there.merge([entry]);
+  });
+  here.recordCrash(request, 'one');
+  expect(there.recordCrash(request, 'two')).toBe(true);
+});
+
+test('expires', () => {
+  const requests = quarantine();
+  requests.recordCrash(request, 'one');
+  requests.recordCrash(request, 'two');
+  jest.advanceTimersByTime(60_000);
+  expect(requests.isQuarantined('deadly')).toBe(false);
+  expect(requests.list()).toEqual([]);
+});
+
+test('a lift holds against crashes before it, not after', () => {
+  const requests = quarantine();
+  requests.recordCrash(request, 'one');
+  requests.recordCrash(request, 'two');
+  const before = requests.list();
+  expect(requests.lift('deadly')).toBe(true);
+  requests.merge(before);
+  expect(requests.isQuarantined('deadly')).toBe(false);
+  requests.recordCrash(request, 'one');
+  expect(requests.recordCrash(request, 'two')).toBe(true);
+});
+
+test('entries merge in any order', () => {
+  const entry = fc.record<QuarantineEntry>({
+    requestDigest: fc.constant('deadly'),
+    organisation: fc.constant('north'),
+    route: fc.constant('chat'),
+    crashes: fc.uniqueArray(
+      fc.record({ target: fc.constantFrom('a', 'b', 'c'), atMilliseconds: fc.nat({ max: 9 }) }),
+      { selector: ({ target }) => target },
+    ),
+    liftedAtMilliseconds: fc.nat({ max: 9 }),
+    expiresAtMilliseconds: fc.nat({ max: 9 }),
+  });
+  fc.assert(
+    fc.property(entry, entry, entry, (one, two, three) => {
+      const left = mergeQuarantineEntries(mergeQuarantineEntries(one, two), three);
+      const right = mergeQuarantineEntries(three, mergeQuarantineEntries(two, one));
+      expect(mergeQuarantineEntries(right, left)).toEqual(left);
+    }),
+    { seed: 6, numRuns: 100 },
+  );
+});
