Add cache release, probes and early refusal before the deadline

Cause: memory of ended programs must be freed, silent targets be found, and a call that cannot be served in time be told so at once.

TargetProber probes only targets from which nothing good was heard for an interval. A queue whose drain time exceeds the route's deadline refuses at once with that time.

--- a/packages/scheduling/src/callScheduler.ts
+++ b/packages/scheduling/src/callScheduler.ts
@@ -15,7 +15,7 @@
 import type { QuarantineEntry } from './quarantineEntry';
 import { RetryPolicy } from './retryPolicy';
 import type { ScheduledCall } from './scheduledCall';
-import type { CacheEvent, LoadReport, Scheduler } from './scheduler';
+import type { CacheEvent, LoadReport, ProbeTarget, Scheduler } from './scheduler';
 import type { AttemptOutcome, SchedulingRefusal, TargetGrant } from './targetGrant';
 import { TargetTable } from './targetTable';
 import type { TargetView } from './targetView';
@@ -151,6 +151,13 @@
     this.#programs.forget(organisation, rootProgram);
   }
 
+  targetsToProbe(): readonly ProbeTarget[] {
+    return this.#table
+      .views()
+      .filter((view) => view.isServing && view.share > 0 && view.health.isProbeDue())
+      .map(({ name, spec }) => ({ name, address: spec.address }));
+  }
+
   recordProbe(target: string, healthy: boolean): void {
     const view = this.#table.view(target);
     if (!view) return;
@@ -219,13 +226,15 @@
         retryAfterMilliseconds: NO_TARGET_RETRY_MILLISECONDS,
       };
     }
-    return this.#queueRefusal(call.organisation);
+    return this.#queueRefusal(call);
   }
 
-  #queueRefusal(organisation: string): SchedulingRefusal | undefined {
+  /** A call that cannot be served before its deadline is refused early rather than late. */
+  #queueRefusal({ organisation, route }: ScheduledCall): SchedulingRefusal | undefined {
     const queued = this.#dispatcher.queued(organisation);
     const maximum = this.#maximumQueuedCalls.get(organisation) ?? DEFAULT_MAXIMUM_QUEUED_CALLS;
-    if (queued < maximum) return undefined;
+    const expected = this.#drain.expectedMilliseconds(organisation, queued) ?? 0;
+    if (queued < maximum && expected < this.#retries.deadlineMilliseconds(route)) return undefined;
     return {
       problem: 'queue-full',
       detail: `the organisation has ${queued} calls waiting`,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -1,3 +1,6 @@
+export type { CacheOrderError, CacheOrderPort, CacheRelease } from './cacheRelease';
+export { CacheReleaser } from './cacheReleaser';
+export type { CacheReleaserOptions } from './cacheReleaser';
 export { createScheduler } from './createScheduler';
 export type { SchedulerOptions } from './createScheduler';
 export { estimateTokens, prefixBlocks } from './prefixBlocks';
@@ -6,8 +9,10 @@
 export type { QuarantineEntry } from './quarantineEntry';
 export type { QuarantineListener } from './quarantine';
 export type { PrefixBlock, ScheduledCall } from './scheduledCall';
-export type { CacheEvent, LoadReport, Scheduler } from './scheduler';
+export type { CacheEvent, LoadReport, ProbeTarget, Scheduler } from './scheduler';
 export { schedulerSettingsSchema } from './schedulerSettings';
 export type { SchedulerSettings } from './schedulerSettings';
 export type { SchedulingPolicy } from './schedulingPolicy';
 export type { AttemptOutcome, SchedulingRefusal, TargetGrant } from './targetGrant';
+export { TargetProber } from './targetProber';
+export type { ProbePort, TargetProberOptions } from './targetProber';
--- a/packages/scheduling/src/retryPolicy.ts
+++ b/packages/scheduling/src/retryPolicy.ts
@@ -37,14 +37,17 @@
     this.#routes = routes;
   }
 
+  /** Returns the time that a route gives to a call, its attempts and waits together. */
+  deadlineMilliseconds(route: string): number {
+    return (this.#routes.get(route)?.deadlineSeconds ?? Infinity) * MILLISECONDS;
+  }
+
   /** Notes an attempt that waits for a target; returns its deadline by the monotonic clock. */
   begin({ callId, route }: ScheduledCall): number {
     const known = this.#calls.get(callId);
     if (known) return known.deadlineMilliseconds;
     this.#budget(route).earn();
-    const seconds = this.#routes.get(route)?.deadlineSeconds;
-    const deadlineMilliseconds =
-      seconds === undefined ? Infinity : performance.now() + seconds * MILLISECONDS;
+    const deadlineMilliseconds = performance.now() + this.deadlineMilliseconds(route);
     this.#calls.set(callId, { deadlineMilliseconds, lastOutcome: undefined });
     if (this.#calls.size > MAXIMUM_CALLS) this.#forgetOldest();
     return deadlineMilliseconds;
--- a/packages/scheduling/src/scheduler.ts
+++ b/packages/scheduling/src/scheduler.ts
@@ -23,6 +23,12 @@
   readonly digests: readonly string[];
 }
 
+/** A target that should be probed. */
+export interface ProbeTarget {
+  readonly name: string;
+  readonly address: string;
+}
+
 /** Chooses when and where calls run. */
 export interface Scheduler {
   /** Applies a configuration: targets, windows, weights. */
@@ -41,6 +47,8 @@
   takeLocalService(organisation: string): number;
   /** Forgets the service of a root program that ended. */
   endProgram(organisation: string, rootProgram: string): void;
+  /** Returns the targets that this instance uses and from which it heard no success lately. */
+  targetsToProbe(): readonly ProbeTarget[];
   /** Notes whether an active probe on a new connection found a target healthy. */
   recordProbe(target: string, healthy: boolean): void;
   /** Returns the requests that are quarantined. */
--- a/packages/scheduling/src/targetHealth.ts
+++ b/packages/scheduling/src/targetHealth.ts
@@ -28,6 +28,8 @@
 
   #successRate = 1;
 
+  #lastSuccessMilliseconds = -Infinity;
+
   constructor(settings: SchedulerSettings) {
     this.#settings = settings;
   }
@@ -62,6 +64,7 @@
 
   /** Notes a success of a call or a probe. */
   recordSuccess(): void {
+    this.#lastSuccessMilliseconds = performance.now();
     this.#failuresInRow = 0;
     this.#sample(1);
     if (this.state().kind !== 'probation') return;
@@ -79,6 +82,12 @@
     return kind === 'probation' || this.#isFailing();
   }
 
+  /** Whether no success was noted for the time between two probes. */
+  isProbeDue(): boolean {
+    const since = performance.now() - this.#lastSuccessMilliseconds;
+    return since >= this.#settings.probeIntervalMilliseconds;
+  }
+
   /** Ejects the target for a time that doubles with each ejection in a row. */
   eject(): void {
     const { ejectionMilliseconds, maximumEjectionMilliseconds } = this.#settings;
--- a/packages/scheduling/tests/callScheduler.test.ts
+++ b/packages/scheduling/tests/callScheduler.test.ts
@@ -152,6 +152,18 @@
   expect((await waiting).problem).toBe('queue-full');
 });
 
+test('a call that cannot be served before its deadline is refused early', async () => {
+  const { scheduler } = startScheduler({ targets: oneTarget, route: { deadlineSeconds: 10 } });
+  const held = await acquired(scheduler, scheduledCall());
+  const next = acquired(scheduler, scheduledCall());
+  void scheduler.acquire(scheduledCall(), never);
+  void scheduler.acquire(scheduledCall(), never);
+  await jest.advanceTimersByTimeAsync(6_000);
+  held.release(answered);
+  await next;
+  expect((await refused(scheduler, scheduledCall())).retryAfterMilliseconds).toBe(12_000);
+});
+
 test('leaving targets and other models get nothing', async () => {
   const { scheduler } = startScheduler({
     targets: {
