Check declarations as a whole, publish them by digest and follow them

Change: YAML reader with limits, whole-set check, content-addressed chunks under an index whose digest the root names, publisher with compare-and-swap and recognition of lost answers, follower that trusts no watch. Rollback keeps the current keys, so that no withdrawn key comes back. Lint: default-case and consistent-return go, as both refuse exhaustive switches; the typed rule switch-exhaustiveness-check and the compiler's noImplicitReturns check the same as strictly.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -38,6 +38,10 @@
     rules: {
       '@typescript-eslint/consistent-type-imports': 'error',
       '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      // Both refuse an exhaustive switch without a default; the rule above and the compiler's
+      // noImplicitReturns check the same with types.
+      'consistent-return': 'off',
+      'default-case': 'off',
       '@typescript-eslint/no-floating-promises': 'error',
       // Nest controllers and small adapters have methods without state.
       '@typescript-eslint/class-methods-use-this': 'off',
--- /dev/null
+++ b/packages/declarations/src/format/chunk.ts
@@ -0,0 +1,10 @@
+import { z } from 'zod';
+import { declarationSchema } from '../schemas/declaration';
+
+/** Objects of one kind, in the order of their names. */
+export const chunkSchema = z.object({
+  formatVersion: z.int().positive(),
+  objects: z.array(declarationSchema),
+});
+
+export type Chunk = z.infer<typeof chunkSchema>;
--- /dev/null
+++ b/packages/declarations/src/publishing/configurationPublisher.ts
@@ -0,0 +1,177 @@
+import { randomUUID } from 'node:crypto';
+import type { KeyValueStore } from '@limpetnotch/platform';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { checkConfiguration } from '../checking/checkConfiguration';
+import type { Configuration } from '../configuration';
+import type { ConfigurationRoot } from '../format/configurationRoot';
+import { encodeConfiguration } from '../format/encodeConfiguration';
+import type { EncodedConfiguration } from '../format/encodeConfiguration';
+import { FORMAT_VERSION } from '../format/formatVersion';
+import { ConfigurationStore } from './configurationStore';
+import { conflictWith } from './conflictWith';
+import { inParallel } from './inParallel';
+import type { PublishError } from './publishError';
+import { readConfiguration } from './readConfiguration';
+import { restoreContent } from './restoreContent';
+import type { StoredRoot } from './storedRoot';
+import { swapRoot } from './swapRoot';
+
+const KEPT_REVISIONS = 256;
+
+/** What to publish. */
+export interface PublishRequest {
+  readonly configuration: Configuration;
+  /** Revision that the set was made from; the current one, whichever it is, where absent. */
+  readonly baseRevision?: number | undefined;
+  /** Operator whom conflicts name. */
+  readonly author: string;
+}
+
+/** A revision that was published. */
+export interface Published {
+  readonly revision: number;
+  readonly publishId: string;
+  /** Number of values that the base did not have. */
+  readonly writtenValues: number;
+}
+
+interface NewContent {
+  readonly encoded: EncodedConfiguration;
+  readonly author: string;
+  readonly rollbackOf?: number | undefined;
+}
+
+/**
+ * Publishes whole sets: first the values under their digests, then the current root's record in
+ * the history, then the new root by one compare-and-swap. The publish id in the root tells whether
+ * a write whose answer was lost took effect.
+ */
+export class ConfigurationPublisher {
+  readonly #store: ConfigurationStore;
+
+  constructor(store: KeyValueStore) {
+    this.#store = new ConfigurationStore(store);
+  }
+
+  /** Reads the current root; undefined before the first publish. */
+  async readRoot(): Promise<Result<ConfigurationRoot | undefined, PublishError>> {
+    return (await this.#store.readRoot()).map(({ root }) => root);
+  }
+
+  /** Reads the current configuration; that of revision 0 before the first publish. */
+  async read(): Promise<Result<Configuration, PublishError>> {
+    const current = await this.#store.readRoot();
+    if (current.isErr()) return err(current.error);
+    return readConfiguration(this.#store, current.value.root);
+  }
+
+  /** Checks a set as a whole and makes it the next revision. */
+  async publish(request: PublishRequest): Promise<Result<Published, PublishError>> {
+    return this.#publishChecked(request.configuration, request.baseRevision, {
+      author: request.author,
+    });
+  }
+
+  /** Makes the content of an earlier revision, but for its keys, the next one. */
+  async rollback(revision: number, author: string): Promise<Result<Published, PublishError>> {
+    const current = await this.read();
+    if (current.isErr()) return err(current.error);
+    const earlier = await this.#readEarlier(revision, current.value);
+    if (earlier.isErr()) return err(earlier.error);
+    const restored = restoreContent(earlier.value, current.value);
+    return this.#publishChecked(restored, current.value.revision, {
+      author,
+      rollbackOf: revision,
+    });
+  }
+
+  async #readEarlier(
+    revision: number,
+    current: Configuration,
+  ): Promise<Result<Configuration, PublishError>> {
+    if (revision === current.revision) return ok(current);
+    const kept = await this.#store.readHistory(revision);
+    if (kept.isErr()) return err(kept.error);
+    if (!kept.value) return err({ kind: 'revision-not-kept', revision });
+    return readConfiguration(this.#store, kept.value);
+  }
+
+  async #publishChecked(
+    configuration: Configuration,
+    baseRevision: number | undefined,
+    origin: Omit<NewContent, 'encoded'>,
+  ): Promise<Result<Published, PublishError>> {
+    const faults = checkConfiguration(configuration);
+    if (faults.length > 0) return err({ kind: 'faults', faults });
+    const encoded = encodeConfiguration(configuration);
+    if (encoded.isErr()) return err({ kind: 'format', error: encoded.error });
+    return this.#publishContent({ ...origin, encoded: encoded.value }, baseRevision);
+  }
+
+  async #publishContent(
+    content: NewContent,
+    baseRevision: number | undefined,
+  ): Promise<Result<Published, PublishError>> {
+    const publishId = randomUUID();
+    let base = baseRevision;
+    for (;;) {
+      const current = await this.#store.readRoot();
+      if (current.isErr()) return err(current.error);
+      const { root, storeRevision } = current.value;
+      base ??= root?.revision ?? 0;
+      if ((root?.revision ?? 0) !== base) return err(conflictWith(base, root));
+      const written = await this.#writeValues(content.encoded, current.value);
+      if (written.isErr()) return err(written.error);
+      const next = ConfigurationPublisher.#nextRoot(content, publishId, root);
+      const swapped = await swapRoot(this.#store, next, storeRevision);
+      if (swapped.isErr()) return err(swapped.error);
+      if (swapped.value === 'published') {
+        await this.#store.removeHistory(next.revision - KEPT_REVISIONS);
+        return ok({ revision: next.revision, publishId, writtenValues: written.value });
+      }
+    }
+  }
+
+  /** Writes what the base lacks, and the base's own record of the history. */
+  async #writeValues(
+    encoded: EncodedConfiguration,
+    current: StoredRoot,
+  ): Promise<Result<number, PublishError>> {
+    const present = await this.#presentDigests(current.root);
+    if (present.isErr()) return err(present.error);
+    const missing = [...encoded.values].filter(([digest]) => !present.value.has(digest));
+    const written = await inParallel(missing, ([digest, value]) =>
+      this.#store.writeValue(digest, value),
+    );
+    if (written.isErr()) return err(written.error);
+    if (!current.root || current.value === undefined) return ok(missing.length);
+    const kept = await this.#store.writeHistory(current.root.revision, current.value);
+    return kept.map(() => missing.length);
+  }
+
+  async #presentDigests(
+    root: ConfigurationRoot | undefined,
+  ): Promise<Result<ReadonlySet<string>, PublishError>> {
+    if (!root) return ok(new Set<string>());
+    const index = await this.#store.readIndex(root.index);
+    return index.map(({ chunks }) => new Set([root.index, ...chunks.map(({ digest }) => digest)]));
+  }
+
+  static #nextRoot(
+    content: NewContent,
+    publishId: string,
+    base: ConfigurationRoot | undefined,
+  ): ConfigurationRoot {
+    return {
+      formatVersion: FORMAT_VERSION,
+      revision: (base?.revision ?? 0) + 1,
+      publishId,
+      author: content.author,
+      publishedAt: new Date().toISOString(),
+      ...(content.rollbackOf === undefined ? {} : { rollbackOf: content.rollbackOf }),
+      collections: base?.collections ?? 0,
+      index: content.encoded.index,
+    };
+  }
+}
--- /dev/null
+++ b/packages/declarations/src/publishing/withDeadline.ts
@@ -0,0 +1,17 @@
+import { delay } from '@limpetnotch/supervision';
+
+/** Waits for a promise, at most for a time in milliseconds; undefined where it took longer. */
+export const withDeadline = async <Value>(
+  promise: PromiseLike<Value>,
+  milliseconds: number,
+): Promise<Value | undefined> => {
+  const controller = new AbortController();
+  try {
+    return await Promise.race([
+      promise,
+      delay(milliseconds, controller.signal).then(() => undefined),
+    ]);
+  } finally {
+    controller.abort();
+  }
+};
--- a/packages/declarations/src/schemas/declaration.ts
+++ b/packages/declarations/src/schemas/declaration.ts
@@ -6,6 +6,9 @@
 import { routeSpecSchema } from './route';
 import { targetSpecSchema } from './target';
 
+/** Kinds of declared objects. */
+export const declarationKindSchema = z.enum(['organisation', 'key', 'route', 'target', 'budget']);
+
 /** One declared object: a YAML document with its kind, name and specification. */
 export const declarationSchema = z.discriminatedUnion('kind', [
   z.strictObject({
@@ -20,4 +23,4 @@
 ]);
 
 export type Declaration = z.infer<typeof declarationSchema>;
-export type DeclarationKind = Declaration['kind'];
+export type DeclarationKind = z.infer<typeof declarationKindSchema>;
--- /dev/null
+++ b/packages/declarations/tests/exampleSet.ts
@@ -0,0 +1,42 @@
+import { checkDeclarations, parseDeclarations } from '../src';
+import type { Configuration } from '../src';
+
+/** Text of a small valid set; the organisation's weight tells sets apart. */
+export const exampleText = (weight = 1): string => `kind: organisation
+name: amman
+spec:
+  weight: ${weight}
+  rate: { requestsPerSecond: 10, burst: 20 }
+  budget: survey
+---
+kind: key
+name: amman-office
+spec:
+  organisation: amman
+  digest: sha256:${'a'.repeat(64)}
+---
+kind: target
+name: engine-1
+spec:
+  address: http://127.0.0.1:9101
+  availabilityZone: a
+  backend: { kind: engine, models: [estimate] }
+---
+kind: route
+name: chat
+spec:
+  path: /v1/chat/completions
+  service: { kind: model, models: [estimate] }
+  targets: [engine-1]
+  idempotent: true
+---
+kind: budget
+name: survey
+spec: { tokens: 1000 }
+`;
+
+/** A small valid configuration. */
+export const exampleSet = (weight = 1): Configuration =>
+  checkDeclarations(
+    parseDeclarations([{ path: 'set.yaml', text: exampleText(weight) }]),
+  )._unsafeUnwrap();
--- /dev/null
+++ b/packages/declarations/tests/memoryStore.ts
@@ -0,0 +1,146 @@
+import type {
+  CompareAndSwapOutcome,
+  CompareAndSwapRequest,
+  KeyValueStore,
+  Lease,
+  StoreEntry,
+  StoreError,
+  StoreListing,
+  WatchEvent,
+  WatchOptions,
+} from '@limpetnotch/platform';
+import { Deferred } from '@limpetnotch/supervision';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+
+interface OpenWatch {
+  readonly options: WatchOptions;
+  readonly queue: WatchEvent[];
+  wake: Deferred;
+}
+
+/** A store in memory, with faults that tests switch on. */
+export class MemoryStore implements KeyValueStore {
+  readonly entries = new Map<string, StoreEntry>();
+
+  readonly calls = { reads: 0, writes: 0, watches: 0 };
+
+  outage = false;
+
+  /** Watches stay open and say nothing. */
+  silentWatches = false;
+
+  /** Reads never answer. */
+  silentReads = false;
+
+  /** Decides for each write whether its answer is lost after it took effect. */
+  losesAnswer: (request: CompareAndSwapRequest) => boolean = () => false;
+
+  /** Runs before each write; for races. */
+  beforeWrite: (request: CompareAndSwapRequest) => Promise<void> = () => Promise.resolve();
+
+  #revision = 0;
+
+  readonly #watches = new Set<OpenWatch>();
+
+  read(key: string): ResultAsync<StoreEntry | undefined, StoreError> {
+    return this.#answer(() => this.entries.get(key));
+  }
+
+  list(prefix: string): ResultAsync<StoreListing, StoreError> {
+    return this.#answer(() => ({
+      entries: [...this.entries.values()].filter(({ key }) => key.startsWith(prefix)),
+      revision: this.#revision,
+    }));
+  }
+
+  compareAndSwap(request: CompareAndSwapRequest): ResultAsync<CompareAndSwapOutcome, StoreError> {
+    return ResultAsync.fromSafePromise(this.beforeWrite(request)).andThen(() =>
+      this.#swap(request),
+    );
+  }
+
+  remove(key: string, expectedRevision: number): ResultAsync<boolean, StoreError> {
+    return this.#answer(() => {
+      if (this.entries.get(key)?.revision !== expectedRevision) return false;
+      this.#revision += 1;
+      this.entries.delete(key);
+      this.#tell({ kind: 'removed', key, revision: this.#revision }, key);
+      return true;
+    });
+  }
+
+  /** Writes a value past all checks. */
+  put(key: string, value: string): void {
+    this.#revision += 1;
+    const entry = { key, value, revision: this.#revision };
+    this.entries.set(key, entry);
+    this.#tell({ kind: 'put', entry }, key);
+  }
+
+  grantLease(): ResultAsync<Lease, StoreError> {
+    return errAsync({ kind: 'unavailable', detail: 'not simulated' });
+  }
+
+  renewLease(): ResultAsync<Lease, StoreError> {
+    return this.grantLease();
+  }
+
+  revokeLease(): ResultAsync<void, StoreError> {
+    return okAsync(undefined);
+  }
+
+  async *watch(options: WatchOptions): AsyncIterable<WatchEvent> {
+    this.calls.watches += 1;
+    if (this.outage) throw new Error('outage');
+    const past = [...this.entries.values()]
+      .filter(
+        ({ key, revision }) => key.startsWith(options.prefix) && revision >= options.fromRevision,
+      )
+      .map((entry): WatchEvent => ({ kind: 'put', entry }));
+    const watch: OpenWatch = { options, queue: past, wake: new Deferred() };
+    this.#watches.add(watch);
+    options.signal.addEventListener('abort', () => watch.wake.resolve(undefined));
+    while (!options.signal.aborted) {
+      const event = this.silentWatches ? undefined : watch.queue.shift();
+      if (event) {
+        yield event;
+      } else {
+        await watch.wake.promise;
+        watch.wake = new Deferred();
+      }
+    }
+    this.#watches.delete(watch);
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  #answer<Value>(compute: () => Value): ResultAsync<Value, StoreError> {
+    this.calls.reads += 1;
+    if (this.outage) return errAsync({ kind: 'unavailable', detail: 'outage' });
+    if (this.silentReads) return ResultAsync.fromSafePromise(new Deferred<Value>().promise);
+    return okAsync(compute());
+  }
+
+  #swap(request: CompareAndSwapRequest): ResultAsync<CompareAndSwapOutcome, StoreError> {
+    this.calls.writes += 1;
+    if (this.outage) return errAsync({ kind: 'unavailable', detail: 'outage' });
+    const current = this.entries.get(request.key);
+    const swaps = (current?.revision ?? 0) === request.expectedRevision;
+    if (swaps) this.put(request.key, request.value);
+    if (this.losesAnswer(request)) return errAsync({ kind: 'unknown-outcome', detail: 'lost' });
+    return okAsync(
+      swaps ? { kind: 'swapped', revision: this.#revision } : { kind: 'conflict', current },
+    );
+  }
+
+  #tell(event: WatchEvent, key: string): void {
+    for (const watch of this.#watches) {
+      if (key.startsWith(watch.options.prefix)) {
+        watch.queue.push(event);
+        if (!this.silentWatches) watch.wake.resolve(undefined);
+      }
+    }
+  }
+}
