Add compare-and-swap until known, and the instance list

Cause: a write whose answer is lost leaves the writer in doubt; each caller would otherwise resolve that on its own. The platform's lagging list of instances had no client.

Change: compareAndSwapUntilKnown retries errors without effect with jittered backoff, reads the key back after an unknown outcome, writes again only where the key is unchanged, and says where a lost write may have been overwritten. createStoreInstanceList reads the list and leaves out malformed entries, counted.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,6 +1,11 @@
+export { compareAndSwapUntilKnown } from './compareAndSwapUntilKnown';
+export type { KnownOutcome, UntilKnownOptions } from './compareAndSwapUntilKnown';
 export { createEtcdStore } from './createEtcdStore';
 export type { EtcdStoreOptions } from './createEtcdStore';
+export { createStoreInstanceList } from './createStoreInstanceList';
+export type { StoreInstanceListOptions } from './createStoreInstanceList';
 export type { StoreCallKind } from './gateway/storeCallKind';
+export type { InstanceList, ListedInstance } from './instanceList';
 export type {
   CompareAndSwapOutcome,
   CompareAndSwapRequest,
@@ -15,3 +20,5 @@
 export type { StoreCallOutcome, StoreObserver } from './storeObserver';
 export { WatchError } from './watchError';
 export type { WatchErrorKind } from './watchError';
+export { backoffMilliseconds } from './util/backoffMilliseconds';
+export type { BackoffBounds } from './util/backoffMilliseconds';
