Add a seeded load generator and a control port that outlasts faults

Cause: soak, quickstart and experiments need programs of unknown shape that behave as callers do, and a stand-in process that refuses connections could not be told to accept them again.

Each stand-in process serves its control paths on a second port that no fault touches.

--- a/packages/stand-ins/src/commands/standInCommand.ts
+++ b/packages/stand-ins/src/commands/standInCommand.ts
@@ -1,7 +1,9 @@
 import { Command, Option } from 'clipanion';
+import type { StandInServer } from '../util/standInServer';
 
 /** What a command starts and stops. */
 export interface RunningStandIn {
+  readonly server: StandInServer;
   start(port: number): Promise<number>;
   stop(): Promise<void>;
 }
@@ -12,20 +14,27 @@
     process.once('SIGINT', () => resolve());
   });
 
-const parsePort = (text: string): number => {
+const parsePort = (flag: string, text: string): number => {
   const port = Number(text);
   if (Number.isInteger(port) && port >= 0 && port < 65_536) return port;
-  throw new RangeError(`--port ${text}: must be an integer from 0 to 65535`);
+  throw new RangeError(`${flag} ${text}: must be an integer from 0 to 65535`);
 };
 
 /** Starts a stand-in, prints one JSON line with its port, and stops it on SIGTERM or SIGINT. */
 export abstract class StandInCommand extends Command {
   port = Option.String('--port', '0', { description: 'Port of 127.0.0.1; 0 for any free one' });
 
+  controlPort = Option.String('--control-port', '0', {
+    description: 'Port that serves the control paths also while the other refuses connections',
+  });
+
   async execute(): Promise<void> {
     const standIn = this.create();
-    const port = await standIn.start(parsePort(this.port));
-    this.context.stdout.write(`${JSON.stringify({ ready: true, port })}\n`);
+    const port = await standIn.start(parsePort('--port', this.port));
+    const controlPort = await standIn.server.startControl(
+      parsePort('--control-port', this.controlPort),
+    );
+    this.context.stdout.write(`${JSON.stringify({ ready: true, port, controlPort })}\n`);
     await untilSignal();
     await standIn.stop();
   }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -8,6 +8,19 @@
 export { EngineStandIn } from './engine/engineStandIn';
 export type { EngineOptions, EngineSettings, EngineSettingsChange } from './engine/engineSettings';
 export type { EngineStatistics } from './engine/engineStatistics';
+export type { CallResult, Executed } from './load/callResult';
+export { completionText } from './load/completionText';
+export { EntryCaller } from './load/entryCaller';
+export type { EntryCall } from './load/entryCaller';
+export { drawSteps, generatePrograms, SMALL_MIX } from './load/programGenerator';
+export type {
+  OrganisationLoad,
+  ProgramGeneratorOptions,
+  ProgramMix,
+} from './load/programGenerator';
+export { ProgramRunner } from './load/programRunner';
+export type { ConversationMessage, FinishedStep, ProgramRunnerOptions } from './load/programRunner';
+export type { PlannedProgram, ProgramStep } from './load/programShape';
 export { StoreStandIn } from './store/storeStandIn';
 export type { StoreStandInOptions } from './store/storeStandIn';
 export type { StoreFaults, StoreFaultsChange } from './store/storeFaults';
--- a/packages/stand-ins/src/util/standInServer.ts
+++ b/packages/stand-ins/src/util/standInServer.ts
@@ -1,3 +1,5 @@
+import type { Server } from 'node:http';
+import { createServer } from 'node:http';
 import type { Socket } from 'node:net';
 import type { FastifyInstance } from 'fastify';
 import fastify from 'fastify';
@@ -19,6 +21,8 @@
 
   #port = 0;
 
+  #control: Server | undefined;
+
   constructor() {
     this.application = fastify({ bodyLimit: BODY_LIMIT_BYTES, keepAliveTimeout: 0 });
     this.application.server.headersTimeout = 0;
@@ -42,15 +46,24 @@
   /** Listens on a port, any free one where it is 0; resolves to the port. */
   async start(port = 0): Promise<number> {
     await this.application.ready();
-    await this.#listen(port);
-    const address = this.application.server.address();
-    if (address === null || typeof address === 'string') throw new Error('no TCP address');
-    this.#port = address.port;
+    await StandInServer.#listen(this.application.server, port);
+    this.#port = StandInServer.#portOf(this.application.server);
     return this.#port;
   }
 
+  /** Serves the same paths on a second port that no fault touches; resolves to the port. */
+  async startControl(port = 0): Promise<number> {
+    await this.application.ready();
+    const server = createServer((request, response) => this.application.routing(request, response));
+    this.#control = server;
+    await StandInServer.#listen(server, port);
+    return StandInServer.#portOf(server);
+  }
+
   async stop(): Promise<void> {
     await this.refuse();
+    this.#control?.closeAllConnections();
+    this.#control?.close();
     await this.application.close();
   }
 
@@ -68,7 +81,8 @@
 
   /** Listens again on the same port after {@link refuse}. */
   async accept(): Promise<void> {
-    if (!this.application.server.listening) await this.#listen(this.#port);
+    const { server } = this.application;
+    if (!server.listening) await StandInServer.#listen(server, this.#port);
   }
 
   /** Breaks every open connection; new ones work. */
@@ -99,8 +113,7 @@
     socket.once('close', () => this.#sockets.delete(socket));
   }
 
-  #listen(port: number): Promise<void> {
-    const { server } = this.application;
+  static #listen(server: Server, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
       server.once('error', reject);
       server.listen(port, HOST, () => {
@@ -109,4 +122,10 @@
       });
     });
   }
+
+  static #portOf(server: Server): number {
+    const address = server.address();
+    if (address === null || typeof address === 'string') throw new Error('no TCP address');
+    return address.port;
+  }
 }
