Add the command line, the example sets and the refusal of revived keys

Cause: operators need check, diff, publish, rollback, keys, status and programs from one binary. Change: binary limpetnotch with a command a file, settings checked by zod, tables or JSON, documented exit codes; examples of both users; a publish that makes a withdrawn key active again is refused, as a folder that still declares it active would undo a withdrawal.

--- /dev/null
+++ b/packages/cli/src/commands/programEndCommand.ts
@@ -0,0 +1,64 @@
+import { Command, Option } from 'clipanion';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { CommandError } from '../commandError';
+import { anyEntryRequest } from '../entry/anyEntryRequest';
+import { callerAccess } from '../entry/entryAccess';
+import { programPath } from '../entry/entryPaths';
+import type { Report } from '../output/report';
+import { BaseCommand } from './baseCommand';
+
+/** Ends a program and its sub-agents. */
+export class ProgramEndCommand extends BaseCommand {
+  static override paths = [['program', 'end']];
+
+  static override usage = Command.Usage({
+    category: 'Programs',
+    description: 'End a program and its sub-agents.',
+    details: `
+      Its calls under way are cut off, its engine memory is freed and its history is kept. Ending a
+      program twice is no error.
+    `,
+    examples: [
+      ['End a program', '$0 program end survey-17 --entry http://10.0.0.7:8080'],
+      ['End it as an operator', '$0 program end survey-17 --organisation amman-panels'],
+    ],
+  });
+
+  program = Option.String({ name: 'program' });
+
+  organisation = Option.String('--organisation', {
+    description: "Organisation of the program; needed with the operators' token",
+  });
+
+  entry = Option.String('--entry', {
+    env: 'LIMPETNOTCH_ENTRY',
+    description: 'Addresses of entries; the first that answers is taken',
+  });
+
+  key = Option.String('--key', { env: 'LIMPETNOTCH_KEY', description: "Caller's key" });
+
+  operatorToken = Option.String('--operator-token', {
+    env: 'LIMPETNOTCH_OPERATOR_TOKEN',
+    description: "Secret of the operators' calls",
+  });
+
+  protected override async perform(): Promise<Result<Report, CommandError>> {
+    const { entry, key, operatorToken } = this;
+    const access = callerAccess({ entry, key, operatorToken });
+    if (access.isErr()) return err(access.error);
+    const path = programPath(this.program, this.organisation);
+    if (path.isErr()) return err(path.error);
+    const ended = await anyEntryRequest(access.value.addresses, {
+      method: 'DELETE',
+      path: path.value,
+      credential: access.value.credential,
+      schema: z.unknown(),
+    });
+    return ended.map(() => ({
+      data: { program: this.program, ended: true },
+      lines: [`program ${this.program} has ended`],
+    }));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/commands/quarantineLiftCommand.ts
@@ -0,0 +1,50 @@
+import { Command, Option } from 'clipanion';
+import { err } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import { z } from 'zod';
+import type { CommandError } from '../commandError';
+import { anyEntryRequest } from '../entry/anyEntryRequest';
+import { operatorAccess } from '../entry/entryAccess';
+import { quarantinedPath } from '../entry/entryPaths';
+import type { Report } from '../output/report';
+import { BaseCommand } from './baseCommand';
+
+/** Lets a quarantined request run again. */
+export class QuarantineLiftCommand extends BaseCommand {
+  static override paths = [['quarantine', 'lift']];
+
+  static override usage = Command.Usage({
+    category: 'Fleet',
+    description: 'Let a quarantined request run again.',
+    examples: [['Lift one', '$0 quarantine lift 5f2c… --entry http://10.0.0.7:8080']],
+  });
+
+  digest = Option.String({ name: 'digest' });
+
+  entry = Option.String('--entry', {
+    env: 'LIMPETNOTCH_ENTRY',
+    description: 'Addresses of entries; the first that answers is taken',
+  });
+
+  operatorToken = Option.String('--operator-token', {
+    env: 'LIMPETNOTCH_OPERATOR_TOKEN',
+    description: "Secret of the operators' calls",
+  });
+
+  protected override async perform(): Promise<Result<Report, CommandError>> {
+    const access = operatorAccess({ entry: this.entry, operatorToken: this.operatorToken });
+    if (access.isErr()) return err(access.error);
+    const path = quarantinedPath(this.digest);
+    if (path.isErr()) return err(path.error);
+    const lifted = await anyEntryRequest(access.value.addresses, {
+      method: 'DELETE',
+      path: path.value,
+      credential: access.value.credential,
+      schema: z.unknown(),
+    });
+    return lifted.map(() => ({
+      data: { requestDigest: this.digest, lifted: true },
+      lines: [`${this.digest} may run again`],
+    }));
+  }
+}
--- /dev/null
+++ b/packages/cli/src/entry/entryPaths.ts
@@ -0,0 +1,35 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { CommandError } from '../commandError';
+
+const PROGRAM_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._~-]*(\/[A-Za-z0-9][A-Za-z0-9._~-]*)*$/;
+const DIGEST_PATTERN = /^[A-Za-z0-9:_-]{1,200}$/;
+
+/** Path of the entry's own state. */
+export const STATUS_PATH = '/status';
+
+/** Path of the quarantined requests. */
+export const QUARANTINE_PATH = '/quarantine';
+
+/** Returns the path of a program; operators name its organisation. */
+export const programPath = (
+  program: string,
+  organisation: string | undefined,
+): Result<string, CommandError> => {
+  if (!PROGRAM_PATTERN.test(program)) {
+    const message = `<program> is ${JSON.stringify(program)}: must be names of letters, digits, dots, underscores, tildes and hyphens, joined by slashes`;
+    return err({ kind: 'wrong-usage', messages: [message] });
+  }
+  const query =
+    organisation === undefined ? '' : `?organisation=${encodeURIComponent(organisation)}`;
+  return ok(`/programs/${program}${query}`);
+};
+
+/** Returns the path of a quarantined request. */
+export const quarantinedPath = (digest: string): Result<string, CommandError> =>
+  DIGEST_PATTERN.test(digest)
+    ? ok(`${QUARANTINE_PATH}/${encodeURIComponent(digest)}`)
+    : err({
+        kind: 'wrong-usage',
+        messages: [`<digest> is ${JSON.stringify(digest)}: must be a request's digest`],
+      });
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,4 @@
-/** The binary limpetnotch: the operators' command line. */
-export {};
+export { createCli } from './createCli';
+export { EXIT_CODE } from './exitCode';
+export type { ExitCode } from './exitCode';
+export { runCli } from './runCli';
--- /dev/null
+++ b/packages/cli/src/store/editConfiguration.ts
@@ -0,0 +1,42 @@
+import { ConfigurationPublisher } from '@limpetnotch/declarations';
+import type { Configuration, Published } from '@limpetnotch/declarations';
+import type { KeyValueStore } from '@limpetnotch/platform';
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { CommandError } from '../commandError';
+import { publishError } from './publishError';
+
+const ATTEMPTS = 5;
+
+/** Changes a configuration; the error says why it can't be changed so. */
+export type ConfigurationEdit = (
+  configuration: Configuration,
+) => Result<Configuration, CommandError>;
+
+/**
+ * Publishes a change of the current configuration. The change doesn't depend on the rest, so after
+ * a conflict it is made again on what the other operator published.
+ */
+export const editConfiguration = async (
+  store: KeyValueStore,
+  author: string,
+  edit: ConfigurationEdit,
+): Promise<Result<Published, CommandError>> => {
+  const publisher = new ConfigurationPublisher(store);
+  let failure: CommandError = { kind: 'store-unreachable', detail: 'not tried' };
+  for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
+    const current = await publisher.read();
+    if (current.isErr()) return err(publishError(current.error));
+    const edited = edit(current.value);
+    if (edited.isErr()) return err(edited.error);
+    const published = await publisher.publish({
+      configuration: edited.value,
+      baseRevision: current.value.revision,
+      author,
+    });
+    if (published.isOk()) return ok(published.value);
+    failure = publishError(published.error);
+    if (published.error.kind !== 'conflict') return err(failure);
+  }
+  return err(failure);
+};
--- /dev/null
+++ b/packages/cli/tests/entryCommands.test.ts
@@ -0,0 +1,103 @@
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { runTestCli } from './runTestCli';
+import type { CliRun } from './runTestCli';
+
+const TOKEN = 'operator-token-0123';
+const DEAD_ADDRESS = 'http://127.0.0.1:1';
+
+const PROGRAM = {
+  program: { organisation: 'amman-panels', path: 'survey-17' },
+  startedAtMilliseconds: 0,
+  history: [
+    { route: 'chat', outcome: { kind: 'answered', answer: { status: 200 }, usage: { tokens: 7 } } },
+  ],
+  limits: { tokens: 100 },
+  spent: { tokens: 7, calls: 1, spendMicros: 0 },
+};
+
+const ANSWERS: Readonly<Record<string, unknown>> = {
+  'GET /programs/survey-17': PROGRAM,
+  'DELETE /programs/survey-17?organisation=amman-panels': null,
+  'GET /quarantine': [
+    {
+      requestDigest: 'd1',
+      organisation: 'amman-panels',
+      route: 'chat',
+      crashes: [{ target: 'engine-1', atMilliseconds: 1 }],
+      expiresAtMilliseconds: 2,
+    },
+  ],
+  'DELETE /quarantine/d1': { lifted: true },
+};
+
+let server: Server;
+let seen: string[] = [];
+
+const run = (...words: string[]): Promise<CliRun> => {
+  const { port } = server.address() as AddressInfo;
+  return runTestCli(words, {
+    LIMPETNOTCH_ENTRY: `${DEAD_ADDRESS},http://127.0.0.1:${port}`,
+    LIMPETNOTCH_OPERATOR_TOKEN: TOKEN,
+  });
+};
+
+beforeEach(async () => {
+  seen = [];
+  server = createServer((request, response) => {
+    const name = `${request.method} ${request.url}`;
+    seen.push(`${name} ${request.headers.authorization}`);
+    const answer = ANSWERS[name];
+    response.statusCode = answer === undefined ? 404 : 200;
+    const problem = { title: 'Not found', detail: 'no such program', executed: 'no' };
+    response.end(JSON.stringify(answer === undefined ? problem : answer));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+});
+afterEach(
+  () =>
+    new Promise((resolve) => {
+      server.close(resolve);
+    }),
+);
+
+test('shows a program with the key, from the first entry that answers', async () => {
+  const { exitCode, stdout } = await run('program', 'show', 'survey-17', '--key', 'example-key');
+  expect(stdout).toContain('program survey-17 of amman-panels: running');
+  expect(stdout).toMatch(/0 +chat +answered +200 +7/);
+  expect(seen).toEqual(['GET /programs/survey-17 Bearer example-key']);
+  expect(exitCode).toBe(0);
+});
+
+test('ends a program as an operator', async () => {
+  const words = ['program', 'end', 'survey-17', '--organisation', 'amman-panels'];
+  expect(await run(...words)).toMatchObject({ exitCode: 0 });
+  expect(seen).toEqual([
+    `DELETE /programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`,
+  ]);
+});
+
+test('shows the reason of a refusal', async () => {
+  const { exitCode, stderr } = await run('program', 'show', 'other');
+  expect(stderr).toContain('answered 404: Not found: no such program');
+  expect(exitCode).toBe(1);
+});
+
+test('lists and lifts quarantined requests', async () => {
+  expect((await run('quarantine', 'list')).stdout).toMatch(/d1 +amman-panels +chat +engine-1/);
+  expect(await run('quarantine', 'lift', 'd1')).toMatchObject({ exitCode: 0 });
+});
+
+test('exits with 3 when no entry answers', async () => {
+  const { exitCode, stderr } = await run('quarantine', 'list', '--entry', DEAD_ADDRESS);
+  expect(stderr).toContain(`${DEAD_ADDRESS} gave no answer`);
+  expect(exitCode).toBe(3);
+});
+
+test.each([['../x'], ['a//b'], ['a?b'], ['']])('refuses the program name %j', async (name) => {
+  expect(await run('program', 'show', name)).toMatchObject({ exitCode: 2 });
+  expect(seen).toEqual([]);
+});
--- a/packages/declarations/src/checking/fault.ts
+++ b/packages/declarations/src/checking/fault.ts
@@ -13,7 +13,8 @@
   | 'limit-above-parent'
   | 'duplicate-route'
   | 'unreachable-route'
-  | 'duplicate-key-digest';
+  | 'duplicate-key-digest'
+  | 'revived-key';
 
 /** One fault of a set of declarations, with where it is and how to mend it. */
 export interface Fault {
--- a/packages/declarations/src/publishing/configurationPublisher.ts
+++ b/packages/declarations/src/publishing/configurationPublisher.ts
@@ -4,12 +4,14 @@
 import type { Result } from 'neverthrow';
 import { checkConfiguration } from '../checking/checkConfiguration';
 import type { Configuration } from '../configuration';
+import type { ChunkReference } from '../format/chunkIndex';
 import type { ConfigurationRoot } from '../format/configurationRoot';
 import { encodeConfiguration } from '../format/encodeConfiguration';
 import type { EncodedConfiguration } from '../format/encodeConfiguration';
 import { FORMAT_VERSION } from '../format/formatVersion';
 import { ConfigurationStore } from './configurationStore';
 import { conflictWith } from './conflictWith';
+import { findRevivedKeys } from './findRevivedKeys';
 import { inParallel } from './inParallel';
 import type { PublishError } from './publishError';
 import { readConfiguration } from './readConfiguration';
@@ -37,6 +39,7 @@
 }
 
 interface NewContent {
+  readonly configuration: Configuration;
   readonly encoded: EncodedConfiguration;
   readonly author: string;
   readonly rollbackOf?: number | undefined;
@@ -100,13 +103,13 @@
   async #publishChecked(
     configuration: Configuration,
     baseRevision: number | undefined,
-    origin: Omit<NewContent, 'encoded'>,
+    origin: Omit<NewContent, 'configuration' | 'encoded'>,
   ): Promise<Result<Published, PublishError>> {
     const faults = checkConfiguration(configuration);
     if (faults.length > 0) return err({ kind: 'faults', faults });
     const encoded = encodeConfiguration(configuration);
     if (encoded.isErr()) return err({ kind: 'format', error: encoded.error });
-    return this.#publishContent({ ...origin, encoded: encoded.value }, baseRevision);
+    return this.#publishContent({ ...origin, configuration, encoded: encoded.value }, baseRevision);
   }
 
   async #publishContent(
@@ -121,7 +124,11 @@
       const { root, storeRevision } = current.value;
       base ??= root?.revision ?? 0;
       if ((root?.revision ?? 0) !== base) return err(conflictWith(base, root));
-      const written = await this.#writeValues(content.encoded, current.value);
+      const index = await this.#readChunkReferences(root);
+      if (index.isErr()) return err(index.error);
+      const revived = await this.#checkWithdrawals(content, index.value);
+      if (revived.isErr()) return err(revived.error);
+      const written = await this.#writeValues(content.encoded, current.value, index.value);
       if (written.isErr()) return err(written.error);
       const next = ConfigurationPublisher.#nextRoot(content, publishId, root);
       const swapped = await swapRoot(this.#store, next, storeRevision);
@@ -133,14 +140,37 @@
     }
   }
 
+  async #readChunkReferences(
+    root: ConfigurationRoot | undefined,
+  ): Promise<Result<readonly ChunkReference[], PublishError>> {
+    if (!root) return ok([]);
+    return (await this.#store.readIndex(root.index)).map(({ chunks }) => chunks);
+  }
+
+  /** Refuses to make a withdrawn key active; only the base's changed chunks of keys can tell. */
+  async #checkWithdrawals(
+    { configuration, encoded }: NewContent,
+    base: readonly ChunkReference[],
+  ): Promise<Result<void, PublishError>> {
+    const changed = base.filter(
+      ({ kind, digest }) => kind === 'key' && !encoded.values.has(digest),
+    );
+    const chunks = await inParallel(changed, ({ digest }) => this.#store.readChunk(digest));
+    return chunks.andThen((read): Result<void, PublishError> => {
+      const objects = read.flatMap((chunk) => chunk.objects);
+      const faults = findRevivedKeys(objects, configuration);
+      return faults.length === 0 ? ok(undefined) : err({ kind: 'faults', faults });
+    });
+  }
+
   /** Writes what the base lacks, and the base's own record of the history. */
   async #writeValues(
     encoded: EncodedConfiguration,
     current: StoredRoot,
+    base: readonly ChunkReference[],
   ): Promise<Result<number, PublishError>> {
-    const present = await this.#presentDigests(current.root);
-    if (present.isErr()) return err(present.error);
-    const missing = [...encoded.values].filter(([digest]) => !present.value.has(digest));
+    const present = new Set([current.root?.index, ...base.map(({ digest }) => digest)]);
+    const missing = [...encoded.values].filter(([digest]) => !present.has(digest));
     const written = await inParallel(missing, ([digest, value]) =>
       this.#store.writeValue(digest, value),
     );
@@ -150,14 +180,6 @@
     return kept.map(() => missing.length);
   }
 
-  async #presentDigests(
-    root: ConfigurationRoot | undefined,
-  ): Promise<Result<ReadonlySet<string>, PublishError>> {
-    if (!root) return ok(new Set<string>());
-    const index = await this.#store.readIndex(root.index);
-    return index.map(({ chunks }) => new Set([root.index, ...chunks.map(({ digest }) => digest)]));
-  }
-
   static #nextRoot(
     content: NewContent,
     publishId: string,
--- a/packages/declarations/tests/configurationPublisher.test.ts
+++ b/packages/declarations/tests/configurationPublisher.test.ts
@@ -130,3 +130,24 @@
     { change: 'changed', kind: 'key', name: 'amman-office', fields: ['state'] },
   ]);
 });
+
+test('a withdrawn key can not be published as active again', async () => {
+  const store = new MemoryStore();
+  const publisher = new ConfigurationPublisher(store);
+  const configuration = exampleSet(1);
+  const withdrawn = new Map(
+    [...configuration.keys].map(([name, spec]) => [name, { ...spec, state: 'withdrawn' as const }]),
+  );
+  await publisher.publish({ configuration: { ...configuration, keys: withdrawn }, author: 'rana' });
+  const renamed = new Map([...configuration.keys].map(([, spec]) => ['renamed', spec]));
+  for (const keys of [configuration.keys, renamed]) {
+    const result = await publisher.publish({
+      configuration: { ...configuration, keys },
+      author: 'yusuf',
+    });
+    expect(result._unsafeUnwrapErr()).toMatchObject({
+      kind: 'faults',
+      faults: [{ problem: 'revived-key' }],
+    });
+  }
+});
