Add witnesses, handover and rebalancing of partitions

Cause: owners must go on while the store is out, and a shutdown cuts off nothing. Change: a majority of the three witnesses named in the head confirms an owner beyond its lease and keeps its records; a new epoch serves only after a majority of the same witnesses took note, and commits what they kept. Partitions are given up drained, and free ones move to the member that comes first for them.

--- a/packages/partitions/src/appendQueue.ts
+++ b/packages/partitions/src/appendQueue.ts
@@ -42,8 +42,6 @@
   /** Appends whose callers were told that witnesses keep the records. */
   readonly #deferred = new Set<WaitingAppend>();
 
-  #writeRequested = false;
-
   constructor(deadlineMilliseconds: number) {
     this.#deadlineMilliseconds = deadlineMilliseconds;
   }
@@ -56,14 +54,14 @@
     return new ResultAsync(outcome.promise);
   }
 
-  /** Has a write made even if no record waits. */
-  requestWrite(): void {
-    this.#writeRequested = true;
+  /** Has the waiting task look whether there is work. */
+  wake(): void {
     this.#wake.wake();
   }
 
-  async waitForWork(signal: AbortSignal): Promise<void> {
-    while (this.#waiting.length === 0 && !this.#writeRequested && !signal.aborted) {
+  /** Resolves when an append waits, when a write is due anyhow, or when the signal aborts. */
+  async waitForWork(signal: AbortSignal, isWriteDue: () => boolean): Promise<void> {
+    while (this.#waiting.length === 0 && !isWriteDue() && !signal.aborted) {
       await this.#wake.wait(signal);
     }
   }
@@ -79,6 +77,12 @@
     return { texts, bytes: this.bytes, appends: this.#waiting.length };
   }
 
+  /** Whether a caller waits that was told nothing yet. */
+  hasUnanswered(): boolean {
+    return this.#deferred.size < this.#waiting.length;
+  }
+
+  /** Whether callers were told that witnesses keep their records. */
   hasDeferred(): boolean {
     return this.#deferred.size > 0;
   }
@@ -91,21 +95,29 @@
     return { hadDeferred: deferred.length > 0 };
   }
 
-  /** Tells the callers of the first appends that witnesses keep the records. */
-  acknowledgeDeferred(appends: number): void {
+  /** Tells the callers of the first appends that witnesses keep the records; counts the new ones. */
+  acknowledgeDeferred(appends: number): number {
+    const before = this.#deferred.size;
     this.#waiting.slice(0, appends).forEach((append) => {
       this.#deferred.add(append);
       append.outcome.resolve(ok({ durability: 'deferred' }));
     });
+    return this.#deferred.size - before;
   }
 
-  /** Refuses what waited too long; the first `pending` appends are in a write under way. */
-  refuseExpired(pending: number): Refusal {
+  /**
+   * Refuses what waited too long, or all that may be refused. The first `pending` appends are in
+   * a write that may take effect yet: they are given their whole time.
+   */
+  refuseExpired(pending: number, isHopeless: boolean): Refusal {
     const now = performance.now();
-    const isExpired = (append: WaitingAppend): boolean =>
-      !this.#deferred.has(append) && append.expiresAt <= now;
+    const inWrite = new Set(this.#waiting.slice(0, pending));
+    const isExpired = (append: WaitingAppend): boolean => {
+      if (this.#deferred.has(append)) return false;
+      return append.expiresAt <= now || (isHopeless && !inWrite.has(append));
+    };
     const expired = this.#waiting.filter(isExpired);
-    const refusedPending = this.#waiting.slice(0, pending).some(isExpired);
+    const refusedPending = expired.some((append) => inWrite.has(append));
     this.#waiting = this.#waiting.filter((append) => !isExpired(append));
     expired.forEach(({ outcome }) => outcome.resolve(err(UNAVAILABLE)));
     return { refused: expired.length, refusedPending };
--- a/packages/partitions/src/claimPartition.ts
+++ b/packages/partitions/src/claimPartition.ts
@@ -13,6 +13,8 @@
 export interface Claim {
   readonly head: JournalHead;
   readonly revision: number;
+  /** Witnesses that the new epoch shall have. */
+  readonly witnesses: readonly Member[];
   /** The head before the claim. */
   readonly previous: PartitionHead | undefined;
 }
@@ -60,7 +62,8 @@
   if (previous && !previous.handedOver && !request.mayReplace(previous.owner)) {
     return err({ kind: 'owned', epoch: previous.epoch, owner: previous.owner });
   }
-  const head = claimHead(previous, claimer, request.chooseWitnesses());
+  const witnesses = request.chooseWitnesses();
+  const head = claimHead(previous, claimer, witnesses);
   const outcome = await swapHead({
     store,
     partition,
@@ -71,7 +74,7 @@
   });
   switch (outcome.kind) {
     case 'committed':
-      return ok({ head, revision: outcome.revision, previous });
+      return ok({ head, revision: outcome.revision, witnesses, previous });
     case 'conflict':
       return err({ kind: 'try-again', detail: `epoch ${outcome.epoch} was claimed first` });
     case 'unreadable':
--- a/packages/partitions/src/deleteOrphans.ts
+++ b/packages/partitions/src/deleteOrphans.ts
@@ -1,6 +1,7 @@
 import type { BulkAccess } from './bulkText';
 import { partKeys } from './bulkText';
 import type { JournalHead } from './journalHead';
+import { bulkReferences } from './journalHead';
 import { withDeadline } from './util/withDeadline';
 
 const AREAS = ['segments', 'snapshots'] as const;
@@ -18,8 +19,7 @@
   head: JournalHead,
 ): Promise<void> => {
   const { store, deadlineMilliseconds } = access;
-  const references = head.snapshot ? [head.snapshot, ...head.segments] : head.segments;
-  const referenced = new Set(references.flatMap(partKeys));
+  const referenced = new Set(bulkReferences(head).flatMap(partKeys));
   for (const area of AREAS) {
     const listing = await withDeadline(store.list(`${area}/${partition}/`), deadlineMilliseconds);
     const entries = listing.isOk() ? listing.value.entries : [];
--- a/packages/partitions/src/journalHead.ts
+++ b/packages/partitions/src/journalHead.ts
@@ -14,8 +14,14 @@
   readonly inlineTexts: readonly string[];
   readonly inlineBytes: number;
   readonly handedOver: boolean;
+  /** Epoch that served last. */
+  readonly servedEpoch: number;
 }
 
+/** Lists the texts that a head refers to. */
+export const bulkReferences = ({ snapshot, segments }: JournalHead): readonly BulkReference[] =>
+  snapshot ? [snapshot, ...segments] : segments;
+
 /** A head's value in the store, with the identifier by which a lost answer is recognised. */
 export interface EncodedHead {
   readonly commitId: string;
@@ -26,17 +32,23 @@
 export const bytesOf = (texts: readonly string[]): number =>
   texts.reduce((sum, text) => sum + Buffer.byteLength(text), 0);
 
-/** Takes a head read from the store over for a claim by a new owner. */
+/**
+ * Takes a head read from the store over for a claim by a new owner. Unless the previous owner gave
+ * the partition up, its witnesses stay in force until they took note of the new one.
+ */
 export const claimHead = (
   previous: PartitionHead | undefined,
   owner: Member,
   witnesses: readonly Member[],
 ): JournalHead => {
   const inlineTexts = (previous?.inlineRecords ?? []).map((record) => JSON.stringify(record));
+  const epoch = (previous?.epoch ?? 0) + 1;
+  const unsettled = previous?.handedOver === false ? previous : undefined;
   return {
-    epoch: (previous?.epoch ?? 0) + 1,
+    epoch,
     owner,
-    witnesses,
+    witnesses: unsettled?.witnesses ?? witnesses,
+    servedEpoch: unsettled?.servedEpoch ?? epoch,
     recordCount: previous?.recordCount ?? 0,
     snapshot: previous?.snapshot,
     segments: previous?.segments ?? [],
--- a/packages/partitions/src/journalWriter.ts
+++ b/packages/partitions/src/journalWriter.ts
@@ -1,14 +1,16 @@
-import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore, StoreError } from '@limpetnotch/platform';
 import { Deferred, delay } from '@limpetnotch/supervision';
-import type { Result, ResultAsync } from 'neverthrow';
-import { err, errAsync, ok } from 'neverthrow';
+import type { ResultAsync } from 'neverthrow';
+import { errAsync } from 'neverthrow';
 import { AppendQueue } from './appendQueue';
-import type { BulkAccess } from './bulkText';
-import { partKeys, writeBulk } from './bulkText';
+import type { ComposedHead } from './headComposer';
+import { HeadComposer } from './headComposer';
 import type { EncodedHead, JournalHead } from './journalHead';
 import { bytesOf, encodeHead } from './journalHead';
-import type { BulkReference, HeadError } from './partitionHead';
+import type { Member } from './member';
+import type { DeferredKeeper, GuardedJournal } from './outageGuard';
+import type { HeadError } from './partitionHead';
 import type { Commit, CommitError, JsonValue, PartitionJournal } from './partitionHandler';
 import type { PartitionSettings } from './partitionSettings';
 import type { SwapOutcome } from './swapHead';
@@ -30,14 +32,6 @@
   /** The owner handed the partition over, or stops. */
   | { readonly kind: 'released' };
 
-/** Keeps records at witnesses while the store is out. */
-export interface DeferredKeeper {
-  /** Resolves to whether enough witnesses keep all the texts, the oldest first. */
-  keep(texts: readonly string[]): Promise<boolean>;
-  /** The records that were kept are committed. */
-  release(): void;
-}
-
 /** Options of a {@link JournalWriter}. */
 export interface JournalWriterOptions {
   readonly partition: number;
@@ -45,11 +39,14 @@
   /** The head with which this epoch was claimed, and its revision. */
   readonly head: JournalHead;
   readonly revision: number;
+  /** Witnesses that the next head shall name. */
+  readonly witnesses: readonly Member[];
   readonly allowance: WriteAllowance;
   readonly settings: PartitionSettings;
-  readonly logger: Logger;
   readonly metrics: Metrics;
-  readonly deferred?: DeferredKeeper;
+  readonly deferred: DeferredKeeper;
+  /** Whether this owner may still act: by its lease, or by the promise of the witnesses. */
+  mayAct(): boolean;
   /** Returns the state that stands for all committed records. */
   snapshot(): JsonValue;
   /** Called once when the journal takes no more records. */
@@ -57,52 +54,50 @@
 }
 
 /** A write whose outcome decides the next step; tried again as it is until that is known. */
-interface PendingWrite {
-  readonly head: JournalHead;
+interface PendingWrite extends ComposedHead {
   readonly encoded: EncodedHead;
   readonly appends: number;
-  /** References that the new head drops. */
-  readonly garbage: readonly BulkReference[];
   readonly mayTakeEffect: boolean;
 }
 
 /**
- * Journal of one owned partition. All records that wait go into the next write (group commit);
- * one write is under way at a time. Texts outgrow the head into segments, these into a snapshot.
+ * Journal of one owned partition. All records that wait go into the next write (group commit),
+ * and one write is under way at a time. Each write is a compare-and-swap on the revision of the
+ * last one, so a deposed owner's write fails.
  */
 export class JournalWriter implements PartitionJournal {
   readonly #options: JournalWriterOptions;
 
   readonly #queue: AppendQueue;
 
+  readonly #composer: HeadComposer;
+
   readonly #controller = new AbortController();
 
-  readonly #bulk: BulkAccess;
+  readonly #ended = new Deferred();
 
   #head: JournalHead;
 
   #revision: number;
 
-  #write: PendingWrite | undefined;
+  #witnesses: readonly Member[];
 
-  #bulkSequence = 0;
+  #write: PendingWrite | undefined;
 
   #handOver = false;
 
-  #end: JournalEnd | undefined;
+  #isVerificationDue = false;
 
-  readonly #ended = new Deferred();
+  #end: JournalEnd | undefined;
 
   constructor(options: JournalWriterOptions) {
     this.#options = options;
     this.#head = options.head;
     this.#revision = options.revision;
+    this.#witnesses = options.witnesses;
     this.#queue = new AppendQueue(options.settings.commitDeadlineMilliseconds);
-    this.#bulk = {
-      store: options.store,
-      deadlineMilliseconds: options.settings.storeDeadlineMilliseconds,
-      beforeWrite: () => options.allowance.take(this.#controller.signal),
-    };
+    const { signal } = this.#controller;
+    this.#composer = new HeadComposer({ ...options, epoch: options.head.epoch, signal });
   }
 
   get partition(): number {
@@ -134,11 +129,43 @@
     return this.#queue.add(texts, bytes);
   }
 
+  /** Takes over records that witnesses kept for the previous owner; called before any append. */
+  adopt(texts: readonly string[]): void {
+    if (texts.length === 0) return;
+    void this.#queue.add(texts, bytesOf(texts));
+    this.#queue.acknowledgeDeferred(1);
+  }
+
+  /** Names other witnesses in a head that is written for it. */
+  updateWitnesses(witnesses: readonly Member[]): void {
+    const wanted = new Set(this.#witnesses.map(({ incarnation }) => incarnation));
+    const isSame = witnesses.every(({ incarnation }) => wanted.has(incarnation));
+    if (isSame && witnesses.length === wanted.size) return;
+    this.#witnesses = witnesses;
+    this.#queue.wake();
+  }
+
+  /** Has a head written even if no record waits, to learn whether this epoch still stands. */
+  verify(): void {
+    this.#isVerificationDue = true;
+    this.#queue.wake();
+  }
+
+  /** Asks the witnesses for some more time during an outage of the store. */
+  async extend(): Promise<void> {
+    const { deferred, metrics } = this.#options;
+    const { texts, appends } = this.#queue.batch();
+    const isKept = await deferred.keep(this.#guarded(), texts);
+    if (!isKept || this.#end) return;
+    const acknowledged = this.#queue.acknowledgeDeferred(appends);
+    metrics.increment('journal.deferred-appends', acknowledged);
+  }
+
   /** Commits until the journal ends. */
   async run(): Promise<void> {
     const { signal } = this.#controller;
     while (!signal.aborted) {
-      await this.#queue.waitForWork(signal);
+      await this.#queue.waitForWork(signal, () => this.#isWriteDue());
       await this.#options.allowance.take(signal);
       if (signal.aborted) return;
       const isCommitted = await this.#commit();
@@ -149,7 +176,7 @@
   /** Commits what waits and gives the partition up; resolves to whether that is certain. */
   async handOver(): Promise<boolean> {
     this.#handOver = true;
-    this.#queue.requestWrite();
+    this.#queue.wake();
     await this.#ended.promise;
     return this.#head.handedOver;
   }
@@ -164,29 +191,58 @@
     this.#options.onEnd(end);
   }
 
+  #guarded(): GuardedJournal {
+    const { witnesses, recordCount, servedEpoch } = this.#head;
+    const pending = this.#write?.head.witnesses;
+    return {
+      epoch: this.epoch,
+      committedRecords: recordCount,
+      witnessLists: pending && pending !== witnesses ? [witnesses, pending] : [witnesses],
+      isServing: servedEpoch === this.epoch,
+    };
+  }
+
+  #isWriteDue(): boolean {
+    const isServing = this.#head.servedEpoch === this.epoch;
+    const isNamed = this.#head.witnesses === this.#witnesses;
+    return this.#handOver || this.#isVerificationDue || !isServing || !isNamed;
+  }
+
   /** Makes and writes the next head, or tries the pending one again; resolves to its success. */
   async #commit(): Promise<boolean> {
-    const composed = this.#write ? ok(this.#write) : await this.#compose();
-    if (composed.isErr()) {
-      this.#countFailure(composed.error);
-      return false;
-    }
-    const write = composed.value;
+    const { store, settings, metrics } = this.#options;
+    const write = this.#write ?? (await this.#compose());
+    if (!write || this.#end) return false;
     this.#write = write;
-    if (this.#controller.signal.aborted) return false;
     const outcome = await swapHead({
-      store: this.#options.store,
+      store,
       partition: this.partition,
       expectedRevision: this.#revision,
       head: write.encoded,
-      deadlineMilliseconds: this.#options.settings.storeDeadlineMilliseconds,
-      onUnknownOutcome: () => this.#options.metrics.increment('journal.unknown-outcomes'),
+      deadlineMilliseconds: settings.storeDeadlineMilliseconds,
+      onUnknownOutcome: () => metrics.increment('journal.unknown-outcomes'),
     });
     if (this.#end) return false;
     this.#settle(write, outcome);
     return outcome.kind === 'committed';
   }
 
+  async #compose(): Promise<PendingWrite | undefined> {
+    const batch = this.#queue.batch();
+    const composed = await this.#composer.compose(this.#head, {
+      batch,
+      witnesses: this.#witnesses,
+      handedOver: this.#handOver,
+      isAhead: this.#queue.hasDeferred(),
+    });
+    if (composed.isErr()) {
+      this.#countFailure(composed.error);
+      return undefined;
+    }
+    const encoded = encodeHead(composed.value.head);
+    return { ...composed.value, encoded, appends: batch.appends, mayTakeEffect: false };
+  }
+
   #settle(write: PendingWrite, outcome: SwapOutcome): void {
     switch (outcome.kind) {
       case 'committed':
@@ -222,9 +278,10 @@
     this.#head = write.head;
     this.#revision = revision;
     this.#write = undefined;
+    this.#isVerificationDue = false;
     const { hadDeferred } = this.#queue.settleFirst(write.appends);
-    if (hadDeferred) deferred?.release();
-    void this.#deleteAll(write.garbage);
+    if (hadDeferred) deferred.release(this.#guarded());
+    if (write.garbage.length > 0) void this.#composer.delete(write.garbage);
     if (write.head.handedOver) this.stop({ kind: 'released' });
   }
 
@@ -237,76 +294,17 @@
     this.stop({ kind: 'assertion-failed', detail });
   }
 
-  async #compose(): Promise<Result<PendingWrite, StoreError>> {
-    const base = await this.#compact();
-    if (base.isErr()) return err(base.error);
-    const batch = this.#queue.batch();
-    const garbage = base.value === this.#head ? [] : this.#bulkReferences(this.#head);
-    const next = await this.#extend(base.value, batch.texts, batch.bytes);
-    return next.map((head) => ({
-      head,
-      encoded: encodeHead(head),
-      appends: batch.appends,
-      garbage,
-      mayTakeEffect: false,
-    }));
-  }
-
-  /** Replaces segments by a snapshot once there are many; returns the head to go on from. */
-  async #compact(): Promise<Result<JournalHead, StoreError>> {
-    const { settings, metrics } = this.#options;
-    const isDue = this.#head.segments.length >= settings.segmentsBeforeSnapshot;
-    if (!isDue || this.#queue.hasDeferred()) return ok(this.#head);
-    // Lets the state apply the records whose append was resolved just now.
-    await delay(0);
-    const text = JSON.stringify(this.#options.snapshot());
-    const written = await writeBulk(this.#bulk, this.#nextKey('snapshots'), text);
-    metrics.increment('journal.snapshots');
-    return written.map((snapshot) => ({
-      ...this.#head,
-      snapshot,
-      segments: [],
-      inlineTexts: [],
-      inlineBytes: 0,
-    }));
-  }
-
-  async #extend(
-    base: JournalHead,
-    texts: readonly string[],
-    bytes: number,
-  ): Promise<Result<JournalHead, StoreError>> {
-    const inlineTexts = [...base.inlineTexts, ...texts];
-    const inlineBytes = base.inlineBytes + bytes;
-    const recordCount = base.recordCount + texts.length;
-    const next = { ...base, recordCount, handedOver: this.#handOver };
-    if (inlineBytes <= this.#options.settings.inlineBytes) {
-      return ok({ ...next, inlineTexts, inlineBytes });
-    }
-    const text = `[${inlineTexts.join(',')}]`;
-    const written = await writeBulk(this.#bulk, this.#nextKey('segments'), text);
-    this.#options.metrics.increment('journal.segments');
-    return written.map((segment) => ({
-      ...next,
-      segments: [...base.segments, segment],
-      inlineTexts: [],
-      inlineBytes: 0,
-    }));
-  }
-
-  /** Has the witnesses keep what waits, and refuses what waited too long. */
+  /**
+   * Has the witnesses keep what waits, and refuses what waited too long: at once where this owner
+   * may not act any more.
+   */
   async #standIn(): Promise<void> {
-    const { deferred, metrics } = this.#options;
-    const waiting = this.#queue.batch();
-    const isKept = !this.#handOver && (await deferred?.keep(waiting.texts));
+    if (this.#queue.hasUnanswered()) await this.extend();
     if (this.#end) return;
-    if (isKept) {
-      this.#queue.acknowledgeDeferred(waiting.appends);
-      metrics.increment('journal.deferred-records', waiting.texts.length);
-    }
+    const { mayAct } = this.#options;
     const pending = this.#write ? this.#write.appends : 0;
-    const { refused, refusedPending } = this.#queue.refuseExpired(pending);
-    metrics.increment('journal.refused-appends', refused);
+    const { refused, refusedPending } = this.#queue.refuseExpired(pending, !mayAct());
+    this.#options.metrics.increment('journal.refused-appends', refused);
     if (refusedPending) {
       this.stop({ kind: 'unresolved' });
       return;
@@ -315,36 +313,12 @@
     await delay(wait, this.#controller.signal);
   }
 
-  /** Deletes texts that no head refers to any more; what is left over, the next owner deletes. */
-  async #deleteAll(references: readonly BulkReference[]): Promise<void> {
-    const { store, metrics } = this.#options;
-    for (const key of references.flatMap(partKeys)) {
-      const entry = await store.read(key);
-      if (entry.isErr()) return;
-      const removed = entry.value && (await store.remove(key, entry.value.revision));
-      if (removed?.isErr()) return;
-      metrics.increment('journal.deleted-texts');
-    }
-  }
-
-  #bulkReferences({ snapshot, segments }: JournalHead): readonly BulkReference[] {
-    return snapshot ? [snapshot, ...segments] : segments;
-  }
-
-  #nextKey(area: 'segments' | 'snapshots'): string {
-    this.#bulkSequence += 1;
-    return `${area}/${this.partition}/${this.epoch}-${this.#bulkSequence}`;
-  }
-
   #countFailure({ kind }: StoreError): void {
     this.#options.metrics.increment('journal.store-failures', 1, { kind });
   }
 
   #refusal(): CommitError {
-    const kind = this.#end?.kind ?? 'released';
-    if (kind === 'unresolved') {
-      return { kind: 'unavailable', detail: 'the store does not tell whether it took the records' };
-    }
-    return { kind: 'deposed' };
+    if (this.#end?.kind !== 'unresolved') return { kind: 'deposed' };
+    return { kind: 'unavailable', detail: 'the store does not tell whether it took the records' };
   }
 }
--- a/packages/partitions/src/membership.ts
+++ b/packages/partitions/src/membership.ts
@@ -30,6 +30,10 @@
   readonly metrics: Metrics;
   /** Called when a member came, went or changed. */
   onChange(): void;
+  /** Called when this instance registered anew after its lease had ended. */
+  onRegistered(): void;
+  /** Whether the platform's list says that a member's process has ended. */
+  isGone(member: Member): boolean;
 }
 
 /** The lease of this instance, by its own clocks. */
@@ -49,8 +53,13 @@
 
   #lease: HeldLease | undefined;
 
+  #lastLeaseEnd = -Infinity;
+
   #registeredAt = Infinity;
 
+  /** Times at which incarnations were first seen. */
+  readonly #knownSince = new Map<string, number>();
+
   #storeReachable = false;
 
   constructor(options: MembershipOptions) {
@@ -86,6 +95,24 @@
     return performance.now() < lease.monotonicEnd && Date.now() < lease.wallEnd;
   }
 
+  /** Time of the monotonic clock at which the last lease ends or ended. */
+  leaseEnd(): number {
+    return this.#lastLeaseEnd;
+  }
+
+  /** Time since a member is known, in milliseconds; 0 if it is not. */
+  memberForMilliseconds({ incarnation }: Member): number {
+    const since = this.#knownSince.get(incarnation);
+    return since === undefined ? 0 : performance.now() - since;
+  }
+
+  /** Whether a member's process has certainly ended: another start of the instance is live. */
+  isGone(member: Member): boolean {
+    const current = this.#members.get(member.instance);
+    const isReplaced = current !== undefined && current.incarnation !== member.incarnation;
+    return isReplaced || this.#options.isGone(member);
+  }
+
   /** Whether the store answered the last renewal of the lease. */
   isStoreReachable(): boolean {
     return this.#storeReachable;
@@ -142,6 +169,7 @@
     this.#registeredAt = performance.now();
     metrics.increment('membership.registrations');
     logger.info('membership.registered', { instance: this.#identity.instance });
+    this.#options.onRegistered();
     return true;
   }
 
@@ -172,6 +200,7 @@
       monotonicEnd: monotonicStart + timeToLiveMilliseconds,
       wallEnd: wallStart + timeToLiveMilliseconds,
     };
+    this.#lastLeaseEnd = this.#lease.monotonicEnd;
   }
 
   #countFailure({ kind }: StoreError): false {
@@ -242,6 +271,14 @@
   }
 
   #changed(): void {
+    const now = performance.now();
+    const live = new Set([...this.#members.values()].map(({ incarnation }) => incarnation));
+    live.forEach((incarnation) => {
+      if (!this.#knownSince.has(incarnation)) this.#knownSince.set(incarnation, now);
+    });
+    [...this.#knownSince.keys()]
+      .filter((incarnation) => !live.has(incarnation))
+      .forEach((incarnation) => this.#knownSince.delete(incarnation));
     this.#options.metrics.gauge('membership.members', this.#members.size);
     this.#options.onChange();
   }
--- a/packages/partitions/src/ownedPartitions.ts
+++ b/packages/partitions/src/ownedPartitions.ts
@@ -20,6 +20,8 @@
 
   readonly #failedUntil = new Map<number, number>();
 
+  readonly #moving = new Set<number>();
+
   constructor(options: OwnedPartitionsOptions) {
     this.#options = options;
   }
@@ -32,8 +34,23 @@
     return [...this.#owned.keys()];
   }
 
-  /** Whether the partition failed here lately, or failed an assertion. */
+  /** Whether a partition is being given up, so that it takes no new call. */
+  isMoving(partition: number): boolean {
+    return this.#moving.has(partition);
+  }
+
+  /** Marks a partition as being given up until {@link endMove}. */
+  startMove(partition: number): void {
+    this.#moving.add(partition);
+  }
+
+  endMove(partition: number): void {
+    this.#moving.delete(partition);
+  }
+
+  /** Whether the partition is being given up, failed here lately, or failed an assertion. */
   isLeftAlone(partition: number): boolean {
+    if (this.#moving.has(partition)) return true;
     return performance.now() < (this.#failedUntil.get(partition) ?? -Infinity);
   }
 
--- a/packages/partitions/src/ownerHints.ts
+++ b/packages/partitions/src/ownerHints.ts
@@ -2,7 +2,6 @@
 import type { KeyValueStore, StoreListing, WatchEvent } from '@limpetnotch/platform';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { z } from 'zod';
-import type { Member } from './member';
 import { memberSchema } from './member';
 import type { PartitionSettings } from './partitionSettings';
 import { followPrefix } from './util/followPrefix';
@@ -15,6 +14,8 @@
   partition: z.number().int().nonnegative(),
   epoch: z.number().int().positive(),
   owner: memberSchema,
+  /** Whether the owner gave the partition up, so that it is free. */
+  handedOver: z.boolean(),
 });
 
 /** Who claimed a partition last, as far as is known. */
@@ -49,27 +50,25 @@
     return this.#hints.get(partition);
   }
 
-  /** Takes a hint in unless a newer epoch is known. */
+  /** Takes a hint in unless as new a one is known. */
   learn(hint: OwnerHint): void {
-    const known = this.#hints.get(hint.partition);
-    if (known && known.epoch >= hint.epoch) return;
+    if (!OwnerHints.#isNewer(hint, this.#hints.get(hint.partition))) return;
     this.#hints.set(hint.partition, hint);
     this.#options.onNewer(hint);
   }
 
-  /** Publishes this instance's claim; gives up quietly, since the others also learn from the head. */
-  async publish(partition: number, epoch: number, owner: Member): Promise<void> {
+  /** Publishes a claim or a handover of this instance; gives up quietly, since the others also learn from the head. */
+  async publish(hint: OwnerHint): Promise<void> {
     const { store, settings, metrics } = this.#options;
-    const hint: OwnerHint = { partition, epoch, owner };
     this.learn(hint);
-    const key = `${OWNERS_PREFIX}${partition}`;
+    const key = `${OWNERS_PREFIX}${hint.partition}`;
     const current = await withDeadline(store.read(key), settings.storeDeadlineMilliseconds);
     if (current.isErr()) {
       metrics.increment('partition.hint-failures');
       return;
     }
     const known = current.value && parseWith(ownerHintSchema, current.value.value);
-    if (known && known.epoch >= epoch) return;
+    if (!OwnerHints.#isNewer(hint, known)) return;
     const expectedRevision = current.value?.revision ?? 0;
     const request = { key, expectedRevision, value: JSON.stringify(hint) };
     const written = await withDeadline(
@@ -103,6 +102,11 @@
     });
   }
 
+  static #isNewer(hint: OwnerHint, known: OwnerHint | undefined): boolean {
+    if (!known || hint.epoch > known.epoch) return true;
+    return hint.epoch === known.epoch && hint.handedOver && !known.handedOver;
+  }
+
   #takeListing({ entries }: StoreListing): void {
     entries.forEach(({ value }) => this.#take(value));
   }
--- a/packages/partitions/src/partitionClaimer.ts
+++ b/packages/partitions/src/partitionClaimer.ts
@@ -4,6 +4,7 @@
 import { chooseWitnesses } from './chooseWitnesses';
 import type { Claim, ClaimError } from './claimPartition';
 import { claimPartition } from './claimPartition';
+import type { JournalEnd } from './journalWriter';
 import type { Member } from './member';
 import type { Membership } from './membership';
 import type { OwnedPartitions } from './ownedPartitions';
@@ -72,11 +73,16 @@
   }
 
   #start(partition: number, signal: AbortSignal): void {
-    const finish = (): void => {
+    const claimed = this.#claim(partition, signal).catch((error: unknown) => {
+      const { owned, metrics } = this.#options;
+      metrics.increment('partition.assertion-failures');
+      owned.fail(partition, error instanceof Error ? error.message : String(error));
+    });
+    const finished = claimed.finally(() => {
       this.#claiming.delete(partition);
       this.wake();
-    };
-    this.#claiming.set(partition, this.#claim(partition, signal).then(finish, finish));
+    });
+    this.#claiming.set(partition, finished);
   }
 
   #claimable(): readonly number[] {
@@ -89,7 +95,10 @@
       if (owned.isLeftAlone(partition)) return false;
       if (this.#offered.has(partition)) return true;
       const hint = hints.of(partition);
-      if (hint && !this.#mayReplace(hint.owner)) return false;
+      const isHeld = hint !== undefined && !hint.handedOver;
+      // An own epoch that ended here is not known to be free by the others.
+      if (isHeld && this.#isSelf(hint.owner)) return true;
+      if (isHeld && !this.#mayReplace(hint.owner)) return false;
       const [first] = rankByRendezvous(partition, candidates);
       return first !== undefined && this.#isSelf(first);
     });
@@ -135,9 +144,8 @@
   async #open(partition: number, claim: Claim, signal: AbortSignal): Promise<void> {
     const { opener, owned, hints } = this.#options;
     const { epoch, owner } = claim.head;
-    const opened = await opener.open(partition, claim, signal, (end) =>
-      owned.end(partition, epoch, end),
-    );
+    const onEnd = (end: JournalEnd): void => owned.end(partition, epoch, end);
+    const opened = await opener.open({ partition, claim, signal, onEnd });
     if (opened.isErr()) {
       owned.fail(partition, opened.error.detail);
       return;
@@ -147,7 +155,7 @@
       return;
     }
     owned.serve(partition, opened.value);
-    await hints.publish(partition, epoch, owner);
+    await hints.publish({ partition, epoch, owner, handedOver: false });
   }
 
   #noteError(partition: number, error: ClaimError): void {
@@ -155,7 +163,7 @@
     metrics.increment('partition.claim-failures', 1, { kind: error.kind });
     switch (error.kind) {
       case 'owned':
-        hints.learn({ partition, epoch: error.epoch, owner: error.owner });
+        hints.learn({ partition, epoch: error.epoch, owner: error.owner, handedOver: false });
         break;
       case 'try-again':
         break;
--- a/packages/partitions/src/partitionHandler.ts
+++ b/packages/partitions/src/partitionHandler.ts
@@ -31,7 +31,7 @@
   /** Records after the snapshot, the oldest first. */
   readonly records: readonly JsonValue[];
   readonly journal: PartitionJournal;
-  /** Whether the previous owner gave the partition up itself, so that its time need not be waited out. */
+  /** Whether a previous owner gave the partition up itself, so that its time need not be waited out. */
   readonly handedOver: boolean;
   /**
    * Time (`Date.now()`) until which the previous owner may still grant rates or order engines; 0
@@ -56,6 +56,8 @@
   snapshot(): JsonValue;
   /** Resolves when no call is under way; new ones are refused from now on. */
   drain(): Promise<void>;
+  /** Whether no call is under way, so that the partition may move at once; unknown if absent. */
+  isIdle?(): boolean;
   /** Drops the state: the partition is no longer owned. */
   stop(): void;
 }
--- a/packages/partitions/src/partitionHead.ts
+++ b/packages/partitions/src/partitionHead.ts
@@ -31,6 +31,8 @@
   snapshot: bulkReferenceSchema.optional(),
   segments: z.array(bulkReferenceSchema),
   inlineRecords: z.array(z.custom<JsonValue>((value) => value !== undefined)),
+  /** Epoch that served last: its witnesses are those in this head, and may keep records of it. */
+  servedEpoch: z.number().int().positive(),
   /** Whether the owner gave the partition up, with all its records committed. */
   handedOver: z.boolean(),
 });
--- a/packages/partitions/src/partitionManager.ts
+++ b/packages/partitions/src/partitionManager.ts
@@ -4,18 +4,27 @@
 import { Supervisor } from '@limpetnotch/supervision';
 import type { Member } from './member';
 import { Membership } from './membership';
+import { OutageKeeper } from './outageKeeper';
 import { OwnedPartitions } from './ownedPartitions';
 import type { OwnerHint } from './ownerHints';
 import { OwnerHints } from './ownerHints';
 import type { Ownership } from './ownership';
 import { PartitionClaimer } from './partitionClaimer';
+import { PartitionHandover } from './partitionHandover';
 import type { PartitionHandler, PartitionState } from './partitionHandler';
 import { headKey, parseHead } from './partitionHead';
 import { PartitionOpener } from './partitionOpener';
 import type { PartitionSettings } from './partitionSettings';
 import { DEFAULT_PARTITION_SETTINGS } from './partitionSettings';
-import type { PeerChannel } from './peerChannel';
+import type {
+  PeerChannel,
+  TakeoverNotice,
+  TakeoverReply,
+  WitnessReply,
+  WitnessRequest,
+} from './peerChannel';
 import { withDeadline } from './util/withDeadline';
+import { Witness } from './witness';
 import { WriteAllowance } from './writeAllowance';
 
 /** Options of a {@link PartitionManager}. */
@@ -30,6 +39,8 @@
   readonly metrics: Metrics;
   /** Values that differ from {@link DEFAULT_PARTITION_SETTINGS}. */
   readonly settings?: Partial<PartitionSettings>;
+  /** Whether the platform's list says that a member's process has ended; never by default. */
+  readonly isGone?: (member: Member) => boolean;
 }
 
 /** Claims partitions for this instance, keeps their journals and knows the owners of the others. */
@@ -44,48 +55,81 @@
 
   readonly #owned: OwnedPartitions;
 
+  readonly #witness: Witness;
+
   readonly #claimer: PartitionClaimer;
 
+  readonly #handover: PartitionHandover;
+
+  readonly #outage: OutageKeeper;
+
   constructor(options: PartitionManagerOptions) {
-    const { store, identity, logger, metrics, handler, partitionCount } = options;
+    const { store, identity, logger, metrics, handler, peers, partitionCount } = options;
     const settings = { ...DEFAULT_PARTITION_SETTINGS, ...options.settings };
-    const shared = { store, settings, logger, metrics };
     this.#options = options;
     this.#settings = settings;
     const wake = (): void => this.#claimer.wake();
-    this.membership = new Membership({ ...shared, identity, onChange: wake });
-    this.#hints = new OwnerHints({ ...shared, onNewer: (hint) => this.#noteHint(hint) });
-    this.#owned = new OwnedPartitions({ ...shared, onEnd: wake });
+    this.membership = new Membership({
+      store,
+      settings,
+      logger,
+      metrics,
+      identity,
+      onChange: wake,
+      onRegistered: () => this.#outage.verifyAll(),
+      isGone: options.isGone ?? (() => false),
+    });
+    const { membership } = this;
+    const onNewer = (hint: OwnerHint): void => this.#noteHint(hint);
+    const hints = new OwnerHints({ store, settings, logger, metrics, onNewer });
+    const owned = new OwnedPartitions({ settings, logger, metrics, onEnd: wake });
+    this.#hints = hints;
+    this.#owned = owned;
+    const witness = new Witness({
+      incarnation: identity.incarnation,
+      holdMilliseconds: settings.leaseMilliseconds,
+      metrics,
+      isStoreReachable: () => membership.isStoreReachable(),
+      knownEpoch: (partition) => hints.of(partition)?.epoch ?? 0,
+    });
     const share = (): number =>
-      settings.fleetWritesPerSecond / Math.max(1, this.membership.members().length);
+      settings.fleetWritesPerSecond / Math.max(1, membership.members().length);
     const allowance = new WriteAllowance(share, settings.writeBurstMilliseconds);
-    const opener = new PartitionOpener({ ...shared, handler, allowance });
-    this.#claimer = new PartitionClaimer({
-      ...shared,
-      partitionCount,
-      membership: this.membership,
-      hints: this.#hints,
-      opener,
-      owned: this.#owned,
-    });
+    const shared = { store, settings, logger, metrics, peers, membership, hints, owned };
+    const opener = new PartitionOpener({ ...shared, handler, allowance, witness });
+    this.#witness = witness;
+    this.#claimer = new PartitionClaimer({ ...shared, partitionCount, opener });
+    this.#handover = new PartitionHandover(shared);
+    this.#outage = new OutageKeeper(shared);
   }
 
   /** Who owns a partition, as far as this instance knows. */
   ownershipOf(partition: number): Ownership {
     const owned = this.#owned.get(partition);
-    if (owned) return { kind: 'local', epoch: owned.writer.epoch };
-    const hint = this.#hints.of(partition);
-    if (!hint || hint.owner.instance === this.#options.identity.instance) {
-      return { kind: 'unowned' };
+    if (owned && !this.#owned.isMoving(partition)) {
+      return { kind: 'local', epoch: owned.writer.epoch };
     }
+    const hint = this.#hints.of(partition);
+    const isElsewhere = hint && hint.owner.instance !== this.#options.identity.instance;
+    if (!isElsewhere || hint.handedOver) return { kind: 'unowned' };
     return { kind: 'remote', epoch: hint.epoch, owner: hint.owner };
   }
 
-  /** Returns the state of a partition that this instance serves. */
+  /** Returns the state of a partition that this instance owns, also while it is given up. */
   stateOf(partition: number): PartitionState | undefined {
     return this.#owned.get(partition)?.state;
   }
 
+  /**
+   * Whether this instance may grant rates or order engines for a partition now: by its lease, or
+   * by the promise of the witnesses. Commits need no such leave, since the store fences them.
+   */
+  mayAct(partition: number): boolean {
+    const owned = this.#owned.get(partition);
+    if (!owned) return false;
+    return this.membership.isLeaseValid() || owned.guard.isPromised();
+  }
+
   /** Reads a partition's head, after an instance answered that it is not the owner. */
   async refresh(partition: number): Promise<Ownership> {
     const { store, metrics } = this.#options;
@@ -94,12 +138,39 @@
     metrics.increment('partition.refreshes');
     const head = entry.isOk() && entry.value ? parseHead(entry.value.value) : undefined;
     if (head?.isOk()) {
-      const { epoch, owner } = head.value;
-      this.#hints.learn({ partition, epoch, owner });
+      const { epoch, owner, handedOver } = head.value;
+      this.#hints.learn({ partition, epoch, owner, handedOver });
     }
     return this.ownershipOf(partition);
   }
 
+  /** Answers an owner that asks this instance as a witness. */
+  confirmWitness(request: WitnessRequest): WitnessReply {
+    return this.#witness.confirm(request);
+  }
+
+  /** Answers a new owner that tells this instance as a witness. */
+  announceTakeover(notice: TakeoverNotice): TakeoverReply {
+    return this.#witness.note(notice);
+  }
+
+  /** Claims partitions at once that their owner gave up for this instance. */
+  offerPartitions(partitions: readonly number[]): void {
+    this.#claimer.offer(partitions);
+  }
+
+  /**
+   * Leaves the fleet: hands every partition over once no call of it is under way, then ends the
+   * lease. Resolves to the number of partitions that could not be handed over, as the store was
+   * out; their next owner waits for the lease to end and asks the witnesses for the records.
+   */
+  async drain(): Promise<number> {
+    await this.membership.markLeaving();
+    const failed = await this.#handover.handOverAll();
+    if (failed === 0) await this.membership.release();
+    return failed;
+  }
+
   /** Runs membership, routing and claims until the signal aborts. */
   async run({ signal, ready }: ChildContext): Promise<void> {
     const { logger, metrics } = this.#options;
@@ -116,7 +187,13 @@
   }
 
   #children(): readonly ChildSpecification[] {
-    return [...this.membership.children(), this.#hints.child(), this.#claimer.child()];
+    return [
+      ...this.membership.children(),
+      this.#hints.child(),
+      this.#claimer.child(),
+      this.#handover.child(),
+      this.#outage.child(),
+    ];
   }
 
   /** A newer epoch elsewhere ends the one served here, before its next commit would fail. */
--- a/packages/partitions/src/partitionOpener.ts
+++ b/packages/partitions/src/partitionOpener.ts
@@ -1,4 +1,4 @@
-import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore } from '@limpetnotch/platform';
 import { delay } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
@@ -8,11 +8,22 @@
 import { deleteOrphans } from './deleteOrphans';
 import type { JournalEnd } from './journalWriter';
 import { JournalWriter } from './journalWriter';
+import type { Membership } from './membership';
+import { OutageGuard } from './outageGuard';
 import type { OwnedPartition } from './ownedPartition';
-import type { PartitionHandler, PartitionState, RestoreError } from './partitionHandler';
+import type {
+  JsonValue,
+  PartitionHandler,
+  PartitionState,
+  RecoveredPartition,
+  RestoreError,
+} from './partitionHandler';
 import type { PartitionSettings } from './partitionSettings';
+import type { PeerChannel } from './peerChannel';
 import type { RecoveredJournal, RecoverError } from './recoverJournal';
 import { recoverJournal } from './recoverJournal';
+import { settleTakeover } from './settleTakeover';
+import type { Witness } from './witness';
 import type { WriteAllowance } from './writeAllowance';
 
 const READ_ATTEMPTS = 20;
@@ -25,10 +36,21 @@
 export interface PartitionOpenerOptions {
   readonly store: KeyValueStore;
   readonly settings: PartitionSettings;
-  readonly logger: Logger;
   readonly metrics: Metrics;
   readonly handler: PartitionHandler;
   readonly allowance: WriteAllowance;
+  readonly peers: PeerChannel;
+  readonly membership: Membership;
+  readonly witness: Witness;
+}
+
+/** One claim to be opened. */
+export interface OpenRequest {
+  readonly partition: number;
+  readonly claim: Claim;
+  readonly signal: AbortSignal;
+  /** Called when the journal takes no more records. */
+  onEnd(end: JournalEnd): void;
 }
 
 /** Reads the journal of a claimed partition and has the handler build its state. */
@@ -39,42 +61,78 @@
     this.#options = options;
   }
 
-  /** Opens a partition; `onEnd` is called when its journal takes no more records. */
-  async open(
-    partition: number,
-    claim: Claim,
-    signal: AbortSignal,
-    onEnd: (end: JournalEnd) => void,
-  ): Promise<Result<OwnedPartition, OpenError>> {
-    const access = this.#bulkAccess(signal);
-    const recovered = await this.#recover(access, claim, signal);
+  async open(request: OpenRequest): Promise<Result<OwnedPartition, OpenError>> {
+    const access = this.#bulkAccess(request.signal);
+    const [recovered, gathered] = await Promise.all([
+      this.#recover(access, request),
+      this.#gather(request),
+    ]);
     if (recovered.isErr()) return err(recovered.error);
+    const { snapshot, records } = recovered.value;
+    const deferred = gathered.map((text) => JSON.parse(text) as JsonValue);
+    const opened = this.#restore(request, { snapshot, records: [...records, ...deferred] });
+    if (opened.isErr()) return err(opened.error);
+    opened.value.writer.adopt(gathered);
+    void PartitionOpener.#runWriter(opened.value.writer);
+    void deleteOrphans(access, request.partition, request.claim.head);
+    return ok(opened.value);
+  }
+
+  #restore(
+    request: OpenRequest,
+    recovered: RecoveredJournal,
+  ): Result<OwnedPartition, RestoreError> {
     let state: PartitionState | undefined;
+    const guard = this.#createGuard(request);
     const writer = new JournalWriter({
       ...this.#options,
-      partition,
-      head: claim.head,
-      revision: claim.revision,
+      partition: request.partition,
+      ...request.claim,
+      deferred: guard,
+      mayAct: () => this.#options.membership.isLeaseValid() || guard.isPromised(),
       // Not called before the state exists: the journal runs only after the restore.
       snapshot: () => (state as PartitionState).snapshot(),
-      onEnd,
+      onEnd: request.onEnd,
     });
     const restored = this.#options.handler.restore({
-      ...recovered.value,
+      ...recovered,
+      ...this.#previousOwner(request.claim),
       journal: writer,
-      ...this.#previousOwner(claim),
     });
-    if (restored.isErr()) {
-      writer.stop({ kind: 'released' });
-      return err(restored.error);
-    }
-    state = restored.value;
-    void this.#runWriter(writer);
-    void deleteOrphans(access, partition, claim.head);
-    return ok({ writer, state });
+    if (restored.isErr()) writer.stop({ kind: 'released' });
+    return restored.map((value) => {
+      state = value;
+      return { writer, state: value, guard };
+    });
   }
 
-  async #runWriter(writer: JournalWriter): Promise<void> {
+  #createGuard({ partition, claim }: OpenRequest): OutageGuard {
+    return new OutageGuard({
+      ...this.#options,
+      partition,
+      owner: claim.head.owner,
+      leaseEnd: () => this.#options.membership.leaseEnd(),
+    });
+  }
+
+  /** Has the witnesses of the previous epoch take note, and collects what they kept for it. */
+  #gather({ partition, claim, signal }: OpenRequest): Promise<readonly string[]> {
+    const { head, previous } = claim;
+    if (!previous || previous.handedOver) return Promise.resolve([]);
+    const { witness, membership } = this.#options;
+    return settleTakeover({
+      ...this.#options,
+      notice: { partition, epoch: head.epoch, owner: head.owner },
+      witnesses: previous.witnesses,
+      servedEpoch: previous.servedEpoch,
+      recordCount: previous.recordCount,
+      signal,
+      noteLocally: (notice) => witness.note(notice),
+      isGone: (member) => membership.isGone(member),
+    });
+  }
+
+  static async #runWriter(writer: JournalWriter): Promise<void> {
     try {
       await writer.run();
     } catch (error) {
@@ -85,13 +143,11 @@
 
   async #recover(
     access: BulkAccess,
-    { head, previous }: Claim,
-    signal: AbortSignal,
+    { claim, signal }: OpenRequest,
   ): Promise<Result<RecoveredJournal, RecoverError>> {
-    const inlineRecords = previous?.inlineRecords ?? [];
-    const source = { snapshot: head.snapshot, segments: [...head.segments], inlineRecords };
+    const { snapshot, segments = [], inlineRecords = [] } = claim.previous ?? {};
     for (let attempt = 1; ; attempt += 1) {
-      const recovered = await recoverJournal(access, source);
+      const recovered = await recoverJournal(access, { snapshot, segments, inlineRecords });
       if (recovered.isOk() || attempt === READ_ATTEMPTS || signal.aborted) return recovered;
       const { kind } = recovered.error;
       if (kind === 'missing-part' || kind === 'corrupt-text') return recovered;
@@ -99,13 +155,11 @@
     }
   }
 
-  #previousOwner({ previous }: Claim): {
-    readonly handedOver: boolean;
-    readonly previousOwnerMayActUntilMilliseconds: number;
-  } {
-    if (!previous || previous.handedOver) {
-      return { handedOver: previous !== undefined, previousOwnerMayActUntilMilliseconds: 0 };
-    }
+  #previousOwner({
+    previous,
+  }: Claim): Pick<RecoveredPartition, 'handedOver' | 'previousOwnerMayActUntilMilliseconds'> {
+    if (!previous) return { handedOver: false, previousOwnerMayActUntilMilliseconds: 0 };
+    if (previous.handedOver) return { handedOver: true, previousOwnerMayActUntilMilliseconds: 0 };
     const until = Date.now() + this.#options.settings.leaseMilliseconds;
     return { handedOver: false, previousOwnerMayActUntilMilliseconds: until };
   }
--- a/packages/partitions/src/partitionSettings.ts
+++ b/packages/partitions/src/partitionSettings.ts
@@ -4,6 +4,10 @@
   readonly leaseMilliseconds: number;
   /** Time after which a call of the store counts as unanswered, in milliseconds; 1,000 by default. */
   readonly storeDeadlineMilliseconds: number;
+  /** Time after which a call of a peer counts as unanswered, in milliseconds; 500 by default. */
+  readonly peerDeadlineMilliseconds: number;
+  /** Longest time that an owner goes on without the store, in milliseconds; an hour by default. */
+  readonly outageLimitMilliseconds: number;
   /** Time that an append may wait for its commit, in milliseconds; 5,000 by default. */
   readonly commitDeadlineMilliseconds: number;
   /** Journal writes a second of the whole fleet; 200 by default. */
@@ -32,6 +36,8 @@
 export const DEFAULT_PARTITION_SETTINGS: PartitionSettings = {
   leaseMilliseconds: 3_000,
   storeDeadlineMilliseconds: 1_000,
+  peerDeadlineMilliseconds: 500,
+  outageLimitMilliseconds: 3_600_000,
   commitDeadlineMilliseconds: 5_000,
   fleetWritesPerSecond: 200,
   writeBurstMilliseconds: 500,
--- a/packages/partitions/tests/journalWriter.test.ts
+++ b/packages/partitions/tests/journalWriter.test.ts
@@ -1,4 +1,4 @@
-import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { MemoryMetrics } from '@limpetnotch/observability';
 import type { JsonValue, PartitionSettings } from '../src';
 import { DEFAULT_PARTITION_SETTINGS } from '../src';
 import { claimPartition } from '../src/claimPartition';
@@ -50,7 +50,7 @@
     mayReplace: () => true,
     onUnknownOutcome: () => undefined,
   });
-  const { head, revision } = unwrap(claimed);
+  const { head, revision, witnesses } = unwrap(claimed);
   const state: JsonValue[] = [];
   const ends: JournalEnd[] = [];
   const writer = new JournalWriter({
@@ -58,10 +58,12 @@
     store: client,
     head,
     revision,
+    witnesses,
     allowance: new WriteAllowance(() => settings.fleetWritesPerSecond, 0),
     settings,
-    logger: silentLogger,
     metrics,
+    deferred: { keep: () => Promise.resolve(false), release: () => undefined },
+    mayAct: () => true,
     snapshot: () => [...state],
     onEnd: (end) => ends.push(end),
   });
--- a/packages/partitions/tests/support/fleet.ts
+++ b/packages/partitions/tests/support/fleet.ts
@@ -1,6 +1,7 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { delay } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
-import { errAsync, ok } from 'neverthrow';
+import { err, ok, okAsync, ResultAsync } from 'neverthrow';
 import type {
   Commit,
   CommitError,
@@ -11,6 +12,7 @@
   PartitionSettings,
   PartitionState,
   PeerChannel,
+  PeerError,
   RecoveredPartition,
 } from '../../src';
 import { PartitionManager } from '../../src';
@@ -26,6 +28,9 @@
 
   isStopped = false;
 
+  /** Time that the calls under way take to end. */
+  drainMilliseconds = 0;
+
   readonly #journal: PartitionJournal;
 
   constructor(recovered: RecoveredPartition) {
@@ -45,8 +50,8 @@
     return [...this.records];
   }
 
-  drain(): Promise<void> {
-    return Promise.resolve();
+  async drain(): Promise<void> {
+    if (this.drainMilliseconds > 0) await delay(this.drainMilliseconds);
   }
 
   stop(): void {
@@ -66,6 +71,9 @@
 
   readonly manager: PartitionManager;
 
+  /** Whether it reaches no peer, and none reaches it. */
+  isCutOff = false;
+
   readonly #controller = new AbortController();
 
   #finished: Promise<void> = Promise.resolve();
@@ -104,6 +112,7 @@
 
   /** Ends the instance without any farewell. */
   async kill(): Promise<void> {
+    this.isCutOff = true;
     this.faults.isDown = true;
     this.faults.isWatchSilent = true;
     this.#controller.abort();
@@ -144,7 +153,7 @@
     const instance = new Instance(
       this.store,
       member,
-      this.#peers(),
+      this.#peers(member),
       this.#partitionCount,
       this.#settings,
     );
@@ -157,13 +166,36 @@
     return this.instances.find((instance) => instance.owns(partition));
   }
 
-  #peers(): PeerChannel {
-    const unreachable = errAsync({ kind: 'unreachable' as const, detail: 'not connected' });
+  /** Instance that a caller reaches: both are up, and no link between them is cut. */
+  #reach(caller: Member, peer: Member): Instance | undefined {
+    const find = ({ incarnation }: Member): Instance | undefined =>
+      this.instances.find(({ member }) => member.incarnation === incarnation);
+    const instance = find(peer);
+    if (!instance || instance.isCutOff || find(caller)?.isCutOff) return undefined;
+    return instance;
+  }
+
+  #peers(caller: Member): PeerChannel {
+    const call = <Value>(
+      peer: Member,
+      work: (instance: Instance) => Value,
+    ): ResultAsync<Value, PeerError> => {
+      const run = async (): Promise<Result<Value, PeerError>> => {
+        await delay(1);
+        const instance = this.#reach(caller, peer);
+        if (!instance) return err({ kind: 'unreachable', detail: peer.instance });
+        return ok(work(instance));
+      };
+      return new ResultAsync(run());
+    };
     return {
-      heartbeat: () => unreachable,
-      confirmWitness: () => unreachable,
-      announceTakeover: () => unreachable,
-      offerPartitions: () => unreachable,
+      heartbeat: (_peer, heartbeat) => okAsync(heartbeat),
+      confirmWitness: (peer, request) =>
+        call(peer, ({ manager }) => manager.confirmWitness(request)),
+      announceTakeover: (peer, notice) =>
+        call(peer, ({ manager }) => manager.announceTakeover(notice)),
+      offerPartitions: (peer, partitions) =>
+        call(peer, ({ manager }) => manager.offerPartitions(partitions)),
     };
   }
 }
