--- a/packages/partitions/src/claimPartition.ts
+++ b/packages/partitions/src/claimPartition.ts
@@ -53,7 +53,6 @@
 };
 
 /** Claims a partition by a compare-and-swap that raises the epoch. */
-// eslint-disable-next-line consistent-return -- the switch is exhaustive
 export const claimPartition = async (request: ClaimRequest): Promise<Result<Claim, ClaimError>> => {
   const { store, partition, claimer, deadlineMilliseconds } = request;
   const current = await readHead(request);
