--- a/packages/cli/src/entry/entryAccess.ts
+++ b/packages/cli/src/entry/entryAccess.ts
@@ -41,8 +41,9 @@
 
 /** Checks the settings of a command for callers or operators; a caller's key goes first. */
 export const callerAccess = (settings: EntrySettings): Result<EntryAccess, CommandError> => {
-  if (settings.key !== undefined)
-    {return accessWith(settings.entry, parseSetting('key', settings.key));}
+  if (settings.key !== undefined) {
+    return accessWith(settings.entry, parseSetting('key', settings.key));
+  }
   if (settings.operatorToken !== undefined) return operatorAccess(settings);
   const message =
     '--key (LIMPETNOTCH_KEY) or --operator-token (LIMPETNOTCH_OPERATOR_TOKEN) is missing: one of them must be given';
--- a/packages/cli/tests/entryCommands.test.ts
+++ b/packages/cli/tests/entryCommands.test.ts
@@ -75,9 +75,7 @@
 test('ends a program as an operator', async () => {
   const words = ['program', 'end', 'survey-17', '--organisation', 'amman-panels'];
   expect(await run(...words)).toMatchObject({ exitCode: 0 });
-  expect(seen).toEqual([
-    `DELETE /programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`,
-  ]);
+  expect(seen).toEqual([`DELETE /programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`]);
 });
 
 test('shows the reason of a refusal', async () => {
