Hold calls at stand-ins, so that faults hit a chosen step

Cause: the fault matrix has to act while an intent or an outcome is being committed, or while a target works; chance timing would not hit these steps.

Change: gates at the store (before and after a transaction), at tools (before and after the effect) and at engines (before the queue).

--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -1,6 +1,7 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { z } from 'zod';
 import { addControlPaths, CONTROL_PATHS } from '../util/addControlPaths';
+import { Gate } from '../util/gate';
 import { RequestRecorder } from '../util/requestRecorder';
 import { StandInServer } from '../util/standInServer';
 import { waitMilliseconds } from '../util/waitMilliseconds';
@@ -37,6 +38,9 @@
 export class EngineStandIn {
   readonly server = new StandInServer();
 
+  /** Holds chat requests before they are queued. */
+  readonly requestsBefore = new Gate<ChatRequest>();
+
   readonly recorder = new RequestRecorder(() => this.#settings.markers);
 
   readonly #engine: ModelEngine;
@@ -114,8 +118,9 @@
     });
   }
 
-  #complete(request: FastifyRequest, reply: FastifyReply): FastifyReply {
+  async #complete(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const chat = chatRequestSchema.parse(request.body);
+    await this.requestsBefore.pass(chat);
     const refusal = this.#refusal(chat);
     if (refusal) return reply.code(refusal.status).send({ error: refusal.error });
     this.#arrivals += 1;
@@ -124,6 +129,8 @@
     this.#knownRequests.add(identifier);
     reply.hijack();
     const { raw: response } = reply;
+    // The caller may have gone away while the request was held.
+    if (response.destroyed) return reply;
     const cancel = this.#engine.generate(chat, completionSink({ identifier, chat, response }));
     response.once('close', () => {
       if (!response.writableFinished) cancel();
--- a/packages/stand-ins/src/store/storeStandIn.ts
+++ b/packages/stand-ins/src/store/storeStandIn.ts
@@ -1,18 +1,13 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { addControlPaths } from '../util/addControlPaths';
+import { Gate } from '../util/gate';
 import { StandInServer } from '../util/standInServer';
 import { waitMilliseconds } from '../util/waitMilliseconds';
+import type { CallAnswer } from './callAnswer';
+import { refused } from './callAnswer';
 import { CallRate } from './callRate';
-import { headerOf, keyValueOf } from './gatewayAnswers';
-import {
-  leaseGrantRequestSchema,
-  leaseRequestSchema,
-  rangeRequestSchema,
-  transactionRequestSchema,
-  watchRequestSchema,
-} from './gatewayRequests';
-import { keyMatcher } from './keyMatcher';
-import { runTransaction } from './runTransaction';
+import { StoreCalls } from './storeCalls';
+import { transactionRequestSchema, watchRequestSchema } from './gatewayRequests';
 import type { StoreFaults, StoreFaultsChange } from './storeFaults';
 import { NO_STORE_FAULTS, storeFaultsChangeSchema, storeFaultsSchema } from './storeFaults';
 import { StoreState } from './storeState';
@@ -21,40 +16,29 @@
 
 const LEASE_CHECK_MILLISECONDS = 50;
 const DEFAULT_PROGRESS_MILLISECONDS = 1_000;
-const MILLISECONDS_PER_SECOND = 1_000;
-const MAXIMUM_VALUE_BYTES = 1_024 * 1_024;
 
-const STATUS_NOT_FOUND = 404;
-const STATUS_BAD_REQUEST = 400;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_SERVICE_UNAVAILABLE = 503;
-
-const CODE_INVALID_ARGUMENT = 3;
-const CODE_NOT_FOUND = 5;
 const CODE_RESOURCE_EXHAUSTED = 8;
 const CODE_UNAVAILABLE = 14;
 
-/** Answer of one call: the body of a 200, or a refusal. */
-type CallAnswer =
-  | { readonly kind: 'answered'; readonly body: object }
-  | {
-      readonly kind: 'refused';
-      readonly status: number;
-      readonly code: number;
-      readonly message: string;
-    };
-
-const answered = (body: object): CallAnswer => ({ kind: 'answered', body });
-
-const refused = (status: number, code: number, message: string): CallAnswer => ({
-  kind: 'refused',
-  status,
-  code,
-  message,
-});
+/** A transaction as gates see it. */
+export interface HeldTransaction {
+  /** Keys that it writes if its comparison holds. */
+  readonly keys: readonly string[];
+}
 
-const leaseNotFound = (): CallAnswer =>
-  refused(STATUS_NOT_FOUND, CODE_NOT_FOUND, 'etcdserver: requested lease not found');
+const heldTransaction = (body: unknown): HeldTransaction => {
+  const parsed = transactionRequestSchema.safeParse(body);
+  if (!parsed.success) return { keys: [] };
+  return {
+    keys: parsed.data.success.flatMap((operation) =>
+      'request_put' in operation
+        ? [Buffer.from(operation.request_put.key, 'base64').toString('utf8')]
+        : [],
+    ),
+  };
+};
 
 /** Options of a {@link StoreStandIn}. */
 export interface StoreStandInOptions {
@@ -68,6 +52,14 @@
 
   readonly state = new StoreState();
 
+  /** Holds transactions before they take effect. */
+  readonly transactionsBefore = new Gate<HeldTransaction>();
+
+  /** Holds transactions after they took effect and before they are answered. */
+  readonly transactionsAfter = new Gate<HeldTransaction>();
+
+  readonly #operations = new StoreCalls(this.state);
+
   readonly #watches = new WatchStreams(this.state);
 
   readonly #progressMilliseconds: number;
@@ -93,8 +85,6 @@
 
   #refusedForRate = 0;
 
-  #largestValueBytes = 0;
-
   #timers: NodeJS.Timeout[] = [];
 
   constructor({ progressMilliseconds = DEFAULT_PROGRESS_MILLISECONDS }: StoreStandInOptions = {}) {
@@ -142,17 +132,21 @@
       refusedForRate: this.#refusedForRate,
       waitingWatches: this.#watches.waiting,
       revision: this.state.revision,
-      largestValueBytes: this.#largestValueBytes,
+      largestValueBytes: this.#operations.largestValueBytes,
     };
   }
 
   #addRoutes(): void {
-    this.#addCall('/v3/kv/range', 'range', (body) => this.#range(body));
-    this.#addCall('/v3/kv/txn', 'transaction', (body) => this.#transaction(body));
-    this.#addCall('/v3/lease/grant', 'lease-grant', (body) => this.#grantLease(body));
-    this.#addCall('/v3/lease/keepalive', 'lease-keepalive', (body) => this.#keepLease(body));
-    this.#addCall('/v3/lease/revoke', 'lease-revoke', (body) => this.#revokeLease(body));
-    this.#addCall('/v3/kv/lease/revoke', 'lease-revoke', (body) => this.#revokeLease(body));
+    this.#addCall('/v3/kv/range', 'range', (body) => this.#operations.range(body));
+    this.#addCall('/v3/kv/txn', 'transaction', (body) => this.#operations.transaction(body));
+    this.#addCall('/v3/lease/grant', 'lease-grant', (body) => this.#operations.grantLease(body));
+    this.#addCall('/v3/lease/keepalive', 'lease-keepalive', (body) =>
+      this.#operations.keepLease(body),
+    );
+    this.#addCall('/v3/lease/revoke', 'lease-revoke', (body) => this.#operations.revokeLease(body));
+    this.#addCall('/v3/kv/lease/revoke', 'lease-revoke', (body) =>
+      this.#operations.revokeLease(body),
+    );
     this.server.application.post('/v3/watch', (request, reply) => this.#watch(request, reply));
     addControlPaths(this.server, {
       setFaults: (change) => this.setFaults(storeFaultsChangeSchema.parse(change)),
@@ -167,7 +161,10 @@
       if (early) return StoreStandIn.#reply(reply, early);
       const isWrite = name !== 'range';
       if (isWrite && this.#takeLoss('loseRequests')) return StoreStandIn.#breakOff(reply);
+      const transaction = heldTransaction(name === 'transaction' ? request.body : undefined);
+      await this.transactionsBefore.pass(transaction);
       const answer = run(request.body);
+      await this.transactionsAfter.pass(transaction);
       if (isWrite && this.#takeLoss('loseAnswers')) return StoreStandIn.#breakOff(reply);
       await waitMilliseconds(this.#faults.answerLatencyMilliseconds);
       return StoreStandIn.#reply(reply, answer);
@@ -206,48 +203,6 @@
     return true;
   }
 
-  #range(body: unknown): CallAnswer {
-    const entries = this.state.select(keyMatcher(rangeRequestSchema.parse(body)));
-    return answered({
-      header: headerOf(this.state),
-      kvs: entries.map(keyValueOf),
-      count: String(entries.length),
-    });
-  }
-
-  #transaction(body: unknown): CallAnswer {
-    const request = transactionRequestSchema.parse(body);
-    const sizes = request.success.map((operation) =>
-      'request_put' in operation ? Buffer.byteLength(operation.request_put.value, 'base64') : 0,
-    );
-    const largest = Math.max(0, ...sizes);
-    if (largest > MAXIMUM_VALUE_BYTES) {
-      return refused(STATUS_BAD_REQUEST, CODE_INVALID_ARGUMENT, 'etcdserver: request is too large');
-    }
-    this.#largestValueBytes = Math.max(this.#largestValueBytes, largest);
-    const result = runTransaction(this.state, request);
-    return result.kind === 'answered' ? answered(result.answer) : leaseNotFound();
-  }
-
-  #grantLease(body: unknown): CallAnswer {
-    const seconds = leaseGrantRequestSchema.parse(body).TTL;
-    const identifier = this.state.grantLease(Number(seconds) * MILLISECONDS_PER_SECOND);
-    return answered({ header: headerOf(this.state), ID: identifier, TTL: seconds });
-  }
-
-  #keepLease(body: unknown): CallAnswer {
-    const { ID: identifier } = leaseRequestSchema.parse(body);
-    const milliseconds = this.state.renewLease(identifier) ?? 0;
-    const seconds = String(milliseconds / MILLISECONDS_PER_SECOND);
-    return answered({ result: { header: headerOf(this.state), ID: identifier, TTL: seconds } });
-  }
-
-  #revokeLease(body: unknown): CallAnswer {
-    const { ID: identifier } = leaseRequestSchema.parse(body);
-    if (!this.state.revokeLease(identifier)) return leaseNotFound();
-    return answered({ header: headerOf(this.state) });
-  }
-
   async #watch(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const early = await this.#admit('watch');
     if (early) return StoreStandIn.#reply(reply, early);
--- a/packages/stand-ins/src/tools/toolStandIn.ts
+++ b/packages/stand-ins/src/tools/toolStandIn.ts
@@ -1,5 +1,6 @@
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import { addControlPaths, CONTROL_PATHS } from '../util/addControlPaths';
+import { Gate } from '../util/gate';
 import { RequestRecorder } from '../util/requestRecorder';
 import { StandInServer } from '../util/standInServer';
 import { waitMilliseconds } from '../util/waitMilliseconds';
@@ -28,6 +29,12 @@
 
   readonly executions: ToolExecution[] = [];
 
+  /** Holds calls before they have their effect. */
+  readonly callsBefore = new Gate<FastifyRequest>();
+
+  /** Holds calls after they had their effect and before they are answered. */
+  readonly callsAfter = new Gate<FastifyRequest>();
+
   #faults: ToolFaults = NO_TOOL_FAULTS;
 
   constructor() {
@@ -72,7 +79,9 @@
     if (this.#take('failBefore')) {
       return reply.code(STATUS_SERVICE_UNAVAILABLE).send({ error: 'unavailable' });
     }
+    await this.callsBefore.pass(request);
     const execution = this.#record(request);
+    await this.callsAfter.pass(request);
     const isHung = this.#take('hang');
     const isBroken = this.#take('failAfter');
     if (isHung || isBroken) reply.hijack();
--- a/packages/stand-ins/tests/toolStandIn.test.ts
+++ b/packages/stand-ins/tests/toolStandIn.test.ts
@@ -42,3 +42,16 @@
   await tool.setFaults({ refuse: false });
   expect((await charge('k1')).statusCode).toBe(200);
 });
+
+test('holds one call before and after its effect', async () => {
+  const before = tool.callsBefore.hold(({ url }) => url === '/tools/charge');
+  const after = tool.callsAfter.hold(() => true);
+  const answer = charge('k1');
+  await before.reached;
+  expect(tool.executions).toHaveLength(0);
+  before.release();
+  await after.reached;
+  expect(tool.executions).toHaveLength(1);
+  after.release();
+  expect((await answer).statusCode).toBe(200);
+});
