--- /dev/null
+++ b/packages/server/src/entry/httpAnswerSink.ts
@@ -0,0 +1,87 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import type { AnswerEnd, AnswerHead } from '@limpetnotch/peer-protocol';
+import { Durability } from '@limpetnotch/peer-protocol';
+import type { Problem } from '../problems/problem';
+import { problemDocument, retryAfterSeconds } from '../problems/problem';
+import type { AnswerSink } from './answerSink';
+
+const EVENT_STREAM = 'text/event-stream';
+const DURABILITY_TRAILER = 'limpetnotch-durability';
+
+/** Options of {@link HttpAnswerSink}. */
+export interface HttpAnswerSinkOptions {
+  readonly response: ServerResponse;
+  /** Full path of the program, told to the caller; `undefined` for a program of one call. */
+  readonly program: string | undefined;
+  /** Turns a problem into the one that the caller gets. */
+  readonly explain: (problem: Problem) => Problem;
+}
+
+/** Writes an answer to the caller's HTTP connection. */
+export class HttpAnswerSink implements AnswerSink {
+  readonly #options: HttpAnswerSinkOptions;
+
+  #head: AnswerHead | undefined;
+
+  constructor(options: HttpAnswerSinkOptions) {
+    this.#options = options;
+  }
+
+  get started(): boolean {
+    return this.#head !== undefined;
+  }
+
+  start(head: AnswerHead): void {
+    const { response, program } = this.#options;
+    this.#head = head;
+    head.headers.forEach(({ name, value }) => response.setHeader(name, value));
+    response.setHeader('limpetnotch-sequence', String(head.sequence));
+    response.setHeader('trailer', DURABILITY_TRAILER);
+    if (program !== undefined) response.setHeader('limpetnotch-program', program);
+    if (head.replayed) response.setHeader('limpetnotch-replayed', 'true');
+    response.writeHead(head.status);
+    response.flushHeaders();
+  }
+
+  async write(bytes: Uint8Array): Promise<void> {
+    const { response } = this.#options;
+    if (response.destroyed || response.write(bytes)) return;
+    await Promise.race([once(response, 'drain'), once(response, 'close')]);
+  }
+
+  end({ durability }: AnswerEnd): void {
+    const { response } = this.#options;
+    const text = durability === Durability.DEFERRED ? 'deferred' : 'durable';
+    response.addTrailers({ [DURABILITY_TRAILER]: text });
+    response.end();
+  }
+
+  fail(problem: Problem): void {
+    const explained = this.#options.explain(problem);
+    if (this.#head) this.#failStarted(explained);
+    else this.#failWhole(explained);
+  }
+
+  #failWhole(problem: Problem): void {
+    const { response } = this.#options;
+    if (response.headersSent || response.destroyed) return;
+    const document = problemDocument(problem);
+    const retryAfter = retryAfterSeconds(problem);
+    if (retryAfter !== undefined) response.setHeader('retry-after', String(retryAfter));
+    response.setHeader('content-type', 'application/problem+json');
+    response.writeHead(document.status);
+    response.end(JSON.stringify(document));
+  }
+
+  /** A stream gets an error event; any other body is cut, so that it cannot pass for whole. */
+  #failStarted(problem: Problem): void {
+    const { response } = this.#options;
+    const contentType = String(response.getHeader('content-type') ?? '');
+    if (!contentType.startsWith(EVENT_STREAM)) {
+      response.destroy();
+      return;
+    }
+    response.end(`event: error\ndata: ${JSON.stringify(problemDocument(problem))}\n\n`);
+  }
+}
--- /dev/null
+++ b/packages/server/src/owner/programDesk.ts
@@ -0,0 +1,61 @@
+import { create } from '@bufbuild/protobuf';
+import type {
+  EndProgramRequest,
+  EndProgramResponse,
+  ReadProgramRequest,
+  ReadProgramResponse,
+} from '@limpetnotch/peer-protocol';
+import { EndProgramResponseSchema, ReadProgramResponseSchema } from '@limpetnotch/peer-protocol';
+import type { ProgramIdentifier } from '@limpetnotch/programs';
+import { problemMessage } from './callEvents';
+import type { OwnedPartition } from './ownedPartition';
+
+/** Options of {@link ProgramDesk}. */
+export interface ProgramDeskOptions {
+  /** Returns a partition that this instance owns, `undefined` for all others. */
+  readonly partition: (partition: number) => OwnedPartition | undefined;
+}
+
+/** Reads and ends the programs of the partitions that this instance owns. */
+export class ProgramDesk {
+  readonly #options: ProgramDeskOptions;
+
+  constructor(options: ProgramDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Returns a program with its history. */
+  read(request: ReadProgramRequest): ReadProgramResponse {
+    const owned = this.#options.partition(request.partition);
+    if (!owned) return create(ReadProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    return owned.ledger.readProgram(ProgramDesk.#identifier(request)).match(
+      (program) =>
+        create(ReadProgramResponseSchema, {
+          result: { case: 'programJson', value: JSON.stringify(program) },
+        }),
+      (refusal) =>
+        create(ReadProgramResponseSchema, {
+          result: { case: 'problem', value: problemMessage(refusal) },
+        }),
+    );
+  }
+
+  /** Ends a program and its sub-agents. */
+  async end(request: EndProgramRequest): Promise<EndProgramResponse> {
+    const owned = this.#options.partition(request.partition);
+    if (!owned) return create(EndProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    const reason = request.byOperator ? 'operator' : 'caller';
+    const ended = await owned.ledger.endProgram(ProgramDesk.#identifier(request), reason);
+    return ended.match(
+      () => create(EndProgramResponseSchema, { result: { case: 'ended', value: true } }),
+      (refusal) =>
+        create(EndProgramResponseSchema, {
+          result: { case: 'problem', value: problemMessage(refusal) },
+        }),
+    );
+  }
+
+  static #identifier(request: ReadProgramRequest | EndProgramRequest): ProgramIdentifier {
+    return { organisation: request.organisation, path: request.program };
+  }
+}
--- /dev/null
+++ b/packages/server/src/problems/problem.ts
@@ -0,0 +1,37 @@
+import type { Executed } from '@limpetnotch/programs';
+import type { ProblemId } from './problemId';
+import { PROBLEMS } from './problemId';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Why a call gave no answer, and whether its work was done. */
+export interface Problem {
+  readonly problem: ProblemId;
+  readonly executed: Executed;
+  readonly detail: string;
+  readonly retryAfterMilliseconds?: number | undefined;
+}
+
+/** Problem document of RFC 9457 with the member `executed`. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: number;
+  readonly detail: string;
+  readonly executed: Executed;
+}
+
+/** Builds the document that a caller gets. */
+export const problemDocument = ({ problem, detail, executed }: Problem): ProblemDocument => ({
+  type: `urn:limpetnotch:problem:${problem}`,
+  title: PROBLEMS[problem].title,
+  status: PROBLEMS[problem].status,
+  detail,
+  executed,
+});
+
+/** Returns the value of `Retry-After` in whole seconds, rounded up so that it is true. */
+export const retryAfterSeconds = ({ retryAfterMilliseconds }: Problem): number | undefined =>
+  retryAfterMilliseconds === undefined
+    ? undefined
+    : Math.max(1, Math.ceil(retryAfterMilliseconds / MILLISECONDS_PER_SECOND));
--- /dev/null
+++ b/packages/server/src/targets/engineControl.ts
@@ -0,0 +1,137 @@
+import { ResultAsync } from 'neverthrow';
+import { Agent } from 'undici';
+import { z } from 'zod';
+
+const TIMEOUT_MILLISECONDS = 1_000;
+const CONFLICT = 409;
+const FIRST_FAILURE = 300;
+
+const loadSchema = z.object({
+  running: z.number().min(0),
+  queued: z.number().min(0),
+  queued_tokens: z.number().min(0),
+  age_milliseconds: z.number().min(0),
+});
+
+const cacheEventsSchema = z.object({
+  events: z.array(
+    z.object({
+      sequence: z.number().int(),
+      change: z.enum(['stored', 'evicted']),
+      digests: z.array(z.string()),
+    }),
+  ),
+  next: z.number().int(),
+});
+
+/** Load of an engine, as it reports it. */
+export interface EngineLoad {
+  readonly runningCalls: number;
+  readonly queuedCalls: number;
+  readonly queuedTokens: number;
+  readonly ageMilliseconds: number;
+}
+
+/** Cache events after a sequence, and the sequence to ask from next. */
+export type CacheEventBatch = z.infer<typeof cacheEventsSchema>;
+
+/** An order to an engine. */
+export interface EngineOrder {
+  /** Number that rises with each owner; an engine that obeys it refuses lower ones. */
+  readonly fencingNumber: number;
+  readonly order: { readonly kind: 'free-session'; readonly sessionId: string };
+}
+
+/** Why an engine gave no answer or refused an order. */
+export type EngineControlError =
+  | { readonly kind: 'unreachable'; readonly detail: string }
+  | { readonly kind: 'stale-fencing-number' };
+
+interface ControlRequestOptions {
+  readonly address: string;
+  readonly method: 'GET' | 'POST';
+  readonly path: string;
+  readonly body?: object;
+  readonly signal: AbortSignal;
+}
+
+class StaleFencingNumber extends Error {}
+
+/** Speaks to the management side of engines: load, cache events and orders. */
+export class EngineControl {
+  readonly #agent = new Agent({
+    connect: { timeout: TIMEOUT_MILLISECONDS },
+    headersTimeout: 2 * TIMEOUT_MILLISECONDS,
+    bodyTimeout: 2 * TIMEOUT_MILLISECONDS,
+  });
+
+  /** Reads an engine's load. */
+  load(address: string, signal: AbortSignal): ResultAsync<EngineLoad, EngineControlError> {
+    const request = { address, method: 'GET', path: '/v1/load', signal } as const;
+    return this.#request(request, loadSchema).map((load) => ({
+      runningCalls: load.running,
+      queuedCalls: load.queued,
+      queuedTokens: load.queued_tokens,
+      ageMilliseconds: load.age_milliseconds,
+    }));
+  }
+
+  /** Reads the cache events after a sequence. */
+  cacheEvents(
+    address: string,
+    after: number,
+    signal: AbortSignal,
+  ): ResultAsync<CacheEventBatch, EngineControlError> {
+    const path = `/v1/cache/events?after=${after}`;
+    return this.#request({ address, method: 'GET', path, signal }, cacheEventsSchema);
+  }
+
+  /** Gives an engine an order. */
+  order(
+    address: string,
+    { fencingNumber, order }: EngineOrder,
+    signal: AbortSignal,
+  ): ResultAsync<unknown, EngineControlError> {
+    const body = {
+      fencing_number: fencingNumber,
+      order: { kind: order.kind, session_id: order.sessionId },
+    };
+    return this.#request({ address, method: 'POST', path: '/v1/orders', body, signal }, z.unknown());
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  #request<Value>(
+    request: ControlRequestOptions,
+    schema: z.ZodType<Value>,
+  ): ResultAsync<Value, EngineControlError> {
+    return ResultAsync.fromPromise(
+      this.#send(request, schema),
+      (error): EngineControlError =>
+        error instanceof StaleFencingNumber
+          ? { kind: 'stale-fencing-number' }
+          : { kind: 'unreachable', detail: error instanceof Error ? error.message : 'no answer' },
+    );
+  }
+
+  async #send<Value>(
+    { address, method, path, body, signal }: ControlRequestOptions,
+    schema: z.ZodType<Value>,
+  ): Promise<Value> {
+    const answer = await this.#agent.request({
+      origin: address,
+      path,
+      method,
+      signal,
+      headers: { 'content-type': 'application/json' },
+      body: body === undefined ? null : JSON.stringify(body),
+    });
+    const value: unknown = await answer.body.json();
+    if (answer.statusCode === CONFLICT) throw new StaleFencingNumber();
+    if (answer.statusCode >= FIRST_FAILURE) throw new Error(`status ${answer.statusCode}`);
+    return schema.parse(value);
+  }
+}
--- /dev/null
+++ b/packages/server/src/targets/targetClient.ts
@@ -0,0 +1,65 @@
+import type { Readable } from 'node:stream';
+import { errAsync, ResultAsync } from 'neverthrow';
+import { Agent } from 'undici';
+import type { AttemptError } from './attemptError';
+import { attemptErrorOf } from './attemptError';
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+const KEEP_ALIVE_MILLISECONDS = 4_000;
+
+/** One HTTP request to a target. */
+export interface TargetRequest {
+  /** Base address of the target. */
+  readonly address: string;
+  readonly method: string;
+  readonly pathAndQuery: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Uint8Array;
+  /** Time without any byte after which the connection counts as silent, in milliseconds. */
+  readonly progressDeadlineMilliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+/** Head of a target's answer, with its body still to be read. */
+export interface TargetResponse {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+  readonly body: Readable;
+}
+
+/** Sends requests to targets, with one pool of connections for each. */
+export class TargetClient {
+  readonly #agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+    keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+    pipelining: 1,
+  });
+
+  /** Sends a request and resolves when the head of the answer is there. */
+  send(request: TargetRequest): ResultAsync<TargetResponse, AttemptError> {
+    if (request.signal.aborted) return errAsync({ kind: 'not-sent', detail: 'cancelled' });
+    return ResultAsync.fromPromise(this.#send(request), (error) =>
+      attemptErrorOf(error, request.signal.aborted),
+    );
+  }
+
+  /** Closes all connections; what is under way fails. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #send(request: TargetRequest): Promise<TargetResponse> {
+    const { origin, pathname } = new URL(request.address);
+    const { statusCode, headers, body } = await this.#agent.request({
+      origin,
+      path: `${pathname.replace(/\/$/, '')}${request.pathAndQuery}`,
+      method: request.method as 'POST',
+      headers: request.headers,
+      body: request.body.length > 0 ? request.body : null,
+      headersTimeout: request.progressDeadlineMilliseconds,
+      bodyTimeout: request.progressDeadlineMilliseconds,
+      signal: request.signal,
+    });
+    return { status: statusCode, headers, body };
+  }
+}
--- /dev/null
+++ b/packages/server/src/util/inSpan.ts
@@ -0,0 +1,20 @@
+import type { Attributes, Span, Tracer } from '@opentelemetry/api';
+import { SpanStatusCode } from '@opentelemetry/api';
+
+/** Runs a step within a span of its own, which is a child of the active one. */
+export const inSpan = async <Value>(
+  tracer: Tracer,
+  name: string,
+  step: (span: Span) => Promise<Value>,
+  attributes: Attributes = {},
+): Promise<Value> =>
+  tracer.startActiveSpan(name, { attributes }, async (span) => {
+    try {
+      return await step(span);
+    } catch (error) {
+      span.setStatus({ code: SpanStatusCode.ERROR });
+      throw error;
+    } finally {
+      span.end();
+    }
+  });
--- /dev/null
+++ b/packages/server/src/util/traceParent.ts
@@ -0,0 +1,16 @@
+import type { Context } from '@opentelemetry/api';
+import { context, defaultTextMapGetter, defaultTextMapSetter } from '@opentelemetry/api';
+import { W3CTraceContextPropagator } from '@opentelemetry/core';
+
+const propagator = new W3CTraceContextPropagator();
+
+/** Returns the active span as a W3C `traceparent`; empty where there is none. */
+export const activeTraceParent = (): string => {
+  const carrier: { traceparent?: string } = {};
+  propagator.inject(context.active(), carrier, defaultTextMapSetter);
+  return carrier.traceparent ?? '';
+};
+
+/** Returns the active context with the span of a `traceparent` as the parent. */
+export const contextOf = (traceParent: string): Context =>
+  propagator.extract(context.active(), { traceparent: traceParent }, defaultTextMapGetter);
