--- /dev/null
+++ b/packages/server/src/entry/openCalls.ts
@@ -0,0 +1,38 @@
+interface OpenCall {
+  readonly key: string;
+  readonly abort: AbortController;
+}
+
+/** Calls under way at this entry, by the key that they came with. */
+export class OpenCalls {
+  readonly #calls = new Set<OpenCall>();
+
+  readonly #cut = new WeakSet<AbortController>();
+
+  /** Number of calls under way. */
+  get size(): number {
+    return this.#calls.size;
+  }
+
+  /** Adds a call; the returned function removes it. */
+  add(key: string, abort: AbortController): () => void {
+    const call = { key, abort };
+    this.#calls.add(call);
+    return () => this.#calls.delete(call);
+  }
+
+  /** Cuts the calls whose keys are no longer valid; returns how many. */
+  cutKeys(isValid: (key: string) => boolean): number {
+    const cut = [...this.#calls].filter(({ key }) => !isValid(key));
+    cut.forEach(({ abort }) => {
+      this.#cut.add(abort);
+      abort.abort();
+    });
+    return cut.length;
+  }
+
+  /** Whether a call was cut because its key was withdrawn. */
+  wasCut(abort: AbortController): boolean {
+    return this.#cut.has(abort);
+  }
+}
--- /dev/null
+++ b/packages/server/src/peers/connectPeerChannel.ts
@@ -0,0 +1,90 @@
+import { create } from '@bufbuild/protobuf';
+import type {
+  Heartbeat,
+  Member,
+  PeerChannel,
+  PeerError,
+  TakeoverNotice,
+  TakeoverReply,
+  WitnessReply,
+  WitnessRequest,
+} from '@limpetnotch/partitions';
+import type { PeerClients } from '@limpetnotch/peer-protocol';
+import {
+  AnnounceTakeoverRequestSchema,
+  ConfirmWitnessRequestSchema,
+  HeartbeatSchema,
+  OfferPartitionsRequestSchema,
+} from '@limpetnotch/peer-protocol';
+import { errAsync, okAsync, ResultAsync } from 'neverthrow';
+import { memberMessage, memberOfMessage } from './memberMessage';
+
+const LIMITS = { timeoutMs: 1_000 } as const;
+
+const unreachable = (error: unknown): PeerError => ({
+  kind: 'unreachable',
+  detail: error instanceof Error ? error.message : String(error),
+});
+
+/** Carries the partitions' messages to other instances over connect. */
+export class ConnectPeerChannel implements PeerChannel {
+  readonly #clients: PeerClients;
+
+  constructor(clients: PeerClients) {
+    this.#clients = clients;
+  }
+
+  heartbeat(peer: Member, heartbeat: Heartbeat): ResultAsync<Heartbeat, PeerError> {
+    const value = create(HeartbeatSchema, {
+      member: memberMessage(heartbeat.member),
+      configurationRevision: heartbeat.configurationRevision,
+      storeReachable: heartbeat.storeReachable,
+    });
+    const reply = this.#clients.to(peer.peerAddress).exchange({ case: 'heartbeat', value });
+    return reply.andThen((message) => {
+      if (message.case !== 'heartbeat' || !message.value.member) {
+        return errAsync(unreachable('the answer is no heartbeat'));
+      }
+      return okAsync({
+        member: memberOfMessage(message.value.member),
+        configurationRevision: message.value.configurationRevision,
+        storeReachable: message.value.storeReachable,
+      });
+    });
+  }
+
+  confirmWitness(peer: Member, request: WitnessRequest): ResultAsync<WitnessReply, PeerError> {
+    const message = create(ConfirmWitnessRequestSchema, {
+      partition: request.partition,
+      epoch: request.epoch,
+      owner: memberMessage(request.owner),
+      holdMilliseconds: Math.ceil(request.holdMilliseconds),
+      deferredRecords: [...request.deferredRecords],
+    });
+    const sent = this.#clients.to(peer.peerAddress).service.confirmWitness(message, LIMITS);
+    return ResultAsync.fromPromise(sent, unreachable).map(({ confirmed, newestEpoch }) =>
+      confirmed ? { kind: 'confirmed' as const } : { kind: 'refused' as const, newestEpoch },
+    );
+  }
+
+  announceTakeover(peer: Member, notice: TakeoverNotice): ResultAsync<TakeoverReply, PeerError> {
+    const message = create(AnnounceTakeoverRequestSchema, {
+      partition: notice.partition,
+      epoch: notice.epoch,
+      owner: memberMessage(notice.owner),
+    });
+    const sent = this.#clients.to(peer.peerAddress).service.announceTakeover(message, LIMITS);
+    return ResultAsync.fromPromise(sent, unreachable).map(
+      ({ heldForMilliseconds, deferredRecords }): TakeoverReply =>
+        heldForMilliseconds > 0
+          ? { kind: 'held', forMilliseconds: heldForMilliseconds }
+          : { kind: 'noted', deferredRecords },
+    );
+  }
+
+  offerPartitions(peer: Member, partitions: readonly number[]): ResultAsync<void, PeerError> {
+    const message = create(OfferPartitionsRequestSchema, { partitions: [...partitions] });
+    const sent = this.#clients.to(peer.peerAddress).service.offerPartitions(message, LIMITS);
+    return ResultAsync.fromPromise(sent, unreachable).map(() => undefined);
+  }
+}
--- a/packages/server/src/peers/heartbeats.ts
+++ b/packages/server/src/peers/heartbeats.ts
@@ -3,12 +3,13 @@
 import type { Metrics } from '@limpetnotch/observability';
 import type { Member, Membership } from '@limpetnotch/partitions';
 import type { Heartbeat, PeerClients } from '@limpetnotch/peer-protocol';
-import { HeartbeatSchema, QuarantinedRequestSchema } from '@limpetnotch/peer-protocol';
+import { HeartbeatSchema } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import type { ChildContext } from '@limpetnotch/supervision';
 import type { Logger } from '@limpetnotch/observability';
 import { memberMessage } from './memberMessage';
+import { quarantineEntryOf, quarantineMessage } from './quarantineMessage';
 
 const INTERVAL_MILLISECONDS = 1_000;
 const HEARD_MILLISECONDS = 5_000;
@@ -85,7 +86,7 @@
       member: memberMessage(membership.identity),
       configurationRevision: content.revision(),
       storeReachable: membership.isStoreReachable(),
-      quarantine: content.quarantine().map((entry) => create(QuarantinedRequestSchema, entry)),
+      quarantine: content.quarantine().map(quarantineMessage),
     });
   }
 
@@ -97,7 +98,7 @@
     const revision = heartbeat.configurationRevision;
     this.#heard.set(instance, { at: performance.now(), revision });
     content.noteRevision(revision);
-    content.importQuarantine(heartbeat.quarantine);
+    content.importQuarantine(heartbeat.quarantine.map(quarantineEntryOf));
   }
 
   /** Whether most of the chosen peers were heard lately and none has a later configuration. */
