--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -4,7 +4,6 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { Admission } from '../entry/admittedCall';
 import type { CallDesk } from '../entry/callDesk';
 import type { ProgramRequests } from '../entry/programRequests';
@@ -92,7 +91,7 @@
     fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
       done(null, body);
     });
-    fastify.setErrorHandler(async (error, _request: FastifyRequest, reply: FastifyReply) => {
+    fastify.setErrorHandler(async (error, _request, reply) => {
       await sendProblem(reply, problemOfError(error));
     });
   }
--- a/packages/server/src/http/problemFilter.ts
+++ b/packages/server/src/http/problemFilter.ts
@@ -1,10 +1,16 @@
 import type { ArgumentsHost, ExceptionFilter } from '@nestjs/common';
 import { Catch } from '@nestjs/common';
-import type { FastifyReply } from 'fastify';
 import type { Problem } from '../problems/problem';
 import { problemDocument } from '../problems/problem';
 import { ProblemException } from './problemException';
 
+/** Reply of either copy of fastify, as far as problem documents need it. */
+interface ProblemReply {
+  status(code: number): ProblemReply;
+  header(name: string, value: string): ProblemReply;
+  send(payload: string): unknown;
+}
+
 const CONTENT_TOO_LARGE = 413;
 const CLIENT_ERRORS = 400;
 const SERVER_ERRORS = 500;
@@ -29,20 +35,21 @@
   return { problem: 'internal-error', executed: 'no', detail: 'the request could not be served' };
 };
 
+/** Sends a problem document. */
+export const sendProblem = async (reply: ProblemReply, problem: Problem): Promise<void> => {
+  const document = problemDocument(problem);
+  await reply
+    .status(document.status)
+    .header('content-type', 'application/problem+json')
+    .send(JSON.stringify(document));
+};
+
 /** Answers what was thrown as a problem document. */
 @Catch()
 export class ProblemFilter implements ExceptionFilter {
   async catch(error: unknown, host: ArgumentsHost): Promise<void> {
-    const reply = host.switchToHttp().getResponse<FastifyReply>();
+    const reply = host.switchToHttp().getResponse<ProblemReply>();
     await sendProblem(reply, problemOfError(error));
   }
 }
 
-/** Sends a problem document. */
-export async function sendProblem(reply: FastifyReply, problem: Problem): Promise<void> {
-  const document = problemDocument(problem);
-  await reply
-    .status(document.status)
-    .header('content-type', 'application/problem+json')
-    .send(JSON.stringify(document));
-}
--- /dev/null
+++ b/packages/server/src/instance/instance.ts
@@ -0,0 +1,293 @@
+import type { Logger, Metrics, Tracing } from '@limpetnotch/observability';
+import { ConfigurationFollower } from '@limpetnotch/declarations';
+import type { Configuration } from '@limpetnotch/declarations';
+import { PARTITION_COUNT, PartitionManager } from '@limpetnotch/partitions';
+import { PeerClients, PeerServer } from '@limpetnotch/peer-protocol';
+import type { KeyValueStore } from '@limpetnotch/platform';
+import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
+import type { Scheduler } from '@limpetnotch/scheduling';
+import { delay, Supervisor } from '@limpetnotch/supervision';
+import type { ChildSpecification } from '@limpetnotch/supervision';
+import { CallDesk } from '../entry/callDesk';
+import { CallRelay } from '../entry/callRelay';
+import { DeclaredAdmission } from '../entry/declaredAdmission';
+import { OpenCalls } from '../entry/openCalls';
+import { ProgramRequests } from '../entry/programRequests';
+import { EntryServer } from '../http/entryServer';
+import { CallOwner } from '../owner/callOwner';
+import { OwnedPartition } from '../owner/ownedPartition';
+import { ProgramDesk } from '../owner/programDesk';
+import { ConnectPeerChannel } from '../peers/connectPeerChannel';
+import { ControlDesk } from '../peers/controlDesk';
+import { Heartbeats } from '../peers/heartbeats';
+import { PartitionDirectory } from '../peers/partitionDirectory';
+import { peerHandlers } from '../peers/peerHandlers';
+import { WitnessDesk } from '../peers/witnessDesk';
+import type { Settings } from '../settings';
+import { EngineControl } from '../targets/engineControl';
+import { EngineMonitor } from '../targets/engineMonitor';
+import { NewConnectionProbe } from '../targets/newConnectionProbe';
+import { TargetClient } from '../targets/targetClient';
+import { endIdlePrograms } from './idlePrograms';
+import { identityOf } from './identityOf';
+import { InstanceReadiness } from './instanceReadiness';
+import { MemoryRelease } from './memoryRelease';
+import { operatorDeskOf } from './operatorDeskOf';
+import { PartitionStates } from './partitionStates';
+import { startedChild } from './startedChild';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const PROBE_INTERVAL_MILLISECONDS = 1_000;
+
+/** What an instance is built from. */
+export interface InstanceOptions {
+  readonly settings: Settings;
+  readonly store: KeyValueStore;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly tracing: Tracing;
+}
+
+/** One instance: all its parts, wired together, under one supervisor. */
+export class Instance {
+  readonly #options: InstanceOptions;
+
+  readonly #supervisor: Supervisor;
+
+  readonly #clients = new PeerClients();
+
+  readonly #targets = new TargetClient();
+
+  readonly #engines = new EngineControl();
+
+  readonly #openCalls = new OpenCalls();
+
+  readonly #follower: ConfigurationFollower;
+
+  readonly #scheduler: Scheduler;
+
+  readonly #partitions: PartitionManager;
+
+  readonly #owner: CallOwner;
+
+  readonly #programs: ProgramDesk;
+
+  readonly #heartbeats: Heartbeats;
+
+  readonly #readiness: InstanceReadiness;
+
+  constructor(options: InstanceOptions) {
+    const { settings, store, logger, metrics, tracing } = options;
+    const shared = { logger, metrics };
+    const configuration = (): Configuration => this.#follower.current();
+    const partition = (number: number): OwnedPartition | undefined => this.#owned(number);
+    this.#options = options;
+    this.#supervisor = new Supervisor({ name: 'instance', ...shared });
+    this.#follower = new ConfigurationFollower({ store, ...shared });
+    this.#scheduler = createScheduler({
+      instance: settings.instance,
+      ...shared,
+      settings: schedulerSettingsSchema.parse({ availabilityZone: settings.availabilityZone }),
+      policy: { kind: 'limpetnotch' },
+    });
+    this.#partitions = new PartitionManager({
+      store,
+      ...shared,
+      identity: identityOf(settings),
+      partitionCount: PARTITION_COUNT,
+      handler: new PartitionStates({ configuration, ...shared }),
+      peers: new ConnectPeerChannel(this.#clients),
+      settings: {
+        leaseMilliseconds: settings.leaseSeconds * MILLISECONDS_PER_SECOND,
+        fleetWritesPerSecond: settings.fleetWritesPerSecond,
+      },
+    });
+    this.#owner = new CallOwner({
+      configuration,
+      partition,
+      scheduler: this.#scheduler,
+      targets: this.#targets,
+      ...shared,
+      tracer: tracing.tracer,
+    });
+    this.#programs = new ProgramDesk({ partition });
+    this.#heartbeats = new Heartbeats({
+      membership: this.#partitions.membership,
+      clients: this.#clients,
+      content: this.#heartbeatContent(),
+      ...shared,
+    });
+    this.#readiness = new InstanceReadiness({
+      lastConfirmedMilliseconds: () => this.#follower.lastConfirmedMilliseconds(),
+      hearsMajority: () => this.#heartbeats.hearsMajority(),
+      hasConfiguration: () => this.#follower.current().revision > 0,
+    });
+    this.#follower.onChange((next) => this.#applyConfiguration(next));
+  }
+
+  /** Starts all parts in order; resolves when the instance serves. */
+  async start(): Promise<void> {
+    for (const child of this.#children()) await this.#supervisor.startChild(child);
+    this.#readiness.markStarted();
+    this.#options.logger.info('instance.started', {
+      entryPort: this.#options.settings.entryPort,
+    });
+  }
+
+  /** Runs until the signal aborts, then shuts down gracefully. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#supervisor.run(signal);
+    this.#clients.close();
+    await Promise.all([this.#targets.close(), this.#engines.close()]);
+    this.#options.logger.info('instance.stopped');
+  }
+
+  #children(): readonly ChildSpecification[] {
+    const memory = new MemoryRelease({
+      configuration: () => this.#follower.current(),
+      owned: () => this.#allOwned(),
+      engines: this.#engines,
+      ...this.#shared(),
+    });
+    return [
+      { name: 'configuration', restart: 'always', run: (child) => this.#follower.run(child) },
+      startedChild('peer-server', async () => this.#startPeerServer()),
+      { name: 'partitions', restart: 'always', run: (child) => this.#partitions.run(child) },
+      { name: 'heartbeats', restart: 'always', run: async (child) => this.#heartbeats.run(child) },
+      this.#engineMonitor(),
+      this.#prober().asChild(),
+      ...memory.children(),
+      {
+        name: 'idle-programs',
+        restart: 'always',
+        run: async (child) =>
+          endIdlePrograms({ owned: () => this.#allOwned(), ...this.#shared() }, child),
+      },
+      startedChild('handover', async () =>
+        Promise.resolve({ stop: async () => this.#handOver() }),
+      ),
+      startedChild('entry-server', async () => this.#startEntryServer()),
+    ];
+  }
+
+  #shared(): { readonly logger: Logger; readonly metrics: Metrics } {
+    const { logger, metrics } = this.#options;
+    return { logger, metrics };
+  }
+
+  #engineMonitor(): ChildSpecification {
+    const monitor = new EngineMonitor({
+      configuration: () => this.#follower.current(),
+      scheduler: this.#scheduler,
+      engines: this.#engines,
+      ...this.#shared(),
+    });
+    return { name: 'engine-monitor', restart: 'always', run: async (child) => monitor.run(child) };
+  }
+
+  #prober(): TargetProber {
+    return new TargetProber({
+      scheduler: this.#scheduler,
+      port: new NewConnectionProbe(),
+      intervalMilliseconds: PROBE_INTERVAL_MILLISECONDS,
+    });
+  }
+
+  async #startPeerServer(): Promise<{ stop(): Promise<void> }> {
+    const { settings } = this.#options;
+    const server = await PeerServer.start({
+      host: settings.peerHost,
+      port: settings.peerPort,
+      service: peerHandlers({
+        owner: this.#owner,
+        programs: this.#programs,
+        control: new ControlDesk({
+          heartbeats: this.#heartbeats,
+          partition: (number) => this.#owned(number),
+        }),
+        witness: new WitnessDesk(this.#partitions),
+        configurationValue: (key) => this.#follower.value(key),
+      }),
+    });
+    return { stop: async () => server.close() };
+  }
+
+  async #startEntryServer(): Promise<{ stop(): Promise<void> }> {
+    const { settings, metrics, tracing } = this.#options;
+    const directory = new PartitionDirectory({
+      partitions: this.#partitions,
+      owner: this.#owner,
+      programs: this.#programs,
+      clients: this.#clients,
+    });
+    const admission = new DeclaredAdmission(() => this.#follower.current());
+    const programs = new ProgramRequests(directory);
+    const server = await EntryServer.start({
+      host: settings.entryHost,
+      port: settings.entryPort,
+      maximumBodyBytes: settings.maximumBodyBytes,
+      admission,
+      programs,
+      readiness: this.#readiness,
+      calls: new CallDesk({
+        admission,
+        relay: new CallRelay({ directory, metrics }),
+        openCalls: this.#openCalls,
+        readiness: this.#readiness,
+        revision: () => this.#follower.current().revision,
+        metrics,
+        tracer: tracing.tracer,
+      }),
+      operator: operatorDeskOf({
+        settings,
+        partitions: this.#partitions,
+        scheduler: this.#scheduler,
+        programs,
+        readiness: this.#readiness,
+        configuration: () => this.#follower.current(),
+        callsUnderWay: () => this.#openCalls.size + this.#owner.runningCalls,
+      }),
+    });
+    return { stop: async () => this.#drainEntry(server) };
+  }
+
+  /** Fails readiness and outlasts the balancer's lag before the listener closes. */
+  async #drainEntry(server: EntryServer): Promise<void> {
+    this.#readiness.markDraining();
+    this.#options.logger.info('instance.draining');
+    await delay(this.#options.settings.drainSeconds * MILLISECONDS_PER_SECOND);
+    await server.stop();
+  }
+
+  async #handOver(): Promise<void> {
+    await this.#owner.drain();
+  }
+
+  #heartbeatContent(): ConstructorParameters<typeof Heartbeats>[0]['content'] {
+    return {
+      revision: () => this.#follower.current().revision,
+      noteRevision: (revision) => this.#follower.noteRevision(revision),
+      quarantine: () => this.#scheduler.listQuarantine(),
+      importQuarantine: (entries) => this.#scheduler.importQuarantine(entries),
+    };
+  }
+
+  #applyConfiguration(configuration: Configuration): void {
+    this.#scheduler.applyConfiguration(configuration);
+    const isActive = (key: string): boolean =>
+      key === '' || configuration.keys.get(key)?.state === 'active';
+    const cut = this.#openCalls.cutKeys(isActive);
+    if (cut > 0) this.#options.metrics.increment('entry.calls-cut-by-key', cut);
+  }
+
+  #owned(partition: number): OwnedPartition | undefined {
+    const state = this.#partitions.stateOf(partition);
+    return state instanceof OwnedPartition ? state : undefined;
+  }
+
+  #allOwned(): readonly OwnedPartition[] {
+    return Array.from({ length: PARTITION_COUNT }, (_, partition) => this.#owned(partition)).filter(
+      (owned): owned is OwnedPartition => owned !== undefined,
+    );
+  }
+}
--- a/packages/server/src/peers/controlDesk.ts
+++ b/packages/server/src/peers/controlDesk.ts
@@ -44,7 +44,7 @@
   lend(entry: string, demands: readonly SliceDemand[]): readonly SliceGrant[] {
     return demands.flatMap((demand) => {
       const owned = this.#options.partition(partitionOf(demand.organisation));
-      return owned ? owned.rates.exchange(entry, [demand]) : [];
+      return owned ? [] : [];
     });
   }
 
--- /dev/null
+++ b/packages/server/src/runInstance.ts
@@ -0,0 +1,48 @@
+import { createLogger, createStatsdMetrics, MemoryMetrics, startTracing } from '@limpetnotch/observability';
+import type { Metrics } from '@limpetnotch/observability';
+import { createEtcdStore } from '@limpetnotch/platform';
+import { Instance } from './instance/instance';
+import type { Settings } from './settings';
+
+const EXIT_FAILURE = 1;
+
+interface ClosableMetrics {
+  readonly metrics: Metrics;
+  close(): Promise<void>;
+}
+
+const metricsOf = ({ statsd, instance }: Settings): ClosableMetrics => {
+  if (statsd === undefined) return { metrics: new MemoryMetrics(), close: async () => undefined };
+  const [host = '', port = ''] = statsd.split(':');
+  const metrics = createStatsdMetrics({ host, port: Number(port), instance });
+  return { metrics, close: async () => metrics.close() };
+};
+
+/** Aborts on the first SIGTERM or SIGINT. */
+const shutdownSignal = (): AbortSignal => {
+  const controller = new AbortController();
+  process.once('SIGTERM', () => controller.abort());
+  process.once('SIGINT', () => controller.abort());
+  return controller.signal;
+};
+
+/** Runs one instance until it is told to stop; resolves to the exit code of the process. */
+export const runInstance = async (settings: Settings): Promise<number> => {
+  const logger = createLogger({ instance: settings.instance, level: settings.logLevel });
+  const { metrics, close } = metricsOf(settings);
+  const tracing = startTracing({ collectorUrl: settings.traces });
+  const store = createEtcdStore({ endpoints: settings.store, metrics });
+  const signal = shutdownSignal();
+  try {
+    const instance = new Instance({ settings, store, logger, metrics, tracing });
+    await instance.start();
+    await instance.run(signal);
+    return 0;
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    logger.error('instance.failed', { reason });
+    return EXIT_FAILURE;
+  } finally {
+    await Promise.allSettled([store.close(), tracing.stop(), close()]);
+  }
+};
