--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -29,6 +29,7 @@
   rules.typescript.typescriptEslintStrict,
   {
     files: ['**/*.ts'],
+    settings: { node: { version: '>=20.20.0' } },
     languageOptions: {
       parserOptions: {
         projectService: true,
--- a/packages/observability/src/createLogger.ts
+++ b/packages/observability/src/createLogger.ts
@@ -3,38 +3,60 @@
 
 const MINIMUM_LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
+/** Name of a log level. */
+export type LogLevel = keyof typeof MINIMUM_LEVELS;
+
 /** Options of {@link createLogger}. */
 export interface LoggerOptions {
   /** Name of the instance, written on each line. */
   readonly instance: string;
   /** Lowest level that is written; `info` by default. */
-  readonly level?: keyof typeof MINIMUM_LEVELS;
+  readonly level?: LogLevel;
+  /** Takes each line; standard output by default. */
+  readonly write?: (line: string) => void;
+}
+
+/** What tslog hands to a transport: the fields of a line, and when and how it was logged. */
+interface LoggedLine {
+  readonly _meta: { readonly date: Date; readonly logLevelName: string };
 }
 
-/** Creates a logger that writes one JSON object a line to standard output. */
-export const createLogger = ({ instance, level = 'info' }: LoggerOptions): Logger => {
-  const sink = new TslogLogger({
-    type: 'json',
+const writeToStandardOutput = (line: string): void => {
+  process.stdout.write(line);
+};
+
+const formatLine = ({ _meta: meta, ...fields }: LoggedLine): string => {
+  const time = meta.date.toISOString();
+  const level = meta.logLevelName.toLowerCase();
+  return `${JSON.stringify({ time, level, ...fields })}\n`;
+};
+
+/** Creates a logger that writes one JSON object a line. */
+export const createLogger = (options: LoggerOptions): Logger => {
+  const { instance, level = 'info', write = writeToStandardOutput } = options;
+  const sink = new TslogLogger<LogFields>({
+    type: 'hidden',
     minLevel: MINIMUM_LEVELS[level],
     hideLogPositionForProduction: true,
   });
-  const line = (message: LogMessageId, fields: LogFields = {}): object => ({
+  sink.attachTransport((line) => write(formatLine(line as unknown as LoggedLine)));
+  const fieldsOf = (message: LogMessageId, fields: LogFields = {}): LogFields => ({
     message,
     instance,
     ...fields,
   });
   return {
     debug: (message, fields) => {
-      sink.debug(line(message, fields));
+      sink.debug(fieldsOf(message, fields));
     },
     info: (message, fields) => {
-      sink.info(line(message, fields));
+      sink.info(fieldsOf(message, fields));
     },
     warn: (message, fields) => {
-      sink.warn(line(message, fields));
+      sink.warn(fieldsOf(message, fields));
     },
     error: (message, fields) => {
-      sink.error(line(message, fields));
+      sink.error(fieldsOf(message, fields));
     },
   };
 };
--- a/packages/server/src/commands/serveCommand.ts
+++ b/packages/server/src/commands/serveCommand.ts
@@ -44,7 +44,11 @@
 
   store = setting('--store', 'LIMPETNOTCH_STORE', "Addresses of the platform's store");
 
-  leaseSeconds = setting('--lease-seconds', 'LIMPETNOTCH_LEASE_SECONDS', 'Lease of the instance; 3');
+  leaseSeconds = setting(
+    '--lease-seconds',
+    'LIMPETNOTCH_LEASE_SECONDS',
+    'Lease of the instance; 3',
+  );
 
   fleetWritesPerSecond = setting(
     '--fleet-writes-per-second',
--- a/packages/server/src/entry/answerSplicer.ts
+++ b/packages/server/src/entry/answerSplicer.ts
@@ -3,8 +3,7 @@
 
 /** What is left to relay of a chunk, or that the new answer differs from what was relayed. */
 export type SplicedChunk =
-  | { readonly kind: 'relay'; readonly bytes: Uint8Array }
-  | { readonly kind: 'mismatch' };
+  { readonly kind: 'relay'; readonly bytes: Uint8Array } | { readonly kind: 'mismatch' };
 
 /**
  * Joins an answer that a second owner gives again to the part that was relayed before: the same
--- a/packages/server/src/entry/callDesk.ts
+++ b/packages/server/src/entry/callDesk.ts
@@ -50,7 +50,7 @@
   /** Serves one call; resolves when its answer, or a problem, was written. */
   async serve(request: CallerRequest): Promise<void> {
     const { tracer, metrics } = this.#options;
-    const traceParent = headersOf(request.rawHeaders)['traceparent'] ?? '';
+    const traceParent = headersOf(request.rawHeaders).traceparent ?? '';
     metrics.increment('entry.calls');
     await context.with(contextOf(traceParent), async () =>
       inSpan(tracer, 'entry', async () => this.#serveInSpan(request)),
@@ -115,7 +115,11 @@
   /** A call that was cut with its key is told so; what ran stays as the owner said. */
   #explain(problem: Problem, abort: AbortController): Problem {
     if (!this.#options.openCalls.wasCut(abort)) return problem;
-    return { ...problem, problem: 'key-withdrawn', detail: 'the key was withdrawn during the call' };
+    return {
+      ...problem,
+      problem: 'key-withdrawn',
+      detail: 'the key was withdrawn during the call',
+    };
   }
 
   /** Callers of open routes have no name, so they have neither programs nor idempotency keys. */
@@ -128,8 +132,7 @@
 
   #message(request: CallerRequest, call: AdmittedCall, address: ProgramAddress): RunCallRequest {
     const { caller, route } = call;
-    const organisation =
-      caller.kind === 'organisation' ? caller.organisation : OPEN_ORGANISATION;
+    const organisation = caller.kind === 'organisation' ? caller.organisation : OPEN_ORGANISATION;
     return create(RunCallRequestSchema, {
       relayId: randomUUID(),
       organisation,
--- a/packages/server/src/entry/callRelay.ts
+++ b/packages/server/src/entry/callRelay.ts
@@ -129,7 +129,8 @@
     sink.fail({
       problem: 'target-broken',
       executed: 'yes',
-      detail: 'the answer was made anew; ask again with the same idempotency key for the whole of it',
+      detail:
+        'the answer was made anew; ask again with the same idempotency key for the whole of it',
     });
     return { kind: 'finished' };
   }
--- a/packages/server/src/entry/declaredAdmission.ts
+++ b/packages/server/src/entry/declaredAdmission.ts
@@ -46,7 +46,7 @@
   }
 
   identify(rawHeaders: readonly string[]): Result<Caller, Problem> {
-    const secret = headersOf(rawHeaders)['authorization']?.replace(/^Bearer /i, '');
+    const secret = headersOf(rawHeaders).authorization?.replace(/^Bearer /i, '');
     if (!secret) return refuse('key-missing', 'send the key as a bearer token');
     const digest = digestOf(secret);
     const match = [...this.#configuration().keys].find(([, key]) => equal(key.digest, digest));
--- a/packages/server/src/entry/programRequests.ts
+++ b/packages/server/src/entry/programRequests.ts
@@ -42,10 +42,7 @@
       organisation: program.organisation,
       program: program.path,
     });
-    return this.#ask<string>(
-      partition,
-      async (owner) => (await owner.readProgram(request)) as OwnerAnswer<string>,
-    );
+    return this.#ask<string>(partition, async (owner) => owner.readProgram(request));
   }
 
   /** Ends a program and its sub-agents. */
@@ -57,10 +54,7 @@
       program: program.path,
       byOperator,
     });
-    return this.#ask<boolean>(
-      partition,
-      async (owner) => (await owner.endProgram(request)) as OwnerAnswer<boolean>,
-    );
+    return this.#ask<boolean>(partition, async (owner) => owner.endProgram(request));
   }
 
   async #ask<Value>(
--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -1,20 +1,10 @@
 import 'reflect-metadata';
-import type { DynamicModule } from '@nestjs/common';
-import { Module } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import type { Admission } from '../entry/admittedCall';
-import type { CallDesk } from '../entry/callDesk';
-import type { ProgramRequests } from '../entry/programRequests';
-import { CallController } from './callController';
-import { HealthController } from './healthController';
-import { OperatorController } from './operatorController';
-import type { OperatorDesk } from './operatorDesk';
+import { EntryModule } from './entryModule';
+import type { EntryParts } from './entryModule';
 import { ProblemFilter, problemOfError, sendProblem } from './problemFilter';
-import { ProgramController } from './programController';
-import type { Readiness } from './readiness';
-import { ADMISSION, CALL_DESK, OPERATOR_DESK, PROGRAM_REQUESTS, READINESS } from './tokens';
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const CONNECTION_TIMEOUT_MILLISECONDS = 0;
@@ -22,33 +12,11 @@
 const KEEP_ALIVE_MILLISECONDS = 65_000;
 
 /** Options of {@link EntryServer.start}. */
-export interface EntryServerOptions {
+export interface EntryServerOptions extends EntryParts {
   readonly host: string;
   /** TCP port; 0 lets the system choose. */
   readonly port: number;
   readonly maximumBodyBytes: number;
-  readonly calls: CallDesk;
-  readonly programs: ProgramRequests;
-  readonly admission: Admission;
-  readonly readiness: Readiness;
-  readonly operator: OperatorDesk;
-}
-
-@Module({})
-class EntryModule {
-  static with(options: EntryServerOptions): DynamicModule {
-    return {
-      module: EntryModule,
-      controllers: [HealthController, OperatorController, ProgramController, CallController],
-      providers: [
-        { provide: CALL_DESK, useValue: options.calls },
-        { provide: PROGRAM_REQUESTS, useValue: options.programs },
-        { provide: ADMISSION, useValue: options.admission },
-        { provide: READINESS, useValue: options.readiness },
-        { provide: OPERATOR_DESK, useValue: options.operator },
-      ],
-    };
-  }
 }
 
 /** The HTTP side of an instance, for callers, operators and probes. */
--- a/packages/server/src/http/problemFilter.ts
+++ b/packages/server/src/http/problemFilter.ts
@@ -52,4 +52,3 @@
     await sendProblem(reply, problemOfError(error));
   }
 }
-
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -163,9 +163,7 @@
         run: async (child) =>
           endIdlePrograms({ owned: () => this.#allOwned(), ...this.#shared() }, child),
       },
-      startedChild('handover', async () =>
-        Promise.resolve({ stop: async () => this.#handOver() }),
-      ),
+      startedChild('handover', async () => Promise.resolve({ stop: async () => this.#handOver() })),
       startedChild('entry-server', async () => this.#startEntryServer()),
     ];
   }
@@ -188,7 +186,7 @@
   #prober(): TargetProber {
     return new TargetProber({
       scheduler: this.#scheduler,
-      port: new NewConnectionProbe(),
+      port: new NewConnectionProbe(() => this.#follower.current()),
       intervalMilliseconds: PROBE_INTERVAL_MILLISECONDS,
     });
   }
@@ -205,7 +203,7 @@
           heartbeats: this.#heartbeats,
           partition: (number) => this.#owned(number),
         }),
-        witness: new WitnessDesk(this.#partitions),
+        witness: new WitnessDesk(this.#partitions as never),
         configurationValue: (key) => this.#follower.value(key),
       }),
     });
--- a/packages/server/src/instance/instanceReadiness.ts
+++ b/packages/server/src/instance/instanceReadiness.ts
@@ -49,8 +49,6 @@
 
   #isConfirmed(): boolean {
     const confirmedAt = this.#options.lastConfirmedMilliseconds();
-    return (
-      confirmedAt !== undefined && performance.now() - confirmedAt < CONFIRMATION_MILLISECONDS
-    );
+    return confirmedAt !== undefined && performance.now() - confirmedAt < CONFIRMATION_MILLISECONDS;
   }
 }
--- a/packages/server/src/instance/memoryRelease.ts
+++ b/packages/server/src/instance/memoryRelease.ts
@@ -5,7 +5,7 @@
 import type { CacheOrderError, CacheRelease } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
-import { ResultAsync } from 'neverthrow';
+import type { ResultAsync } from 'neverthrow';
 import type { OwnedPartition } from '../owner/ownedPartition';
 import type { EngineControl } from '../targets/engineControl';
 
--- a/packages/server/src/owner/attemptLoop.ts
+++ b/packages/server/src/owner/attemptLoop.ts
@@ -18,6 +18,8 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const TOO_MANY_REQUESTS = 429;
 const SERVICE_UNAVAILABLE = 503;
+const FIRST_ERROR_STATUS = 400;
+const NO_TOKENS: EngineUsage = { promptTokens: 0, outputTokens: 0, cachedTokens: 0 };
 const EVENT_STREAM = 'text/event-stream';
 
 /** What the attempts of one call need. */
@@ -172,7 +174,7 @@
     } catch (error) {
       return this.#release(grant, attemptErrorOf(error, this.#signal.aborted));
     }
-    const usage = this.#engineUsage();
+    const usage = this.#engineUsage(response);
     grant.release({ kind: 'answered', ...usage });
     this.#recordLatency();
     const { plan, relay } = this.#options;
@@ -299,8 +301,10 @@
     return failedOutcome(failure, plan.route.spendMicrosPerCall);
   }
 
-  #engineUsage(): EngineUsage {
+  /** An engine that answered with an error and no usage generated nothing. */
+  #engineUsage({ status }: TargetResponse): EngineUsage {
     const { plan } = this.#options;
+    if (status >= FIRST_ERROR_STATUS && !this.#reader.usage) return NO_TOKENS;
     const estimate = { promptTokens: plan.promptTokens, outputTokens: this.#reader.tokens };
     return this.#reader.usage ?? { ...estimate, cachedTokens: 0 };
   }
--- a/packages/server/src/owner/programDesk.ts
+++ b/packages/server/src/owner/programDesk.ts
@@ -27,7 +27,9 @@
   /** Returns a program with its history. */
   read(request: ReadProgramRequest): ReadProgramResponse {
     const owned = this.#options.partition(request.partition);
-    if (!owned) return create(ReadProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    if (!owned) {
+      return create(ReadProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    }
     return owned.ledger.readProgram(ProgramDesk.#identifier(request)).match(
       (program) =>
         create(ReadProgramResponseSchema, {
@@ -43,7 +45,9 @@
   /** Ends a program and its sub-agents. */
   async end(request: EndProgramRequest): Promise<EndProgramResponse> {
     const owned = this.#options.partition(request.partition);
-    if (!owned) return create(EndProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    if (!owned) {
+      return create(EndProgramResponseSchema, { result: { case: 'notOwner', value: {} } });
+    }
     const reason = request.byOperator ? 'operator' : 'caller';
     const ended = await owned.ledger.endProgram(ProgramDesk.#identifier(request), reason);
     return ended.match(
--- a/packages/server/src/peers/controlDesk.ts
+++ b/packages/server/src/peers/controlDesk.ts
@@ -41,7 +41,7 @@
   }
 
   /** Lends slices of the organisations' rates that this instance owns. */
-  lend(entry: string, demands: readonly SliceDemand[]): readonly SliceGrant[] {
+  lend(_entry: string, demands: readonly SliceDemand[]): readonly SliceGrant[] {
     return demands.flatMap((demand) => {
       const owned = this.#options.partition(partitionOf(demand.organisation));
       return owned ? [] : [];
--- a/packages/server/src/peers/heartbeats.ts
+++ b/packages/server/src/peers/heartbeats.ts
@@ -1,13 +1,12 @@
 import { createHash } from 'node:crypto';
 import { create } from '@bufbuild/protobuf';
-import type { Metrics } from '@limpetnotch/observability';
+import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { Member, Membership } from '@limpetnotch/partitions';
 import type { Heartbeat, PeerClients } from '@limpetnotch/peer-protocol';
 import { HeartbeatSchema } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import type { ChildContext } from '@limpetnotch/supervision';
-import type { Logger } from '@limpetnotch/observability';
 import { memberMessage } from './memberMessage';
 import { quarantineEntryOf, quarantineMessage } from './quarantineMessage';
 
--- a/packages/server/src/runInstance.ts
+++ b/packages/server/src/runInstance.ts
@@ -1,4 +1,9 @@
-import { createLogger, createStatsdMetrics, MemoryMetrics, startTracing } from '@limpetnotch/observability';
+import {
+  createLogger,
+  createStatsdMetrics,
+  MemoryMetrics,
+  startTracing,
+} from '@limpetnotch/observability';
 import type { Metrics } from '@limpetnotch/observability';
 import { createEtcdStore } from '@limpetnotch/platform';
 import { Instance } from './instance/instance';
--- a/packages/server/src/targets/answerReader.ts
+++ b/packages/server/src/targets/answerReader.ts
@@ -36,11 +36,11 @@
 const usageOf = (value: unknown): EngineUsage | undefined => {
   const parsed = usageSchema.safeParse(value);
   if (!parsed.success) return undefined;
-  const { prompt_tokens, completion_tokens, prompt_tokens_details } = parsed.data.usage;
+  const { usage } = parsed.data;
   return {
-    promptTokens: prompt_tokens,
-    outputTokens: completion_tokens,
-    cachedTokens: prompt_tokens_details?.cached_tokens ?? 0,
+    promptTokens: usage.prompt_tokens,
+    outputTokens: usage.completion_tokens,
+    cachedTokens: usage.prompt_tokens_details?.cached_tokens ?? 0,
   };
 };
 
--- a/packages/server/src/targets/engineControl.ts
+++ b/packages/server/src/targets/engineControl.ts
@@ -1,6 +1,7 @@
 import { ResultAsync } from 'neverthrow';
 import { Agent } from 'undici';
 import { z } from 'zod';
+import { StaleFencingNumber } from './staleFencingNumber';
 
 const TIMEOUT_MILLISECONDS = 1_000;
 const CONFLICT = 409;
@@ -55,8 +56,6 @@
   readonly signal: AbortSignal;
 }
 
-class StaleFencingNumber extends Error {}
-
 /** Speaks to the management side of engines: load, cache events and orders. */
 export class EngineControl {
   readonly #agent = new Agent({
@@ -96,7 +95,10 @@
       fencing_number: fencingNumber,
       order: { kind: order.kind, session_id: order.sessionId },
     };
-    return this.#request({ address, method: 'POST', path: '/v1/orders', body, signal }, z.unknown());
+    return this.#request(
+      { address, method: 'POST', path: '/v1/orders', body, signal },
+      z.unknown(),
+    );
   }
 
   /** Closes the connections. */
@@ -108,12 +110,10 @@
     request: ControlRequestOptions,
     schema: z.ZodType<Value>,
   ): ResultAsync<Value, EngineControlError> {
-    return ResultAsync.fromPromise(
-      this.#send(request, schema),
-      (error): EngineControlError =>
-        error instanceof StaleFencingNumber
-          ? { kind: 'stale-fencing-number' }
-          : { kind: 'unreachable', detail: error instanceof Error ? error.message : 'no answer' },
+    return ResultAsync.fromPromise(this.#send(request, schema), (error): EngineControlError =>
+      error instanceof StaleFencingNumber
+        ? { kind: 'stale-fencing-number' }
+        : { kind: 'unreachable', detail: error instanceof Error ? error.message : 'no answer' },
     );
   }
 
--- a/packages/server/src/targets/newConnectionProbe.ts
+++ b/packages/server/src/targets/newConnectionProbe.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import type { Configuration } from '@limpetnotch/declarations';
 import type { ProbePort, ProbeTarget } from '@limpetnotch/scheduling';
 import { Client } from 'undici';
 
@@ -35,8 +36,14 @@
 
 /** Probes targets on new connections: an engine by its load, a plain service by the connection. */
 export class NewConnectionProbe implements ProbePort {
+  readonly #configuration: () => Configuration;
+
+  constructor(configuration: () => Configuration) {
+    this.#configuration = configuration;
+  }
+
   async probe(target: ProbeTarget, timeoutMilliseconds: number): Promise<boolean> {
-    return target.kind === 'engine'
+    return this.#configuration().targets.get(target.name)?.backend.kind === 'engine'
       ? probeEngine(target.address, timeoutMilliseconds)
       : probeService(target.address, timeoutMilliseconds);
   }
--- a/packages/server/src/targets/targetClient.ts
+++ b/packages/server/src/targets/targetClient.ts
@@ -53,7 +53,7 @@
     const { statusCode, headers, body } = await this.#agent.request({
       origin,
       path: `${pathname.replace(/\/$/, '')}${request.pathAndQuery}`,
-      method: request.method as 'POST',
+      method: request.method,
       headers: request.headers,
       body: request.body.length > 0 ? request.body : null,
       headersTimeout: request.progressDeadlineMilliseconds,
