--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -199,11 +199,8 @@
       service: peerHandlers({
         owner: this.#owner,
         programs: this.#programs,
-        control: new ControlDesk({
-          heartbeats: this.#heartbeats,
-          partition: (number) => this.#owned(number),
-        }),
-        witness: new WitnessDesk(this.#partitions as never),
+        control: new ControlDesk(this.#heartbeats),
+        witness: new WitnessDesk(this.#partitions),
         configurationValue: (key) => this.#follower.value(key),
       }),
     });
@@ -257,8 +254,11 @@
     await server.stop();
   }
 
+  /** Hands the partitions over once their calls have ended. */
   async #handOver(): Promise<void> {
+    const notHandedOver = await this.#partitions.drain();
     await this.#owner.drain();
+    this.#options.logger.info('instance.handed-over', { notHandedOver });
   }
 
   #heartbeatContent(): ConstructorParameters<typeof Heartbeats>[0]['content'] {
