Add the scheduling bench: four policies through the same programs

Cause: the policy must be measured against baselines in one run.

Change: npm run bench -- scheduling drives four real schedulers before engine models (continuous batching, prefix cache in limited memory, late load reports, late cache events with gaps) under a virtual clock, with a seeded generator of chains, pauses and sub-agents, an organisation that floods and the loss of one engine; table, JSON and HTML with latency curves.

--- /dev/null
+++ b/packages/integration/src/benchCommands.ts
@@ -0,0 +1,6 @@
+import type { CommandClass } from 'clipanion';
+import { PlacementCommand } from './experiments/placementCommand';
+import { SchedulingCommand } from './experiments/schedulingCommand';
+
+/** The benches by name; each is a command whose path is its name. */
+export const BENCH_COMMANDS: readonly CommandClass[] = [PlacementCommand, SchedulingCommand];
--- /dev/null
+++ b/packages/integration/src/experiments/randomSource.ts
@@ -0,0 +1,46 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { Range } from './userProfile';
+
+/** Seeded source of random values. */
+export class RandomSource {
+  readonly #generator: ReturnType<typeof xoroshiro128plus>;
+
+  constructor(seed: number) {
+    this.#generator = xoroshiro128plus(seed);
+  }
+
+  /** Returns a value from 0 up to 1. */
+  uniform(): number {
+    return uniformFloat64(this.#generator);
+  }
+
+  /** Returns a whole number of a range. */
+  integer({ least, most }: Range): number {
+    return least + Math.floor(this.uniform() * (most - least + 1));
+  }
+
+  /** Returns an exponentially distributed value. */
+  exponential(mean: number): number {
+    return -mean * Math.log(1 - this.uniform());
+  }
+
+  /** Returns a lognormally distributed value. */
+  lognormal(median: number, sigma: number): number {
+    const radius = Math.sqrt(-2 * Math.log(1 - this.uniform()));
+    return median * Math.exp(sigma * radius * Math.cos(2 * Math.PI * this.uniform()));
+  }
+
+  /** Returns an item, each with a probability in proportion to its share. */
+  pick<Item extends { readonly share: number }>(items: readonly Item[]): Item {
+    const total = items.reduce((sum, { share }) => sum + share, 0);
+    let left = this.uniform() * total;
+    const found = items.find(({ share }) => {
+      left -= share;
+      return left < 0;
+    });
+    const item = found ?? items[items.length - 1];
+    if (!item) throw new Error('nothing to pick from');
+    return item;
+  }
+}
