--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,5 +1,35 @@
+export { CollectorStandIn } from './collector/collectorStandIn';
+export { parseStatsd } from './collector/parseStatsd';
+export type { StatsdSample } from './collector/parseStatsd';
+export { answerTextOf, planAnswer } from './engine/answerText';
+export type { PlannedAnswer } from './engine/answerText';
+export { chatRequestSchema } from './engine/chatRequest';
+export type { ChatRequest } from './engine/chatRequest';
+export { EngineStandIn } from './engine/engineStandIn';
+export type { EngineOptions, EngineSettings, EngineSettingsChange } from './engine/engineSettings';
+export type { EngineStatistics } from './engine/engineStatistics';
+export type { CallResult, Executed } from './load/callResult';
+export { completionText } from './load/completionText';
+export { EntryCaller } from './load/entryCaller';
+export type { EntryCall } from './load/entryCaller';
+export { drawSteps, generatePrograms, SMALL_MIX } from './load/programGenerator';
+export type {
+  OrganisationLoad,
+  ProgramGeneratorOptions,
+  ProgramMix,
+} from './load/programGenerator';
+export { ProgramRunner } from './load/programRunner';
+export type { ConversationMessage, FinishedStep, ProgramRunnerOptions } from './load/programRunner';
+export type { PlannedProgram, ProgramStep } from './load/programShape';
 export { StoreStandIn } from './store/storeStandIn';
-export type { StoreStandInOptions } from './store/storeStandIn';
+export type { HeldTransaction, StoreStandInOptions } from './store/storeStandIn';
 export type { StoreFaults, StoreFaultsChange } from './store/storeFaults';
 export type { StoreStatistics } from './store/storeStatistics';
+export type { ToolFaults, ToolFaultsChange } from './tools/toolFaults';
+export { ToolStandIn } from './tools/toolStandIn';
+export type { ToolExecution } from './tools/toolStandIn';
+export { Gate } from './util/gate';
+export type { HeldCall } from './util/gate';
+export type { ReceivedRequest } from './util/requestRecorder';
+export { SeededRandom } from './util/seededRandom';
 export { StandInServer } from './util/standInServer';
