--- a/packages/programs/src/budget.ts
+++ b/packages/programs/src/budget.ts
@@ -56,7 +56,7 @@
     );
   }
 
-  /** Returns what is neither spent nor reserved; a limit that is absent stays absent. */
+  /** Returns what is neither spent nor reserved, below 0 where more was; absent limits stay absent. */
   left(): BudgetLimits {
     const used = addUsage(this.#spent, this.#reserved);
     const { tokens, calls, spendMicros, wallTimeMilliseconds } = this.limits;
--- a/packages/programs/src/programLifecycle.ts
+++ b/packages/programs/src/programLifecycle.ts
@@ -2,7 +2,7 @@
 import type { Result } from 'neverthrow';
 import type { CallRefusal } from './callStart';
 import type { LedgerCore } from './ledgerCore';
-import type { EndReason, ProgramIdentifier } from './programRecord';
+import type { BudgetLimits, EndReason, ProgramIdentifier } from './programRecord';
 import type { FoundProgram } from './programTable';
 import type { ProgramTree } from './programTree';
 import type { ProgramView } from './programView';
@@ -13,6 +13,13 @@
   detail: 'there is no such program',
 };
 
+const notBelowZero = (left: BudgetLimits): BudgetLimits => ({
+  ...left,
+  tokens: left.tokens && Math.max(0, left.tokens),
+  calls: left.calls && Math.max(0, left.calls),
+  spendMicros: left.spendMicros && Math.max(0, left.spendMicros),
+});
+
 /** Reads, ends and forgets programs. */
 export class ProgramLifecycle {
   readonly #core: LedgerCore;
@@ -86,7 +93,7 @@
       sequenceUnderWay: current?.sequence,
       limits: budget.limits,
       spent: budget.spent,
-      left: budget.left(),
+      left: notBelowZero(budget.left()),
     });
   }
 
