--- a/packages/integration/src/index.ts
+++ b/packages/integration/src/index.ts
@@ -1,2 +1,6 @@
-/** Quickstart, fault matrix, randomised runs and benchmarks. */
-export {};
+export { Fleet } from './fleet/fleet';
+export type { FleetOptions, InstancePorts } from './fleet/fleet';
+export { keyDigest, LocalFleet, OPERATOR_TOKEN } from './fleet/localFleet';
+export type { LocalFleetOptions, LocalInstance } from './fleet/localFleet';
+export { ManagedProcess } from './fleet/managedProcess';
+export { waitUntil } from './fleet/waitUntil';
--- a/packages/observability/src/startTracing.ts
+++ b/packages/observability/src/startTracing.ts
@@ -1,4 +1,6 @@
 import type { Tracer } from '@opentelemetry/api';
+import { context } from '@opentelemetry/api';
+import { AsyncLocalStorageContextManager } from '@opentelemetry/context-async-hooks';
 import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http';
 import type { SpanExporter } from '@opentelemetry/sdk-trace-base';
 import { BatchSpanProcessor } from '@opentelemetry/sdk-trace-base';
@@ -20,6 +22,8 @@
 
 /** Starts tracing; without a collector, spans are created and dropped. */
 export const startTracing = ({ collectorUrl, exporter }: TracingOptions): Tracing => {
+  // The active span follows the asynchronous calls; a second call of this leaves the first manager.
+  context.setGlobalContextManager(new AsyncLocalStorageContextManager().enable());
   const target =
     exporter ?? (collectorUrl ? new OTLPTraceExporter({ url: collectorUrl }) : undefined);
   const provider = new NodeTracerProvider({
--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -4,7 +4,7 @@
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import { EntryModule } from './entryModule';
 import type { EntryParts } from './entryModule';
-import { ProblemFilter, problemOfError, sendProblem } from './problemFilter';
+import { ProblemFilter } from './problemFilter';
 
 const MAXIMUM_HEADER_BYTES = 16 * 1024;
 const CONNECTION_TIMEOUT_MILLISECONDS = 0;
@@ -52,15 +52,12 @@
     await this.#application.close();
   }
 
-  /** Bodies pass through as they came; those that cannot be read get a problem document. */
+  /** Bodies pass through as they came. */
   static #readBodiesRaw(application: NestFastifyApplication): void {
     const fastify = application.getHttpAdapter().getInstance();
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
       done(null, body);
     });
-    fastify.setErrorHandler(async (error, _request, reply) => {
-      await sendProblem(reply, problemOfError(error));
-    });
   }
 }
--- a/packages/server/src/http/problemFilter.ts
+++ b/packages/server/src/http/problemFilter.ts
@@ -1,10 +1,10 @@
 import type { ArgumentsHost, ExceptionFilter } from '@nestjs/common';
-import { Catch } from '@nestjs/common';
+import { Catch, HttpException } from '@nestjs/common';
 import type { Problem } from '../problems/problem';
 import { problemDocument } from '../problems/problem';
 import { ProblemException } from './problemException';
 
-/** Reply of either copy of fastify, as far as problem documents need it. */
+/** Reply of fastify, as far as problem documents need it. */
 interface ProblemReply {
   status(code: number): ProblemReply;
   header(name: string, value: string): ProblemReply;
@@ -15,15 +15,11 @@
 const CLIENT_ERRORS = 400;
 const SERVER_ERRORS = 500;
 
-const statusOf = (error: unknown): number => {
-  if (typeof error !== 'object' || error === null) return SERVER_ERRORS;
-  return 'statusCode' in error && typeof error.statusCode === 'number'
-    ? error.statusCode
-    : SERVER_ERRORS;
-};
+const statusOf = (error: unknown): number =>
+  error instanceof HttpException ? error.getStatus() : SERVER_ERRORS;
 
 /** Turns what was thrown before a call was let in into a problem; nothing ran. */
-export const problemOfError = (error: unknown): Problem => {
+const problemOfError = (error: unknown): Problem => {
   if (error instanceof ProblemException) return error.problem;
   const status = statusOf(error);
   if (status === CONTENT_TOO_LARGE) {
@@ -36,7 +32,7 @@
 };
 
 /** Sends a problem document. */
-export const sendProblem = async (reply: ProblemReply, problem: Problem): Promise<void> => {
+const sendProblem = async (reply: ProblemReply, problem: Problem): Promise<void> => {
   const document = problemDocument(problem);
   await reply
     .status(document.status)
