Admission: check keys, strip credentials and match routes

The server let requests in by a placeholder that read one header and compared paths as they came. Keys now come from a documented set of places, more than one is refused, and what could show a target the key is removed: by name, by value, percent-encoded or in base64. Paths that a target could read in another way match no route; encoded letters and segment parameters are read as a target would, so that they cannot lead around a longer route.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,3 +1,11 @@
 export type { AdmissionError } from './admissionError';
 export type { KeyIdentity } from './keyIdentity';
+export { credentialOf } from './keys/credentialOf';
+export { KeyRing } from './keys/keyRing';
+export { mentionsSecret } from './keys/mentionsSecret';
+export type { RawHeader } from './keys/rawHeader';
+export { stripCredentials } from './keys/stripCredentials';
+export type { StrippedRequest } from './keys/stripCredentials';
+export { RouteTable } from './routes/routeTable';
+export type { NamedRoute } from './routes/routeTable';
 export type { SliceDemand, SliceGrant } from './slice';
--- /dev/null
+++ b/packages/admission/src/keys/credentialOf.ts
@@ -0,0 +1,49 @@
+import { err, ok } from 'neverthrow';
+import type { Result } from 'neverthrow';
+import type { AdmissionError } from '../admissionError';
+import { mentionsSecret } from './mentionsSecret';
+import { pairHeaders } from './rawHeader';
+import type { RawHeader } from './rawHeader';
+import { parseRequestTarget } from './requestTarget';
+
+const KEY_HEADERS: ReadonlySet<string> = new Set(['x-api-key', 'api-key']);
+const KEY_PARAMETER = 'api_key';
+const BEARER = /^bearer(?: +(.*))?$/i;
+const MAXIMUM_SECRET_LENGTH = 256;
+const SECRET = /^[\x21-\x7e]+$/;
+
+const headerCredentials = ({ name, value }: RawHeader): readonly string[] => {
+  const lowerName = name.toLowerCase();
+  if (KEY_HEADERS.has(lowerName)) return [value.trim()];
+  if (lowerName !== 'authorization') return [];
+  const bearer = BEARER.exec(value.trim());
+  return bearer ? [(bearer[1] ?? '').trim()] : [];
+};
+
+const isWellFormed = (secret: string): boolean =>
+  secret.length <= MAXIMUM_SECRET_LENGTH && SECRET.test(secret);
+
+/**
+ * Returns the key that came with a request, or `undefined` where none came. A key is read from
+ * `authorization: Bearer`, `x-api-key`, `api-key` and the query parameter `api_key`; names count in
+ * any case. More than one of these is `key-ambiguous`, as is a key that also stands in the path,
+ * where it could not be removed. An oversized or malformed one is `key-unknown`.
+ */
+export const credentialOf = (
+  rawHeaders: readonly string[],
+  pathAndQuery: string,
+): Result<string | undefined, AdmissionError> => {
+  const { path, parameters } = parseRequestTarget(pathAndQuery);
+  const credentials = [
+    ...pairHeaders(rawHeaders).flatMap(headerCredentials),
+    ...parameters
+      .filter(({ name }) => name.toLowerCase() === KEY_PARAMETER)
+      .map(({ value }) => value),
+  ];
+  const [secret] = credentials;
+  if (credentials.length > 1) return err({ kind: 'key-ambiguous' });
+  if (secret === undefined) return ok(undefined);
+  if (!isWellFormed(secret)) return err({ kind: 'key-unknown' });
+  if (mentionsSecret(path, secret)) return err({ kind: 'key-ambiguous' });
+  return ok(secret);
+};
