--- a/packages/cli/src/entry/entryPaths.ts
+++ b/packages/cli/src/entry/entryPaths.ts
@@ -5,11 +5,14 @@
 const PROGRAM_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._~-]*(\/[A-Za-z0-9][A-Za-z0-9._~-]*)*$/;
 const DIGEST_PATTERN = /^[A-Za-z0-9:_-]{1,200}$/;
 
+/** Prefix of the paths that are no calls. */
+const MANAGEMENT_PREFIX = '/limpetnotch/v1';
+
 /** Path of the entry's own state. */
-export const STATUS_PATH = '/status';
+export const STATUS_PATH = `${MANAGEMENT_PREFIX}/status`;
 
 /** Path of the quarantined requests. */
-export const QUARANTINE_PATH = '/quarantine';
+export const QUARANTINE_PATH = `${MANAGEMENT_PREFIX}/quarantine`;
 
 /** Returns the path of a program; operators name its organisation. */
 export const programPath = (
@@ -22,7 +25,7 @@
   }
   const query =
     organisation === undefined ? '' : `?organisation=${encodeURIComponent(organisation)}`;
-  return ok(`/programs/${program}${query}`);
+  return ok(`${MANAGEMENT_PREFIX}/programs/${program}${query}`);
 };
 
 /** Returns the path of a quarantined request. */
--- a/packages/cli/tests/entryCommands.test.ts
+++ b/packages/cli/tests/entryCommands.test.ts
@@ -18,9 +18,9 @@
 };
 
 const ANSWERS: Readonly<Record<string, unknown>> = {
-  'GET /programs/survey-17': PROGRAM,
-  'DELETE /programs/survey-17?organisation=amman-panels': null,
-  'GET /quarantine': [
+  'GET /limpetnotch/v1/programs/survey-17': PROGRAM,
+  'DELETE /limpetnotch/v1/programs/survey-17?organisation=amman-panels': null,
+  'GET /limpetnotch/v1/quarantine': [
     {
       requestDigest: 'd1',
       organisation: 'amman-panels',
@@ -29,7 +29,7 @@
       expiresAtMilliseconds: 2,
     },
   ],
-  'DELETE /quarantine/d1': { lifted: true },
+  'DELETE /limpetnotch/v1/quarantine/d1': { lifted: true },
 };
 
 let server: Server;
@@ -68,14 +68,16 @@
   const { exitCode, stdout } = await run('program', 'show', 'survey-17', '--key', 'example-key');
   expect(stdout).toContain('program survey-17 of amman-panels: running');
   expect(stdout).toMatch(/0 +chat +answered +200 +7/);
-  expect(seen).toEqual(['GET /programs/survey-17 Bearer example-key']);
+  expect(seen).toEqual(['GET /limpetnotch/v1/programs/survey-17 Bearer example-key']);
   expect(exitCode).toBe(0);
 });
 
 test('ends a program as an operator', async () => {
   const words = ['program', 'end', 'survey-17', '--organisation', 'amman-panels'];
   expect(await run(...words)).toMatchObject({ exitCode: 0 });
-  expect(seen).toEqual([`DELETE /programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`]);
+  expect(seen).toEqual([
+    `DELETE /limpetnotch/v1/programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`,
+  ]);
 });
 
 test('shows the reason of a refusal', async () => {
--- a/packages/integration/src/fleet/fleet.ts
+++ b/packages/integration/src/fleet/fleet.ts
@@ -136,11 +136,11 @@
   }
 
   async #ownedBy(address: string): Promise<readonly number[]> {
-    const answer = await request(`${address}/limpetnotch/v1/operator/status`, {
+    const answer = await request(`${address}/limpetnotch/v1/status`, {
       headers: { authorization: `Bearer ${this.#options.operatorToken}` },
     });
-    const status = (await answer.body.json()) as { readonly ownedPartitions: readonly number[] };
-    return status.ownedPartitions;
+    const status = (await answer.body.json()) as { readonly partitions: readonly number[] };
+    return status.partitions;
   }
 
   static async #isReady(address: string): Promise<boolean> {
--- a/packages/integration/src/quickstart.ts
+++ b/packages/integration/src/quickstart.ts
@@ -8,7 +8,7 @@
 import { runSurvey } from './quickstart/surveyProgram';
 
 const EXAMPLE = resolve(__dirname, '../../../examples/consortium');
-const SECRET = 'example-key-amman-city-electric';
+const SECRET = 'example-key-al-nour-electrical';
 const ENGINE_PORTS = [9101, 9102, 9103, 9104, 9105, 9106] as const;
 const TOOL_PORTS = [9201, 9202] as const;
 const INSTANCE_PORTS = [
--- a/packages/server/src/http/operatorDesk.ts
+++ b/packages/server/src/http/operatorDesk.ts
@@ -1,13 +1,16 @@
-import type { ProgramIdentifier } from '@limpetnotch/programs';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 
 /** State of one instance, as operators see it. */
 export interface InstanceStatus {
   readonly instance: string;
   readonly availabilityZone: string;
+  readonly ready: boolean;
+  /** `ready`, or why it is not. */
   readonly readiness: string;
-  readonly configurationRevision: number;
-  readonly ownedPartitions: readonly number[];
+  /** Revision of the configuration in force. */
+  readonly revision: number;
+  /** Partitions that the instance owns. */
+  readonly partitions: readonly number[];
   readonly members: readonly string[];
   readonly callsUnderWay: number;
   readonly storeReachable: boolean;
@@ -21,6 +24,4 @@
   quarantine(): readonly QuarantineEntry[];
   /** Lifts a quarantine; returns whether there was one. */
   lift(requestDigest: string): boolean;
-  readProgram(program: ProgramIdentifier): Promise<object>;
-  endProgram(program: ProgramIdentifier): Promise<object>;
 }
--- a/packages/server/src/http/programController.ts
+++ b/packages/server/src/http/programController.ts
@@ -1,11 +1,13 @@
-import { Controller, Delete, Get, Inject, Req, Res } from '@nestjs/common';
+import { Controller, Delete, Get, Inject, Query, Req, Res } from '@nestjs/common';
 import type { FastifyReply, FastifyRequest } from 'fastify';
 import type { Result } from 'neverthrow';
-import type { Admission, Caller } from '../entry/admittedCall';
+import type { Admission } from '../entry/admittedCall';
 import type { ProgramRequests } from '../entry/programRequests';
 import type { Problem } from '../problems/problem';
+import { authoriseOperator } from './authoriseOperator';
+import type { OperatorDesk } from './operatorDesk';
 import { ProblemException } from './problemException';
-import { ADMISSION, PROGRAM_REQUESTS } from './tokens';
+import { ADMISSION, OPERATOR_DESK, PROGRAM_REQUESTS } from './tokens';
 
 const PREFIX = '/limpetnotch/v1/programs/';
 
@@ -16,48 +18,68 @@
 
 const pathOf = (request: FastifyRequest): string => {
   const [path = ''] = (request.raw.url ?? '').split('?', 1);
-  return decodeURI(path.slice(PREFIX.length));
+  return path.slice(PREFIX.length);
 };
 
-const organisationOf = (caller: Caller): string => {
-  if (caller.kind === 'organisation') return caller.organisation;
-  throw new ProblemException({
-    problem: 'key-missing',
-    executed: 'no',
-    detail: 'programs belong to organisations',
-  });
-};
-
-/** Reads and ends programs for the organisation whose key came with the request. */
+/**
+ * Reads and ends programs, for the organisation whose key came with the request, or for operators,
+ * who name the organisation.
+ */
 @Controller('limpetnotch/v1/programs')
 export class ProgramController {
   readonly #programs: ProgramRequests;
 
   readonly #admission: Admission;
 
+  readonly #operator: OperatorDesk;
+
   constructor(
     @Inject(PROGRAM_REQUESTS) programs: ProgramRequests,
     @Inject(ADMISSION) admission: Admission,
+    @Inject(OPERATOR_DESK) operator: OperatorDesk,
   ) {
     this.#programs = programs;
     this.#admission = admission;
+    this.#operator = operator;
   }
 
   /** Returns a program with its history. */
   @Get('*')
-  async read(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const caller = unwrap(this.#admission.identify(request.raw.rawHeaders));
-    const program = { organisation: organisationOf(caller), path: pathOf(request) };
-    const json = unwrap(await this.#programs.read(program));
+  async read(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+    @Query('organisation') named?: string,
+  ): Promise<void> {
+    const organisation = this.#organisation(request, named);
+    const json = unwrap(await this.#programs.read({ organisation, path: pathOf(request) }));
     await reply.header('content-type', 'application/json').send(json);
   }
 
   /** Ends a program and its sub-agents. */
   @Delete('*')
-  async end(@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const caller = unwrap(this.#admission.identify(request.raw.rawHeaders));
-    const program = { organisation: organisationOf(caller), path: pathOf(request) };
-    unwrap(await this.#programs.end(program, false));
+  async end(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+    @Query('organisation') named?: string,
+  ): Promise<void> {
+    const organisation = this.#organisation(request, named);
+    const byOperator = named !== undefined;
+    const program = { organisation, path: pathOf(request) };
+    unwrap(await this.#programs.end(program, byOperator));
     await reply.header('content-type', 'application/json').send(JSON.stringify({ ended: true }));
   }
+
+  #organisation(request: FastifyRequest, named: string | undefined): string {
+    if (named !== undefined) {
+      authoriseOperator(request, this.#operator);
+      return named;
+    }
+    const caller = unwrap(this.#admission.identify(request.raw.rawHeaders));
+    if (caller.kind === 'organisation') return caller.organisation;
+    throw new ProblemException({
+      problem: 'key-missing',
+      executed: 'no',
+      detail: 'programs belong to organisations',
+    });
+  }
 }
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -237,7 +237,6 @@
         settings,
         partitions: this.#partitions,
         scheduler: this.#scheduler,
-        programs,
         readiness: this.#readiness,
         configuration: () => this.#follower.current(),
         callsUnderWay: () => this.#openCalls.size + this.#owner.runningCalls,
--- a/packages/server/src/instance/operatorDeskOf.ts
+++ b/packages/server/src/instance/operatorDeskOf.ts
@@ -2,9 +2,7 @@
 import { PARTITION_COUNT } from '@limpetnotch/partitions';
 import type { PartitionManager } from '@limpetnotch/partitions';
 import type { Scheduler } from '@limpetnotch/scheduling';
-import type { ProgramRequests } from '../entry/programRequests';
 import type { InstanceStatus, OperatorDesk } from '../http/operatorDesk';
-import { ProblemException } from '../http/problemException';
 import type { Readiness } from '../http/readiness';
 import type { Settings } from '../settings';
 
@@ -13,7 +11,6 @@
   readonly settings: Settings;
   readonly partitions: PartitionManager;
   readonly scheduler: Scheduler;
-  readonly programs: ProgramRequests;
   readonly readiness: Readiness;
   readonly configuration: () => Configuration;
   readonly callsUnderWay: () => number;
@@ -25,9 +22,10 @@
   return {
     instance: settings.instance,
     availabilityZone: settings.availabilityZone,
+    ready: state.kind === 'ready',
     readiness: state.kind === 'ready' ? 'ready' : state.reason,
-    configurationRevision: configuration().revision,
-    ownedPartitions: Array.from({ length: PARTITION_COUNT }, (_, partition) => partition).filter(
+    revision: configuration().revision,
+    partitions: Array.from({ length: PARTITION_COUNT }, (_, partition) => partition).filter(
       (partition) => partitions.stateOf(partition) !== undefined,
     ),
     members: partitions.membership.members().map(({ instance }) => instance),
@@ -42,14 +40,4 @@
   status: () => statusOf(options),
   quarantine: () => options.scheduler.listQuarantine(),
   lift: (requestDigest) => options.scheduler.liftQuarantine(requestDigest),
-  readProgram: async (program) => {
-    const read = await options.programs.read(program);
-    if (read.isErr()) throw new ProblemException(read.error);
-    return JSON.parse(read.value) as object;
-  },
-  endProgram: async (program) => {
-    const ended = await options.programs.end(program, true);
-    if (ended.isErr()) throw new ProblemException(ended.error);
-    return { ended: true };
-  },
 });
