--- a/packages/server/src/entry/callDesk.ts
+++ b/packages/server/src/entry/callDesk.ts
@@ -16,6 +16,7 @@
 import { headersOf } from './callerRequest';
 import type { CallRelay } from './callRelay';
 import { HttpAnswerSink } from './httpAnswerSink';
+import type { HttpAnswerSinkOptions } from './httpAnswerSink';
 import type { OpenCalls } from './openCalls';
 import type { ProgramAddress } from './programAddress';
 import { addressOf, parseProgramHeaders } from './programAddress';
@@ -62,6 +63,7 @@
     const sink = new HttpAnswerSink({
       response: request.response,
       program: undefined,
+      idempotencyKey: undefined,
       explain: (problem) => problem,
     });
     request.response.once('close', () => abort.abort());
@@ -95,7 +97,7 @@
     const address = CallDesk.#address(request, call);
     const sink = new HttpAnswerSink({
       response: request.response,
-      program: address.isOk() && !address.value.singleCall ? address.value.path : undefined,
+      ...CallDesk.#namesOf(address, call),
       explain: (problem) => this.#explain(problem, abort),
     });
     if (address.isErr()) {
@@ -112,6 +114,18 @@
     }
   }
 
+  /** Names that the caller is told, so that it can ask again. */
+  static #namesOf(
+    address: Result<ProgramAddress, Problem>,
+    { caller }: AdmittedCall,
+  ): Pick<HttpAnswerSinkOptions, 'program' | 'idempotencyKey'> {
+    if (address.isErr() || caller.kind === 'anyone') {
+      return { program: undefined, idempotencyKey: undefined };
+    }
+    const { path, singleCall, idempotencyKey } = address.value;
+    return { program: singleCall ? undefined : path, idempotencyKey };
+  }
+
   /** A call that was cut with its key is told so; what ran stays as the owner said. */
   #explain(problem: Problem, abort: AbortController): Problem {
     if (!this.#options.openCalls.wasCut(abort)) return problem;
--- a/packages/server/src/entry/httpAnswerSink.ts
+++ b/packages/server/src/entry/httpAnswerSink.ts
@@ -14,6 +14,8 @@
   readonly response: ServerResponse;
   /** Full path of the program, told to the caller; `undefined` for a program of one call. */
   readonly program: string | undefined;
+  /** Key by which the caller can ask again for the same answer; `undefined` on open routes. */
+  readonly idempotencyKey: string | undefined;
   /** Turns a problem into the one that the caller gets. */
   readonly explain: (problem: Problem) => Problem;
 }
@@ -33,12 +35,13 @@
   }
 
   start(head: AnswerHead): void {
-    const { response, program } = this.#options;
+    const { response, program, idempotencyKey } = this.#options;
     this.#head = head;
     head.headers.forEach(({ name, value }) => response.setHeader(name, value));
     response.setHeader('limpetnotch-sequence', String(head.sequence));
     response.setHeader('trailer', DURABILITY_TRAILER);
     if (program !== undefined) response.setHeader('limpetnotch-program', program);
+    if (idempotencyKey !== undefined) response.setHeader('idempotency-key', idempotencyKey);
     if (head.replayed) response.setHeader('limpetnotch-replayed', 'true');
     response.writeHead(head.status);
     response.flushHeaders();
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -20,6 +20,7 @@
 import { ConnectPeerChannel } from '../peers/connectPeerChannel';
 import { ControlDesk } from '../peers/controlDesk';
 import { Heartbeats } from '../peers/heartbeats';
+import { PEER_ROOT_KEY, PeerConfiguration } from '../peers/peerConfiguration';
 import { PartitionDirectory } from '../peers/partitionDirectory';
 import { peerHandlers } from '../peers/peerHandlers';
 import { WitnessDesk } from '../peers/witnessDesk';
@@ -83,7 +84,14 @@
     const partition = (number: number): OwnedPartition | undefined => this.#owned(number);
     this.#options = options;
     this.#supervisor = new Supervisor({ name: 'instance', ...shared });
-    this.#follower = new ConfigurationFollower({ store, ...shared });
+    this.#follower = new ConfigurationFollower({
+      store,
+      ...shared,
+      peers: new PeerConfiguration({
+        clients: this.#clients,
+        addresses: () => this.#heartbeats.addresses(),
+      }),
+    });
     this.#scheduler = createScheduler({
       instance: settings.instance,
       ...shared,
@@ -201,7 +209,8 @@
         programs: this.#programs,
         control: new ControlDesk(this.#heartbeats),
         witness: new WitnessDesk(this.#partitions),
-        configurationValue: (key) => this.#follower.value(key),
+        configurationValue: (key) =>
+          key === PEER_ROOT_KEY ? this.#follower.rootValue() : this.#follower.value(key),
       }),
     });
     return { stop: async () => server.close() };
--- a/packages/server/src/owner/callRunner.ts
+++ b/packages/server/src/owner/callRunner.ts
@@ -4,6 +4,7 @@
 import type { CallOutcome, CallStart, JournalError } from '@limpetnotch/programs';
 import type { Scheduler } from '@limpetnotch/scheduling';
 import type { Problem } from '../problems/problem';
+import type { ProblemId } from '../problems/problemId';
 import type { TargetClient } from '../targets/targetClient';
 import { assertNever } from '../util/assertNever';
 import { inSpan } from '../util/inSpan';
@@ -15,6 +16,18 @@
 import type { CallPlan } from './callPlan';
 import type { OwnedPartition } from './ownedPartition';
 
+const RETRY_AFTER_MILLISECONDS = 1_000;
+
+/** Problems that pass by themselves. */
+const PASSING_PROBLEMS: ReadonlySet<ProblemId> = new Set([
+  'queue-full',
+  'journal-unavailable',
+  'partition-stopped',
+]);
+
+const retryAfterOf = (problem: ProblemId): number | undefined =>
+  PASSING_PROBLEMS.has(problem) ? RETRY_AFTER_MILLISECONDS : undefined;
+
 /** What running a call needs. */
 export interface CallRunnerOptions {
   readonly request: RunCallRequest;
@@ -123,7 +136,7 @@
       await this.#options.channel.push(notOwnerEvent(this.#options.partition.epoch));
       return;
     }
-    await this.#problem(refusal);
+    await this.#problem({ ...refusal, retryAfterMilliseconds: retryAfterOf(refusal.problem) });
   }
 
   /** The outcome is not in the journal as far as this owner knows: it sends no final answer. */
--- a/packages/server/src/peers/heartbeats.ts
+++ b/packages/server/src/peers/heartbeats.ts
@@ -111,6 +111,14 @@
     return heard.length > 0 && heard.length * 2 >= this.#peers.size;
   }
 
+  /** Addresses of the chosen peers, those with the latest configuration first. */
+  addresses(): readonly string[] {
+    const revisionOf = ({ instance }: Member): number => this.#heard.get(instance)?.revision ?? 0;
+    return [...this.#peers.values()]
+      .sort((first, second) => revisionOf(second) - revisionOf(first))
+      .map(({ peerAddress }) => peerAddress);
+  }
+
   async #reconcile(): Promise<void> {
     const { membership, clients } = this.#options;
     const members = membership.members();
