--- a/packages/declarations/tests/memoryStore.ts
+++ b/packages/declarations/tests/memoryStore.ts
@@ -9,9 +9,14 @@
   WatchEvent,
   WatchOptions,
 } from '@limpetnotch/platform';
-import { Deferred } from '@limpetnotch/supervision';
+import { Deferred, delay } from '@limpetnotch/supervision';
 import { errAsync, okAsync, ResultAsync } from 'neverthrow';
 
+const LATE_MILLISECONDS = 400;
+const READ_TIMEOUT_MILLISECONDS = 1_000;
+
+const NO_ANSWER: StoreError = { kind: 'unavailable', detail: 'no answer' };
+
 interface OpenWatch {
   readonly options: WatchOptions;
   readonly queue: WatchEvent[];
@@ -29,12 +34,18 @@
   /** Watches stay open and say nothing. */
   silentWatches = false;
 
-  /** Reads never answer. */
+  /** Reads get no answer; the client gives up on them after a second. */
   silentReads = false;
 
   /** Decides for each write whether its answer is lost after it took effect. */
   losesAnswer: (request: CompareAndSwapRequest) => boolean = () => false;
 
+  /** Decides for each write whether it is refused without any effect. */
+  refusesWrite: (request: CompareAndSwapRequest) => boolean = () => false;
+
+  /** Decides for each write whether it takes effect only a while after its caller gave up. */
+  delaysWrite: (request: CompareAndSwapRequest) => boolean = () => false;
+
   /** Runs before each write; for races. */
   beforeWrite: (request: CompareAndSwapRequest) => Promise<void> = () => Promise.resolve();
 
@@ -119,20 +130,32 @@
   #answer<Value>(compute: () => Value): ResultAsync<Value, StoreError> {
     this.calls.reads += 1;
     if (this.outage) return errAsync({ kind: 'unavailable', detail: 'outage' });
-    if (this.silentReads) return ResultAsync.fromSafePromise(new Deferred<Value>().promise);
+    if (this.silentReads) {
+      const timeout = ResultAsync.fromSafePromise(delay(READ_TIMEOUT_MILLISECONDS));
+      return timeout.andThen(() => errAsync<Value, StoreError>(NO_ANSWER));
+    }
     return okAsync(compute());
   }
 
   #swap(request: CompareAndSwapRequest): ResultAsync<CompareAndSwapOutcome, StoreError> {
     this.calls.writes += 1;
-    if (this.outage) return errAsync({ kind: 'unavailable', detail: 'outage' });
+    if (this.outage || this.refusesWrite(request)) {
+      return errAsync({ kind: 'unavailable', detail: 'refused' });
+    }
+    if (this.delaysWrite(request)) {
+      setTimeout(() => this.#carryOut(request), LATE_MILLISECONDS);
+      return errAsync({ kind: 'unknown-outcome', detail: 'late' });
+    }
+    const outcome = this.#carryOut(request);
+    if (this.losesAnswer(request)) return errAsync({ kind: 'unknown-outcome', detail: 'lost' });
+    return okAsync(outcome);
+  }
+
+  #carryOut(request: CompareAndSwapRequest): CompareAndSwapOutcome {
     const current = this.entries.get(request.key);
     const swaps = (current?.revision ?? 0) === request.expectedRevision;
     if (swaps) this.put(request.key, request.value);
-    if (this.losesAnswer(request)) return errAsync({ kind: 'unknown-outcome', detail: 'lost' });
-    return okAsync(
-      swaps ? { kind: 'swapped', revision: this.#revision } : { kind: 'conflict', current },
-    );
+    return swaps ? { kind: 'swapped', revision: this.#revision } : { kind: 'conflict', current };
   }
 
   #tell(event: WatchEvent, key: string): void {
