--- a/packages/declarations/tests/publishingRaces.test.ts
+++ b/packages/declarations/tests/publishingRaces.test.ts
@@ -167,5 +167,5 @@
     controller.abort();
     await jest.advanceTimersByTimeAsync(1);
   });
-  await fc.assert(property, { seed: SEED, numRuns: RUNS });
+  await fc.assert(property, { seed: SEED, numRuns: RUNS, endOnFailure: true });
 }, 120_000);
