--- a/packages/declarations/src/checking/parseDeclarations.ts
+++ b/packages/declarations/src/checking/parseDeclarations.ts
@@ -39,7 +39,12 @@
 const readFile = (file: DeclarationFile, reading: Reading): void => {
   const lineCounter = new LineCounter();
   const parser = new Parser(lineCounter.addNewLine);
-  const composer = new Composer({ version: '1.2', schema: 'core', merge: false, strict: true });
+  const composer = new Composer({
+    version: '1.2',
+    schema: 'core',
+    merge: false,
+    logLevel: 'error',
+  });
   const documents = composer.compose(parser.parse(file.text)) as Iterable<Document.Parsed>;
   let position = 0;
   for (const document of documents) {
