Admission: lend rates in slices that keep to every window

Rates must hold across the fleet in any window, while entries and owners pause, answers are lost and ownership moves. The owner now lends slices; a lent token leaves the bucket only when its slice ends or is reported used, so that no window sees the refill twice.

--- /dev/null
+++ b/packages/admission/src/owner/rateBucket.ts
@@ -0,0 +1,138 @@
+import type { Rate } from '@limpetnotch/declarations';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface LentSlice {
+  readonly entry: string;
+  readonly grant: number;
+  readonly expiresMilliseconds: number;
+  tokens: number;
+}
+
+/** A grant to record in a {@link RateBucket}. */
+export interface Loan {
+  readonly entry: string;
+  readonly grant: number;
+  readonly tokens: number;
+  readonly expiresMilliseconds: number;
+}
+
+/**
+ * Token bucket whose tokens are lent before they are used. A lent token may be used at any time
+ * until its slice ends, so it leaves the level only then, or once the entry says that it was used;
+ * what may be lent is the level less what is lent. At any time the level, and so all tokens that
+ * can still be used, is at most the burst: whatever the entries do, no window of time sees more
+ * than rate times window plus burst. Times are in milliseconds of a clock that never steps.
+ */
+export class RateBucket {
+  readonly #slices: LentSlice[] = [];
+
+  #rate: Rate;
+
+  #level: number;
+
+  #updatedMilliseconds: number;
+
+  #lent = 0;
+
+  constructor(rate: Rate, level: number, nowMilliseconds: number) {
+    this.#rate = rate;
+    this.#level = Math.min(level, rate.burst);
+    this.#updatedMilliseconds = nowMilliseconds;
+  }
+
+  /** Moves on to a time: refills, and takes out the tokens of slices that ended. */
+  advance(nowMilliseconds: number): void {
+    while (this.#slices[0] && this.#slices[0].expiresMilliseconds <= nowMilliseconds) {
+      const { expiresMilliseconds, tokens } = this.#slices[0];
+      this.#refill(expiresMilliseconds);
+      this.#spend(tokens);
+      this.#slices.shift();
+    }
+    this.#refill(nowMilliseconds);
+  }
+
+  /** Takes on another rate from now on; a higher burst fills up, it is not given at once. */
+  changeRate(rate: Rate): void {
+    this.#rate = rate;
+    this.#level = Math.min(this.#level, rate.burst);
+  }
+
+  /** Whole tokens that may be lent now. */
+  available(): number {
+    return Math.max(0, Math.floor(this.#level - this.#lent));
+  }
+
+  /** Records a loan of at most what is available; slices must end in the order of their loans. */
+  lend(loan: Loan): void {
+    this.#slices.push({ ...loan });
+    this.#lent += loan.tokens;
+  }
+
+  /**
+   * Counts the grants of an entry up to `lastGrant` as used, but for `held` tokens. A grant that is
+   * not known here (ended, or of another owner) settles nothing.
+   */
+  settle(entry: string, lastGrant: number, held: number): void {
+    const last = this.#slices.findIndex(
+      (slice) => slice.entry === entry && slice.grant === lastGrant,
+    );
+    const covered = this.#slices.slice(0, last + 1).filter((slice) => slice.entry === entry);
+    let used = covered.reduce((sum, slice) => sum + slice.tokens, 0) - held;
+    for (const slice of covered) {
+      const taken = Math.max(0, Math.min(used, slice.tokens));
+      used -= taken;
+      slice.tokens -= taken;
+      this.#spend(taken);
+    }
+    this.#dropEmpty(last);
+  }
+
+  /** Time until so many tokens may be lent, if no entry reports use before its slices end. */
+  millisecondsUntil(tokens: number): number {
+    const perMillisecond = this.#rate.requestsPerSecond / MILLISECONDS_PER_SECOND;
+    let missing = tokens - (this.#level - this.#lent);
+    let level = this.#level;
+    let time = this.#updatedMilliseconds;
+    for (const slice of this.#slices) {
+      const gain = Math.min(
+        this.#rate.burst - level,
+        perMillisecond * (slice.expiresMilliseconds - time),
+      );
+      if (gain >= missing) break;
+      missing -= gain;
+      level += gain - slice.tokens;
+      time = slice.expiresMilliseconds;
+    }
+    return Math.max(0, time + missing / perMillisecond - this.#updatedMilliseconds);
+  }
+
+  /** Whether nothing is lent and the bucket is full, so that it need not be kept. */
+  isFull(): boolean {
+    return this.#slices.length === 0 && this.#level >= this.#rate.burst;
+  }
+
+  /** Whether the bucket keeps its promise: what is lent is covered by the level. */
+  isSound(): boolean {
+    return this.#lent >= 0 && this.#level <= this.#rate.burst;
+  }
+
+  #refill(untilMilliseconds: number): void {
+    const elapsed = untilMilliseconds - this.#updatedMilliseconds;
+    if (elapsed <= 0) return;
+    const gained = (elapsed * this.#rate.requestsPerSecond) / MILLISECONDS_PER_SECOND;
+    this.#level = Math.min(this.#rate.burst, this.#level + gained);
+    this.#updatedMilliseconds = untilMilliseconds;
+  }
+
+  #spend(tokens: number): void {
+    this.#level -= tokens;
+    this.#lent -= tokens;
+  }
+
+  #dropEmpty(last: number): void {
+    for (let index = last; index >= 0; index -= 1) {
+      if (this.#slices[index]?.tokens === 0) this.#slices.splice(index, 1);
+    }
+  }
+}
--- /dev/null
+++ b/packages/admission/tests/simulatedFleet.ts
@@ -0,0 +1,111 @@
+import { RateLimiter, RateOwner, SLICE_LIFE_MILLISECONDS } from '@limpetnotch/admission';
+import type { SliceSource } from '@limpetnotch/admission';
+import type { Rate } from '@limpetnotch/declarations';
+import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { delay } from '@limpetnotch/supervision';
+import { errAsync, ResultAsync } from 'neverthrow';
+
+/** Delays of one exchange, in milliseconds, and whether its answer is lost. */
+export interface Carriage {
+  readonly out: number;
+  readonly back: number;
+  readonly isLost: boolean;
+}
+
+/** Entries and one owner at a time, in one process under fake timers. */
+export class SimulatedFleet {
+  readonly metrics = new MemoryMetrics();
+
+  readonly admitted: number[] = [];
+
+  readonly refused: { readonly at: number; readonly retryAfterMilliseconds: number }[] = [];
+
+  readonly entries: readonly RateLimiter[];
+
+  carriage: () => Carriage = () => ({ out: 1, back: 1, isLost: false });
+
+  readonly #owners = new Map<string, RateOwner>();
+
+  readonly #stop = new AbortController();
+
+  #owner = '';
+
+  constructor(
+    readonly rate: Rate,
+    entryCount: number,
+  ) {
+    this.replaceOwner(Date.now() - SLICE_LIFE_MILLISECONDS);
+    this.entries = Array.from({ length: entryCount }, (_, index) => this.#startEntry(index));
+  }
+
+  /** Puts a new owner in; the old one goes on until its time, for entries that still ask it. */
+  replaceOwner(oldUntilMilliseconds: number, newUntilMilliseconds = Number.MAX_VALUE): void {
+    this.#owner = `owner-${this.#owners.size}`;
+    const owner = new RateOwner({
+      rateOf: () => this.rate,
+      grantsFromMilliseconds: oldUntilMilliseconds + SLICE_LIFE_MILLISECONDS,
+      mayAct: () => Date.now() < newUntilMilliseconds,
+      metrics: this.metrics,
+    });
+    this.#owners.set(this.#owner, owner);
+  }
+
+  /** Sends a request; it ends up in `admitted` or `refused`. */
+  request(entry: number): void {
+    void this.entries[entry]!.acquire('amman', new AbortController().signal).match(
+      () => this.admitted.push(performance.now()),
+      (error) => {
+        if (error.kind !== 'rate-exceeded') throw new Error(error.kind);
+        const { retryAfterMilliseconds } = error;
+        this.refused.push({ at: performance.now(), retryAfterMilliseconds });
+      },
+    );
+  }
+
+  /** Most requests above rate times window plus burst in any window. */
+  excess(): number {
+    let lowest = Number.POSITIVE_INFINITY;
+    let excess = Number.NEGATIVE_INFINITY;
+    this.admitted.forEach((at, index) => {
+      const height = index - (at * this.rate.requestsPerSecond) / 1_000;
+      lowest = Math.min(lowest, height);
+      excess = Math.max(excess, height - lowest + 1 - this.rate.burst);
+    });
+    return excess;
+  }
+
+  async stop(): Promise<void> {
+    this.#stop.abort();
+    await jest.advanceTimersByTimeAsync(1_000);
+  }
+
+  #startEntry(index: number): RateLimiter {
+    const limiter = new RateLimiter({
+      source: this.#source(`entry-${index}`),
+      rateOf: () => this.rate,
+      groupOf: () => this.#owner,
+      logger: silentLogger,
+      metrics: this.metrics,
+    });
+    void limiter.asChild().run({ signal: this.#stop.signal, ready: () => undefined });
+    return limiter;
+  }
+
+  #source(entry: string): SliceSource {
+    return {
+      exchange: (group, demands) => {
+        const { out, back, isLost } = this.carriage();
+        const carried = delay(out).then(async () => {
+          const grants = this.#owners.get(group)?.exchange(entry, demands) ?? [];
+          await delay(back);
+          return grants;
+        });
+        return ResultAsync.fromSafePromise(carried).andThen((grants) =>
+          isLost
+            ? errAsync({ kind: 'owner-unreachable' as const, reason: 'lost' })
+            : ResultAsync.fromSafePromise(Promise.resolve(grants)),
+        );
+      },
+    };
+  }
+}
