Ask entries under their management prefix and tell callers from operators

Cause: the server serves programs, status and quarantine under /limpetnotch/v1, and reads ?organisation= as an operator's request.

--- a/packages/cli/src/commands/programEndCommand.ts
+++ b/packages/cli/src/commands/programEndCommand.ts
@@ -4,8 +4,7 @@
 import { z } from 'zod';
 import type { CommandError } from '../commandError';
 import { anyEntryRequest } from '../entry/anyEntryRequest';
-import { callerAccess } from '../entry/entryAccess';
-import { programPath } from '../entry/entryPaths';
+import { programAccess } from '../entry/entryAccess';
 import type { Report } from '../output/report';
 import { BaseCommand } from './baseCommand';
 
@@ -45,20 +44,18 @@
   });
 
   protected override async perform(): Promise<Result<Report, CommandError>> {
-    const { entry, key, operatorToken } = this;
-    const access = callerAccess({ entry, key, operatorToken });
+    const { program, organisation, entry, key, operatorToken } = this;
+    const access = programAccess({ program, organisation, entry, key, operatorToken });
     if (access.isErr()) return err(access.error);
-    const path = programPath(this.program, this.organisation);
-    if (path.isErr()) return err(path.error);
     const ended = await anyEntryRequest(access.value.addresses, {
       method: 'DELETE',
-      path: path.value,
+      path: access.value.path,
       credential: access.value.credential,
       schema: z.unknown(),
     });
     return ended.map(() => ({
-      data: { program: this.program, ended: true },
-      lines: [`program ${this.program} has ended`],
+      data: { program, ended: true },
+      lines: [`program ${program} has ended`],
     }));
   }
 }
--- a/packages/cli/src/commands/programShowCommand.ts
+++ b/packages/cli/src/commands/programShowCommand.ts
@@ -3,8 +3,7 @@
 import type { Result } from 'neverthrow';
 import type { CommandError } from '../commandError';
 import { anyEntryRequest } from '../entry/anyEntryRequest';
-import { callerAccess } from '../entry/entryAccess';
-import { programPath } from '../entry/entryPaths';
+import { programAccess } from '../entry/entryAccess';
 import { formatProgram, programSchema } from '../output/formatProgram';
 import type { Report } from '../output/report';
 import { BaseCommand } from './baseCommand';
@@ -45,14 +44,12 @@
   });
 
   protected override async perform(): Promise<Result<Report, CommandError>> {
-    const { entry, key, operatorToken } = this;
-    const access = callerAccess({ entry, key, operatorToken });
+    const { program: name, organisation, entry, key, operatorToken } = this;
+    const access = programAccess({ program: name, organisation, entry, key, operatorToken });
     if (access.isErr()) return err(access.error);
-    const path = programPath(this.program, this.organisation);
-    if (path.isErr()) return err(path.error);
     const program = await anyEntryRequest(access.value.addresses, {
       method: 'GET',
-      path: path.value,
+      path: access.value.path,
       credential: access.value.credential,
       schema: programSchema,
     });
--- a/packages/cli/src/commands/quarantineLiftCommand.ts
+++ b/packages/cli/src/commands/quarantineLiftCommand.ts
@@ -1,5 +1,5 @@
 import { Command, Option } from 'clipanion';
-import { err } from 'neverthrow';
+import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
 import type { CommandError } from '../commandError';
@@ -9,6 +9,8 @@
 import type { Report } from '../output/report';
 import { BaseCommand } from './baseCommand';
 
+const liftedSchema = z.looseObject({ lifted: z.boolean() });
+
 /** Lets a quarantined request run again. */
 export class QuarantineLiftCommand extends BaseCommand {
   static override paths = [['quarantine', 'lift']];
@@ -40,11 +42,16 @@
       method: 'DELETE',
       path: path.value,
       credential: access.value.credential,
-      schema: z.unknown(),
+      schema: liftedSchema,
+    });
+    return lifted.andThen(({ lifted: done }): Result<Report, CommandError> => {
+      if (!done) {
+        return err({ kind: 'not-applicable', message: `${this.digest} is not quarantined` });
+      }
+      return ok({
+        data: { requestDigest: this.digest, lifted: true },
+        lines: [`${this.digest} may run again`],
+      });
     });
-    return lifted.map(() => ({
-      data: { requestDigest: this.digest, lifted: true },
-      lines: [`${this.digest} may run again`],
-    }));
   }
 }
--- a/packages/cli/src/entry/entryAccess.ts
+++ b/packages/cli/src/entry/entryAccess.ts
@@ -2,6 +2,7 @@
 import type { Result } from 'neverthrow';
 import type { CommandError } from '../commandError';
 import { describeCommandError } from '../describeCommandError';
+import { programPath } from './entryPaths';
 import { parseSetting } from '../settings/parseSetting';
 
 /** Where entries are and the credential for them. */
@@ -39,13 +40,46 @@
 }: EntrySettings): Result<EntryAccess, CommandError> =>
   accessWith(entry, parseSetting('operatorToken', operatorToken));
 
-/** Checks the settings of a command for callers or operators; a caller's key goes first. */
-export const callerAccess = (settings: EntrySettings): Result<EntryAccess, CommandError> => {
-  if (settings.key !== undefined) {
-    return accessWith(settings.entry, parseSetting('key', settings.key));
+/** Settings of a command about a program. */
+export interface ProgramSettings extends EntrySettings {
+  readonly program: string;
+  readonly organisation: string | undefined;
+}
+
+/** A program at an entry, with the credential for it. */
+export interface ProgramAccess extends EntryAccess {
+  readonly path: string;
+}
+
+const atProgram = (
+  access: Result<EntryAccess, CommandError>,
+  path: Result<string, CommandError>,
+): Result<ProgramAccess, CommandError> =>
+  access.andThen((found) => path.map((value) => ({ ...found, path: value })));
+
+const wrongUsage = (message: string): CommandError => ({
+  kind: 'wrong-usage',
+  messages: [message],
+});
+
+/**
+ * Checks the settings of a command about a program. The operators' token goes with the name of the
+ * organisation; a caller's key tells it by itself.
+ */
+export const programAccess = (settings: ProgramSettings): Result<ProgramAccess, CommandError> => {
+  const { program, organisation, key, operatorToken } = settings;
+  if (organisation !== undefined) {
+    return atProgram(operatorAccess(settings), programPath(program, organisation));
   }
-  if (settings.operatorToken !== undefined) return operatorAccess(settings);
-  const message =
-    '--key (LIMPETNOTCH_KEY) or --operator-token (LIMPETNOTCH_OPERATOR_TOKEN) is missing: one of them must be given';
-  return err({ kind: 'wrong-usage', messages: [message] });
+  if (key !== undefined) {
+    const access = accessWith(settings.entry, parseSetting('key', key));
+    return atProgram(access, programPath(program, undefined));
+  }
+  return err(
+    wrongUsage(
+      operatorToken === undefined
+        ? '--key (LIMPETNOTCH_KEY) is missing: must be a key of the organisation, or give --operator-token (LIMPETNOTCH_OPERATOR_TOKEN) and --organisation'
+        : '--organisation is missing: must be the name of the organisation where --operator-token (LIMPETNOTCH_OPERATOR_TOKEN) is given and --key (LIMPETNOTCH_KEY) is not',
+    ),
+  );
 };
--- a/packages/cli/src/entry/entryPaths.ts
+++ b/packages/cli/src/entry/entryPaths.ts
@@ -5,13 +5,15 @@
 const PROGRAM_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._~-]*(\/[A-Za-z0-9][A-Za-z0-9._~-]*)*$/;
 const DIGEST_PATTERN = /^[A-Za-z0-9:_-]{1,200}$/;
 
+const PREFIX = '/limpetnotch/v1';
+
 /** Path of the entry's own state. */
-export const STATUS_PATH = '/status';
+export const STATUS_PATH = `${PREFIX}/status`;
 
 /** Path of the quarantined requests. */
-export const QUARANTINE_PATH = '/quarantine';
+export const QUARANTINE_PATH = `${PREFIX}/quarantine`;
 
-/** Returns the path of a program; operators name its organisation. */
+/** Returns the path of a program; operators name its organisation, callers' keys tell it. */
 export const programPath = (
   program: string,
   organisation: string | undefined,
@@ -22,7 +24,7 @@
   }
   const query =
     organisation === undefined ? '' : `?organisation=${encodeURIComponent(organisation)}`;
-  return ok(`/programs/${program}${query}`);
+  return ok(`${PREFIX}/programs/${program}${query}`);
 };
 
 /** Returns the path of a quarantined request. */
--- a/packages/cli/tests/checkCommand.test.ts
+++ b/packages/cli/tests/checkCommand.test.ts
@@ -69,7 +69,7 @@
   [['status'], '--store (LIMPETNOTCH_STORE) is missing: must be one or more addresses'],
   [['status', '--store', 'tcp://x'], '--store (LIMPETNOTCH_STORE) is "tcp://x": must be one or'],
   [['publish', 'x', '--base=-1'], '--base (LIMPETNOTCH_BASE) is "-1": must be a revision'],
-  [['program', 'show', 'x'], '--key (LIMPETNOTCH_KEY) or --operator-token'],
+  [['program', 'show', 'x'], '--key (LIMPETNOTCH_KEY) is missing'],
   [['quarantine', 'list', '--operator-token', 'marker'], '(not shown): must be 16 to 512'],
 ])('%j is wrong usage', async (words, message) => {
   const { exitCode, stderr, stdout } = await runTestCli(words);
--- a/packages/cli/tests/entryCommands.test.ts
+++ b/packages/cli/tests/entryCommands.test.ts
@@ -18,9 +18,9 @@
 };
 
 const ANSWERS: Readonly<Record<string, unknown>> = {
-  'GET /programs/survey-17': PROGRAM,
-  'DELETE /programs/survey-17?organisation=amman-panels': null,
-  'GET /quarantine': [
+  'GET /limpetnotch/v1/programs/survey-17': PROGRAM,
+  'DELETE /limpetnotch/v1/programs/survey-17?organisation=amman-panels': null,
+  'GET /limpetnotch/v1/quarantine': [
     {
       requestDigest: 'd1',
       organisation: 'amman-panels',
@@ -29,7 +29,8 @@
       expiresAtMilliseconds: 2,
     },
   ],
-  'DELETE /quarantine/d1': { lifted: true },
+  'DELETE /limpetnotch/v1/quarantine/d1': { lifted: true },
+  'DELETE /limpetnotch/v1/quarantine/d2': { lifted: false },
 };
 
 let server: Server;
@@ -68,18 +69,20 @@
   const { exitCode, stdout } = await run('program', 'show', 'survey-17', '--key', 'example-key');
   expect(stdout).toContain('program survey-17 of amman-panels: running');
   expect(stdout).toMatch(/0 +chat +answered +200 +7/);
-  expect(seen).toEqual(['GET /programs/survey-17 Bearer example-key']);
+  expect(seen).toEqual(['GET /limpetnotch/v1/programs/survey-17 Bearer example-key']);
   expect(exitCode).toBe(0);
 });
 
 test('ends a program as an operator', async () => {
   const words = ['program', 'end', 'survey-17', '--organisation', 'amman-panels'];
   expect(await run(...words)).toMatchObject({ exitCode: 0 });
-  expect(seen).toEqual([`DELETE /programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`]);
+  expect(seen).toEqual([
+    `DELETE /limpetnotch/v1/programs/survey-17?organisation=amman-panels Bearer ${TOKEN}`,
+  ]);
 });
 
 test('shows the reason of a refusal', async () => {
-  const { exitCode, stderr } = await run('program', 'show', 'other');
+  const { exitCode, stderr } = await run('program', 'show', 'other', '--key', 'example-key');
   expect(stderr).toContain('answered 404: Not found: no such program');
   expect(exitCode).toBe(1);
 });
@@ -87,6 +90,8 @@
 test('lists and lifts quarantined requests', async () => {
   expect((await run('quarantine', 'list')).stdout).toMatch(/d1 +amman-panels +chat +engine-1/);
   expect(await run('quarantine', 'lift', 'd1')).toMatchObject({ exitCode: 0 });
+  const stderr = 'd2 is not quarantined\n';
+  expect(await run('quarantine', 'lift', 'd2')).toMatchObject({ exitCode: 1, stderr });
 });
 
 test('exits with 3 when no entry answers', async () => {
@@ -96,6 +101,7 @@
 });
 
 test.each([['../x'], ['a//b'], ['a?b'], ['']])('refuses the program name %j', async (name) => {
-  expect(await run('program', 'show', name)).toMatchObject({ exitCode: 2 });
+  expect(await run('program', 'show', name, '--key', 'k')).toMatchObject({ exitCode: 2 });
+  expect(await run('program', 'show', 'survey-17')).toMatchObject({ exitCode: 2 });
   expect(seen).toEqual([]);
 });
