--- a/packages/declarations/src/format/decodeConfiguration.ts
+++ b/packages/declarations/src/format/decodeConfiguration.ts
@@ -1,7 +1,6 @@
 import { err, ok, Result } from 'neverthrow';
 import { buildConfiguration } from '../buildConfiguration';
 import type { Configuration } from '../configuration';
-import type { Declaration } from '../schemas/declaration';
 import { chunkSchema } from './chunk';
 import type { Chunk } from './chunk';
 import type { ChunkIndex } from './chunkIndex';
@@ -33,15 +32,12 @@
   return verified(name, digest, value).andThen((text) => decodeValue(chunkSchema, name, text));
 };
 
-const duplicateOf = (declarations: readonly Declaration[]): string | undefined => {
-  const seen = new Set<string>();
-  for (const { kind, name } of declarations) {
-    const identifier = `${kind}/${name}`;
-    if (seen.has(identifier)) return identifier;
-    seen.add(identifier);
-  }
-  return undefined;
-};
+const sizeOf = (configuration: Configuration): number =>
+  configuration.organisations.size +
+  configuration.keys.size +
+  configuration.routes.size +
+  configuration.targets.size +
+  configuration.budgets.size;
 
 /** Puts the decoded chunks of a revision together. */
 export const assembleConfiguration = (
@@ -49,11 +45,10 @@
   chunks: readonly Chunk[],
 ): Result<Configuration, FormatError> => {
   const declarations = chunks.flatMap(({ objects }) => objects);
-  const duplicate = duplicateOf(declarations);
-  if (duplicate !== undefined) {
-    return err({ kind: 'corrupt', value: duplicate, detail: 'it stands in two chunks' });
-  }
-  return ok(buildConfiguration(revision, declarations));
+  const configuration = buildConfiguration(revision, declarations);
+  if (sizeOf(configuration) === declarations.length) return ok(configuration);
+  const detail = 'a name stands in it twice';
+  return err({ kind: 'corrupt', value: `configuration ${revision}`, detail });
 };
 
 /** Decodes a whole configuration from its root and the values under their digests. */
--- a/packages/declarations/src/index.ts
+++ b/packages/declarations/src/index.ts
@@ -25,6 +25,7 @@
 export type { EncodedConfiguration } from './format/encodeConfiguration';
 export type { FormatError } from './format/formatError';
 export { FORMAT_VERSION } from './format/formatVersion';
+export { sampleConfiguration } from './measurement/sampleConfiguration';
 export type { ChunkSource, PeerConfigurationSource, SourceError } from './publishing/chunkSource';
 export { ConfigurationFollower } from './publishing/configurationFollower';
 export type { ConfigurationFollowerOptions } from './publishing/configurationFollower';
--- a/packages/declarations/tests/largeSet.ts
+++ b/packages/declarations/src/measurement/sampleConfiguration.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto';
-import { buildConfiguration } from '../src';
-import type { Configuration, Declaration } from '../src';
+import { buildConfiguration } from '../buildConfiguration';
+import type { Configuration } from '../configuration';
+import type { Declaration } from '../schemas/declaration';
 
 const ENGINES = 300;
 
@@ -37,8 +38,8 @@
   },
 });
 
-/** A valid set of a given size. */
-export const largeSet = (organisations: number, keys: number): Configuration =>
+/** Makes a valid set with numbers of organisations and keys, for measurements and tests of size. */
+export const sampleConfiguration = (organisations: number, keys: number): Configuration =>
   buildConfiguration(0, [
     { kind: 'budget', name: 'program', spec: { tokens: 550_000, calls: 140 } },
     ...Array.from({ length: organisations }, (_item, index) => organisationOf(index)),
--- a/packages/integration/src/benchCommands.ts
+++ b/packages/integration/src/benchCommands.ts
@@ -1,6 +1,11 @@
 import type { CommandClass } from 'clipanion';
+import { ConfigurationCommand } from './configuration/configurationCommand';
 import { PlacementCommand } from './experiments/placementCommand';
 import { SchedulingCommand } from './experiments/schedulingCommand';
 
 /** The benches by name; each is a command whose path is its name. */
-export const BENCH_COMMANDS: readonly CommandClass[] = [PlacementCommand, SchedulingCommand];
+export const BENCH_COMMANDS: readonly CommandClass[] = [
+  ConfigurationCommand,
+  PlacementCommand,
+  SchedulingCommand,
+];
--- /dev/null
+++ b/packages/integration/src/configuration/measureConfiguration.ts
@@ -0,0 +1,129 @@
+import {
+  checkConfiguration,
+  ConfigurationPublisher,
+  encodeConfiguration,
+  sampleConfiguration,
+} from '@limpetnotch/declarations';
+import type { Configuration, EncodedConfiguration, Published } from '@limpetnotch/declarations';
+import { createEtcdStore } from '@limpetnotch/platform';
+import type { KeyValueStore } from '@limpetnotch/platform';
+import { StoreStandIn } from '@limpetnotch/stand-ins';
+import type { ConfigurationFigures } from './configurationFigures';
+import { FollowedStore } from './followedStore';
+import { withdrawKey } from './withdrawKey';
+
+const AUTHOR = 'bench';
+
+interface Timed<Value> {
+  readonly value: Value;
+  readonly milliseconds: number;
+}
+
+const timed = async <Value>(task: () => Value | Promise<Value>): Promise<Timed<Value>> => {
+  const startedAt = performance.now();
+  const value = await task();
+  return { value, milliseconds: performance.now() - startedAt };
+};
+
+const heapBytes = (): number => {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+};
+
+const publish = async (
+  store: KeyValueStore,
+  configuration: Configuration,
+): Promise<Timed<Published>> =>
+  timed(async () => {
+    const published = await new ConfigurationPublisher(store).publish({
+      configuration,
+      author: AUTHOR,
+    });
+    if (published.isErr()) throw new Error(`publish: ${published.error.kind}`);
+    return published.value;
+  });
+
+const encode = (configuration: Configuration): EncodedConfiguration => {
+  const encoded = encodeConfiguration(configuration);
+  if (encoded.isErr()) throw new Error(`encode: ${encoded.error.kind}`);
+  return encoded.value;
+};
+
+const sizesOf = ({ values }: EncodedConfiguration): number[] =>
+  [...values.values()].map((value) => Buffer.byteLength(value));
+
+type ChangeFigures = Pick<
+  ConfigurationFigures,
+  | 'firstLoadMilliseconds'
+  | 'followerHeapBytes'
+  | 'changePublishMilliseconds'
+  | 'changedValues'
+  | 'forceMilliseconds'
+  | 'silentForceMilliseconds'
+  | 'stallMilliseconds'
+>;
+
+const measureChanges = async (
+  standIn: StoreStandIn,
+  publisherStore: KeyValueStore,
+  followerStore: KeyValueStore,
+  configuration: Configuration,
+): Promise<ChangeFigures> => {
+  const heapBefore = heapBytes();
+  const followed = new FollowedStore(followerStore);
+  const firstLoadMilliseconds = await followed.start();
+  const followerHeapBytes = heapBytes() - heapBefore;
+  const once = withdrawKey(configuration, 0);
+  const change = await publish(publisherStore, once);
+  followed.watchStalls();
+  const forceMilliseconds = await followed.awaitRevision(change.value.revision);
+  const stallMilliseconds = await followed.longestStall();
+  await standIn.setFaults({ silenceWatches: true });
+  const silent = await publish(publisherStore, withdrawKey(once, 1));
+  const silentForceMilliseconds = await followed.awaitRevision(silent.value.revision);
+  await followed.stop();
+  return {
+    firstLoadMilliseconds,
+    followerHeapBytes,
+    changePublishMilliseconds: change.milliseconds,
+    changedValues: change.value.writtenValues,
+    forceMilliseconds,
+    silentForceMilliseconds,
+    stallMilliseconds,
+  };
+};
+
+/** Measures one size of a configuration against a store stand-in. */
+export const measureConfiguration = async (
+  organisations: number,
+  keys: number,
+): Promise<ConfigurationFigures> => {
+  const configuration = sampleConfiguration(organisations, keys);
+  const check = await timed(() => checkConfiguration(configuration));
+  if (check.value.length > 0) throw new Error('the sample has faults');
+  const encoded = await timed(() => encode(configuration));
+  const sizes = sizesOf(encoded.value);
+  const standIn = new StoreStandIn();
+  const endpoints = [`http://127.0.0.1:${await standIn.start()}`];
+  const publisherStore = createEtcdStore({ endpoints });
+  const followerStore = createEtcdStore({ endpoints });
+  try {
+    const first = await publish(publisherStore, configuration);
+    const changes = await measureChanges(standIn, publisherStore, followerStore, configuration);
+    return {
+      organisations,
+      keys,
+      checkMilliseconds: check.milliseconds,
+      encodeMilliseconds: encoded.milliseconds,
+      storedValues: sizes.length,
+      storedBytes: sizes.reduce((sum, size) => sum + size, 0),
+      largestValueBytes: Math.max(...sizes),
+      firstPublishMilliseconds: first.milliseconds,
+      ...changes,
+    };
+  } finally {
+    await publisherStore.close();
+    await followerStore.close();
+    await standIn.stop();
+  }
+};
--- /dev/null
+++ b/packages/integration/src/configuration/withdrawKey.ts
@@ -0,0 +1,9 @@
+import type { Configuration } from '@limpetnotch/declarations';
+
+/** Returns a configuration in which one more key is withdrawn, the one at a position. */
+export const withdrawKey = (configuration: Configuration, position: number): Configuration => {
+  const [name, spec] = [...configuration.keys][position] ?? [];
+  if (name === undefined || spec === undefined) return configuration;
+  const keys = new Map([...configuration.keys, [name, { ...spec, state: 'withdrawn' as const }]]);
+  return { ...configuration, keys };
+};
