Admit calls by the admission package: keys, routes, credentials

Cause: the placeholder compared digests one by one and knew only the authorization header. Change: key ring, route table and credential stripping of the admission package; a key in the path, the body or twice is refused.

--- a/packages/integration/tests/call.test.ts
+++ b/packages/integration/tests/call.test.ts
@@ -153,6 +153,15 @@
 test('passes no key to a target, a log or a trace', async () => {
   const answer = await call('/tools/charge', { note: 'plain' }, { headers: { cookie: MARKER } });
   await answer.body.dump();
+  const smuggled = await Promise.all([
+    call('/tools/charge?API_KEY=second&note=kept', { note: 'query' }, { secret: '' }),
+    call('/tools/charge', { note: 'odd case' }, { headers: { 'X-Api-KEY': FIRST_SECRET } }),
+    call('/tools/charge', { note: FIRST_SECRET }),
+    call(`/tools/charge/${FIRST_SECRET}`, { note: 'path' }),
+    call('/tools/charge', { note: 'own header' }, { headers: { 'x-forward-note': FIRST_SECRET } }),
+  ]);
+  expect(smuggled.map(({ statusCode }) => statusCode)).toEqual([401, 400, 400, 400, 200]);
+  await Promise.all(smuggled.map(async ({ body }) => body.dump()));
   expect(fleet.engines.map(({ recorder }) => recorder.sightings)).toEqual([0, 0]);
   expect(JSON.stringify(fleet.tools.recorder.requests)).not.toContain(MARKER);
   expect(fleet.instances.flatMap(({ lines }) => lines).join('')).not.toContain(MARKER);
--- a/packages/server/src/entry/admittedCall.ts
+++ b/packages/server/src/entry/admittedCall.ts
@@ -1,3 +1,4 @@
+import type { KeyIdentity } from '@limpetnotch/admission';
 import type { RouteSpec } from '@limpetnotch/declarations';
 import type { Result } from 'neverthrow';
 import type { Problem } from '../problems/problem';
@@ -5,7 +6,7 @@
 
 /** Whom a call runs for. */
 export type Caller =
-  | { readonly kind: 'organisation'; readonly organisation: string; readonly key: string }
+  | { readonly kind: 'organisation'; readonly identity: KeyIdentity }
   /** A caller of a route that is open to all. */
   | { readonly kind: 'anyone' };
 
@@ -24,10 +25,12 @@
   readonly headers: readonly CleanHeader[];
 }
 
-/** Checks key, route and rate of a request. */
+/** Checks key and route of a request. */
 export interface Admission {
   /** Lets a request in, or says why not; a refused request did not run. */
-  admit(request: CallerRequest, signal: AbortSignal): Promise<Result<AdmittedCall, Problem>>;
-  /** Checks the key alone, for requests about programs; these use no rate. */
+  admit(request: CallerRequest): Result<AdmittedCall, Problem>;
+  /** Checks the key alone, for requests about programs. */
   identify(rawHeaders: readonly string[]): Result<Caller, Problem>;
+  /** Whether a key that was checked earlier is still in force. */
+  isInForce(identity: KeyIdentity): boolean;
 }
--- a/packages/server/src/entry/callDesk.ts
+++ b/packages/server/src/entry/callDesk.ts
@@ -67,7 +67,7 @@
       explain: (problem) => problem,
     });
     request.response.once('close', () => abort.abort());
-    const admitted = await this.#admit(request, abort.signal);
+    const admitted = this.#admit(request);
     if (admitted.isErr()) {
       this.#options.metrics.increment('entry.refusals', 1, { problem: admitted.error.problem });
       sink.fail(admitted.error);
@@ -76,10 +76,7 @@
     await this.#relay(request, admitted.value, abort);
   }
 
-  async #admit(
-    request: CallerRequest,
-    signal: AbortSignal,
-  ): Promise<Result<AdmittedCall, Problem>> {
+  #admit(request: CallerRequest): Result<AdmittedCall, Problem> {
     const state = this.#options.readiness.state();
     if (state.kind === 'not-ready' && state.reason !== 'draining') {
       return err({
@@ -89,7 +86,7 @@
         retryAfterMilliseconds: NOT_READY_RETRY_MILLISECONDS,
       });
     }
-    return this.#options.admission.admit(request, signal);
+    return this.#options.admission.admit(request);
   }
 
   async #relay(request: CallerRequest, call: AdmittedCall, abort: AbortController): Promise<void> {
@@ -104,8 +101,11 @@
       sink.fail(address.error);
       return;
     }
-    const key = call.caller.kind === 'organisation' ? call.caller.key : '';
-    const remove = openCalls.add(key, abort);
+    const { caller } = call;
+    const remove =
+      caller.kind === 'organisation'
+        ? openCalls.add(caller.identity, abort)
+        : (): void => undefined;
     try {
       const message = this.#message(request, call, address.value);
       await relay.relay({ request: message, sink, signal: abort.signal });
@@ -146,7 +146,8 @@
 
   #message(request: CallerRequest, call: AdmittedCall, address: ProgramAddress): RunCallRequest {
     const { caller, route } = call;
-    const organisation = caller.kind === 'organisation' ? caller.organisation : OPEN_ORGANISATION;
+    const organisation =
+      caller.kind === 'organisation' ? caller.identity.organisation : OPEN_ORGANISATION;
     return create(RunCallRequestSchema, {
       relayId: randomUUID(),
       organisation,
@@ -163,7 +164,7 @@
       headers: call.headers.map(({ name, value }) => ({ name, value })),
       body: request.body,
       traceParent: activeTraceParent(),
-      keyName: caller.kind === 'organisation' ? caller.key : '',
+      keyName: caller.kind === 'organisation' ? caller.identity.key : '',
       configurationRevision: this.#options.revision(),
       deadlineMilliseconds: Math.ceil(route.deadlineSeconds * MILLISECONDS_PER_SECOND),
     });
--- a/packages/server/src/entry/declaredAdmission.ts
+++ b/packages/server/src/entry/declaredAdmission.ts
@@ -1,62 +1,96 @@
-import { createHash, timingSafeEqual } from 'node:crypto';
-import type { Configuration, RouteSpec } from '@limpetnotch/declarations';
+import type { AdmissionError, KeyIdentity, NamedRoute } from '@limpetnotch/admission';
+import { credentialOf, KeyRing, RouteTable, stripCredentials } from '@limpetnotch/admission';
+import type { Configuration } from '@limpetnotch/declarations';
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { Problem } from '../problems/problem';
+import { admissionProblem } from './admissionProblem';
 import type { Admission, AdmittedCall, Caller } from './admittedCall';
 import type { CallerRequest } from './callerRequest';
-import { headersOf } from './callerRequest';
 
-const digestOf = (secret: string): string =>
-  `sha256:${createHash('sha256').update(secret).digest('hex')}`;
-
-const equal = (left: string, right: string): boolean =>
-  left.length === right.length && timingSafeEqual(Buffer.from(left), Buffer.from(right));
+/** What a configuration declares for admission, prepared for look-ups. */
+interface DeclaredAccess {
+  readonly configuration: Configuration;
+  readonly keys: KeyRing;
+  readonly routes: RouteTable;
+}
 
-const refuse = (problem: Problem['problem'], detail: string): Result<never, Problem> =>
-  err({ problem, detail, executed: 'no' });
+const accessOf = (configuration: Configuration): DeclaredAccess => ({
+  configuration,
+  keys: new KeyRing(configuration),
+  routes: new RouteTable(configuration),
+});
 
 /** Lets requests in by the declared keys and routes. */
 export class DeclaredAdmission implements Admission {
   readonly #configuration: () => Configuration;
 
+  #access: DeclaredAccess;
+
+  /** Takes the source of the configuration in force. */
   constructor(configuration: () => Configuration) {
     this.#configuration = configuration;
+    this.#access = accessOf(configuration());
+  }
+
+  admit(request: CallerRequest): Result<AdmittedCall, Problem> {
+    const secret = credentialOf(request.rawHeaders, request.pathAndQuery);
+    if (secret.isErr()) return err(admissionProblem(secret.error));
+    return this.#admit(request, secret.value).mapErr(admissionProblem);
+  }
+
+  identify(rawHeaders: readonly string[]): Result<Caller, Problem> {
+    return credentialOf(rawHeaders, '/')
+      .andThen((secret) => this.#authenticate(secret))
+      .map((identity): Caller => ({ kind: 'organisation', identity }))
+      .mapErr(admissionProblem);
   }
 
-  async admit(request: CallerRequest): Promise<Result<AdmittedCall, Problem>> {
-    const [path = '/'] = request.pathAndQuery.split('?', 1);
-    const found = this.#route(path);
-    if (!found) return refuse('route-not-found', `no route for ${path}`);
-    const [routeName, route] = found;
-    const caller: Result<Caller, Problem> =
-      route.access.kind === 'open' ? ok({ kind: 'anyone' }) : this.identify(request.rawHeaders);
-    return Promise.resolve(
-      caller.map((value) => ({
-        caller: value,
-        routeName,
-        route,
-        pathAndQuery: request.pathAndQuery,
-        headers: Object.entries(headersOf(request.rawHeaders)).map(([name, value_]) => ({
-          name,
-          value: value_,
+  isInForce(identity: KeyIdentity): boolean {
+    return this.#current().keys.isInForce(identity);
+  }
+
+  #admit(request: CallerRequest, secret: string | undefined): Result<AdmittedCall, AdmissionError> {
+    const { method, pathAndQuery, rawHeaders } = request;
+    const [path = '/'] = pathAndQuery.split('?', 1);
+    return this.#current()
+      .routes.match(method, path)
+      .andThen((named) =>
+        this.#callerOf(named, secret, request.body).map((caller) => ({
+          caller,
+          routeName: named.name,
+          route: named.route,
+          ...stripCredentials(rawHeaders, pathAndQuery, secret),
         })),
-      })),
+      );
+  }
+
+  #callerOf(
+    { route }: NamedRoute,
+    secret: string | undefined,
+    body: Uint8Array,
+  ): Result<Caller, AdmissionError> {
+    const identity = this.#authenticate(secret);
+    // A body goes on as it came, so a key in it would reach the target.
+    if (identity.isOk() && secret !== undefined && Buffer.from(body).includes(secret)) {
+      return err({ kind: 'key-ambiguous' });
+    }
+    if (route.access.kind === 'open') return ok({ kind: 'anyone' });
+    return identity.andThen((known) =>
+      this.#current().routes.mayCall(route, known.organisation)
+        ? ok<Caller>({ kind: 'organisation', identity: known })
+        : err<Caller, AdmissionError>({ kind: 'route-forbidden' }),
     );
   }
 
-  identify(rawHeaders: readonly string[]): Result<Caller, Problem> {
-    const secret = headersOf(rawHeaders).authorization?.replace(/^Bearer /i, '');
-    if (!secret) return refuse('key-missing', 'send the key as a bearer token');
-    const digest = digestOf(secret);
-    const match = [...this.#configuration().keys].find(([, key]) => equal(key.digest, digest));
-    if (!match || match[1].state === 'withdrawn') return refuse('key-unknown', 'unknown key');
-    return ok({ kind: 'organisation', organisation: match[1].organisation, key: match[0] });
-  }
-
-  #route(path: string): readonly [string, RouteSpec] | undefined {
-    return [...this.#configuration().routes]
-      .filter(([, route]) => path === route.path || path.startsWith(`${route.path}/`))
-      .sort(([, left], [, right]) => right.path.length - left.path.length)[0];
+  #authenticate(secret: string | undefined): Result<KeyIdentity, AdmissionError> {
+    if (secret === undefined) return err({ kind: 'key-missing' });
+    return this.#current().keys.authenticate(secret);
+  }
+
+  #current(): DeclaredAccess {
+    const configuration = this.#configuration();
+    if (this.#access.configuration !== configuration) this.#access = accessOf(configuration);
+    return this.#access;
   }
 }
--- a/packages/server/src/entry/openCalls.ts
+++ b/packages/server/src/entry/openCalls.ts
@@ -1,5 +1,7 @@
+import type { KeyIdentity } from '@limpetnotch/admission';
+
 interface OpenCall {
-  readonly key: string;
+  readonly identity: KeyIdentity;
   readonly abort: AbortController;
 }
 
@@ -15,15 +17,15 @@
   }
 
   /** Adds a call; the returned function removes it. */
-  add(key: string, abort: AbortController): () => void {
-    const call = { key, abort };
+  add(identity: KeyIdentity, abort: AbortController): () => void {
+    const call = { identity, abort };
     this.#calls.add(call);
     return () => this.#calls.delete(call);
   }
 
-  /** Cuts the calls whose keys are no longer valid; returns how many. */
-  cutKeys(isValid: (key: string) => boolean): number {
-    const cut = [...this.#calls].filter(({ key }) => !isValid(key));
+  /** Cuts the calls whose keys are no longer in force; returns how many. */
+  cutKeys(isInForce: (identity: KeyIdentity) => boolean): number {
+    const cut = [...this.#calls].filter(({ identity }) => !isInForce(identity));
     cut.forEach(({ abort }) => {
       this.#cut.add(abort);
       abort.abort();
--- a/packages/server/src/http/programController.ts
+++ b/packages/server/src/http/programController.ts
@@ -75,7 +75,7 @@
       return named;
     }
     const caller = unwrap(this.#admission.identify(request.raw.rawHeaders));
-    if (caller.kind === 'organisation') return caller.organisation;
+    if (caller.kind === 'organisation') return caller.identity.organisation;
     throw new ProblemException({
       problem: 'key-missing',
       executed: 'no',
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -65,6 +65,8 @@
 
   readonly #follower: ConfigurationFollower;
 
+  readonly #admission: DeclaredAdmission;
+
   readonly #scheduler: Scheduler;
 
   readonly #partitions: PartitionManager;
@@ -92,6 +94,7 @@
         addresses: () => this.#heartbeats.addresses(),
       }),
     });
+    this.#admission = new DeclaredAdmission(configuration);
     this.#scheduler = createScheduler({
       instance: settings.instance,
       ...shared,
@@ -224,7 +227,7 @@
       programs: this.#programs,
       clients: this.#clients,
     });
-    const admission = new DeclaredAdmission(() => this.#follower.current());
+    const admission = this.#admission;
     const programs = new ProgramRequests(directory);
     const server = await EntryServer.start({
       host: settings.entryHost,
@@ -280,9 +283,7 @@
 
   #applyConfiguration(configuration: Configuration): void {
     this.#scheduler.applyConfiguration(configuration);
-    const isActive = (key: string): boolean =>
-      key === '' || configuration.keys.get(key)?.state === 'active';
-    const cut = this.#openCalls.cutKeys(isActive);
+    const cut = this.#openCalls.cutKeys((identity) => this.#admission.isInForce(identity));
     if (cut > 0) this.#options.metrics.increment('entry.calls-cut-by-key', cut);
   }
 
--- a/packages/server/src/problems/problemId.ts
+++ b/packages/server/src/problems/problemId.ts
@@ -1,6 +1,7 @@
 /** Short identifiers of the problems that callers may meet; each is the last part of its type URI. */
 export const PROBLEMS = {
   'malformed-request': { status: 400, title: 'The request is malformed' },
+  'key-ambiguous': { status: 400, title: 'The key stands where it may not' },
   'key-missing': { status: 401, title: 'A key is required' },
   'key-unknown': { status: 401, title: 'The key is not valid' },
   'key-withdrawn': { status: 401, title: 'The key was withdrawn' },
