Count what a prompt delays others: calls wait for the target that caches them

A call waited for its target at most as long as its own prefill takes, but a prompt delays each other call of the batch as well.

Sent prompts are noted by their first and last block, time is followed once in a tick.

--- a/packages/integration/src/experiments/schedulingCommand.ts
+++ b/packages/integration/src/experiments/schedulingCommand.ts
@@ -38,6 +38,8 @@
 
   readonly loads = Option.String('--loads', '0.3,0.5,0.7,0.8,0.9');
 
+  readonly policies = Option.String('--policies', POLICIES.map(({ kind }) => kind).join(','));
+
   readonly out = Option.String('--out', 'reports');
 
   async execute(): Promise<number> {
@@ -66,7 +68,8 @@
     const workload = planWorkload({ profile, load, durationMilliseconds, seed });
     const { offeredLoad, refusedOverRate } = workload;
     const points: LoadPoint[] = [];
-    for (const policy of POLICIES) {
+    const chosen = this.policies.split(',');
+    for (const policy of POLICIES.filter(({ kind }) => chosen.includes(kind))) {
       const figures = await runExperiment({ profile, policy, workload, seed });
       points.push({ policy: policy.kind, load, offeredLoad, refusedOverRate, figures });
       this.context.stderr.write(`${policy.kind} at ${load} done\n`);
--- a/packages/scheduling/src/cacheHints.ts
+++ b/packages/scheduling/src/cacheHints.ts
@@ -3,12 +3,18 @@
 
 const STALE_TRUST = 0.5;
 
+/** Share of a target's blocks that is forgotten when there are too many. */
+const FORGOTTEN_SHARE = 0.125;
+
+/** Targets that a look-up returns at the most; a block that more of them cache tells none apart. */
+const MAXIMUM_FOUND_TARGETS = 8;
+
 /** Highest sequence with which a target that was started again may begin. */
 const FIRST_SEQUENCE = 1;
 
 /** What is believed of one target's prefix cache. */
 interface TargetCache {
-  /** Blocks, the longest untouched first, each with the number of gaps when it was noted. */
+  /** Blocks, the first noted first, each with the number of gaps when it was noted. */
   readonly blocks: Map<string, number>;
   lastSequence: number | undefined;
   /** Gaps seen in the sequence of events. */
@@ -36,12 +42,16 @@
     this.#maximumBlocksPerTarget = maximumBlocksPerTarget;
   }
 
-  /** Notes a prompt that was sent to a target. */
+  /**
+   * Notes a prompt that was sent to a target by its first block, which other programs share, and
+   * its last one, which contains all before it and which the program's next prompt contains.
+   */
   noteSent(target: string, prefix: readonly PrefixBlock[]): void {
     const cache = this.#cache(target);
-    prefix.forEach(({ digest }) => {
-      this.#note(target, cache, digest);
-    });
+    const [first, last] = [prefix[0], prefix[prefix.length - 1]];
+    if (first) this.#note(target, cache, first.digest);
+    if (last) this.#note(target, cache, last.digest);
+    if (cache.blocks.size > this.#maximumBlocksPerTarget) this.#forgetOldest(target, cache);
   }
 
   /** Takes a cache event in; a gap in the sequence makes the older view less trusted. */
@@ -58,6 +68,7 @@
       if (change === 'stored') this.#note(target, cache, digest);
       else this.#drop(target, cache, digest);
     });
+    if (cache.blocks.size > this.#maximumBlocksPerTarget) this.#forgetOldest(target, cache);
   }
 
   /** Forgets a target's blocks, as after its restart. */
@@ -76,7 +87,7 @@
     let tokens = prefix.reduce((sum, block) => sum + block.tokens, 0);
     for (let index = prefix.length - 1; index >= 0; index -= 1) {
       const block = prefix[index];
-      if (!block) break;
+      if (!block || found.size >= MAXIMUM_FOUND_TARGETS) break;
       this.#collect(block.digest, tokens, found);
       tokens -= block.tokens;
     }
@@ -84,23 +95,29 @@
   }
 
   #collect(digest: string, tokens: number, found: Map<string, number>): void {
-    this.#holders.get(digest)?.forEach((target) => {
+    for (const target of this.#holders.get(digest) ?? []) {
+      if (found.size >= MAXIMUM_FOUND_TARGETS) return;
       const cache = this.#caches.get(target);
       const gapsSince = (cache?.gaps ?? 0) - (cache?.blocks.get(digest) ?? 0);
       const expected = tokens * STALE_TRUST ** gapsSince;
       if (expected > (found.get(target) ?? 0)) found.set(target, expected);
-    });
+    }
   }
 
   #note(target: string, cache: TargetCache, digest: string): void {
-    cache.blocks.delete(digest);
     cache.blocks.set(digest, cache.gaps);
     const holders = this.#holders.get(digest);
     if (holders) holders.add(target);
     else this.#holders.set(digest, new Set([target]));
-    if (cache.blocks.size <= this.#maximumBlocksPerTarget) return;
-    const [oldest] = cache.blocks.keys();
-    if (oldest !== undefined) this.#drop(target, cache, oldest);
+  }
+
+  /** Forgets a part of a target's blocks at once, those that were noted first. */
+  #forgetOldest(target: string, cache: TargetCache): void {
+    const left = this.#maximumBlocksPerTarget * (1 - FORGOTTEN_SHARE);
+    for (const digest of cache.blocks.keys()) {
+      if (cache.blocks.size <= left) return;
+      this.#drop(target, cache, digest);
+    }
   }
 
   #drop(target: string, cache: TargetCache, digest: string): void {
--- a/packages/scheduling/src/dispatcher.ts
+++ b/packages/scheduling/src/dispatcher.ts
@@ -47,6 +47,8 @@
 
   #timer: NodeJS.Timeout | undefined;
 
+  #followedMilliseconds = -Infinity;
+
   constructor(options: DispatcherOptions) {
     this.#options = options;
   }
@@ -95,8 +97,7 @@
 
   /** Grants slots while there are calls and room. */
   pump(): void {
-    this.#options.table.refreshTimed();
-    this.#refuseExpired();
+    this.#followTime();
     while (this.#grantNext());
     this.#scheduleTick();
   }
@@ -189,12 +190,20 @@
     return true;
   }
 
+  /** Does what time alone asks for, at most once in a tick. */
+  #followTime(): void {
+    const now = performance.now();
+    if (now < this.#followedMilliseconds + TICK_MILLISECONDS) return;
+    this.#followedMilliseconds = now;
+    this.#options.table.refreshTimed();
+    this.#refuseExpired(now);
+  }
+
   #waiting(): readonly WaitingCall[] {
     return [...this.#pools.values()].flatMap(({ queue }) => queue.all());
   }
 
-  #refuseExpired(): void {
-    const now = performance.now();
+  #refuseExpired(now: number): void {
     this.#waiting()
       .filter(({ deadlineMilliseconds }) => deadlineMilliseconds <= now)
       .forEach((waiting) => {
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -26,6 +26,7 @@
 interface Candidate {
   readonly view: TargetView;
   readonly cachedTokens: number;
+  /** Expected delay of the call, and what its prompt delays others, in milliseconds. */
   readonly cost: number;
 }
 
@@ -79,12 +80,12 @@
 
   /** Least expected cost: work that is there, prompt that is not cached, zone, suspects. */
   #leastCost(waiting: WaitingCall, candidates: CandidateTargets): PlacementDecision {
-    const { call, promptTokens } = waiting;
-    const suspected = this.#options.isSuspected(call.requestDigest);
+    const suspected = this.#options.isSuspected(waiting.call.requestDigest);
     let best: Candidate | undefined;
     for (const view of candidates.targets) {
       if (view.openSlots > 0) {
-        const cost = this.#baseCost(view, promptTokens, suspected);
+        const prefill = waiting.promptTokens * view.prefillMillisecondsPerToken;
+        const cost = Placement.#delay(view, suspected) + prefill;
         if (!best || cost < best.cost) best = { view, cachedTokens: 0, cost };
       }
     }
@@ -104,12 +105,11 @@
     candidates: CandidateTargets,
     suspected: boolean,
   ): readonly Candidate[] {
-    const { prefillMillisecondsPerToken } = this.#options.settings;
     return this.#options.hints.lookUp(waiting.call.prefix).flatMap(({ target, tokens }) => {
       const view = candidates.find(target);
       if (!view) return [];
-      const base = this.#baseCost(view, waiting.promptTokens, suspected);
-      return [{ view, cachedTokens: tokens, cost: base - tokens * prefillMillisecondsPerToken }];
+      const prefill = (waiting.promptTokens - tokens) * view.prefillMillisecondsPerToken;
+      return [{ view, cachedTokens: tokens, cost: Placement.#delay(view, suspected) + prefill }];
     });
   }
 
@@ -125,13 +125,9 @@
     });
   }
 
-  #baseCost(view: TargetView, promptTokens: number, suspected: boolean): number {
-    const { availabilityZone, otherZoneMilliseconds, prefillMillisecondsPerToken } =
-      this.#options.settings;
-    const zone = view.spec.availabilityZone === availabilityZone ? 0 : otherZoneMilliseconds;
-    // Requests that were under way at a crash are kept apart, so that the next one tells which.
-    const suspects = suspected ? view.suspects * SUSPECT_MILLISECONDS : 0;
-    return view.queueMilliseconds + promptTokens * prefillMillisecondsPerToken + zone + suspects;
+  /** Requests that were under way at a crash are kept apart, so that the next one tells which. */
+  static #delay(view: TargetView, suspected: boolean): number {
+    return view.delayMilliseconds + (suspected ? view.suspects * SUSPECT_MILLISECONDS : 0);
   }
 
   #place(waiting: WaitingCall, view: TargetView | undefined): PlacementDecision {
--- a/packages/scheduling/src/schedulerSettings.ts
+++ b/packages/scheduling/src/schedulerSettings.ts
@@ -6,12 +6,14 @@
   availabilityZone: z.string().min(1),
   /** Cost of one prompt token that is not cached; 0.1 by default. */
   prefillMillisecondsPerToken: z.number().positive().default(0.1),
+  /** Weight of the delay that a prompt causes to each other call at the target; 1 by default. */
+  delayToOthersWeight: z.number().min(0).default(1),
   /** Delay that one running call adds to another at the same target; 150 by default. */
   runningCallMilliseconds: z.number().min(0).default(150),
   /** Cost of a target in another zone; 5 by default. */
   otherZoneMilliseconds: z.number().min(0).default(5),
-  /** Longest time that a call waits for the target that caches its prefix; 4,000 by default. */
-  maximumHoldMilliseconds: z.number().min(0).default(4_000),
+  /** Longest time that a call waits for the target that caches its prefix; 60,000 by default. */
+  maximumHoldMilliseconds: z.number().min(0).default(60_000),
   /** Service of one output token, in prompt tokens; 4 by default. */
   outputTokenWeight: z.number().positive().default(4),
   /** Output tokens expected of a call before any was seen; 256 by default. */
--- a/packages/scheduling/src/targetView.ts
+++ b/packages/scheduling/src/targetView.ts
@@ -20,8 +20,11 @@
   /** Calls that this instance may send now; kept current by {@link refresh}. */
   openSlots = 0;
 
-  /** Expected delay by the work that is there, in milliseconds; kept by {@link refresh}. */
-  queueMilliseconds = 0;
+  /** Expected delay by the work that is there and by the zone; kept by {@link refresh}. */
+  delayMilliseconds = 0;
+
+  /** Cost of one prompt token that is not cached: it delays the call and all others there. */
+  prefillMillisecondsPerToken = 0;
 
   readonly #settings: SchedulerSettings;
 
@@ -84,11 +87,17 @@
 
   /** Works out slots and queue anew; called after each change. */
   refresh(): void {
-    const { prefillMillisecondsPerToken, runningCallMilliseconds } = this.#settings;
+    const { availabilityZone, otherZoneMilliseconds } = this.#settings;
+    const { prefillMillisecondsPerToken, runningCallMilliseconds, delayToOthersWeight } =
+      this.#settings;
+    const zone = this.#spec.availabilityZone === availabilityZone ? 0 : otherZoneMilliseconds;
     const allowed = this.health.allowance(this.#share + this.#borrowed());
     this.#changesWithTime = this.health.state().kind !== 'healthy' || this.load.hasReport;
     this.openSlots = this.isServing ? Math.max(0, allowed - this.inFlight) : 0;
-    this.queueMilliseconds =
+    this.prefillMillisecondsPerToken =
+      prefillMillisecondsPerToken * (1 + this.load.calls() * delayToOthersWeight);
+    this.delayMilliseconds =
+      zone +
       this.load.calls() * runningCallMilliseconds +
       this.load.prefillTokens() * prefillMillisecondsPerToken;
   }
--- a/packages/scheduling/src/waitingCallsInOrder.ts
+++ b/packages/scheduling/src/waitingCallsInOrder.ts
@@ -3,7 +3,7 @@
 import type { TargetPool } from './targetPool';
 import type { WaitingCall } from './waitingCall';
 
-const MAXIMUM_CANDIDATES = 16;
+const MAXIMUM_CANDIDATES = 128;
 
 /** Yields a pool's calls in the policy's order, as many as are tried for one slot. */
 export function* waitingCallsInOrder(
