--- /dev/null
+++ b/packages/server/src/http/entryServer.ts
@@ -0,0 +1,63 @@
+import 'reflect-metadata';
+import { NestFactory } from '@nestjs/core';
+import type { NestFastifyApplication } from '@nestjs/platform-fastify';
+import { FastifyAdapter } from '@nestjs/platform-fastify';
+import { EntryModule } from './entryModule';
+import type { EntryParts } from './entryModule';
+import { ProblemFilter } from './problemFilter';
+
+const MAXIMUM_HEADER_BYTES = 16 * 1024;
+const CONNECTION_TIMEOUT_MILLISECONDS = 0;
+const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
+const KEEP_ALIVE_MILLISECONDS = 65_000;
+
+/** Options of {@link EntryServer.start}. */
+export interface EntryServerOptions extends EntryParts {
+  readonly host: string;
+  /** TCP port; 0 lets the system choose. */
+  readonly port: number;
+  readonly maximumBodyBytes: number;
+}
+
+/** The HTTP side of an instance, for callers, operators and probes. */
+export class EntryServer {
+  readonly #application: NestFastifyApplication;
+
+  private constructor(application: NestFastifyApplication) {
+    this.#application = application;
+  }
+
+  /** Starts to listen; rejects when the port is taken. */
+  static async start(options: EntryServerOptions): Promise<EntryServer> {
+    const adapter = new FastifyAdapter({
+      bodyLimit: options.maximumBodyBytes,
+      connectionTimeout: CONNECTION_TIMEOUT_MILLISECONDS,
+      requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
+      keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      http: { maxHeaderSize: MAXIMUM_HEADER_BYTES },
+    });
+    const application = await NestFactory.create<NestFastifyApplication>(
+      EntryModule.with(options),
+      adapter,
+      { bodyParser: false, logger: false, abortOnError: false },
+    );
+    EntryServer.#readBodiesRaw(application);
+    application.useGlobalFilters(new ProblemFilter());
+    await application.listen(options.port, options.host);
+    return new EntryServer(application);
+  }
+
+  /** Stops listening and resolves when every request under way has its answer. */
+  async stop(): Promise<void> {
+    await this.#application.close();
+  }
+
+  /** Bodies pass through as they came. */
+  static #readBodiesRaw(application: NestFastifyApplication): void {
+    const fastify = application.getHttpAdapter().getInstance();
+    fastify.removeAllContentTypeParsers();
+    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => {
+      done(null, body);
+    });
+  }
+}
