--- a/packages/cli/src/entry/entryPaths.ts
+++ b/packages/cli/src/entry/entryPaths.ts
@@ -5,13 +5,14 @@
 const PROGRAM_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._~-]*(\/[A-Za-z0-9][A-Za-z0-9._~-]*)*$/;
 const DIGEST_PATTERN = /^[A-Za-z0-9:_-]{1,200}$/;
 
-const PREFIX = '/limpetnotch/v1';
+/** Prefix of the paths that are no calls. */
+const MANAGEMENT_PREFIX = '/limpetnotch/v1';
 
 /** Path of the entry's own state. */
-export const STATUS_PATH = `${PREFIX}/status`;
+export const STATUS_PATH = `${MANAGEMENT_PREFIX}/status`;
 
 /** Path of the quarantined requests. */
-export const QUARANTINE_PATH = `${PREFIX}/quarantine`;
+export const QUARANTINE_PATH = `${MANAGEMENT_PREFIX}/quarantine`;
 
 /** Returns the path of a program; operators name its organisation, callers' keys tell it. */
 export const programPath = (
@@ -24,7 +25,7 @@
   }
   const query =
     organisation === undefined ? '' : `?organisation=${encodeURIComponent(organisation)}`;
-  return ok(`${PREFIX}/programs/${program}${query}`);
+  return ok(`${MANAGEMENT_PREFIX}/programs/${program}${query}`);
 };
 
 /** Returns the path of a quarantined request. */
