Programs: store of each request body only what its predecessor lacks

Cause: a chat sends its whole history again with each turn, and each call's body was kept whole.

Change: a call's record holds how many characters of base64 its body shares with the body of the sequence before, and the rest. sharedBody.wholeOf gives the whole body of any call of a history; a history that is read shows entries in this form.

Conclusion: histories grow with what is new in each turn. The random ledger runs compare every body that is read with the one that was sent.

--- a/packages/programs/src/callStarter.ts
+++ b/packages/programs/src/callStarter.ts
@@ -12,6 +12,8 @@
 import type { ProgramRecord } from './programRecord';
 import { RunningCall } from './runningCall';
 import { sessionIdOf } from './sessionIdOf';
+import { sharedBody } from './sharedBody';
+import type { SharedBody } from './sharedBody';
 import { NO_USAGE } from './util/noUsage';
 import { programPath } from './util/programPath';
 
@@ -138,7 +140,9 @@
     }
     const callId = this.#nextCallId();
     this.#assertStart(request, plan);
-    const records = CallStarter.#records(request, plan, callId);
+    const history = table.find(program)?.program.history ?? [];
+    const body = sharedBody.store(history, request.requestBodyBase64);
+    const records = CallStarter.#records({ ...request, ...body }, plan, callId);
     const commit = await writer.append(program, records, () => {
       table.withdrawIntent(program, lostAttempt?.callId);
       if (plan.startLimits) table.withdrawStart(program);
@@ -214,7 +218,11 @@
     return ok({ kind: 'replay', sequence, outcome });
   }
 
-  static #records(request: CallRequest, plan: CallPlan, callId: string): readonly ProgramRecord[] {
+  static #records(
+    request: CallRequest & SharedBody,
+    plan: CallPlan,
+    callId: string,
+  ): readonly ProgramRecord[] {
     const { program, idempotencyKey, requestDigest, route, idempotent } = request;
     const { lostAttempt, reservation, sequence, startLimits } = plan;
     const now = Date.now();
@@ -229,6 +237,7 @@
       route,
       idempotent,
       reservation,
+      sharedBodyCharacters: request.sharedBodyCharacters,
       requestBodyBase64: request.requestBodyBase64,
       intendedAtMilliseconds: now,
     };
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -29,3 +29,5 @@
 } from './programRecord';
 export type { ProgramView } from './programView';
 export type { LedgerRestoreError } from './restoreTable';
+export { sharedBody } from './sharedBody';
+export type { SharedBody } from './sharedBody';
--- a/packages/programs/src/ledgerSnapshot.ts
+++ b/packages/programs/src/ledgerSnapshot.ts
@@ -19,6 +19,9 @@
   route: z.string(),
   idempotent: z.boolean(),
   reservation: usageSchema,
+  /** Characters of base64 that the body shares with the body of the sequence before. */
+  sharedBodyCharacters: z.number().int().min(0).default(0),
+  /** Body of the request in base64 after the shared part. */
   requestBodyBase64: z.string(),
   intendedAtMilliseconds: z.number(),
 });
--- a/packages/programs/src/programRecord.ts
+++ b/packages/programs/src/programRecord.ts
@@ -79,7 +79,9 @@
     route: z.string(),
     idempotent: z.boolean(),
     reservation: usageSchema,
-    /** Body of the request in base64, kept as the program's history. */
+    /** Characters of base64 that the body shares with the body of the sequence before. */
+    sharedBodyCharacters: z.number().int().min(0).default(0),
+    /** Body of the request in base64 after the shared part, kept as the program's history. */
     requestBodyBase64: z.string(),
     intendedAtMilliseconds: z.number(),
   }),
--- a/packages/programs/src/programView.ts
+++ b/packages/programs/src/programView.ts
@@ -6,7 +6,10 @@
   readonly program: ProgramIdentifier;
   readonly startedAtMilliseconds: number;
   readonly end: ProgramEnd | undefined;
-  /** Calls with recorded outcomes; the entry of a sequence is at that index. */
+  /**
+   * Calls with recorded outcomes; the entry of a sequence is at that index. `sharedBody.wholeOf`
+   * gives the whole body of one.
+   */
   readonly history: readonly HistoryEntry[];
   /** Sequence of the call under way, if there is one. */
   readonly sequenceUnderWay: number | undefined;
--- a/packages/programs/tests/programLedgerRandom.test.ts
+++ b/packages/programs/tests/programLedgerRandom.test.ts
@@ -1,6 +1,6 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import fc from 'fast-check';
-import { ProgramLedger } from '../src';
+import { ProgramLedger, sharedBody } from '../src';
 import type { CallOutcome, CallRequest, CallStart } from '../src';
 import { MemoryStore } from './memoryJournal';
 import type { JournalMode } from './memoryJournal';
@@ -167,7 +167,7 @@
       idempotent: key % 2 === 0,
       worstCase: { tokens: WORST_TOKENS, calls: 1, spendMicros: 0 },
       limits: { tokens: TOKEN_LIMIT },
-      requestBodyBase64: '',
+      requestBodyBase64: World.#bodyOf(`key-${String(key)}`, `digest-${String(digest)}`),
     };
     void Promise.resolve(ledger.begin(request, controller.signal))
       .then((result) => {
@@ -272,6 +272,10 @@
       expect(history.map(({ sequence }) => sequence)).toEqual(
         history.map((_entry, index) => index),
       );
+      history.forEach(({ idempotencyKey, requestDigest, sequence }) => {
+        const body = World.#bodyOf(idempotencyKey, requestDigest);
+        expect(sharedBody.wholeOf(history, sequence)).toBe(body);
+      });
       const reallySpent = this.#tokensOf(path);
       expect(reallySpent).toBeLessThanOrEqual(TOKEN_LIMIT);
       expect(left.tokens).toBeLessThanOrEqual(TOKEN_LIMIT - reallySpent);
@@ -294,6 +298,12 @@
     return { organisation: 'lahore', path };
   }
 
+  /** Bodies share a part with others that differs with the key. */
+  static #bodyOf(key: string, digest: string): string {
+    const length = 200 + 100 * Number(key.slice(-1));
+    return Buffer.from(`${'chat'.repeat(length)}${key}${digest}`).toString('base64');
+  }
+
   static #nameOf({ program, idempotencyKey, requestDigest }: CallRequest): string {
     return [program.path, idempotencyKey, requestDigest].join(' ');
   }
