--- a/packages/programs/src/callFinisher.ts
+++ b/packages/programs/src/callFinisher.ts
@@ -3,6 +3,7 @@
 import type { JournalCommit, JournalError } from './journal';
 import type { LedgerCore } from './ledgerCore';
 import type { CallOutcome, ProgramRecord, Usage } from './programRecord';
+import { recordBytes } from './recordBytes';
 import type { RunningCall } from './runningCall';
 import { NO_USAGE } from './util/noUsage';
 
@@ -67,7 +68,7 @@
   #give(call: RunningCall, reported: CallOutcome): void {
     const { writer, assertions, table, metrics } = this.#core;
     const { program } = call.request;
-    const outcome = CallFinisher.#truthful(call, reported);
+    const outcome = this.#fitting(call, CallFinisher.#truthful(call, reported));
     call.give(outcome);
     if (exceeds(outcome.usage, call.reservation)) {
       assertions.report('usage-within-reservation', { callId: call.callId });
@@ -78,6 +79,16 @@
     metrics.increment('program.outcomes', 1, { kind: outcome.kind });
   }
 
+  /** Replaces an answer that the journal does not take, which would block its program for good. */
+  #fitting(call: RunningCall, outcome: CallOutcome): CallOutcome {
+    const { maximumAppendBytes } = this.#core.settings;
+    if (recordBytes(CallFinisher.#recordsOf(call, outcome)) <= maximumAppendBytes) return outcome;
+    const executed = outcome.kind === 'failed' ? outcome.executed : 'yes';
+    const problem = 'answer-too-large';
+    const detail = "the answer is too large for the program's history";
+    return { kind: 'failed', executed, problem, detail, usage: outcome.usage };
+  }
+
   /** Forgets a program of one call that did not run: a retry starts it anew. */
   #dropUnused(call: RunningCall): void {
     const { request, givenOutcome } = call;
--- a/packages/programs/src/callStart.ts
+++ b/packages/programs/src/callStart.ts
@@ -39,6 +39,7 @@
     | 'not-owner'
     | 'cancelled'
     | 'queue-full'
+    | 'body-too-large'
     | 'partition-stopped';
   readonly executed: Executed;
   readonly detail: string;
--- a/packages/programs/src/callStarter.ts
+++ b/packages/programs/src/callStarter.ts
@@ -9,16 +9,20 @@
 import type { HistoryEntry } from './ledgerSnapshot';
 import { planCall } from './planCall';
 import type { CallPlan } from './planCall';
-import type { ProgramRecord } from './programRecord';
+import { recordBytes } from './recordBytes';
 import { RunningCall } from './runningCall';
-import { sessionIdOf } from './sessionIdOf';
 import { sharedBody } from './sharedBody';
-import type { SharedBody } from './sharedBody';
+import { startRecords } from './startRecords';
 import { NO_USAGE } from './util/noUsage';
 import { programPath } from './util/programPath';
 
 type Start = Result<CallStart, Problem>;
 
+const BODY_TOO_LARGE: Problem = {
+  problem: 'body-too-large',
+  detail: "the request is too large for the program's history",
+};
+
 const CANCELLED: Problem = { problem: 'cancelled', detail: 'the caller cancelled the call' };
 
 const NOT_DURABLE: Problem = {
@@ -139,10 +143,11 @@
       writer.keep(program, [closeAttempt(program, abandonedAttempt, Date.now())]);
     }
     const callId = this.#nextCallId();
-    this.#assertStart(request, plan);
     const history = table.find(program)?.program.history ?? [];
     const body = sharedBody.store(history, request.requestBodyBase64);
-    const records = CallStarter.#records({ ...request, ...body }, plan, callId);
+    const records = startRecords({ ...request, ...body }, plan, callId);
+    if (recordBytes(records) > this.#core.settings.maximumAppendBytes) return err(BODY_TOO_LARGE);
+    this.#assertStart(request, plan);
     const commit = await writer.append(program, records, () => {
       table.withdrawIntent(program, lostAttempt?.callId);
       if (plan.startLimits) table.withdrawStart(program);
@@ -218,40 +223,6 @@
     return ok({ kind: 'replay', sequence, outcome });
   }
 
-  static #records(
-    request: CallRequest & SharedBody,
-    plan: CallPlan,
-    callId: string,
-  ): readonly ProgramRecord[] {
-    const { program, idempotencyKey, requestDigest, route, idempotent } = request;
-    const { lostAttempt, reservation, sequence, startLimits } = plan;
-    const now = Date.now();
-    const intent: ProgramRecord = {
-      kind: 'call-intended',
-      program,
-      callId,
-      ...(lostAttempt && { lostCallId: lostAttempt.callId }),
-      sequence,
-      idempotencyKey,
-      requestDigest,
-      route,
-      idempotent,
-      reservation,
-      sharedBodyCharacters: request.sharedBodyCharacters,
-      requestBodyBase64: request.requestBodyBase64,
-      intendedAtMilliseconds: now,
-    };
-    if (!startLimits) return [intent];
-    const started: ProgramRecord = {
-      kind: 'program-started',
-      program,
-      sessionId: sessionIdOf(program, callId),
-      limits: startLimits,
-      startedAtMilliseconds: now,
-    };
-    return [started, intent];
-  }
-
   static #hindrance(
     { idempotent }: CallRequest,
     durability: JournalCommit['durability'],
--- a/packages/programs/src/ledgerCore.ts
+++ b/packages/programs/src/ledgerCore.ts
@@ -60,6 +60,7 @@
       journal,
       table,
       assertions: this.assertions,
+      maximumAppendBytes: settings.maximumAppendBytes,
       onCommit: (records) => {
         this.#forgetRecorded(records);
       },
--- a/packages/programs/src/programLedgerSettings.ts
+++ b/packages/programs/src/programLedgerSettings.ts
@@ -1,5 +1,6 @@
 const SECOND_MILLISECONDS = 1_000;
 const MINUTE_MILLISECONDS = 60 * SECOND_MILLISECONDS;
+const MEBIBYTE = 1_024 * 1_024;
 
 /** Settings of a {@link ProgramLedger}. */
 export interface ProgramLedgerSettings {
@@ -11,6 +12,8 @@
   readonly singleCallRetentionMilliseconds: number;
   /** Calls that may wait for their turn in one program path; 64 by default. */
   readonly maximumWaitingCalls: number;
+  /** Largest append that the journal takes, in bytes of JSON; 8 MiB by default. */
+  readonly maximumAppendBytes: number;
 }
 
 /** Settings that hold where none are given. */
@@ -19,4 +22,5 @@
   endedRetentionMilliseconds: 60 * MINUTE_MILLISECONDS,
   singleCallRetentionMilliseconds: 5 * MINUTE_MILLISECONDS,
   maximumWaitingCalls: 64,
+  maximumAppendBytes: 8 * MEBIBYTE,
 };
--- a/packages/programs/src/programLifecycle.ts
+++ b/packages/programs/src/programLifecycle.ts
@@ -52,8 +52,9 @@
    * the journal did not take before; forgets ended programs. Returns how many it ended.
    */
   async endIdle(nowMilliseconds: number): Promise<number> {
-    const { table, writer } = this.#core;
+    const { table, writer, metrics, journal } = this.#core;
     this.dropRetained(nowMilliseconds);
+    metrics.gauge('program.held', table.trees.length, { partition: String(journal.partition) });
     const ended = table.trees.flatMap((tree) => {
       const reason = this.#reasonToEnd(tree, nowMilliseconds);
       return tree.root && reason ? [this.end(tree.root.program, reason)] : [];
--- a/packages/programs/src/recordWriter.ts
+++ b/packages/programs/src/recordWriter.ts
@@ -4,6 +4,7 @@
 import type { LedgerAssertions } from './ledgerAssertions';
 import type { ProgramIdentifier, ProgramRecord } from './programRecord';
 import type { ProgramTable } from './programTable';
+import { splitRecords } from './splitRecords';
 import { programKey } from './util/programKey';
 
 /** Options of a {@link RecordWriter}. */
@@ -11,10 +12,19 @@
   readonly journal: Journal;
   readonly table: ProgramTable;
   readonly assertions: LedgerAssertions;
+  /** Largest append that the journal takes, in bytes; more is appended in parts. */
+  readonly maximumAppendBytes: number;
   /** Called with the records of each commit. */
   readonly onCommit: (records: readonly ProgramRecord[]) => void;
 }
 
+/** How an append in parts ended. */
+interface PartedAppend {
+  /** Records that were committed, from the first on. */
+  readonly committed: number;
+  readonly result: Result<JournalCommit, JournalError>;
+}
+
 /**
  * Applies records to the table and appends them, one append of a program after another. Facts, such
  * as outcomes, that the journal did not take are kept and go with the program's next append;
@@ -98,7 +108,7 @@
     intents: readonly ProgramRecord[],
     withdraw: () => void,
   ): Promise<Result<JournalCommit, JournalError>> {
-    const { journal, assertions, onCommit } = this.#options;
+    const { assertions } = this.#options;
     if (assertions.hasFailed) {
       withdraw();
       return err({ kind: 'unavailable', detail: 'the partition stopped on an invariant' });
@@ -107,18 +117,30 @@
     const records = [...kept, ...intents];
     if (records.length === 0) return ok({ durability: 'durable' });
     this.#kept.delete(key);
-    const appending = Promise.resolve(journal.append(records));
+    const appending = this.#appendParts(records);
     this.#underWay.set(key, appending);
-    const appended = await appending;
+    const { committed, result } = await appending;
     // All of this before anyone that waits for the append sees its end.
     this.#underWay.delete(key);
-    if (appended.isOk()) {
-      onCommit(records);
-      return appended;
-    }
+    if (result.isOk()) return result;
     withdraw();
-    this.#keepAgain(key, kept);
-    return appended;
+    this.#keepAgain(key, kept.slice(committed));
+    return result;
+  }
+
+  /** Appends records in as many parts as the journal needs; a part that fails ends it. */
+  async #appendParts(records: readonly ProgramRecord[]): Promise<PartedAppend> {
+    const { journal, maximumAppendBytes, onCommit } = this.#options;
+    let durability: JournalCommit['durability'] = 'durable';
+    let committed = 0;
+    for (const part of splitRecords(records, maximumAppendBytes)) {
+      const result = await journal.append(part);
+      if (result.isErr()) return { committed, result };
+      onCommit(part);
+      committed += part.length;
+      if (result.value.durability === 'deferred') durability = 'deferred';
+    }
+    return { committed, result: ok({ durability }) };
   }
 
   #keepAgain(key: string, records: readonly ProgramRecord[]): void {
--- /dev/null
+++ b/packages/programs/src/startRecords.ts
@@ -0,0 +1,40 @@
+import type { CallRequest } from './callRequest';
+import type { CallPlan } from './planCall';
+import type { ProgramRecord } from './programRecord';
+import { sessionIdOf } from './sessionIdOf';
+import type { SharedBody } from './sharedBody';
+
+/** Returns the records with which a planned call starts: its intent, and its program's start. */
+export const startRecords = (
+  request: CallRequest & SharedBody,
+  plan: CallPlan,
+  callId: string,
+): readonly ProgramRecord[] => {
+  const { program, idempotencyKey, requestDigest, route, idempotent } = request;
+  const { lostAttempt, reservation, sequence, startLimits } = plan;
+  const now = Date.now();
+  const intent: ProgramRecord = {
+    kind: 'call-intended',
+    program,
+    callId,
+    ...(lostAttempt && { lostCallId: lostAttempt.callId }),
+    sequence,
+    idempotencyKey,
+    requestDigest,
+    route,
+    idempotent,
+    reservation,
+    sharedBodyCharacters: request.sharedBodyCharacters,
+    requestBodyBase64: request.requestBodyBase64,
+    intendedAtMilliseconds: now,
+  };
+  if (!startLimits) return [intent];
+  const started: ProgramRecord = {
+    kind: 'program-started',
+    program,
+    sessionId: sessionIdOf(program, callId),
+    limits: startLimits,
+    startedAtMilliseconds: now,
+  };
+  return [started, intent];
+};
--- a/packages/programs/tests/memoryJournal.ts
+++ b/packages/programs/tests/memoryJournal.ts
@@ -25,6 +25,9 @@
 
   appends = 0;
 
+  /** Largest append that is taken, in bytes of JSON. */
+  maximumAppendBytes = Number.POSITIVE_INFINITY;
+
   /** Returns the journal of a new owner; all older ones are deposed. */
   claim(): Journal {
     this.epoch += 1;
@@ -64,6 +67,9 @@
     records: readonly ProgramRecord[],
   ): ResultAsync<JournalCommit, JournalError> {
     if (epoch !== this.epoch) return errAsync({ kind: 'deposed' });
+    if (JSON.stringify(records).length > this.maximumAppendBytes) {
+      return errAsync({ kind: 'unavailable', detail: 'too large' });
+    }
     if (this.mode === 'unavailable') return errAsync({ kind: 'unavailable', detail: 'store out' });
     this.records.push(...(JSON.parse(JSON.stringify(records)) as ProgramRecord[]));
     if (this.mode === 'taken-unavailable') {
--- a/packages/programs/tests/programLedger.test.ts
+++ b/packages/programs/tests/programLedger.test.ts
@@ -339,6 +339,38 @@
   expect((await start(restore(store), request('1'))).kind).toBe('replay');
 });
 
+test('an answer too large to be kept does not block its program', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const { callId } = await run(ledger, request('1'));
+  expect((await ledger.finish(callId, answered('x'.repeat(9_000)))).isOk()).toBe(true);
+  const failed = { kind: 'failed', executed: 'yes', problem: 'answer-too-large', usage: USAGE };
+  expect(await start(restore(store), request('1'))).toMatchObject({ outcome: failed });
+});
+
+test('refuses a body too large to be kept and records nothing', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const large = request('1', { requestBodyBase64: 'x'.repeat(9_000) });
+  expect(await refusalOf(ledger, large)).toEqual(refused('body-too-large'));
+  expect((await run(ledger, request('2'))).sequence).toBe(0);
+});
+
+test('splits what was kept and what is new where they are too large together', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const { callId } = await run(ledger, request('1'));
+  store.mode = 'unavailable';
+  expect((await ledger.finish(callId, answered('x'.repeat(3_000)))).isErr()).toBe(true);
+  store.mode = 'durable';
+  await complete(ledger, request('2', { requestBodyBase64: 'y'.repeat(3_000) }));
+  const { history } = restore(store).readProgram(program('survey'))._unsafeUnwrap();
+  expect(history.map(({ outcome }) => outcome.kind)).toEqual(['answered', 'answered']);
+});
+
 test('runs only idempotent calls while commits are deferred', async () => {
   const store = new MemoryStore();
   store.mode = 'deferred';
