--- a/packages/cli/src/entry/entryPaths.ts
+++ b/packages/cli/src/entry/entryPaths.ts
@@ -14,7 +14,7 @@
 /** Path of the quarantined requests. */
 export const QUARANTINE_PATH = `${MANAGEMENT_PREFIX}/quarantine`;
 
-/** Returns the path of a program; operators name its organisation. */
+/** Returns the path of a program; operators name its organisation, callers' keys tell it. */
 export const programPath = (
   program: string,
   organisation: string | undefined,
--- a/packages/cli/tests/entryCommands.test.ts
+++ b/packages/cli/tests/entryCommands.test.ts
@@ -30,6 +30,7 @@
     },
   ],
   'DELETE /limpetnotch/v1/quarantine/d1': { lifted: true },
+  'DELETE /limpetnotch/v1/quarantine/d2': { lifted: false },
 };
 
 let server: Server;
@@ -81,7 +82,7 @@
 });
 
 test('shows the reason of a refusal', async () => {
-  const { exitCode, stderr } = await run('program', 'show', 'other');
+  const { exitCode, stderr } = await run('program', 'show', 'other', '--key', 'example-key');
   expect(stderr).toContain('answered 404: Not found: no such program');
   expect(exitCode).toBe(1);
 });
@@ -89,6 +90,8 @@
 test('lists and lifts quarantined requests', async () => {
   expect((await run('quarantine', 'list')).stdout).toMatch(/d1 +amman-panels +chat +engine-1/);
   expect(await run('quarantine', 'lift', 'd1')).toMatchObject({ exitCode: 0 });
+  const stderr = 'd2 is not quarantined\n';
+  expect(await run('quarantine', 'lift', 'd2')).toMatchObject({ exitCode: 1, stderr });
 });
 
 test('exits with 3 when no entry answers', async () => {
@@ -98,6 +101,7 @@
 });
 
 test.each([['../x'], ['a//b'], ['a?b'], ['']])('refuses the program name %j', async (name) => {
-  expect(await run('program', 'show', name)).toMatchObject({ exitCode: 2 });
+  expect(await run('program', 'show', name, '--key', 'k')).toMatchObject({ exitCode: 2 });
+  expect(await run('program', 'show', 'survey-17')).toMatchObject({ exitCode: 2 });
   expect(seen).toEqual([]);
 });
