Shut down without waiting for idle connections; tell the scheduler who shares the targets

Ruled out: the handover, which had not begun. Change: idle connections are swept while the server closes, and requests on open connections are still served. The scheduler now learns the fleet from the leases, and an instance that the platform lists as leaving fails readiness.

--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -10,6 +10,7 @@
 const CONNECTION_TIMEOUT_MILLISECONDS = 0;
 const REQUEST_TIMEOUT_MILLISECONDS = 30_000;
 const KEEP_ALIVE_MILLISECONDS = 65_000;
+const IDLE_SWEEP_MILLISECONDS = 50;
 
 /** Options of {@link EntryServer.start}. */
 export interface EntryServerOptions extends EntryParts {
@@ -34,6 +35,8 @@
       connectionTimeout: CONNECTION_TIMEOUT_MILLISECONDS,
       requestTimeout: REQUEST_TIMEOUT_MILLISECONDS,
       keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
+      // Requests on open connections are still served while the listener closes.
+      return503OnClosing: false,
       http: { maxHeaderSize: MAXIMUM_HEADER_BYTES },
     });
     const application = await NestFactory.create<NestFastifyApplication>(
@@ -49,7 +52,14 @@
 
   /** Stops listening and resolves when every request under way has its answer. */
   async stop(): Promise<void> {
-    await this.#application.close();
+    const server = this.#application.getHttpServer();
+    // Connections that fall idle after the close would stay open for their keep-alive time.
+    const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_MILLISECONDS);
+    try {
+      await this.#application.close();
+    } finally {
+      clearInterval(sweep);
+    }
   }
 
   /** Bodies pass through as they came. */
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '@limpetnotch/declarations';
 import { PARTITION_COUNT, PartitionManager } from '@limpetnotch/partitions';
 import { PeerClients, PeerServer } from '@limpetnotch/peer-protocol';
+import { createStoreInstanceList } from '@limpetnotch/platform';
 import type { KeyValueStore } from '@limpetnotch/platform';
 import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
 import type { Scheduler } from '@limpetnotch/scheduling';
@@ -29,7 +30,8 @@
 import { EngineMonitor } from '../targets/engineMonitor';
 import { NewConnectionProbe } from '../targets/newConnectionProbe';
 import { TargetClient } from '../targets/targetClient';
-import { endIdlePrograms } from './idlePrograms';
+import { followFleet } from './followFleet';
+import { endIdlePrograms } from './endIdlePrograms';
 import { identityOf } from './identityOf';
 import { InstanceReadiness } from './instanceReadiness';
 import { MemoryRelease } from './memoryRelease';
@@ -121,7 +123,7 @@
       ...shared,
       tracer: tracing.tracer,
     });
-    this.#programs = new ProgramDesk({ partition });
+    this.#programs = new ProgramDesk({ partition, scheduler: this.#scheduler });
     this.#heartbeats = new Heartbeats({
       membership: this.#partitions.membership,
       clients: this.#clients,
@@ -165,6 +167,7 @@
       startedChild('peer-server', async () => this.#startPeerServer()),
       { name: 'partitions', restart: 'always', run: (child) => this.#partitions.run(child) },
       { name: 'heartbeats', restart: 'always', run: async (child) => this.#heartbeats.run(child) },
+      this.#fleetFollower(),
       this.#engineMonitor(),
       this.#prober().asChild(),
       ...memory.children(),
@@ -184,6 +187,17 @@
     return { logger, metrics };
   }
 
+  #fleetFollower(): ChildSpecification {
+    const { store, metrics } = this.#options;
+    const options = {
+      membership: this.#partitions.membership,
+      scheduler: this.#scheduler,
+      list: createStoreInstanceList({ store, metrics }),
+      onListedAsLeaving: () => this.#readiness.markDraining(),
+    };
+    return { name: 'fleet', restart: 'always', run: async (child) => followFleet(options, child) };
+  }
+
   #engineMonitor(): ChildSpecification {
     const monitor = new EngineMonitor({
       configuration: () => this.#follower.current(),
--- a/packages/server/src/owner/programDesk.ts
+++ b/packages/server/src/owner/programDesk.ts
@@ -7,6 +7,7 @@
 } from '@limpetnotch/peer-protocol';
 import { EndProgramResponseSchema, ReadProgramResponseSchema } from '@limpetnotch/peer-protocol';
 import type { ProgramIdentifier } from '@limpetnotch/programs';
+import type { Scheduler } from '@limpetnotch/scheduling';
 import { problemMessage } from './callEvents';
 import type { OwnedPartition } from './ownedPartition';
 
@@ -14,6 +15,7 @@
 export interface ProgramDeskOptions {
   /** Returns a partition that this instance owns, `undefined` for all others. */
   readonly partition: (partition: number) => OwnedPartition | undefined;
+  readonly scheduler: Scheduler;
 }
 
 /** Reads and ends the programs of the partitions that this instance owns. */
@@ -50,6 +52,10 @@
     }
     const reason = request.byOperator ? 'operator' : 'caller';
     const ended = await owned.ledger.endProgram(ProgramDesk.#identifier(request), reason);
+    if (ended.isOk() && !request.program.includes('/')) {
+      const { organisation, program } = request;
+      this.#options.scheduler.endProgram(organisation, `${organisation}/${program}`);
+    }
     return ended.match(
       () => create(EndProgramResponseSchema, { result: { case: 'ended', value: true } }),
       (refusal) =>
