--- a/packages/admission/src/entry/organisationQueue.ts
+++ b/packages/admission/src/entry/organisationQueue.ts
@@ -14,6 +14,7 @@
 const LOW_MILLISECONDS = 25;
 const LONGEST_POLL_MILLISECONDS = 100;
 const ABSENT_POLL_MILLISECONDS = 50;
+const LONG_ABSENCE_MILLISECONDS = 1_000;
 const ABSENT_RETRY_AFTER_MILLISECONDS = 1_000;
 const SERVICE_REPORT_MILLISECONDS = 100;
 const TIGHT_FACTOR = 2;
@@ -30,6 +31,10 @@
   readonly absentHoldMilliseconds: number;
   /** Hands the queue to the task that exchanges with its owner. */
   readonly dispatch: (queue: OrganisationQueue) => void;
+  /** Told while the organisation has had no owner for long. */
+  readonly onLongAbsence: () => void;
+  /** Whether owners were lost a while ago, so that what waited for them uses up the rates. */
+  readonly isRecovering: () => boolean;
   readonly onRemoteService: (organisation: string, tokens: number) => void;
 }
 
@@ -53,7 +58,7 @@
 
   #blockedUntilMilliseconds = 0;
 
-  #isAbsent = false;
+  #absentSinceMilliseconds: number | undefined;
 
   #recoversUntilMilliseconds = 0;
 
@@ -134,10 +139,10 @@
     this.#serviceTokens -= this.#sentServiceTokens;
     this.#isShort = grant.granted < this.#wanted;
     this.#blockedUntilMilliseconds = this.#isShort ? now + grant.retryAfterMilliseconds : 0;
-    if (this.#isAbsent) {
+    if (this.#absentSinceMilliseconds !== undefined) {
       this.#recoversUntilMilliseconds = now + this.#options.absentHoldMilliseconds;
     }
-    this.#isAbsent = false;
+    this.#absentSinceMilliseconds = undefined;
     this.#line.serve(() => this.#held.take());
     this.#line.refuseHopeless();
     if (this.#line.size === 0) this.#recoversUntilMilliseconds = 0;
@@ -150,7 +155,11 @@
   /** Notes that no owner answered; requests wait longer until one does. */
   noteAbsence(): void {
     this.#isDispatched = false;
-    this.#isAbsent = true;
+    const now = performance.now();
+    this.#absentSinceMilliseconds ??= now;
+    if (now - this.#absentSinceMilliseconds >= LONG_ABSENCE_MILLISECONDS) {
+      this.#options.onLongAbsence();
+    }
     this.#blockedUntilMilliseconds = 0;
     this.#line.extend(this.#options.absentHoldMilliseconds);
     if (this.#line.size > 0 || this.#serviceTokens >= 1) this.#pollWithin(ABSENT_POLL_MILLISECONDS);
@@ -170,7 +179,10 @@
   }
 
   #hold(): number {
-    const isHeldLonger = this.#isAbsent || performance.now() < this.#recoversUntilMilliseconds;
+    const isHeldLonger =
+      this.#absentSinceMilliseconds !== undefined ||
+      performance.now() < this.#recoversUntilMilliseconds ||
+      this.#options.isRecovering();
     return isHeldLonger ? this.#options.absentHoldMilliseconds : this.#options.holdMilliseconds;
   }
 
@@ -180,7 +192,9 @@
     const blocked = this.#blockedUntilMilliseconds - performance.now();
     if (blocked > 0) return blocked + ahead * perToken;
     const beyondBurst = Math.max(0, ahead + 1 - this.#rate.burst) * perToken;
-    return this.#isAbsent ? Math.max(beyondBurst, ABSENT_RETRY_AFTER_MILLISECONDS) : beyondBurst;
+    return this.#absentSinceMilliseconds !== undefined
+      ? Math.max(beyondBurst, ABSENT_RETRY_AFTER_MILLISECONDS)
+      : beyondBurst;
   }
 
   #afterUse(): void {
--- a/packages/admission/src/entry/rateLimiter.ts
+++ b/packages/admission/src/entry/rateLimiter.ts
@@ -26,7 +26,7 @@
   readonly metrics: Metrics;
   /** Time that a request waits for a token; 400 ms by default. */
   readonly holdMilliseconds?: number;
-  /** Time that a request waits while no owner answers; 10 seconds by default. */
+  /** Time that a request waits while owners are missing, and so long after; 10 seconds by default. */
   readonly absentHoldMilliseconds?: number;
 }
 
@@ -45,10 +45,16 @@
 
   readonly #supervisor: Supervisor;
 
+  readonly #absentHoldMilliseconds: number;
+
+  #recoversUntilMilliseconds = 0;
+
   #isStopped = false;
 
   constructor(options: RateLimiterOptions) {
     this.#options = options;
+    this.#absentHoldMilliseconds =
+      options.absentHoldMilliseconds ?? DEFAULT_ABSENT_HOLD_MILLISECONDS;
     const { logger, metrics } = options;
     this.#supervisor = new Supervisor({ name: 'rate-limiter', logger, metrics });
   }
@@ -100,9 +106,10 @@
       organisation,
       rate,
       holdMilliseconds: this.#options.holdMilliseconds ?? DEFAULT_HOLD_MILLISECONDS,
-      absentHoldMilliseconds:
-        this.#options.absentHoldMilliseconds ?? DEFAULT_ABSENT_HOLD_MILLISECONDS,
+      absentHoldMilliseconds: this.#absentHoldMilliseconds,
       dispatch: this.#dispatch,
+      onLongAbsence: this.#noteLongAbsence,
+      isRecovering: this.#isRecovering,
       onRemoteService: this.#hearService,
     });
     this.#queues.set(organisation, queue);
@@ -115,6 +122,12 @@
     else if (!this.#isStopped) this.#groupOf(group).add(queue);
   };
 
+  readonly #noteLongAbsence = (): void => {
+    this.#recoversUntilMilliseconds = performance.now() + this.#absentHoldMilliseconds;
+  };
+
+  readonly #isRecovering = (): boolean => performance.now() < this.#recoversUntilMilliseconds;
+
   readonly #hearService = (organisation: string, tokens: number): void => {
     for (const listener of this.#listeners) listener(organisation, tokens);
   };
--- a/packages/admission/src/keys/credentialOf.ts
+++ b/packages/admission/src/keys/credentialOf.ts
@@ -1,10 +1,10 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import type { AdmissionError } from '../admissionError';
-import { mentionsSecret } from './mentionsSecret';
 import { pairHeaders } from './rawHeader';
 import type { RawHeader } from './rawHeader';
 import { parseRequestTarget } from './requestTarget';
+import { secretMentions } from './secretMentions';
 
 const KEY_HEADERS: ReadonlySet<string> = new Set(['x-api-key', 'api-key']);
 const KEY_PARAMETER = 'api_key';
@@ -44,6 +44,6 @@
   if (credentials.length > 1) return err({ kind: 'key-ambiguous' });
   if (secret === undefined) return ok(undefined);
   if (!isWellFormed(secret)) return err({ kind: 'key-unknown' });
-  if (mentionsSecret(path, secret)) return err({ kind: 'key-ambiguous' });
+  if (secretMentions(secret)(path)) return err({ kind: 'key-ambiguous' });
   return ok(secret);
 };
--- a/packages/admission/src/keys/stripCredentials.ts
+++ b/packages/admission/src/keys/stripCredentials.ts
@@ -1,7 +1,7 @@
-import { mentionsSecret } from './mentionsSecret';
 import { pairHeaders } from './rawHeader';
 import type { RawHeader } from './rawHeader';
 import { parseRequestTarget } from './requestTarget';
+import { secretMentions } from './secretMentions';
 
 /** A request's headers, path and query without credentials. */
 export interface StrippedRequest {
@@ -51,18 +51,17 @@
       .map((name) => name.trim().toLowerCase()),
   );
 
-const holdsSecret = (name: string, value: string, secret: string | undefined): boolean =>
-  secret !== undefined && (mentionsSecret(name, secret) || mentionsSecret(value, secret));
+type SecretCheck = (text: string) => boolean;
 
 const stripHeaders = (
   headers: readonly RawHeader[],
-  secret: string | undefined,
+  holdsSecret: SecretCheck,
 ): readonly RawHeader[] => {
   const perConnection = namedByConnection(headers);
   return headers.filter(({ name, value }) => {
     const lowerName = name.toLowerCase();
     if (CREDENTIAL_HEADERS.has(lowerName) || HOP_BY_HOP_HEADERS.has(lowerName)) return false;
-    return !perConnection.has(lowerName) && !holdsSecret(name, value, secret);
+    return !perConnection.has(lowerName) && !holdsSecret(name) && !holdsSecret(value);
   });
 };
 
@@ -78,15 +77,14 @@
   secret: string | undefined,
 ): StrippedRequest => {
   const { path, parameters } = parseRequestTarget(pathAndQuery);
+  const holdsSecret = secret === undefined ? (): boolean => false : secretMentions(secret);
   const kept = parameters.filter(
     ({ raw, name, value }) =>
-      !CREDENTIAL_PARAMETERS.has(name.toLowerCase()) &&
-      !holdsSecret(name, value, secret) &&
-      !holdsSecret('', raw, secret),
+      !CREDENTIAL_PARAMETERS.has(name.toLowerCase()) && ![raw, name, value].some(holdsSecret),
   );
   const query = kept.map(({ raw }) => raw).join('&');
   return {
-    headers: stripHeaders(pairHeaders(rawHeaders), secret),
+    headers: stripHeaders(pairHeaders(rawHeaders), holdsSecret),
     pathAndQuery: query === '' ? path : `${path}?${query}`,
   };
 };
--- a/packages/admission/tests/entrySlices.test.ts
+++ b/packages/admission/tests/entrySlices.test.ts
@@ -119,6 +119,18 @@
   expect(demands).toHaveLength(1);
 });
 
+test('after a long absence of owners, requests of all organisations wait for slow grants', async () => {
+  group = undefined;
+  setTimeout(() => {
+    group = 'owner';
+  }, 1_500);
+  expect(await outcomeWithin(1_600)).toBe(true);
+  grant = { granted: 0, retryAfterMilliseconds: 900 };
+  expect(await outcomeWithin(500, stop.signal, 'zarqa')).toBeUndefined();
+  await jest.advanceTimersByTimeAsync(10_000);
+  expect(await outcomeWithin(5, stop.signal, 'irbid')).toMatchObject({ kind: 'rate-exceeded' });
+});
+
 test('an aborted request leaves the line, and an undeclared organisation is refused', async () => {
   answerMilliseconds = 50;
   const caller = new AbortController();
--- a/packages/admission/tests/stripCredentials.test.ts
+++ b/packages/admission/tests/stripCredentials.test.ts
@@ -1,4 +1,4 @@
-import { mentionsSecret, stripCredentials } from '@limpetnotch/admission';
+import { secretMentions, stripCredentials } from '@limpetnotch/admission';
 import fc from 'fast-check';
 import { secretOf } from './fixtures';
 
@@ -51,5 +51,5 @@
 test('keeps other values', () => {
   const pathAndQuery = '/tools?note=lnk_other_0123456789abcdef&key=7';
   expect(stripCredentials([], pathAndQuery, secret).pathAndQuery).toBe(pathAndQuery);
-  expect(mentionsSecret('%E0%A4%A', secret)).toBe(false);
+  expect(secretMentions(secret)('%E0%A4%A')).toBe(false);
 });
--- a/packages/integration/src/benchCommands.ts
+++ b/packages/integration/src/benchCommands.ts
@@ -1,10 +1,12 @@
 import type { CommandClass } from 'clipanion';
+import { AdmissionBench } from './benches/admissionBench';
 import { ConfigurationCommand } from './configuration/configurationCommand';
 import { PlacementCommand } from './experiments/placementCommand';
 import { SchedulingCommand } from './experiments/schedulingCommand';
 
 /** The benches by name; each is a command whose path is its name. */
 export const BENCH_COMMANDS: readonly CommandClass[] = [
+  AdmissionBench,
   ConfigurationCommand,
   PlacementCommand,
   SchedulingCommand,
