Add the fault matrix of calls over real instances

Change: three limpetnotchd processes beside stand-ins in the runner. Gates hold a call at one of six steps, one of fifteen faults strikes, the caller retries with the same idempotency key, and each cell is checked for a whole answer, at most one run, a true "not run", the history, freed engine memory, keys at targets and assertions inside the instances. npm run faults prints the cells and writes docs/FAULTS.md.

The full matrix is not run yet.

--- /dev/null
+++ b/packages/integration/src/faults.ts
@@ -0,0 +1,85 @@
+import { writeFile } from 'node:fs/promises';
+import { resolve } from 'node:path';
+import { Cli, Command, Option } from 'clipanion';
+import type { CellResult } from './faults/cellResult';
+import { FaultFleet } from './faults/faultFleet';
+import { faultsPage } from './faults/faultsPage';
+import { everyCell } from './faults/faultTable';
+import type { CellPlan } from './faults/runCell';
+import { runCell } from './faults/runCell';
+
+const INSTANCES = 3;
+const PAGE = resolve(__dirname, '../../../docs/FAULTS.md');
+
+const failed = (plan: CellPlan, failure: unknown): CellResult => ({
+  kind: plan.kind,
+  step: plan.step,
+  faults: plan.faults,
+  first: 'not run',
+  final: 'not run',
+  executions: undefined,
+  milliseconds: 0,
+  broken: [failure instanceof Error ? failure.message : String(failure)],
+});
+
+/** `faults`: runs the fault matrix, prints each cell and writes docs/FAULTS.md. */
+class FaultsCommand extends Command {
+  static override paths = [Command.Default];
+
+  static override usage = Command.Usage({ description: 'Run the fault matrix' });
+
+  only = Option.String('--only', '', {
+    description: 'Run only the cells whose "kind step fault" holds this text',
+  });
+
+  fleets = Option.String('--fleets', '2', { description: 'Fleets that run cells side by side' });
+
+  write = Option.Boolean('--write', true, { description: 'Write docs/FAULTS.md' });
+
+  async execute(): Promise<number> {
+    const plans = everyCell().filter(({ kind, step, faults }) =>
+      `${kind} ${step} ${faults.join('+')}`.includes(this.only),
+    );
+    const queue = [...plans];
+    const results: CellResult[] = [];
+    const workers = Array.from({ length: Math.min(Number(this.fleets), plans.length) }, () =>
+      this.#work(queue, results),
+    );
+    await Promise.all(workers);
+    if (this.write && this.only === '') await writeFile(PAGE, faultsPage(results));
+    const broken = results.filter((result) => result.broken.length > 0);
+    this.context.stdout.write(`${results.length} cells, ${broken.length} broken\n`);
+    return broken.length === 0 ? 0 : 1;
+  }
+
+  async #work(queue: CellPlan[], results: CellResult[]): Promise<void> {
+    let fleet = await FaultFleet.start(INSTANCES);
+    for (let plan = queue.shift(); plan !== undefined; plan = queue.shift()) {
+      const running = plan;
+      const result = await runCell(fleet, running).catch((failure: unknown) =>
+        failed(running, failure),
+      );
+      results.push(result);
+      this.#print(result);
+      if (result.broken.length > 0) {
+        await fleet.stop();
+        fleet = await FaultFleet.start(INSTANCES);
+      }
+    }
+    await fleet.stop();
+  }
+
+  #print(result: CellResult): void {
+    const { kind, step, faults, first, final, executions, milliseconds, broken } = result;
+    const verdict = broken.length === 0 ? 'held' : `BROKEN: ${broken.join('; ')}`;
+    this.context.stdout.write(
+      `${kind} ${step} ${faults.join('+')}: first ${first}, final ${final}, ran ${
+        executions ?? '-'
+      }, ${Math.round(milliseconds)} ms: ${verdict}\n`,
+    );
+  }
+}
+
+const cli = new Cli({ binaryLabel: 'limpetnotch fault matrix', binaryName: 'npm run faults --' });
+cli.register(FaultsCommand);
+void cli.runExit(process.argv.slice(2));
--- /dev/null
+++ b/packages/integration/src/faults/checkCell.ts
@@ -0,0 +1,105 @@
+import type { CallResult } from '@limpetnotch/stand-ins';
+import { answerTextOf, chatRequestSchema, planAnswer } from '@limpetnotch/stand-ins';
+import { z } from 'zod';
+import type { CallFault } from './callFaults';
+import type { CellCall } from './faultCell';
+
+const historySchema = z.object({
+  history: z.array(z.object({ sequence: z.number(), idempotencyKey: z.string() })),
+});
+
+/** What a cell saw, for the checks. */
+export interface CellObservation {
+  readonly call: CellCall;
+  readonly plan: { readonly faults: readonly CallFault[] };
+  /** Result of the program's first call, before the fault. */
+  readonly opened: CallResult;
+  readonly first: CallResult;
+  /** Times the effect was had when the first attempt ended. */
+  readonly firstExecutions: number;
+  readonly final: CallResult;
+}
+
+const ENGINE_SEED = 1;
+
+const expectedText = ({ request }: CellCall): string =>
+  answerTextOf(planAnswer(chatRequestSchema.parse(request.body), ENGINE_SEED));
+
+const checkAnswer = ({ call, final }: CellObservation): readonly string[] => {
+  if (final.kind !== 'answered') return [];
+  const isWhole =
+    call.kind === 'model' ? final.text === expectedText(call) : final.text.includes(call.effect);
+  return isWhole ? [] : ['the answer is not whole'];
+};
+
+const checkEffects = ({ call, first, firstExecutions, final }: CellObservation): string[] => {
+  if (call.kind !== 'charge') return [];
+  const executions = call.fleet.executionsOf(call.effect);
+  const broken: string[] = [];
+  if (executions > 1) broken.push(`a non-idempotent call ran ${executions} times`);
+  if (final.kind === 'answered' && executions !== 1) broken.push('answered, but it did not run');
+  if (first.kind === 'problem' && first.executed === 'no' && firstExecutions > 0) {
+    broken.push(`"not run" was false (${first.problem})`);
+  }
+  if (final.kind === 'problem' && final.executed === 'no' && executions > 0) {
+    broken.push(`"not run" was false at the end (${final.problem})`);
+  }
+  return broken;
+};
+
+const checkOutcome = ({ call, plan, final }: CellObservation): readonly string[] => {
+  if (final.kind === 'answered' || plan.faults.includes('key-withdrawn')) return [];
+  if (call.kind === 'charge' && final.kind === 'problem' && final.executed !== 'yes') return [];
+  return [`no answer in the end: ${final.kind === 'problem' ? final.problem : final.detail}`];
+};
+
+/** Reads the program with a key that was not withdrawn, and compares it with what was answered. */
+const checkHistory = async ({ call, opened, final }: CellObservation): Promise<string[]> => {
+  const { fleet, program, effect } = call;
+  const key = fleet.activeKey();
+  const path = `/limpetnotch/v1/programs/${program}`;
+  const read = await fleet.caller.call({ entry: fleet.entry(0), path, method: 'GET', key });
+  if (read.kind !== 'answered') return [`the history cannot be read: ${JSON.stringify(read)}`];
+  const { history } = historySchema.parse(JSON.parse(read.text));
+  const broken: string[] = [];
+  const keys = history.map(({ idempotencyKey }) => idempotencyKey);
+  if (new Set(keys).size !== keys.length) broken.push(`a call is twice in the history`);
+  if (history.some(({ sequence }, index) => sequence !== index)) broken.push('sequence has gaps');
+  if (opened.kind === 'answered' && !keys[0]?.endsWith('-opening')) {
+    broken.push('the first call is not first in the history');
+  }
+  if (final.kind === 'answered' && !keys.includes(effect)) {
+    broken.push('an answered call is not in the history');
+  }
+  return broken;
+};
+
+/** Ends the program and looks whether the engines' memory is freed. */
+const checkEnd = async ({ call }: CellObservation): Promise<string[]> => {
+  const { fleet, program } = call;
+  const ended = await fleet.caller.call({
+    entry: fleet.entry(0),
+    path: `/limpetnotch/v1/programs/${program}`,
+    method: 'DELETE',
+    key: fleet.activeKey(),
+  });
+  if (ended.kind !== 'answered') return [`the program cannot be ended: ${JSON.stringify(ended)}`];
+  const held = await fleet.heldSessions();
+  return held.length === 0 ? [] : [`engine memory is held by ended programs: ${held.join(', ')}`];
+};
+
+/** Checks every promise that a cell can break; returns those that were broken. */
+export const checkCell = async (observation: CellObservation): Promise<readonly string[]> => {
+  const { fleet } = observation.call;
+  const broken = [
+    ...checkAnswer(observation),
+    ...checkEffects(observation),
+    ...checkOutcome(observation),
+    ...(await checkHistory(observation)),
+    ...(await checkEnd(observation)),
+  ];
+  const failures = fleet.takeAssertionFailures();
+  if (failures > 0) broken.push(`${failures} assertions failed inside the instances`);
+  if (fleet.keySightings() > 0) broken.push("a target saw a caller's key");
+  return broken;
+};
--- /dev/null
+++ b/packages/integration/src/faults/faultCell.ts
@@ -0,0 +1,43 @@
+import type { CallResult, EntryCall } from '@limpetnotch/stand-ins';
+import type { FaultFleet } from './faultFleet';
+
+/** Steps of a call at which a fault strikes. */
+export const CALL_STEPS = [
+  'arrival',
+  'intent',
+  'dispatch',
+  'running',
+  'outcome',
+  'answered',
+] as const;
+
+export type CallStep = (typeof CALL_STEPS)[number];
+
+/** Kinds of calls: a streamed model call, and a tool call that may not be repeated. */
+export const CALL_KINDS = ['model', 'charge'] as const;
+
+export type CallKind = (typeof CALL_KINDS)[number];
+
+/** One call under way, as steps and faults see it. */
+export interface CellCall {
+  readonly fleet: FaultFleet;
+  readonly kind: CallKind;
+  readonly program: string;
+  readonly partition: number;
+  readonly owner: number;
+  readonly entry: number;
+  /** Name of the key that the call comes with. */
+  readonly key: string;
+  /** Identifier of the call: its idempotency key, and the `effect` in a tool's body. */
+  readonly effect: string;
+  readonly request: Omit<EntryCall, 'entry'>;
+  /** Makes the caller go away. */
+  readonly caller: AbortController;
+}
+
+/** A call that has reached a step and is held there. */
+export interface ReachedCall {
+  readonly answer: Promise<CallResult>;
+  /** Lets it go on. */
+  release(): void;
+}
--- a/packages/stand-ins/src/collector/collectorStandIn.ts
+++ b/packages/stand-ins/src/collector/collectorStandIn.ts
@@ -59,6 +59,14 @@
     return this.#counters.get(name) ?? 0;
   }
 
+  /** Returns the sum of all counters whose name is accepted. */
+  sumOfCounters(accepts: (name: string) => boolean): number {
+    return [...this.#counters].reduce(
+      (sum, [name, value]) => (accepts(name) ? sum + value : sum),
+      0,
+    );
+  }
+
   statistics(): object {
     return {
       traceExports: this.#traceExports,
--- a/packages/stand-ins/src/load/entryCaller.ts
+++ b/packages/stand-ins/src/load/entryCaller.ts
@@ -21,6 +21,8 @@
   readonly timeoutMilliseconds?: number;
   /** Ends the call as a caller does that goes away. */
   readonly signal?: AbortSignal;
+  /** Called with each part of the answer's body as it comes. */
+  readonly onPart?: (part: string) => void;
 }
 
 const headersOf = (call: EntryCall): Record<string, string> => ({
@@ -42,12 +44,14 @@
 const readBody = async (
   body: Dispatcher.ResponseData['body'],
   startedAt: number,
+  onPart: EntryCall['onPart'],
 ): Promise<ReadAnswer> => {
   const chunks: Buffer[] = [];
   let firstByteMilliseconds: number | undefined;
   for await (const chunk of body) {
     firstByteMilliseconds ??= performance.now() - startedAt;
     chunks.push(chunk as Buffer);
+    onPart?.(String(chunk));
   }
   return { text: Buffer.concat(chunks).toString('utf8'), firstByteMilliseconds };
 };
@@ -72,7 +76,8 @@
         dispatcher: this.#agent,
         signal: controller.signal,
       });
-      return EntryCaller.#result(answer, await readBody(answer.body, startedAt), startedAt);
+      const read = await readBody(answer.body, startedAt, call.onPart);
+      return EntryCaller.#result(answer, read, startedAt);
     } catch (failure) {
       return {
         kind: 'broken',
