--- a/packages/integration/src/faults.ts
+++ b/packages/integration/src/faults.ts
@@ -2,13 +2,12 @@
 import { resolve } from 'node:path';
 import { Cli, Command, Option } from 'clipanion';
 import type { CellResult } from './faults/cellResult';
-import { FaultFleet } from './faults/faultFleet';
+import { startMatrixFleet } from './faults/startMatrixFleet';
 import { faultsPage } from './faults/faultsPage';
 import { everyCell } from './faults/faultTable';
 import type { CellPlan } from './faults/runCell';
 import { runCell } from './faults/runCell';
 
-const INSTANCES = 3;
 const PAGE = resolve(__dirname, '../../../docs/FAULTS.md');
 
 const failed = (plan: CellPlan, failure: unknown): CellResult => ({
@@ -53,7 +52,7 @@
   }
 
   async #work(queue: CellPlan[], results: CellResult[]): Promise<void> {
-    let fleet = await FaultFleet.start(INSTANCES);
+    let fleet = await startMatrixFleet();
     for (let plan = queue.shift(); plan !== undefined; plan = queue.shift()) {
       const running = plan;
       const result = await runCell(fleet, running).catch((failure: unknown) =>
@@ -63,7 +62,7 @@
       this.#print(result);
       if (result.broken.length > 0) {
         await fleet.stop();
-        fleet = await FaultFleet.start(INSTANCES);
+        fleet = await startMatrixFleet();
       }
     }
     await fleet.stop();
--- a/packages/integration/src/faults/checkCell.ts
+++ b/packages/integration/src/faults/checkCell.ts
@@ -3,6 +3,7 @@
 import { z } from 'zod';
 import type { CallFault } from './callFaults';
 import type { CellCall } from './faultCell';
+import { ORGANISATION } from './faultDeclarations';
 
 const historySchema = z.object({
   history: z.array(z.object({ sequence: z.number(), idempotencyKey: z.string() })),
@@ -56,7 +57,7 @@
 /** Reads the program with a key that was not withdrawn, and compares it with what was answered. */
 const checkHistory = async ({ call, opened, final }: CellObservation): Promise<string[]> => {
   const { fleet, program, effect } = call;
-  const key = fleet.activeKey();
+  const key = fleet.activeKey(ORGANISATION);
   const path = `/limpetnotch/v1/programs/${program}`;
   const read = await fleet.caller.call({ entry: fleet.entry(0), path, method: 'GET', key });
   if (read.kind !== 'answered') return [`the history cannot be read: ${JSON.stringify(read)}`];
@@ -81,7 +82,7 @@
     entry: fleet.entry(0),
     path: `/limpetnotch/v1/programs/${program}`,
     method: 'DELETE',
-    key: fleet.activeKey(),
+    key: fleet.activeKey(ORGANISATION),
   });
   if (ended.kind !== 'answered') return [`the program cannot be ended: ${JSON.stringify(ended)}`];
   const held = await fleet.heldSessions();
--- a/packages/integration/src/faults/faultDeclarations.ts
+++ b/packages/integration/src/faults/faultDeclarations.ts
@@ -18,6 +18,7 @@
 /** A caller's key, with the secret that callers send. */
 export interface CallerKey {
   readonly name: string;
+  readonly organisation: string;
   readonly secret: string;
 }
 
@@ -31,21 +32,23 @@
 export const callerKeys = (count: number): readonly CallerKey[] =>
   Array.from({ length: count }, (_, index) => ({
     name: `key-${index}`,
+    organisation: ORGANISATION,
     secret: `secret-of-matrix-key-${index}-7f3a`,
   }));
 
 const digestOf = (secret: string): string =>
   `sha256:${createHash('sha256').update(secret).digest('hex')}`;
 
-const keyDeclarations = (
+/** Declares keys, of which some are withdrawn. */
+export const keyDeclarations = (
   keys: readonly CallerKey[],
   withdrawn: ReadonlySet<string>,
 ): readonly object[] =>
-  keys.map(({ name, secret }) => ({
+  keys.map(({ name, organisation, secret }) => ({
     kind: 'key',
     name,
     spec: {
-      organisation: ORGANISATION,
+      organisation,
       digest: digestOf(secret),
       state: withdrawn.has(name) ? 'withdrawn' : 'active',
     },
@@ -62,7 +65,8 @@
   },
 });
 
-const routeDeclarations = (engineNames: readonly string[]): readonly object[] => [
+/** Declares the routes to the engines and to the tool. */
+export const routeDeclarations = (engineNames: readonly string[]): readonly object[] => [
   routeDeclaration('chat', {
     path: MODEL_PATH,
     service: { kind: 'model', models: [MODEL] },
@@ -83,12 +87,8 @@
   }),
 ];
 
-/** Builds the declarations of the matrix's fleet. */
-export const faultDeclarations = (
-  addresses: TargetAddresses,
-  keys: readonly CallerKey[],
-  withdrawn: ReadonlySet<string>,
-): readonly Declaration[] => {
+/** Declares the engines and the tool. */
+export const targetDeclarations = (addresses: TargetAddresses): readonly object[] => {
   const engines = addresses.engines.map((address, index) => ({
     kind: 'target',
     name: `engine-${index}`,
@@ -103,13 +103,25 @@
     name: 'tool',
     spec: { address: addresses.tool, availabilityZone: 'zone-a', backend: { kind: 'service' } },
   };
+  return [...engines, tool];
+};
+
+/** Returns the names of the engines. */
+export const engineNames = ({ engines }: TargetAddresses): readonly string[] =>
+  engines.map((_, index) => `engine-${index}`);
+
+/** Builds the declarations of the matrix's fleet. */
+export const faultDeclarations = (
+  addresses: TargetAddresses,
+  keys: readonly CallerKey[],
+  withdrawn: ReadonlySet<string>,
+): readonly Declaration[] => {
   const organisation = { kind: 'organisation', name: ORGANISATION, spec: { rate: RATE } };
   const declared = [
     organisation,
     ...keyDeclarations(keys, withdrawn),
-    ...engines,
-    tool,
-    ...routeDeclarations(engines.map(({ name }) => name)),
+    ...targetDeclarations(addresses),
+    ...routeDeclarations(engineNames(addresses)),
   ];
   return declared.map((declaration) => declarationSchema.parse(declaration));
 };
--- a/packages/integration/src/faults/faultFleet.ts
+++ b/packages/integration/src/faults/faultFleet.ts
@@ -1,7 +1,9 @@
+import type { Declaration } from '@limpetnotch/declarations';
 import { buildConfiguration, ConfigurationPublisher } from '@limpetnotch/declarations';
 import { PARTITION_COUNT, partitionOf } from '@limpetnotch/partitions';
 import type { KeyValueStore } from '@limpetnotch/platform';
 import { createEtcdStore } from '@limpetnotch/platform';
+import type { EngineOptions } from '@limpetnotch/stand-ins';
 import {
   CollectorStandIn,
   EngineStandIn,
@@ -16,36 +18,49 @@
 import { freePorts } from '../fleet/freePorts';
 import type { ManagedProcess } from '../fleet/managedProcess';
 import { waitUntil } from '../fleet/waitUntil';
-import type { CallerKey } from './faultDeclarations';
-import { callerKeys, faultDeclarations, MODEL, ORGANISATION } from './faultDeclarations';
+import type { CallerKey, TargetAddresses } from './faultDeclarations';
 
 const OPERATOR_TOKEN = 'fault-matrix-operator-token';
 const WHOLE_MILLISECONDS = 30_000;
 const POLL_MILLISECONDS = 100;
 const FREED_MILLISECONDS = 8_000;
-const ENGINES = 2;
-const KEYS = 64;
-const ENGINE_SETTINGS = { models: [MODEL], tokensPerSecond: 40, restartMilliseconds: 1_500 };
+const ENGINE_SETTINGS: EngineOptions = {
+  tokensPerSecond: 40,
+  restartMilliseconds: 1_500,
+  fencingScope: 'subject',
+};
 const INSTANCE_ARGUMENTS = ['--lease-seconds', '1', '--drain-seconds', '0.2'];
 
 const effectSchema = z.object({ effect: z.string() });
 
 const statusSchema = z.object({ ownedPartitions: z.array(z.number().int()) });
 
+/** What a fault fleet is made of. */
+export interface FaultFleetOptions {
+  readonly instances: number;
+  readonly engines: number;
+  readonly model: string;
+  readonly keys: readonly CallerKey[];
+  /** Builds the declarations. */
+  declare(
+    addresses: TargetAddresses,
+    keys: readonly CallerKey[],
+    withdrawn: ReadonlySet<string>,
+  ): readonly Declaration[];
+}
+
 /** Stand-ins in this process, and instances as processes that can be killed and paused. */
 export class FaultFleet {
   readonly store = new StoreStandIn();
 
   readonly tool = new ToolStandIn();
 
-  readonly engines = Array.from({ length: ENGINES }, () => new EngineStandIn(ENGINE_SETTINGS));
+  readonly engines: readonly EngineStandIn[];
 
   readonly collector = new CollectorStandIn();
 
   readonly caller = new EntryCaller();
 
-  readonly keys: readonly CallerKey[] = callerKeys(KEYS);
-
   readonly #withdrawn = new Set<string>();
 
   #takenFailures = 0;
@@ -54,16 +69,21 @@
 
   readonly #client: KeyValueStore;
 
-  readonly #instances: number;
+  readonly #options: FaultFleetOptions;
 
-  private constructor(fleet: Fleet, client: KeyValueStore, instances: number) {
+  private constructor(fleet: Fleet, client: KeyValueStore, options: FaultFleetOptions) {
     this.#fleet = fleet;
     this.#client = client;
-    this.#instances = instances;
+    this.#options = options;
+    this.engines = Array.from(
+      { length: options.engines },
+      () => new EngineStandIn({ ...ENGINE_SETTINGS, models: [options.model] }),
+    );
   }
 
   /** Starts the stand-ins, publishes the declarations and starts the instances. */
-  static async start(instances: number): Promise<FaultFleet> {
+  static async start(options: FaultFleetOptions): Promise<FaultFleet> {
+    const { instances } = options;
     const ports = await freePorts(2 * instances + 2);
     const [storePort = 0, collectorPort = 0, ...rest] = ports;
     const fleet = new Fleet({
@@ -79,7 +99,7 @@
       instanceArguments: [...INSTANCE_ARGUMENTS, '--statsd', `127.0.0.1:${collectorPort}`],
     });
     const client = createEtcdStore({ endpoints: [fleet.storeAddress] });
-    const faultFleet = new FaultFleet(fleet, client, instances);
+    const faultFleet = new FaultFleet(fleet, client, options);
     await faultFleet.#startStandIns(storePort, collectorPort);
     await faultFleet.publish();
     fleet.startInstances();
@@ -88,7 +108,11 @@
   }
 
   get instances(): number {
-    return this.#instances;
+    return this.#options.instances;
+  }
+
+  get keys(): readonly CallerKey[] {
+    return this.#options.keys;
   }
 
   /** Returns the address of an instance's entry. */
@@ -117,7 +141,7 @@
       engines: this.engines.map((engine) => engine.server.address),
       tool: this.tool.server.address,
     };
-    const declared = faultDeclarations(addresses, this.keys, this.#withdrawn);
+    const declared = this.#options.declare(addresses, this.keys, this.#withdrawn);
     const publisher = new ConfigurationPublisher(this.#client);
     const configuration = buildConfiguration(0, declared);
     const published = await publisher.publish({ configuration, author: 'fault-matrix' });
@@ -125,14 +149,14 @@
   }
 
   /** Returns the partition of a root program. */
-  partition(program: string): number {
-    return partitionOf(`${ORGANISATION}/${program}`);
+  partition(organisation: string, program: string): number {
+    return partitionOf(`${organisation}/${program}`);
   }
 
   /** Returns which instance owns a partition, by what the instances say. */
   async ownerOf(partition: number): Promise<number | undefined> {
     const owned = await Promise.all(
-      Array.from({ length: this.#instances }, (_, index) => this.#ownedBy(index)),
+      Array.from({ length: this.instances }, (_, index) => this.#ownedBy(index)),
     );
     const owners = owned.flatMap((partitions, index) =>
       partitions.includes(partition) ? [index] : [],
@@ -161,10 +185,13 @@
     }).length;
   }
 
-  /** Returns the secret of a key that was not withdrawn. */
-  activeKey(): string {
-    const key = this.keys.find(({ name }) => !this.#withdrawn.has(name));
-    if (!key) throw new Error('every key was withdrawn');
+  /** Returns the secret of an organisation's first key that was not withdrawn. */
+  activeKey(organisation: string): string {
+    const key = this.keys.find(
+      (candidate) =>
+        candidate.organisation === organisation && !this.#withdrawn.has(candidate.name),
+    );
+    if (!key) throw new Error(`every key of ${organisation} was withdrawn`);
     return key.secret;
   }
 
@@ -210,7 +237,7 @@
   }
 
   async #isWhole(): Promise<boolean> {
-    const indices = Array.from({ length: this.#instances }, (_, index) => index);
+    const indices = Array.from({ length: this.instances }, (_, index) => index);
     const ready = await Promise.all(indices.map((index) => this.#isReady(index)));
     if (!ready.every(Boolean)) return false;
     const owned = (await Promise.all(indices.map((index) => this.#ownedBy(index)))).flat();
--- a/packages/integration/src/faults/runCell.ts
+++ b/packages/integration/src/faults/runCell.ts
@@ -6,7 +6,7 @@
 import { describeResult } from './cellResult';
 import { checkCell } from './checkCell';
 import type { CallKind, CallStep, CellCall } from './faultCell';
-import { CHARGE_PATH, MODEL, MODEL_PATH } from './faultDeclarations';
+import { CHARGE_PATH, MODEL, MODEL_PATH, ORGANISATION } from './faultDeclarations';
 import type { FaultFleet } from './faultFleet';
 import { reachStep } from './reachStep';
 
@@ -26,7 +26,6 @@
   'idempotency-conflict',
   'sequence-conflict',
   'quarantined',
-  'target-broken',
   'malformed-request',
 ]);
 
@@ -79,16 +78,18 @@
   };
 };
 
-const isFinal = (result: CallResult): boolean => {
+const isFinal = (kind: CallKind, result: CallResult): boolean => {
   if (result.kind === 'broken') return false;
-  return result.kind === 'answered' || FINAL_PROBLEMS.has(result.problem);
+  if (result.kind === 'answered' || FINAL_PROBLEMS.has(result.problem)) return true;
+  // A call that may have run is never run again, so that its outcome stays unknown.
+  return kind === 'charge' && result.executed === 'unknown';
 };
 
 /** Makes the call again, at each entry in turn, until its result is final. */
 const retryUntilFinal = async (call: CellCall, first: CallResult): Promise<CallResult> => {
   const giveUpAt = performance.now() + PATIENCE_MILLISECONDS;
   let result = first;
-  for (let attempt = 1; !isFinal(result) && performance.now() < giveUpAt; attempt += 1) {
+  for (let attempt = 1; !isFinal(call.kind, result) && performance.now() < giveUpAt; attempt += 1) {
     await delay(RETRY_MILLISECONDS);
     const entry = call.fleet.entry((call.entry + attempt) % call.fleet.instances);
     result = await call.fleet.caller.call({ ...call.request, entry });
@@ -100,7 +101,7 @@
   fleet: FaultFleet,
   program: string,
 ): Promise<Pick<CellCall, 'owner' | 'entry' | 'partition'>> => {
-  const partition = fleet.partition(program);
+  const partition = fleet.partition(ORGANISATION, program);
   const owner = await fleet.ownerOf(partition);
   if (owner === undefined) throw new Error(`partition ${partition} has no owner`);
   return { partition, owner, entry: (owner + 1) % fleet.instances };
--- /dev/null
+++ b/packages/integration/tests/faultMatrix.test.ts
@@ -0,0 +1,43 @@
+import { execFile } from 'node:child_process';
+import { resolve } from 'node:path';
+import { promisify } from 'node:util';
+import type { CellPlan } from '../src/faults/runCell';
+import { runCell } from '../src/faults/runCell';
+import type { FaultFleet } from '../src/faults/faultFleet';
+import { startMatrixFleet } from '../src/faults/startMatrixFleet';
+
+const SETUP_MILLISECONDS = 180_000;
+const CELL_MILLISECONDS = 90_000;
+const ROOT = resolve(__dirname, '../../..');
+
+/** The cells that run in CI: one for each part that can be lost, at the step that hurts most. */
+const CELLS: readonly Omit<CellPlan, 'number'>[] = [
+  { kind: 'charge', step: 'running', faults: ['owner-killed'] },
+  { kind: 'charge', step: 'outcome', faults: ['store-answers-lost'] },
+  { kind: 'charge', step: 'running', faults: ['target-crashed'] },
+  { kind: 'charge', step: 'intent', faults: ['caller-gone'] },
+  { kind: 'model', step: 'dispatch', faults: ['entry-killed'] },
+  { kind: 'model', step: 'arrival', faults: ['store-refused'] },
+];
+
+let fleet: FaultFleet;
+
+beforeAll(async () => {
+  // The instances run from the build.
+  const compiler = resolve(ROOT, 'node_modules/typescript/bin/tsc');
+  await promisify(execFile)(process.execPath, [compiler, '-b', 'tsconfig.build.json'], {
+    cwd: ROOT,
+  });
+  fleet = await startMatrixFleet();
+}, SETUP_MILLISECONDS);
+
+afterAll(() => fleet.stop(), CELL_MILLISECONDS);
+
+test.each(CELLS.map((cell, number) => ({ ...cell, number })))(
+  '$kind at $step: $faults',
+  async (cell) => {
+    const { broken } = await runCell(fleet, cell);
+    expect(broken).toEqual([]);
+  },
+  CELL_MILLISECONDS,
+);
--- a/packages/stand-ins/src/engine/engineOrders.ts
+++ b/packages/stand-ins/src/engine/engineOrders.ts
@@ -7,10 +7,9 @@
   z.object({ kind: z.literal('set-role'), role: z.string() }),
 ]);
 
-/** Order with its fencing number; numbers of one scope are compared with each other only. */
+/** Order with its fencing number. */
 export const orderRequestSchema = z.object({
   fencing_number: z.number().int(),
-  fencing_scope: z.string().default(''),
   order: orderSchema,
 });
 
@@ -21,10 +20,24 @@
 export class FencingNumbers {
   readonly #newest = new Map<string, number>();
 
-  /** Notes a number; returns the newest of its scope. */
-  note({ fencing_scope: scope, fencing_number: number }: OrderRequest): number {
+  /** Notes a number of a scope; returns the newest. */
+  note(scope: string, number: number): number {
     const newest = Math.max(number, this.#newest.get(scope) ?? number);
     this.#newest.set(scope, newest);
     return newest;
   }
 }
+
+/** Returns what an order is about, such as the session that it frees. */
+export const subjectOf = (order: EngineOrder): string => {
+  switch (order.kind) {
+    case 'free-session':
+      return `session ${order.session_id}`;
+    case 'load-model':
+      return `model ${order.model}`;
+    case 'set-role':
+      return 'role';
+    default:
+      return order satisfies never;
+  }
+};
--- a/packages/stand-ins/src/engine/engineSettings.ts
+++ b/packages/stand-ins/src/engine/engineSettings.ts
@@ -26,6 +26,8 @@
   cacheEventLossRatio: z.number().min(0).max(1),
   /** Whether an order with an old fencing number is refused. */
   fencing: z.enum(['obeyed', 'ignored']),
+  /** With which orders a fencing number is compared: all of the engine, or those on one subject. */
+  fencingScope: z.enum(['engine', 'subject']),
   /** Which cut streams can be resumed: any, only those that ran here, or none. */
   resume: z.enum(['any', 'own', 'none']),
   /** What a crash does: kill the process, or refuse connections for a while and lose all memory. */
@@ -72,6 +74,7 @@
   cacheEventDelayMilliseconds: 500,
   cacheEventLossRatio: 0,
   fencing: 'obeyed',
+  fencingScope: 'engine',
   resume: 'any',
   crash: 'restart',
   restartMilliseconds: 1_000,
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -9,7 +9,7 @@
 import { chatRequestSchema } from './chatRequest';
 import { completionSink } from './completionResponse';
 import type { EngineOrder } from './engineOrders';
-import { FencingNumbers, orderRequestSchema } from './engineOrders';
+import { FencingNumbers, orderRequestSchema, subjectOf } from './engineOrders';
 import type { EngineOptions, EngineSettings, EngineSettingsChange } from './engineSettings';
 import {
   DEFAULT_ENGINE_SETTINGS,
@@ -172,8 +172,10 @@
 
   async #order(request: FastifyRequest, reply: FastifyReply): Promise<FastifyReply> {
     const order = orderRequestSchema.parse(request.body);
-    const newest = this.#fencing.note(order);
-    if (this.#settings.fencing === 'obeyed' && order.fencing_number < newest) {
+    const { fencing, fencingScope } = this.#settings;
+    const scope = fencingScope === 'engine' ? 'engine' : subjectOf(order.order);
+    const newest = this.#fencing.note(scope, order.fencing_number);
+    if (fencing === 'obeyed' && order.fencing_number < newest) {
       return reply.code(STATUS_CONFLICT).send({ error: 'stale-fencing-number', newest });
     }
     await this.#apply(order.order);
--- a/packages/stand-ins/src/util/seededRandom.ts
+++ b/packages/stand-ins/src/util/seededRandom.ts
@@ -3,12 +3,16 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
 
+/** Draws that are dropped, as the first ones after a small seed are alike. */
+const DROPPED_DRAWS = 64;
+
 /** Random draws that are the same for the same seed. */
 export class SeededRandom {
   readonly #generator: RandomGenerator;
 
   constructor(seed: number) {
     this.#generator = xoroshiro128plus(seed);
+    for (let draw = 0; draw < DROPPED_DRAWS; draw += 1) this.#generator.next();
   }
 
   /** Returns a number from 0 up to, but without, 1. */
