--- a/packages/server/src/entry/callDesk.ts
+++ b/packages/server/src/entry/callDesk.ts
@@ -16,6 +16,7 @@
 import { headersOf } from './callerRequest';
 import type { CallRelay } from './callRelay';
 import { HttpAnswerSink } from './httpAnswerSink';
+import type { HttpAnswerSinkOptions } from './httpAnswerSink';
 import type { OpenCalls } from './openCalls';
 import type { ProgramAddress } from './programAddress';
 import { addressOf, parseProgramHeaders } from './programAddress';
@@ -62,10 +63,11 @@
     const sink = new HttpAnswerSink({
       response: request.response,
       program: undefined,
+      idempotencyKey: undefined,
       explain: (problem) => problem,
     });
     request.response.once('close', () => abort.abort());
-    const admitted = await this.#admit(request, abort.signal);
+    const admitted = this.#admit(request);
     if (admitted.isErr()) {
       this.#options.metrics.increment('entry.refusals', 1, { problem: admitted.error.problem });
       sink.fail(admitted.error);
@@ -74,10 +76,7 @@
     await this.#relay(request, admitted.value, abort);
   }
 
-  async #admit(
-    request: CallerRequest,
-    signal: AbortSignal,
-  ): Promise<Result<AdmittedCall, Problem>> {
+  #admit(request: CallerRequest): Result<AdmittedCall, Problem> {
     const state = this.#options.readiness.state();
     if (state.kind === 'not-ready' && state.reason !== 'draining') {
       return err({
@@ -87,7 +86,7 @@
         retryAfterMilliseconds: NOT_READY_RETRY_MILLISECONDS,
       });
     }
-    return this.#options.admission.admit(request, signal);
+    return this.#options.admission.admit(request);
   }
 
   async #relay(request: CallerRequest, call: AdmittedCall, abort: AbortController): Promise<void> {
@@ -95,15 +94,18 @@
     const address = CallDesk.#address(request, call);
     const sink = new HttpAnswerSink({
       response: request.response,
-      program: address.isOk() && !address.value.singleCall ? address.value.path : undefined,
+      ...CallDesk.#namesOf(address, call),
       explain: (problem) => this.#explain(problem, abort),
     });
     if (address.isErr()) {
       sink.fail(address.error);
       return;
     }
-    const key = call.caller.kind === 'organisation' ? call.caller.key : '';
-    const remove = openCalls.add(key, abort);
+    const { caller } = call;
+    const remove =
+      caller.kind === 'organisation'
+        ? openCalls.add(caller.identity, abort)
+        : (): void => undefined;
     try {
       const message = this.#message(request, call, address.value);
       await relay.relay({ request: message, sink, signal: abort.signal });
@@ -112,6 +114,18 @@
     }
   }
 
+  /** Names that the caller is told, so that it can ask again. */
+  static #namesOf(
+    address: Result<ProgramAddress, Problem>,
+    { caller }: AdmittedCall,
+  ): Pick<HttpAnswerSinkOptions, 'program' | 'idempotencyKey'> {
+    if (address.isErr() || caller.kind === 'anyone') {
+      return { program: undefined, idempotencyKey: undefined };
+    }
+    const { path, singleCall, idempotencyKey } = address.value;
+    return { program: singleCall ? undefined : path, idempotencyKey };
+  }
+
   /** A call that was cut with its key is told so; what ran stays as the owner said. */
   #explain(problem: Problem, abort: AbortController): Problem {
     if (!this.#options.openCalls.wasCut(abort)) return problem;
@@ -132,7 +146,8 @@
 
   #message(request: CallerRequest, call: AdmittedCall, address: ProgramAddress): RunCallRequest {
     const { caller, route } = call;
-    const organisation = caller.kind === 'organisation' ? caller.organisation : OPEN_ORGANISATION;
+    const organisation =
+      caller.kind === 'organisation' ? caller.identity.organisation : OPEN_ORGANISATION;
     return create(RunCallRequestSchema, {
       relayId: randomUUID(),
       organisation,
@@ -149,7 +164,7 @@
       headers: call.headers.map(({ name, value }) => ({ name, value })),
       body: request.body,
       traceParent: activeTraceParent(),
-      keyName: caller.kind === 'organisation' ? caller.key : '',
+      keyName: caller.kind === 'organisation' ? caller.identity.key : '',
       configurationRevision: this.#options.revision(),
       deadlineMilliseconds: Math.ceil(route.deadlineSeconds * MILLISECONDS_PER_SECOND),
     });
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -20,6 +20,7 @@
 import { ConnectPeerChannel } from '../peers/connectPeerChannel';
 import { ControlDesk } from '../peers/controlDesk';
 import { Heartbeats } from '../peers/heartbeats';
+import { PEER_ROOT_KEY, PeerConfiguration } from '../peers/peerConfiguration';
 import { PartitionDirectory } from '../peers/partitionDirectory';
 import { peerHandlers } from '../peers/peerHandlers';
 import { WitnessDesk } from '../peers/witnessDesk';
@@ -64,6 +65,8 @@
 
   readonly #follower: ConfigurationFollower;
 
+  readonly #admission: DeclaredAdmission;
+
   readonly #scheduler: Scheduler;
 
   readonly #partitions: PartitionManager;
@@ -83,7 +86,15 @@
     const partition = (number: number): OwnedPartition | undefined => this.#owned(number);
     this.#options = options;
     this.#supervisor = new Supervisor({ name: 'instance', ...shared });
-    this.#follower = new ConfigurationFollower({ store, ...shared });
+    this.#follower = new ConfigurationFollower({
+      store,
+      ...shared,
+      peers: new PeerConfiguration({
+        clients: this.#clients,
+        addresses: () => this.#heartbeats.addresses(),
+      }),
+    });
+    this.#admission = new DeclaredAdmission(configuration);
     this.#scheduler = createScheduler({
       instance: settings.instance,
       ...shared,
@@ -201,7 +212,8 @@
         programs: this.#programs,
         control: new ControlDesk(this.#heartbeats),
         witness: new WitnessDesk(this.#partitions),
-        configurationValue: (key) => this.#follower.value(key),
+        configurationValue: (key) =>
+          key === PEER_ROOT_KEY ? this.#follower.rootValue() : this.#follower.value(key),
       }),
     });
     return { stop: async () => server.close() };
@@ -215,7 +227,7 @@
       programs: this.#programs,
       clients: this.#clients,
     });
-    const admission = new DeclaredAdmission(() => this.#follower.current());
+    const admission = this.#admission;
     const programs = new ProgramRequests(directory);
     const server = await EntryServer.start({
       host: settings.entryHost,
@@ -237,7 +249,6 @@
         settings,
         partitions: this.#partitions,
         scheduler: this.#scheduler,
-        programs,
         readiness: this.#readiness,
         configuration: () => this.#follower.current(),
         callsUnderWay: () => this.#openCalls.size + this.#owner.runningCalls,
@@ -272,9 +283,7 @@
 
   #applyConfiguration(configuration: Configuration): void {
     this.#scheduler.applyConfiguration(configuration);
-    const isActive = (key: string): boolean =>
-      key === '' || configuration.keys.get(key)?.state === 'active';
-    const cut = this.#openCalls.cutKeys(isActive);
+    const cut = this.#openCalls.cutKeys((identity) => this.#admission.isInForce(identity));
     if (cut > 0) this.#options.metrics.increment('entry.calls-cut-by-key', cut);
   }
 
