End the fault fleet's processes with their runner; follow the status path

Cause: a runner that failed left its instances behind, and the operators' status moved to /limpetnotch/v1/status.

Change: the fleet kills its processes on exit, SIGINT and SIGTERM.

--- a/packages/integration/src/faults/faultFleet.ts
+++ b/packages/integration/src/faults/faultFleet.ts
@@ -33,7 +33,21 @@
 
 const effectSchema = z.object({ effect: z.string() });
 
-const statusSchema = z.object({ ownedPartitions: z.array(z.number().int()) });
+const statusSchema = z.object({ partitions: z.array(z.number().int()) });
+
+/** Ends a fleet's processes when this one ends, so that none is left behind. */
+const killAtExit = (fleet: Fleet): void => {
+  const kill = (): void => {
+    void fleet.kill();
+  };
+  process.once('exit', kill);
+  (['SIGINT', 'SIGTERM'] as const).forEach((signal) =>
+    process.once(signal, () => {
+      kill();
+      process.kill(process.pid, signal);
+    }),
+  );
+};
 
 /** What a fault fleet is made of. */
 export interface FaultFleetOptions {
@@ -100,6 +114,7 @@
     });
     const client = createEtcdStore({ endpoints: [fleet.storeAddress] });
     const faultFleet = new FaultFleet(fleet, client, options);
+    killAtExit(fleet);
     await faultFleet.#startStandIns(storePort, collectorPort);
     await faultFleet.publish();
     fleet.startInstances();
@@ -253,9 +268,9 @@
   }
 
   async #ownedBy(index: number): Promise<readonly number[]> {
-    const answer = await request(`${this.entry(index)}/limpetnotch/v1/operator/status`, {
+    const answer = await request(`${this.entry(index)}/limpetnotch/v1/status`, {
       headers: { authorization: `Bearer ${OPERATOR_TOKEN}` },
     });
-    return statusSchema.parse(await answer.body.json()).ownedPartitions;
+    return statusSchema.parse(await answer.body.json()).partitions;
   }
 }
