--- a/packages/integration/src/faults/faultFleet.ts
+++ b/packages/integration/src/faults/faultFleet.ts
@@ -181,7 +181,11 @@
 
   /** Resolves when every instance is ready and each partition has one owner. */
   async untilWhole(): Promise<void> {
-    await waitUntil('the fleet is whole', WHOLE_MILLISECONDS, () => this.#isWhole());
+    await waitUntil('the fleet is whole', WHOLE_MILLISECONDS, () => this.#isWhole()).catch(
+      async () => {
+        throw new Error(`the fleet did not become whole: ${await this.#describe()}`);
+      },
+    );
   }
 
   /** Assertions that failed in any instance since this was last asked. */
@@ -261,6 +265,24 @@
     return false;
   }
 
+  /** Says which instances are not ready, and which partitions have no or several owners. */
+  async #describe(): Promise<string> {
+    const states = await Promise.all(
+      Array.from({ length: this.instances }, async (_, index) => {
+        const isReady = await this.#isReady(index).catch(() => false);
+        const owned = await this.#ownedBy(index).catch(() => []);
+        return { isReady, owned };
+      }),
+    );
+    const owners = states.flatMap(({ owned }) => owned);
+    const ready = states.map(({ isReady }) => (isReady ? 'ready' : 'not ready')).join(', ');
+    const free = Array.from({ length: PARTITION_COUNT }, (_, partition) => partition).filter(
+      (partition) => !owners.includes(partition),
+    );
+    const double = owners.filter((partition, index) => owners.indexOf(partition) !== index);
+    return `${ready}; without an owner: ${free.join()}; with several: ${double.join()}`;
+  }
+
   async #isReady(index: number): Promise<boolean> {
     const answer = await request(`${this.entry(index)}/healthz/ready`);
     await answer.body.dump();
