Retry a program's end while its owner changes; show the fencing fault

Change: the end is tried for five seconds at each entry in turn; key-unknown speaks of its own attempt only.

--- a/packages/integration/src/faults/checkCell.ts
+++ b/packages/integration/src/faults/checkCell.ts
@@ -1,5 +1,6 @@
 import type { CallResult } from '@limpetnotch/stand-ins';
 import { answerTextOf, chatRequestSchema, planAnswer } from '@limpetnotch/stand-ins';
+import { delay } from '@limpetnotch/supervision';
 import type { CallFault } from './callFaults';
 import type { CellCall } from './faultCell';
 import { ORGANISATION } from './faultDeclarations';
@@ -18,6 +19,9 @@
 }
 
 const ENGINE_SEED = 1;
+const END_MILLISECONDS = 5_000;
+const RETRY_MILLISECONDS = 250;
+const STATUS_UNAVAILABLE = 503;
 
 const expectedText = ({ request }: CellCall): string =>
   answerTextOf(planAnswer(chatRequestSchema.parse(request.body), ENGINE_SEED));
@@ -38,7 +42,9 @@
   if (first.kind === 'problem' && first.executed === 'no' && firstExecutions > 0) {
     broken.push(`"not run" was false (${first.problem})`);
   }
-  if (final.kind === 'problem' && final.executed === 'no' && executions > 0) {
+  // A caller without a valid key is told of this attempt only, not what ran under another key.
+  const isStranger = final.kind === 'problem' && final.problem === 'key-unknown';
+  if (final.kind === 'problem' && final.executed === 'no' && executions > 0 && !isStranger) {
     broken.push(`"not run" was false at the end (${final.problem})`);
   }
   return broken;
@@ -81,15 +87,24 @@
   return broken;
 };
 
+/** Ends the program at each entry in turn, as callers do while its owner changes. */
+const endProgram = async ({ fleet, program }: CellCall): Promise<CallResult> => {
+  const path = `/limpetnotch/v1/programs/${program}`;
+  const giveUpAt = performance.now() + END_MILLISECONDS;
+  for (let attempt = 0; ; attempt += 1) {
+    const entry = fleet.entry(attempt % fleet.instances);
+    const key = fleet.activeKey(ORGANISATION);
+    const ended = await fleet.caller.call({ entry, path, method: 'DELETE', key });
+    const isPassing = ended.kind === 'problem' && ended.status === STATUS_UNAVAILABLE;
+    if (!isPassing || performance.now() > giveUpAt) return ended;
+    await delay(RETRY_MILLISECONDS);
+  }
+};
+
 /** Ends the program and looks whether the engines' memory is freed. */
 const checkEnd = async ({ call }: CellObservation): Promise<string[]> => {
-  const { fleet, program } = call;
-  const ended = await fleet.caller.call({
-    entry: fleet.entry(0),
-    path: `/limpetnotch/v1/programs/${program}`,
-    method: 'DELETE',
-    key: fleet.activeKey(ORGANISATION),
-  });
+  const { fleet } = call;
+  const ended = await endProgram(call);
   if (ended.kind !== 'answered') return [`the program cannot be ended: ${JSON.stringify(ended)}`];
   const held = await fleet.heldSessions();
   return held.length === 0 ? [] : [`engine memory is held by ended programs: ${held.join(', ')}`];
--- a/packages/integration/tests/faultMatrix.test.ts
+++ b/packages/integration/tests/faultMatrix.test.ts
@@ -1,6 +1,7 @@
 import { execFile } from 'node:child_process';
 import { resolve } from 'node:path';
 import { promisify } from 'node:util';
+import { MODEL, MODEL_PATH, ORGANISATION } from '../src/faults/faultDeclarations';
 import type { CellPlan } from '../src/faults/runCell';
 import { runCell } from '../src/faults/runCell';
 import type { FaultFleet } from '../src/faults/faultFleet';
@@ -8,6 +9,7 @@
 
 const SETUP_MILLISECONDS = 180_000;
 const CELL_MILLISECONDS = 90_000;
+const PROGRAMS = 32;
 const ROOT = resolve(__dirname, '../../..');
 
 /** The cells that run in CI: one for each part that can be lost, at the step that hurts most. */
@@ -41,3 +43,24 @@
   },
   CELL_MILLISECONDS,
 );
+
+// Known red: the fencing number is the partition's epoch, and epochs of different partitions are
+// not comparable, so that an engine with one newest number refuses orders of rightful owners.
+test.failing(
+  'known red: memory is freed at an engine that keeps one fencing number',
+  async () => {
+    await Promise.all(fleet.engines.map((engine) => engine.setFaults({ fencingScope: 'engine' })));
+    const names = Array.from({ length: PROGRAMS }, (_, index) => `fenced-${index}`);
+    const key = fleet.activeKey(ORGANISATION);
+    for (const [index, program] of names.entries()) {
+      const entry = fleet.entry(index % fleet.instances);
+      const messages = [{ role: 'user', content: `${program} [output=2]` }];
+      const body = { model: MODEL, messages, max_tokens: 2 };
+      await fleet.caller.call({ entry, path: MODEL_PATH, key, program, body });
+      const path = `/limpetnotch/v1/programs/${program}`;
+      await fleet.caller.call({ entry, path, method: 'DELETE', key });
+    }
+    expect(await fleet.heldSessions()).toEqual([]);
+  },
+  CELL_MILLISECONDS,
+);
