Put a changed set together from the one before

Cause: a change at the planned size stalled the event loop for 35 to 63 ms, as all maps were built anew. Change: the maps of the set in force are copied, and only the objects of changed chunks go and come.

--- a/packages/declarations/src/format/decodeConfiguration.ts
+++ b/packages/declarations/src/format/decodeConfiguration.ts
@@ -7,6 +7,7 @@
 import { chunkIndexSchema } from './chunkIndex';
 import type { ConfigurationRoot } from './configurationRoot';
 import { configurationRootSchema } from './configurationRoot';
+import { countDeclarations } from './countDeclarations';
 import { decodeValue } from './decodeValue';
 import { digestOf } from './digestOf';
 import type { FormatError } from './formatError';
@@ -32,13 +33,6 @@
   return verified(name, digest, value).andThen((text) => decodeValue(chunkSchema, name, text));
 };
 
-const sizeOf = (configuration: Configuration): number =>
-  configuration.organisations.size +
-  configuration.keys.size +
-  configuration.routes.size +
-  configuration.targets.size +
-  configuration.budgets.size;
-
 /** Puts the decoded chunks of a revision together. */
 export const assembleConfiguration = (
   revision: number,
@@ -46,7 +40,7 @@
 ): Result<Configuration, FormatError> => {
   const declarations = chunks.flatMap(({ objects }) => objects);
   const configuration = buildConfiguration(revision, declarations);
-  if (sizeOf(configuration) === declarations.length) return ok(configuration);
+  if (countDeclarations(configuration) === declarations.length) return ok(configuration);
   const detail = 'a name stands in it twice';
   return err({ kind: 'corrupt', value: `configuration ${revision}`, detail });
 };
--- a/packages/declarations/src/publishing/loadRevision.ts
+++ b/packages/declarations/src/publishing/loadRevision.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationRoot } from '../format/configurationRoot';
 import { assembleConfiguration, decodeChunk, decodeIndex } from '../format/decodeConfiguration';
 import type { FormatError } from '../format/formatError';
+import { reassembleConfiguration } from '../format/reassembleConfiguration';
 import type { ChunkSource, SourceError } from './chunkSource';
 import { inParallel } from './inParallel';
 import { withDeadline } from './withDeadline';
@@ -50,7 +51,7 @@
 export const loadRevision = async (
   root: ConfigurationRoot,
   sources: readonly ChunkSource[],
-  before: ReadonlyMap<string, Chunk>,
+  before: LoadedRevision | undefined,
 ): Promise<Result<LoadedRevision, LoadError>> => {
   const index = await readFrom(sources, root.index, (value) =>
     decodeIndex(root.index, value).map(({ chunks }) => ({ value, chunks })),
@@ -58,14 +59,17 @@
   if (index.isErr()) return err(index.error);
   const digests = index.value.chunks.map(({ digest }) => digest);
   const read = await inParallel(digests, async (digest): Promise<Result<Chunk, LoadError>> => {
-    const known = before.get(digest);
+    const known = before?.chunks.get(digest);
     return known ? ok(known) : readFrom(sources, digest, (value) => decodeChunk(digest, value));
   });
   if (read.isErr()) return err(read.error);
   const chunks = new Map(
     read.value.map((chunk, position): [string, Chunk] => [digests[position] ?? '', chunk]),
   );
-  return assembleConfiguration(root.revision, read.value).map((configuration) => ({
+  const assembled = before
+    ? reassembleConfiguration(root.revision, chunks, before)
+    : assembleConfiguration(root.revision, read.value);
+  return assembled.map((configuration) => ({
     root,
     configuration,
     chunks,
--- a/packages/declarations/src/publishing/revisionHolder.ts
+++ b/packages/declarations/src/publishing/revisionHolder.ts
@@ -69,7 +69,7 @@
     const comparison = this.#compare(root.value);
     if (comparison.isErr()) return err(comparison.error);
     if (comparison.value === 'unchanged') return ok('unchanged');
-    const loaded = await loadRevision(root.value, sources, this.#loaded?.chunks ?? new Map());
+    const loaded = await loadRevision(root.value, sources, this.#loaded);
     if (loaded.isErr()) return err(loaded.error);
     // Another apply may have ended while this one waited for its chunks.
     const still = this.#compare(root.value);
--- a/packages/declarations/tests/decodeConfiguration.test.ts
+++ b/packages/declarations/tests/decodeConfiguration.test.ts
@@ -1,5 +1,15 @@
-import { decodeConfiguration, digestOf, encodeConfiguration } from '../src';
-import type { ConfigurationRoot } from '../src';
+import * as fc from 'fast-check';
+import {
+  buildConfiguration,
+  decodeConfiguration,
+  digestOf,
+  encodeConfiguration,
+  sampleConfiguration,
+} from '../src';
+import type { Configuration, ConfigurationRoot } from '../src';
+import { decodeChunk, decodeIndex } from '../src/format/decodeConfiguration';
+import type { AssembledConfiguration } from '../src/format/reassembleConfiguration';
+import { reassembleConfiguration } from '../src/format/reassembleConfiguration';
 import { exampleSet } from './exampleSet';
 
 const rootOf = (index: string): ConfigurationRoot => ({
@@ -52,3 +62,43 @@
     supported: 1,
   });
 });
+
+const SEED = 20261206;
+
+const chunksOf = (configuration: Configuration): AssembledConfiguration['chunks'] => {
+  const { index, values } = encodeConfiguration(configuration)._unsafeUnwrap();
+  const { chunks } = decodeIndex(index, values.get(index)!)._unsafeUnwrap();
+  return new Map(
+    chunks.map(({ digest }) => [digest, decodeChunk(digest, values.get(digest)!)._unsafeUnwrap()]),
+  );
+};
+
+test('a set made from the one before equals the set made from all its chunks', () => {
+  const sizes = fc.record({
+    organisations: fc.integer({ min: 1, max: 400 }),
+    keys: fc.integer({ min: 0, max: 800 }),
+  });
+  const property = fc.property(fc.array(sizes, { minLength: 1, maxLength: 4 }), (sets) => {
+    let before: AssembledConfiguration = {
+      configuration: buildConfiguration(0, []),
+      chunks: new Map(),
+    };
+    sets.forEach(({ organisations, keys }, position) => {
+      const expected = { ...sampleConfiguration(organisations, keys), revision: position + 1 };
+      const chunks = chunksOf(expected);
+      const configuration = reassembleConfiguration(position + 1, chunks, before)._unsafeUnwrap();
+      expect(configuration).toEqual(expected);
+      before = { configuration, chunks };
+    });
+  });
+  fc.assert(property, { seed: SEED, numRuns: 15, endOnFailure: true });
+});
+
+test('refuses a name that an unchanged chunk has already', () => {
+  const configuration = exampleSet();
+  const chunks = chunksOf(configuration);
+  const [chunk] = [...chunks.values()];
+  const twice = new Map([...chunks, ['other', chunk!]]);
+  const result = reassembleConfiguration(2, twice, { configuration, chunks });
+  expect(result._unsafeUnwrapErr()).toMatchObject({ kind: 'corrupt' });
+});
