Part the reading of roots from the following of watches

Change: RootReader reads roots from the store or a peer and notes confirmations; the follower keeps the watch. Conclusion: no behaviour changed; the tests of the follower, races, damage and store faults pass as they were.

--- a/packages/declarations/src/publishing/configurationFollower.ts
+++ b/packages/declarations/src/publishing/configurationFollower.ts
@@ -1,21 +1,18 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import type { KeyValueStore, StoreEntry, WatchEvent } from '@limpetnotch/platform';
+import type { KeyValueStore, WatchEvent } from '@limpetnotch/platform';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import type { ChildContext } from '@limpetnotch/supervision';
 import type { Configuration } from '../configuration';
 import { ROOT_KEY } from '../format/configurationKeys';
-import type { ApplyError } from './applyError';
-import type { ChunkSource, PeerConfigurationSource } from './chunkSource';
+import type { PeerConfigurationSource } from './chunkSource';
 import { ConfirmationRecord } from './confirmationRecord';
-import { describeApplyError } from './describeApplyError';
 import { RevisionHolder } from './revisionHolder';
 import type { ConfigurationListener } from './revisionHolder';
+import { RootReader } from './rootReader';
+import type { Reading } from './rootReader';
 import { RootWatch } from './rootWatch';
-import { StoreChunkSource } from './storeChunkSource';
-import { withDeadline } from './withDeadline';
 
 const DEFAULT_PROGRESS_DEADLINE_MILLISECONDS = 1_000;
-const READ_DEADLINE_MILLISECONDS = 1_000;
 const RETRY_MILLISECONDS = 500;
 const MINIMUM_READ_INTERVAL_MILLISECONDS = 50;
 const WATCH_AGE_MILLISECONDS = 60_000;
@@ -31,13 +28,6 @@
   readonly progressDeadlineMilliseconds?: number | undefined;
 }
 
-/** What a read of the root gave. */
-type Reading =
-  /** The store's answer is in force; the revisions are the store's. */
-  | { readonly kind: 'confirmed'; readonly storeRevision: number; readonly rootRevision: number }
-  /** The store gave no usable answer; a peer's root may have been applied. */
-  | { readonly kind: 'unconfirmed' };
-
 /**
  * Keeps the published configuration in force. One watch on the root tells of changes; it is never
  * trusted to be alive: after a quiet time, or when a peer speaks of a later revision, the root is
@@ -49,15 +39,13 @@
 
   readonly #metrics: Metrics;
 
-  readonly #peers: PeerConfigurationSource | undefined;
-
   readonly #progressDeadlineMilliseconds: number;
 
   readonly #holder: RevisionHolder;
 
   readonly #confirmation: ConfirmationRecord;
 
-  readonly #storeSource: ChunkSource;
+  readonly #reader: RootReader;
 
   #wake = new Deferred();
 
@@ -66,12 +54,17 @@
   constructor({ store, logger, metrics, ...options }: ConfigurationFollowerOptions) {
     this.#store = store;
     this.#metrics = metrics;
-    this.#peers = options.peers;
     this.#progressDeadlineMilliseconds =
       options.progressDeadlineMilliseconds ?? DEFAULT_PROGRESS_DEADLINE_MILLISECONDS;
     this.#holder = new RevisionHolder(logger, metrics);
     this.#confirmation = new ConfirmationRecord(logger, metrics);
-    this.#storeSource = new StoreChunkSource(store);
+    this.#reader = new RootReader({
+      store,
+      metrics,
+      peers: options.peers,
+      holder: this.#holder,
+      confirmation: this.#confirmation,
+    });
   }
 
   /** Returns the set in force; the empty one of revision 0 before the first. */
@@ -122,50 +115,12 @@
     }
   }
 
-  /** Reads the root from the store, or else from a peer, and puts it in force. */
+  /** Reads the root once; what is noted meanwhile leads to another read. */
   async #read(): Promise<Reading> {
-    const startedAt = performance.now();
     const noted = this.#notedRevision;
     this.#notedRevision = 0;
     this.#wake = new Deferred();
-    const listing = await withDeadline(this.#store.list(ROOT_KEY), READ_DEADLINE_MILLISECONDS);
-    if (listing?.isOk()) {
-      const { entries, revision: storeRevision } = listing.value;
-      const entry = entries.find(({ key }) => key === ROOT_KEY);
-      const confirmed = await this.#applyEntry(entry, startedAt);
-      if (!confirmed) return { kind: 'unconfirmed' };
-      return { kind: 'confirmed', storeRevision, rootRevision: entry?.revision ?? 0 };
-    }
-    const reason = listing?.isErr() ? listing.error.kind : 'no answer within the deadline';
-    this.#confirmation.fail(`store: ${reason}`);
-    await this.#readFromPeers(noted);
-    return { kind: 'unconfirmed' };
-  }
-
-  /** Asks peers where one has a later revision, or where nothing is in force yet. */
-  async #readFromPeers(noted: number): Promise<void> {
-    const { revision } = this.current();
-    if (!this.#peers || (revision > 0 && noted <= revision)) return;
-    const root = await withDeadline(this.#peers.readRoot(), READ_DEADLINE_MILLISECONDS);
-    if (!root?.isOk() || root.value === undefined) return;
-    const applied = await this.#holder.apply(root.value, [this.#peers, this.#storeSource]);
-    if (applied.isErr()) this.#refuse(applied.error);
-    else this.#metrics.increment('configuration.peer-reads');
-  }
-
-  /** Puts the root's entry in force, and notes the confirmation; false where it can't be used. */
-  async #applyEntry(entry: StoreEntry | undefined, askedAt: number): Promise<boolean> {
-    const { revision } = this.current();
-    if (!entry && revision > 0) {
-      return this.#refuse({ kind: 'lower-revision', offered: 0, current: revision });
-    }
-    if (entry) {
-      const sources = this.#peers ? [this.#storeSource, this.#peers] : [this.#storeSource];
-      const applied = await this.#holder.apply(entry.value, sources);
-      if (applied.isErr()) return this.#refuse(applied.error);
-    }
-    this.#confirmation.confirm(askedAt);
-    return true;
+    return this.#reader.read(noted);
   }
 
   /** Follows one watch, and returns the time in milliseconds to wait before the next. */
@@ -212,9 +167,9 @@
         this.#confirmation.confirm(sentAt);
         return true;
       case 'put':
-        return event.entry.key !== ROOT_KEY || this.#applyEntry(event.entry, sentAt);
+        return event.entry.key !== ROOT_KEY || this.#reader.applyEntry(event.entry, sentAt);
       case 'removed':
-        return event.key !== ROOT_KEY || this.#applyEntry(undefined, sentAt);
+        return event.key !== ROOT_KEY || this.#reader.applyEntry(undefined, sentAt);
     }
   }
 
@@ -229,10 +184,4 @@
     controller.abort();
     signal.removeEventListener('abort', stop);
   }
-
-  #refuse(error: ApplyError): false {
-    this.#metrics.increment('configuration.refused', 1, { reason: error.kind });
-    this.#confirmation.fail(describeApplyError(error));
-    return false;
-  }
 }
