--- a/packages/partitions/src/appendQueue.ts
+++ b/packages/partitions/src/appendQueue.ts
@@ -87,6 +87,11 @@
     return this.#deferred.size > 0;
   }
 
+  /** Texts of the records whose callers were told that witnesses keep them. */
+  deferredTexts(): readonly string[] {
+    return this.#waiting.flatMap((append) => (this.#deferred.has(append) ? append.texts : []));
+  }
+
   /** Takes the first appends out as committed. */
   settleFirst(appends: number): { readonly hadDeferred: boolean } {
     const settled = this.#waiting.splice(0, appends);
--- a/packages/partitions/src/journalWriter.ts
+++ b/packages/partitions/src/journalWriter.ts
@@ -32,6 +32,13 @@
   /** The owner handed the partition over, or stops. */
   | { readonly kind: 'released' };
 
+/** Records that an epoch acknowledged and left uncommitted. */
+export interface LeftOverRecords {
+  /** Number of the first one, counted over the whole journal. */
+  readonly first: number;
+  readonly texts: readonly string[];
+}
+
 /** Options of a {@link JournalWriter}. */
 export interface JournalWriterOptions {
   readonly partition: number;
@@ -90,6 +97,8 @@
 
   #end: JournalEnd | undefined;
 
+  #leftOver: LeftOverRecords = { first: 0, texts: [] };
+
   constructor(options: JournalWriterOptions) {
     this.#options = options;
     this.#head = options.head;
@@ -113,6 +122,11 @@
     return this.#head;
   }
 
+  /** Records that were acknowledged as deferred and not committed when the journal ended. */
+  get leftOver(): LeftOverRecords {
+    return this.#leftOver;
+  }
+
   append(records: readonly JsonValue[]): ResultAsync<Commit, CommitError> {
     if (this.#end || this.#handOver) return errAsync(this.#refusal());
     const { appendBytes, waitingBytes } = this.#options.settings;
@@ -186,6 +200,7 @@
     if (this.#end) return;
     this.#end = end;
     this.#controller.abort();
+    this.#leftOver = { first: this.#head.recordCount, texts: this.#queue.deferredTexts() };
     this.#queue.refuseAll(this.#refusal());
     this.#ended.resolve(undefined);
     this.#options.onEnd(end);
--- a/packages/partitions/src/ownedPartitions.ts
+++ b/packages/partitions/src/ownedPartitions.ts
@@ -1,5 +1,5 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import type { JournalEnd } from './journalWriter';
+import type { JournalEnd, JournalWriter } from './journalWriter';
 import type { OwnedPartition } from './ownedPartition';
 import type { PartitionSettings } from './partitionSettings';
 
@@ -20,8 +20,12 @@
 
   readonly #failedUntil = new Map<number, number>();
 
+  readonly #postponedUntil = new Map<number, number>();
+
   readonly #moving = new Set<number>();
 
+  readonly #lastEnded = new Map<number, JournalWriter>();
+
   constructor(options: OwnedPartitionsOptions) {
     this.#options = options;
   }
@@ -51,17 +55,30 @@
   /** Whether the partition is being given up, failed here lately, or failed an assertion. */
   isLeftAlone(partition: number): boolean {
     if (this.#moving.has(partition)) return true;
-    return performance.now() < (this.#failedUntil.get(partition) ?? -Infinity);
+    const failedUntil = this.#failedUntil.get(partition) ?? -Infinity;
+    const postponedUntil = this.#postponedUntil.get(partition) ?? -Infinity;
+    return performance.now() < Math.max(failedUntil, postponedUntil);
   }
 
   serve(partition: number, owned: OwnedPartition): void {
     this.#owned.set(partition, owned);
+    this.#lastEnded.delete(partition);
     this.#failedUntil.delete(partition);
     const { logger, metrics } = this.#options;
     logger.info('partition.claimed', { partition, epoch: owned.writer.epoch });
     metrics.gauge('partition.owned', this.#owned.size);
   }
 
+  /** Returns the journal of the last epoch that ended here. */
+  lastEnded(partition: number): JournalWriter | undefined {
+    return this.#lastEnded.get(partition);
+  }
+
+  /** Leaves a partition alone for a while after a claim that failed. */
+  postpone(partition: number, milliseconds: number): void {
+    this.#postponedUntil.set(partition, performance.now() + milliseconds);
+  }
+
   /** Leaves a partition alone whose data cannot be read, before it is tried again. */
   fail(partition: number, reason: string): void {
     const { settings, logger, metrics } = this.#options;
@@ -75,7 +92,10 @@
   end(partition: number, epoch: number, end: JournalEnd): void {
     const owned = this.#owned.get(partition);
     const isServed = owned?.writer.epoch === epoch;
-    if (isServed) this.#owned.delete(partition);
+    if (isServed) {
+      this.#owned.delete(partition);
+      this.#lastEnded.set(partition, owned.writer);
+    }
     this.#count(partition, epoch, end);
     if (isServed) owned.state.stop();
     this.#options.metrics.gauge('partition.owned', this.#owned.size);
--- a/packages/partitions/src/partitionClaimer.ts
+++ b/packages/partitions/src/partitionClaimer.ts
@@ -159,8 +159,9 @@
   }
 
   #noteError(partition: number, error: ClaimError): void {
-    const { metrics, owned, hints } = this.#options;
+    const { metrics, owned, hints, settings } = this.#options;
     metrics.increment('partition.claim-failures', 1, { kind: error.kind });
+    owned.postpone(partition, settings.claimIntervalMilliseconds * (1 + Math.random()));
     switch (error.kind) {
       case 'owned':
         hints.learn({ partition, epoch: error.epoch, owner: error.owner, handedOver: false });
--- a/packages/partitions/src/partitionHandler.ts
+++ b/packages/partitions/src/partitionHandler.ts
@@ -50,8 +50,9 @@
 export interface PartitionState {
   /**
    * Returns the state to be kept in place of all committed records: those whose `append` has
-   * resolved with a commit, and none that still waits. Hence a state applies a record in the same
-   * turn of the event loop in which its `append` resolves.
+   * resolved with a commit. Records that still wait follow the snapshot in the journal, so it may
+   * hold them only where they change nothing when they are applied again. A state that applies
+   * records after their commit does so in the turn of the event loop in which `append` resolves.
    */
   snapshot(): JsonValue;
   /** Resolves when no call is under way; new ones are refused from now on. */
--- a/packages/partitions/src/partitionOpener.ts
+++ b/packages/partitions/src/partitionOpener.ts
@@ -11,6 +11,7 @@
 import type { Membership } from './membership';
 import { OutageGuard } from './outageGuard';
 import type { OwnedPartition } from './ownedPartition';
+import type { OwnedPartitions } from './ownedPartitions';
 import type {
   JsonValue,
   PartitionHandler,
@@ -42,6 +43,7 @@
   readonly peers: PeerChannel;
   readonly membership: Membership;
   readonly witness: Witness;
+  readonly owned: OwnedPartitions;
 }
 
 /** One claim to be opened. */
@@ -119,7 +121,13 @@
   #gather({ partition, claim, signal }: OpenRequest): Promise<readonly string[]> {
     const { head, previous } = claim;
     if (!previous || previous.handedOver) return Promise.resolve([]);
-    const { witness, membership } = this.#options;
+    const { witness, membership, owned } = this.#options;
+    const ended = owned.lastEnded(partition);
+    if (ended?.epoch === previous.epoch) {
+      // This process was the previous owner itself: it knows that it acts no more.
+      const { first, texts } = ended.leftOver;
+      return Promise.resolve(texts.slice(previous.recordCount - first));
+    }
     return settleTakeover({
       ...this.#options,
       notice: { partition, epoch: head.epoch, owner: head.owner },
--- a/packages/partitions/tests/outage.test.ts
+++ b/packages/partitions/tests/outage.test.ts
@@ -12,7 +12,8 @@
 };
 
 const stop = async (fleet: Fleet): Promise<void> => {
-  await Promise.all(fleet.instances.map((instance) => instance.kill()));
+  fleet.instances.forEach((instance) => instance.kill());
+  await jest.advanceTimersByTimeAsync(10_000);
 };
 
 const setDown = (instances: readonly Instance[], isDown: boolean): void =>
@@ -43,7 +44,7 @@
   setDown(fleet.instances, false);
   await jest.advanceTimersByTimeAsync(2_000);
   expect(await appendWithin(owner, 'third', 1_000)).toBe('durable');
-  await owner.kill();
+  owner.kill();
   await jest.advanceTimersByTimeAsync(10_000);
   expect(fleet.ownerOf(0)!.states.get(0)!.records).toEqual(['first', 'second', 'third']);
   await stop(fleet);
@@ -56,8 +57,8 @@
   setDown(fleet.instances, true);
   expect(await appendWithin(owner, 'first', 4_000)).toBe('deferred');
   expect(await appendWithin(owner, 'second', 1_000)).toBe('deferred');
-  await owner.kill();
-  await witness!.kill();
+  owner.kill();
+  witness!.kill();
   setDown(
     fleet.instances.filter((instance) => !instance.isCutOff),
     false,
--- a/packages/partitions/tests/partitionHandover.test.ts
+++ b/packages/partitions/tests/partitionHandover.test.ts
@@ -14,7 +14,8 @@
 };
 
 const stop = async (fleet: Fleet): Promise<void> => {
-  await Promise.all(fleet.instances.map((instance) => instance.kill()));
+  fleet.instances.forEach((instance) => instance.kill());
+  await jest.advanceTimersByTimeAsync(10_000);
 };
 
 test('a drained instance hands every partition over at once', async () => {
@@ -93,7 +94,7 @@
   const drained = leaving.manager.drain();
   await jest.advanceTimersByTimeAsync(10_000);
   expect(await drained).toBeGreaterThan(0);
-  await leaving.kill();
+  leaving.kill();
   const others = fleet.instances.filter((instance) => instance !== leaving);
   others.forEach(({ faults }) => Object.assign(faults, { isDown: false }));
   await jest.advanceTimersByTimeAsync(15_000);
--- a/packages/partitions/tests/partitionManager.test.ts
+++ b/packages/partitions/tests/partitionManager.test.ts
@@ -17,7 +17,8 @@
 };
 
 const stop = async (fleet: Fleet): Promise<void> => {
-  await Promise.all(fleet.instances.map((instance) => instance.kill()));
+  fleet.instances.forEach((instance) => instance.kill());
+  await jest.advanceTimersByTimeAsync(10_000);
 };
 
 test('each partition has exactly one owner', async () => {
@@ -42,7 +43,7 @@
   const appended = owner.states.get(0)!.append({ value: 1 });
   await jest.advanceTimersByTimeAsync(100);
   expect(unwrap(await appended)).toEqual({ durability: 'durable' });
-  await owner.kill();
+  owner.kill();
   const diedAt = Date.now();
   await jest.advanceTimersByTimeAsync(4_000);
   const next = fleet.ownerOf(0)!;
@@ -81,6 +82,22 @@
   await stop(fleet);
 });
 
+test('a claim that fails is repeated after a pause', async () => {
+  const fleet = await startThree();
+  fleet.ownerOf(0)!.kill();
+  const claimers = fleet.instances.filter(({ isDead }) => !isDead);
+  await jest.advanceTimersByTimeAsync(2_500);
+  claimers.forEach(({ faults }) => Object.assign(faults, { isDown: true }));
+  await jest.advanceTimersByTimeAsync(2_000);
+  const failures = claimers.map(({ metrics }) =>
+    metrics.counter('partition.claim-failures', { kind: 'try-again' }),
+  );
+  // At most one attempt in each half second for each partition.
+  failures.forEach((count) => expect(count).toBeLessThanOrEqual(PARTITIONS * 4));
+  expect(Math.max(...failures)).toBeGreaterThan(0);
+  await stop(fleet);
+});
+
 test('an outage that ends every lease moves no partition', async () => {
   const fleet = await startThree();
   const before = numbers.map((partition) => fleet.ownerOf(partition)!.member.instance);
--- a/packages/partitions/tests/support/fleet.ts
+++ b/packages/partitions/tests/support/fleet.ts
@@ -22,6 +22,8 @@
 export class ListState implements PartitionState {
   readonly records: JsonValue[];
 
+  readonly epoch: number;
+
   readonly handedOver: boolean;
 
   readonly previousOwnerMayActUntilMilliseconds: number;
@@ -35,6 +37,7 @@
 
   constructor(recovered: RecoveredPartition) {
     this.records = [...((recovered.snapshot ?? []) as JsonValue[]), ...recovered.records];
+    this.epoch = recovered.journal.epoch;
     this.handedOver = recovered.handedOver;
     this.previousOwnerMayActUntilMilliseconds = recovered.previousOwnerMayActUntilMilliseconds;
     this.#journal = recovered.journal;
@@ -59,6 +62,8 @@
   }
 }
 
+const PLATFORM_LAG_MILLISECONDS = 5_000;
+
 /** One instance of a test's fleet. */
 export class Instance {
   readonly member: Member;
@@ -74,9 +79,11 @@
   /** Whether it reaches no peer, and none reaches it. */
   isCutOff = false;
 
-  readonly #controller = new AbortController();
+  isDead = false;
 
-  #finished: Promise<void> = Promise.resolve();
+  #diedAt = Infinity;
+
+  readonly #controller = new AbortController();
 
   constructor(
     store: MemoryStore,
@@ -84,6 +91,7 @@
     peers: PeerChannel,
     partitionCount: number,
     settings: Partial<PartitionSettings>,
+    isGone: (member: Member) => boolean,
   ) {
     this.member = member;
     const handler: PartitionHandler = {
@@ -102,21 +110,34 @@
       logger: silentLogger,
       metrics: this.metrics,
       settings,
+      isGone,
     });
   }
 
   start(): void {
     const { signal } = this.#controller;
-    this.#finished = this.manager.run({ signal, ready: () => undefined });
+    void this.manager.run({ signal, ready: () => undefined });
+  }
+
+  /** Takes every fault away. */
+  heal(): void {
+    Object.assign(this.faults, new ClientFaults());
+    this.isCutOff = false;
   }
 
   /** Ends the instance without any farewell. */
-  async kill(): Promise<void> {
+  kill(): void {
+    this.isDead = true;
+    this.#diedAt = Date.now();
     this.isCutOff = true;
     this.faults.isDown = true;
     this.faults.isWatchSilent = true;
     this.#controller.abort();
-    await this.#finished;
+  }
+
+  /** Whether the platform's lagging list says that it has ended. */
+  isListedAsGone(): boolean {
+    return Date.now() - this.#diedAt > PLATFORM_LAG_MILLISECONDS;
   }
 
   owns(partition: number): boolean {
@@ -156,22 +177,31 @@
       this.#peers(member),
       this.#partitionCount,
       this.#settings,
+      (other) => this.#find(other)?.isListedAsGone() ?? false,
     );
     this.instances.push(instance);
     instance.start();
     return instance;
   }
 
+  /** Newest epoch of a partition that serves, or served. */
+  newestEpoch(partition: number): number {
+    const epochs = this.instances.map(({ states }) => states.get(partition)?.epoch ?? 0);
+    return Math.max(...epochs);
+  }
+
   ownerOf(partition: number): Instance | undefined {
     return this.instances.find((instance) => instance.owns(partition));
   }
 
+  #find({ incarnation }: Member): Instance | undefined {
+    return this.instances.find(({ member }) => member.incarnation === incarnation);
+  }
+
   /** Instance that a caller reaches: both are up, and no link between them is cut. */
   #reach(caller: Member, peer: Member): Instance | undefined {
-    const find = ({ incarnation }: Member): Instance | undefined =>
-      this.instances.find(({ member }) => member.incarnation === incarnation);
-    const instance = find(peer);
-    if (!instance || instance.isCutOff || find(caller)?.isCutOff) return undefined;
+    const instance = this.#find(peer);
+    if (!instance || instance.isCutOff || this.#find(caller)?.isCutOff) return undefined;
     return instance;
   }
 
