--- a/packages/partitions/tests/partitionsRandom.test.ts
+++ b/packages/partitions/tests/partitionsRandom.test.ts
@@ -138,7 +138,10 @@
         this.#heal();
         break;
       case 'kill':
-        await this.#depart(next.instance, (leaving) => Promise.resolve(leaving.kill()));
+        await this.#depart(next.instance, (leaving) => {
+          leaving.kill();
+          return Promise.resolve();
+        });
         break;
       case 'drain':
         await this.#depart(next.instance, async (leaving) => {
