--- a/packages/integration/src/benchCommands.ts
+++ b/packages/integration/src/benchCommands.ts
@@ -1,4 +1,5 @@
 import type { CommandClass } from 'clipanion';
+import { JournalCommand } from './benches/journalCommand';
 import { ConfigurationCommand } from './configuration/configurationCommand';
 import { PlacementCommand } from './experiments/placementCommand';
 import { SchedulingCommand } from './experiments/schedulingCommand';
@@ -6,6 +7,7 @@
 /** The benches by name; each is a command whose path is its name. */
 export const BENCH_COMMANDS: readonly CommandClass[] = [
   ConfigurationCommand,
+  JournalCommand,
   PlacementCommand,
   SchedulingCommand,
 ];
--- a/packages/partitions/src/partitionHandler.ts
+++ b/packages/partitions/src/partitionHandler.ts
@@ -1,8 +1,13 @@
 import type { Result, ResultAsync } from 'neverthrow';
 
-/** A value that JSON can carry. */
+/** A value that JSON can carry; members that are undefined are left out. */
 export type JsonValue =
-  string | number | boolean | null | readonly JsonValue[] | { readonly [name: string]: JsonValue };
+  | string
+  | number
+  | boolean
+  | null
+  | readonly JsonValue[]
+  | { readonly [name: string]: JsonValue | undefined };
 
 /** How far a commit is safe: `deferred` while the store is out and a witness keeps the records. */
 export interface Commit {
