--- a/packages/integration/src/benches/measureJournalLoad.ts
+++ b/packages/integration/src/benches/measureJournalLoad.ts
@@ -7,6 +7,7 @@
 import { JournalFleet } from './journalFleet';
 
 const MILLISECONDS_PER_SECOND = 1_000;
+const SETTLE_MILLISECONDS = 8_000;
 const REQUEST_BYTES = 1_500;
 const ANSWER_BYTES = 1_500;
 const USAGE = { tokens: 300, calls: 1, spendMicros: 10 };
@@ -66,6 +67,9 @@
   const { instances, partitions, programs, pauseMilliseconds, seconds } = options;
   const fleet = new JournalFleet(partitions);
   await fleet.start(instances);
+  // The members that started later are given their partitions first.
+  await delay(SETTLE_MILLISECONDS);
+  await fleet.whenServed();
   const commits: number[] = [];
   let refusedCalls = 0;
   const before = { store: fleet.statistics(), commits: fleet.counter('journal.commits') };
