--- a/packages/partitions/src/headComposer.ts
+++ b/packages/partitions/src/headComposer.ts
@@ -15,6 +15,9 @@
 import type { PartitionSettings } from './partitionSettings';
 import type { WriteAllowance } from './writeAllowance';
 
+/** A head refers to this many times the segments at the most, however large the snapshot is. */
+const SEGMENTS_GROWTH = 8;
+
 /** Options of a {@link HeadComposer}. */
 export interface HeadComposerOptions {
   readonly partition: number;
@@ -94,8 +97,7 @@
     { isAhead }: HeadChange,
   ): Promise<Result<JournalHead, StoreError>> {
     const { settings, metrics, snapshot } = this.#options;
-    const isDue = last.segments.length >= settings.segmentsBeforeSnapshot;
-    if (!isDue || isAhead) return ok(last);
+    if (isAhead || !HeadComposer.#isSnapshotDue(last, settings)) return ok(last);
     // Lets the state apply the records whose append was resolved just now.
     await delay(0);
     const text = JSON.stringify(snapshot());
@@ -110,6 +112,20 @@
     }));
   }
 
+  /**
+   * Whether the segments are many, and together as long as the snapshot that they follow: so each
+   * record is rewritten a few times only, however large the state grows.
+   */
+  static #isSnapshotDue(
+    { segments, snapshot }: JournalHead,
+    { segmentsBeforeSnapshot }: PartitionSettings,
+  ): boolean {
+    const length = segments.reduce((sum, segment) => sum + segment.length, 0);
+    const isWorthwhile = length >= (snapshot?.length ?? 0);
+    const isFull = segments.length >= segmentsBeforeSnapshot * SEGMENTS_GROWTH;
+    return isFull || (isWorthwhile && segments.length >= segmentsBeforeSnapshot);
+  }
+
   /** Moves the records of a head to a segment where they are too many for it. */
   async #spill(head: JournalHead): Promise<Result<JournalHead, StoreError>> {
     const { settings, metrics } = this.#options;
--- /dev/null
+++ b/packages/partitions/src/instanceListView.ts
@@ -0,0 +1,57 @@
+import type { Metrics } from '@limpetnotch/observability';
+import type { InstanceList } from '@limpetnotch/platform';
+import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
+import { delay } from '@limpetnotch/supervision';
+import type { Member } from './member';
+
+const READ_INTERVAL_MILLISECONDS = 2_000;
+const ABSENCE_MILLISECONDS = 5_000;
+
+/** Options of an {@link InstanceListView}. */
+export interface InstanceListViewOptions {
+  readonly list: InstanceList;
+  readonly metrics: Metrics;
+}
+
+/**
+ * Knows from the platform's lagging list which instances have ended: those that were listed and
+ * have been absent from every reading for a while. One that was never listed may have just started.
+ */
+export class InstanceListView {
+  readonly #options: InstanceListViewOptions;
+
+  /** Times at which instances were first found absent; `undefined` while they are listed. */
+  readonly #absentSince = new Map<string, number | undefined>();
+
+  constructor(options: InstanceListViewOptions) {
+    this.#options = options;
+  }
+
+  isGone({ instance }: Member): boolean {
+    const since = this.#absentSince.get(instance);
+    return since !== undefined && performance.now() - since >= ABSENCE_MILLISECONDS;
+  }
+
+  /** Task for the supervisor: reads the list now and then. */
+  child(): ChildSpecification {
+    return { name: 'partitions.list', restart: 'always', run: (context) => this.#run(context) };
+  }
+
+  async #run({ signal, ready }: ChildContext): Promise<void> {
+    ready();
+    while (!signal.aborted) {
+      const listed = await this.#options.list.read();
+      if (listed.isOk()) this.#take(new Set(listed.value.map(({ instance }) => instance)));
+      else this.#options.metrics.increment('partition.list-failures');
+      await delay(READ_INTERVAL_MILLISECONDS, signal);
+    }
+  }
+
+  #take(listed: ReadonlySet<string>): void {
+    const now = performance.now();
+    [...this.#absentSince].forEach(([instance, since]) => {
+      if (!listed.has(instance)) this.#absentSince.set(instance, since ?? now);
+    });
+    listed.forEach((instance) => this.#absentSince.set(instance, undefined));
+  }
+}
--- a/packages/partitions/src/partitionManager.ts
+++ b/packages/partitions/src/partitionManager.ts
@@ -1,7 +1,8 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import type { KeyValueStore } from '@limpetnotch/platform';
+import type { InstanceList, KeyValueStore } from '@limpetnotch/platform';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { Supervisor } from '@limpetnotch/supervision';
+import { InstanceListView } from './instanceListView';
 import type { Member } from './member';
 import { Membership } from './membership';
 import { OutageKeeper } from './outageKeeper';
@@ -39,8 +40,8 @@
   readonly metrics: Metrics;
   /** Values that differ from {@link DEFAULT_PARTITION_SETTINGS}. */
   readonly settings?: Partial<PartitionSettings>;
-  /** Whether the platform's list says that a member's process has ended; never by default. */
-  readonly isGone?: (member: Member) => boolean;
+  /** The platform's list: what is absent from it has ended. None by default. */
+  readonly instanceList?: InstanceList;
 }
 
 /** Claims partitions for this instance, keeps their journals and knows the owners of the others. */
@@ -63,6 +64,10 @@
 
   readonly #outage: OutageKeeper;
 
+  readonly #list: InstanceListView | undefined;
+
+  readonly #readings = new Map<number, Promise<void>>();
+
   constructor(options: PartitionManagerOptions) {
     const { store, identity, logger, metrics, handler, peers, partitionCount } = options;
     const settings = { ...DEFAULT_PARTITION_SETTINGS, ...options.settings };
@@ -77,9 +82,11 @@
       identity,
       onChange: wake,
       onRegistered: () => this.#outage.verifyAll(),
-      isGone: options.isGone ?? (() => false),
+      isGone: (member) => this.#list?.isGone(member) ?? false,
     });
     const { membership } = this;
+    const list = options.instanceList;
+    this.#list = list && new InstanceListView({ list, metrics });
     const onNewer = (hint: OwnerHint): void => this.#noteHint(hint);
     const hints = new OwnerHints({ store, settings, logger, metrics, onNewer });
     const owned = new OwnedPartitions({ settings, logger, metrics, onEnd: wake });
@@ -130,17 +137,15 @@
     return this.membership.isLeaseValid() || owned.guard.isPromised();
   }
 
-  /** Reads a partition's head, after an instance answered that it is not the owner. */
+  /**
+   * Reads a partition's head, after an instance answered that it is not the owner. Calls for the
+   * same partition share one reading.
+   */
   async refresh(partition: number): Promise<Ownership> {
-    const { store, metrics } = this.#options;
-    const read = store.read(headKey(partition));
-    const entry = await withDeadline(read, this.#settings.storeDeadlineMilliseconds);
-    metrics.increment('partition.refreshes');
-    const head = entry.isOk() && entry.value ? parseHead(entry.value.value) : undefined;
-    if (head?.isOk()) {
-      const { epoch, owner, handedOver } = head.value;
-      this.#hints.learn({ partition, epoch, owner, handedOver });
-    }
+    const reading = this.#readings.get(partition) ?? this.#readHead(partition);
+    this.#readings.set(partition, reading);
+    await reading;
+    this.#readings.delete(partition);
     return this.ownershipOf(partition);
   }
 
@@ -193,9 +198,22 @@
       this.#claimer.child(),
       this.#handover.child(),
       this.#outage.child(),
+      ...(this.#list ? [this.#list.child()] : []),
     ];
   }
 
+  async #readHead(partition: number): Promise<void> {
+    const { store, metrics } = this.#options;
+    const read = store.read(headKey(partition));
+    const entry = await withDeadline(read, this.#settings.storeDeadlineMilliseconds);
+    metrics.increment('partition.refreshes');
+    const head = entry.isOk() && entry.value ? parseHead(entry.value.value) : undefined;
+    if (head?.isOk()) {
+      const { epoch, owner, handedOver } = head.value;
+      this.#hints.learn({ partition, epoch, owner, handedOver });
+    }
+  }
+
   /** A newer epoch elsewhere ends the one served here, before its next commit would fail. */
   #noteHint({ partition, epoch }: OwnerHint): void {
     const owned = this.#owned.get(partition);
--- a/packages/partitions/src/partitionSettings.ts
+++ b/packages/partitions/src/partitionSettings.ts
@@ -16,7 +16,10 @@
   readonly writeBurstMilliseconds: number;
   /** Bytes of records kept in the head itself; 32 KiB by default. */
   readonly inlineBytes: number;
-  /** Segments after which a snapshot replaces them; 16 by default. */
+  /**
+   * Segments after which a snapshot may replace them: it does once they are as long as the last
+   * snapshot, or eight times as many; 16 by default.
+   */
   readonly segmentsBeforeSnapshot: number;
   /** Largest batch of records that one append may carry, in bytes; 8 MiB by default. */
   readonly appendBytes: number;
--- a/packages/partitions/src/recoverJournal.ts
+++ b/packages/partitions/src/recoverJournal.ts
@@ -5,8 +5,11 @@
 import { readBulk } from './bulkText';
 import type { BulkReference, PartitionHead } from './partitionHead';
 import type { JsonValue } from './partitionHandler';
+import { mapConcurrently } from './util/mapConcurrently';
 import { parseWith } from './util/parseWith';
 
+const CONCURRENT_READS = 16;
+
 /** What a head and the texts that it refers to hold. */
 export interface RecoveredJournal {
   readonly snapshot: JsonValue | undefined;
@@ -45,10 +48,12 @@
     snapshot = read.value;
   }
   const records: JsonValue[] = [];
-  for (const segment of head.segments) {
-    const read = await readAs(access, segment, recordsSchema);
+  const segments = await mapConcurrently(head.segments, CONCURRENT_READS, (segment) =>
+    readAs(access, segment, recordsSchema),
+  );
+  for (const read of segments) {
     if (read.isErr()) return err(read.error);
-    records.push(...read.value);
+    read.value.forEach((record) => records.push(record));
   }
   records.push(...head.inlineRecords);
   return ok({ snapshot, records });
--- a/packages/partitions/tests/journalWriter.test.ts
+++ b/packages/partitions/tests/journalWriter.test.ts
@@ -1,6 +1,7 @@
 import { MemoryMetrics } from '@limpetnotch/observability';
 import type { JsonValue, PartitionSettings } from '../src';
 import { DEFAULT_PARTITION_SETTINGS } from '../src';
+import { partKeys } from '../src/bulkText';
 import { claimPartition } from '../src/claimPartition';
 import type { JournalEnd } from '../src/journalWriter';
 import { JournalWriter } from '../src/journalWriter';
@@ -164,8 +165,10 @@
   }
   expect(metrics.counter('journal.snapshots')).toBeGreaterThan(1);
   expect(await allRecords(store)).toEqual(records);
+  const head = parseHead(store.read(headKey(0))!.value)._unsafeUnwrap();
+  const referenced = [head.snapshot!, ...head.segments].flatMap(partKeys);
   const texts = [...store.entries.keys()].filter((key) => /^(segments|snapshots)\//.test(key));
-  expect(texts.length).toBeLessThanOrEqual(4);
+  expect(texts.sort()).toEqual([...referenced].sort());
   writer.stop({ kind: 'released' });
 });
 
--- a/packages/partitions/tests/partitionManager.test.ts
+++ b/packages/partitions/tests/partitionManager.test.ts
@@ -98,6 +98,17 @@
   await stop(fleet);
 });
 
+test('refreshes of one partition share one reading', async () => {
+  const fleet = await startThree();
+  const [instance] = fleet.instances;
+  const before = fleet.store.operations;
+  const refreshed = Promise.all(Array.from({ length: 20 }, () => instance!.manager.refresh(0)));
+  await jest.advanceTimersByTimeAsync(1);
+  expect(new Set((await refreshed).map(({ kind }) => kind)).size).toBe(1);
+  expect(fleet.store.operations - before).toBe(1);
+  await stop(fleet);
+});
+
 test('an outage that ends every lease moves no partition', async () => {
   const fleet = await startThree();
   const before = numbers.map((partition) => fleet.ownerOf(partition)!.member.instance);
--- a/packages/partitions/tests/support/fleet.ts
+++ b/packages/partitions/tests/support/fleet.ts
@@ -1,4 +1,5 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import type { InstanceList, ListedInstance } from '@limpetnotch/platform';
 import { delay } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
 import { err, ok, okAsync, ResultAsync } from 'neverthrow';
@@ -91,7 +92,7 @@
     peers: PeerChannel,
     partitionCount: number,
     settings: Partial<PartitionSettings>,
-    isGone: (member: Member) => boolean,
+    instanceList: InstanceList,
   ) {
     this.member = member;
     const handler: PartitionHandler = {
@@ -110,7 +111,7 @@
       logger: silentLogger,
       metrics: this.metrics,
       settings,
-      isGone,
+      instanceList,
     });
   }
 
@@ -177,7 +178,7 @@
       this.#peers(member),
       this.#partitionCount,
       this.#settings,
-      (other) => this.#find(other)?.isListedAsGone() ?? false,
+      { read: () => okAsync(this.#listed()) },
     );
     this.instances.push(instance);
     instance.start();
@@ -194,6 +195,16 @@
     return this.instances.find((instance) => instance.owns(partition));
   }
 
+  /** What the platform lists: the dead stay listed for a while. */
+  #listed(): readonly ListedInstance[] {
+    const listed = this.instances.filter((instance) => !instance.isListedAsGone());
+    return listed.map(({ member: { instance, availabilityZone } }) => ({
+      instance,
+      availabilityZone,
+      state: 'live',
+    }));
+  }
+
   #find({ incarnation }: Member): Instance | undefined {
     return this.instances.find(({ member }) => member.incarnation === incarnation);
   }
