Programs: a doubtful state never replaces what is recorded

Conclusion: a test with a table that forgets a call failed before and passes now; the next owner restores the records and answers the truth.

--- a/packages/programs/src/programLedger.ts
+++ b/packages/programs/src/programLedger.ts
@@ -69,8 +69,12 @@
     });
   }
 
-  /** Returns the state that takes the place of all records so far, without expired programs. */
+  /**
+   * Returns the state that takes the place of all records so far, without expired programs. Throws
+   * once an invariant failed, so that a doubtful state never replaces what is recorded.
+   */
   snapshot(): LedgerSnapshot {
+    if (this.#core.assertions.hasFailed) throw new Error('an invariant of the partition failed');
     this.#lifecycle.dropRetained(Date.now());
     return this.#core.table.toSnapshot();
   }
--- a/packages/programs/tests/programLedger.test.ts
+++ b/packages/programs/tests/programLedger.test.ts
@@ -1,6 +1,7 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { ProgramLedger } from '../src';
 import type { CallOutcome, CallRequest, CallStart, ProgramLedgerSettings } from '../src';
+import { ProgramTable } from '../src/programTable';
 import { MemoryStore } from './memoryJournal';
 
 const SIGNAL = new AbortController().signal;
@@ -519,6 +520,29 @@
   await drained;
 });
 
+test('a failed invariant stops the partition and writes nothing more', async () => {
+  const store = new MemoryStore();
+  const metrics = new MemoryMetrics();
+  const table = new ProgramTable();
+  const ledger = new ProgramLedger(
+    { journal: store.claim(), logger: silentLogger, metrics },
+    table,
+  );
+  const { callId } = await run(ledger, request('1'));
+  const recorded = [...store.records];
+  // Stands for a defect: the table forgets the call that is under way.
+  table.withdrawIntent(program('survey'), undefined);
+  expect((await ledger.finish(callId, answered('1')))._unsafeUnwrapErr().kind).toBe('unavailable');
+  const tags = { invariant: 'record-follows' };
+  expect(metrics.counter('program.assertion-failures', tags)).toBe(1);
+  expect(await refusalOf(ledger, request('2'))).toEqual(refused('partition-stopped'));
+  expect(store.records).toEqual(recorded);
+  expect(() => ledger.snapshot()).toThrow('invariant');
+  expect(await refusalOf(restore(store), request('1'))).toEqual(
+    refused('outcome-unknown', 'unknown'),
+  );
+});
+
 test.each([
   ['a record of no known kind', undefined, [{ kind: 'other' }], 'record 0'],
   [
