--- a/packages/programs/tests/programLedger.test.ts
+++ b/packages/programs/tests/programLedger.test.ts
@@ -1,6 +1,7 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { ProgramLedger } from '../src';
 import type { CallOutcome, CallRequest, CallStart, ProgramLedgerSettings } from '../src';
+import { ProgramTable } from '../src/programTable';
 import { MemoryStore } from './memoryJournal';
 
 const SIGNAL = new AbortController().signal;
@@ -339,6 +340,38 @@
   expect((await start(restore(store), request('1'))).kind).toBe('replay');
 });
 
+test('an answer too large to be kept does not block its program', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const { callId } = await run(ledger, request('1'));
+  expect((await ledger.finish(callId, answered('x'.repeat(9_000)))).isOk()).toBe(true);
+  const failed = { kind: 'failed', executed: 'yes', problem: 'answer-too-large', usage: USAGE };
+  expect(await start(restore(store), request('1'))).toMatchObject({ outcome: failed });
+});
+
+test('refuses a body too large to be kept and records nothing', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const large = request('1', { requestBodyBase64: 'x'.repeat(9_000) });
+  expect(await refusalOf(ledger, large)).toEqual(refused('body-too-large'));
+  expect((await run(ledger, request('2'))).sequence).toBe(0);
+});
+
+test('splits what was kept and what is new where they are too large together', async () => {
+  const store = new MemoryStore();
+  store.maximumAppendBytes = 4_000;
+  const ledger = restore(store, { maximumAppendBytes: 4_000 });
+  const { callId } = await run(ledger, request('1'));
+  store.mode = 'unavailable';
+  expect((await ledger.finish(callId, answered('x'.repeat(3_000)))).isErr()).toBe(true);
+  store.mode = 'durable';
+  await complete(ledger, request('2', { requestBodyBase64: 'y'.repeat(3_000) }));
+  const { history } = restore(store).readProgram(program('survey'))._unsafeUnwrap();
+  expect(history.map(({ outcome }) => outcome.kind)).toEqual(['answered', 'answered']);
+});
+
 test('runs only idempotent calls while commits are deferred', async () => {
   const store = new MemoryStore();
   store.mode = 'deferred';
@@ -487,6 +520,29 @@
   await drained;
 });
 
+test('a failed invariant stops the partition and writes nothing more', async () => {
+  const store = new MemoryStore();
+  const metrics = new MemoryMetrics();
+  const table = new ProgramTable();
+  const ledger = new ProgramLedger(
+    { journal: store.claim(), logger: silentLogger, metrics },
+    table,
+  );
+  const { callId } = await run(ledger, request('1'));
+  const recorded = [...store.records];
+  // Stands for a defect: the table forgets the call that is under way.
+  table.withdrawIntent(program('survey'), undefined);
+  expect((await ledger.finish(callId, answered('1')))._unsafeUnwrapErr().kind).toBe('unavailable');
+  const tags = { invariant: 'record-follows' };
+  expect(metrics.counter('program.assertion-failures', tags)).toBe(1);
+  expect(await refusalOf(ledger, request('2'))).toEqual(refused('partition-stopped'));
+  expect(store.records).toEqual(recorded);
+  expect(() => ledger.snapshot()).toThrow('invariant');
+  expect(await refusalOf(restore(store), request('1'))).toEqual(
+    refused('outcome-unknown', 'unknown'),
+  );
+});
+
 test.each([
   ['a record of no known kind', undefined, [{ kind: 'other' }], 'record 0'],
   [
