--- a/packages/integration/src/benchCommands.ts
+++ b/packages/integration/src/benchCommands.ts
@@ -1,5 +1,6 @@
 import type { CommandClass } from 'clipanion';
 import { AdmissionBench } from './benches/admissionBench';
+import { JournalCommand } from './benches/journalCommand';
 import { ConfigurationCommand } from './configuration/configurationCommand';
 import { PlacementCommand } from './experiments/placementCommand';
 import { SchedulingCommand } from './experiments/schedulingCommand';
@@ -8,6 +9,7 @@
 export const BENCH_COMMANDS: readonly CommandClass[] = [
   AdmissionBench,
   ConfigurationCommand,
+  JournalCommand,
   PlacementCommand,
   SchedulingCommand,
 ];
