Let a new instance count members as ended that it never saw listed

Change: a member that was not listed for 30 s since the first reading counts as ended, if it has no lease either; a member with a lease never does.

--- a/packages/partitions/src/instanceListView.ts
+++ b/packages/partitions/src/instanceListView.ts
@@ -6,6 +6,8 @@
 
 const READ_INTERVAL_MILLISECONDS = 2_000;
 const ABSENCE_MILLISECONDS = 5_000;
+/** Time in which an instance that has just started is listed at the latest. */
+const LISTING_MILLISECONDS = 30_000;
 
 /** Options of an {@link InstanceListView}. */
 export interface InstanceListViewOptions {
@@ -15,7 +17,8 @@
 
 /**
  * Knows from the platform's lagging list which instances have ended: those that were listed and
- * have been absent from every reading for a while. One that was never listed may have just started.
+ * have been absent from every reading for a while. One that was not listed since the first reading
+ * may have just started, and counts as ended only after a longer time.
  */
 export class InstanceListView {
   readonly #options: InstanceListViewOptions;
@@ -23,13 +26,17 @@
   /** Times at which instances were first found absent; `undefined` while they are listed. */
   readonly #absentSince = new Map<string, number | undefined>();
 
+  #firstReadAt = Infinity;
+
   constructor(options: InstanceListViewOptions) {
     this.#options = options;
   }
 
   isGone({ instance }: Member): boolean {
+    const now = performance.now();
+    if (!this.#absentSince.has(instance)) return now - this.#firstReadAt >= LISTING_MILLISECONDS;
     const since = this.#absentSince.get(instance);
-    return since !== undefined && performance.now() - since >= ABSENCE_MILLISECONDS;
+    return since !== undefined && now - since >= ABSENCE_MILLISECONDS;
   }
 
   /** Task for the supervisor: reads the list now and then. */
@@ -49,6 +56,7 @@
 
   #take(listed: ReadonlySet<string>): void {
     const now = performance.now();
+    this.#firstReadAt = Math.min(this.#firstReadAt, now);
     [...this.#absentSince].forEach(([instance, since]) => {
       if (!listed.has(instance)) this.#absentSince.set(instance, since ?? now);
     });
--- a/packages/partitions/src/membership.ts
+++ b/packages/partitions/src/membership.ts
@@ -106,8 +106,12 @@
     return since === undefined ? 0 : performance.now() - since;
   }
 
-  /** Whether a member's process has certainly ended: another start of the instance is live. */
+  /**
+   * Whether a member's process has certainly ended: it has no lease, and another start of the
+   * instance has one or the platform no longer lists it.
+   */
   isGone(member: Member): boolean {
+    if (this.isLive(member)) return false;
     const current = this.#members.get(member.instance);
     const isReplaced = current !== undefined && current.incarnation !== member.incarnation;
     return isReplaced || this.#options.isGone(member);
