--- a/packages/integration/src/benches/admission/measureMemory.ts
+++ b/packages/integration/src/benches/admission/measureMemory.ts
@@ -23,11 +23,11 @@
 /** Measures the heap that organisations take while each has sent a request through one entry. */
 export const measureMemory = async (organisations: number): Promise<MemoryFigures> => {
   const fleet = new RateFleet({ entries: 1, owners: 1, rate: RATE });
-  const { signal } = new AbortController();
   collectGarbage();
   const before = process.memoryUsage().heapUsed;
   await Promise.all(
     Array.from({ length: organisations }, async (_, index) => {
+      const { signal } = new AbortController();
       await fleet.entries[0]?.acquire(`organisation-${index}`, signal);
     }),
   );
--- a/packages/integration/src/benches/admission/rateLoad.ts
+++ b/packages/integration/src/benches/admission/rateLoad.ts
@@ -64,7 +64,6 @@
 export const runRateLoad = async (options: RateLoadOptions): Promise<RateLoadFigures> => {
   const { fleet, organisations, rate } = options;
   const random = new RandomSource(options.seed);
-  const { signal } = new AbortController();
   const buckets = Array.from({ length: organisations }, () => new ExactBucket(rate));
   const admitted = Array.from({ length: organisations }, (): number[] => []);
   const outcomes: PromiseLike<void>[] = [];
@@ -72,6 +71,7 @@
   const send = (organisation: number): void => {
     const entry = fleet.entries[Math.floor(random.uniform() * fleet.entries.length)];
     if (!entry || !buckets[organisation]?.take(performance.now())) return;
+    const { signal } = new AbortController();
     const outcome = entry.acquire(`organisation-${organisation}`, signal).match(
       () => {
         admitted[organisation]?.push(performance.now());
