--- a/packages/partitions/tests/journalWriter.test.ts
+++ b/packages/partitions/tests/journalWriter.test.ts
@@ -128,6 +128,19 @@
   writer.stop({ kind: 'released' });
 });
 
+test('a write that arrives after an unchanged key was read is recognised', async () => {
+  const { store, faults, writer, ends, append } = await open();
+  faults.latencyMilliseconds = 1_050;
+  const first = append('first');
+  await jest.advanceTimersByTimeAsync(900);
+  faults.latencyMilliseconds = 0;
+  await jest.advanceTimersByTimeAsync(2_000);
+  expect(await first).toBe(true);
+  expect(ends).toEqual([]);
+  expect(await allRecords(store)).toEqual(['first']);
+  writer.stop({ kind: 'released' });
+});
+
 test('an append that is refused is never committed', async () => {
   const { store, faults, writer, append } = await open();
   faults.isDown = true;
