--- a/packages/integration/src/faults/faultFleet.ts
+++ b/packages/integration/src/faults/faultFleet.ts
@@ -24,6 +24,7 @@
 const WHOLE_MILLISECONDS = 30_000;
 const POLL_MILLISECONDS = 100;
 const FREED_MILLISECONDS = 8_000;
+const OWNED_MILLISECONDS = 5_000;
 const ENGINE_SETTINGS: EngineOptions = {
   tokensPerSecond: 40,
   restartMilliseconds: 1_500,
@@ -168,8 +169,18 @@
     return partitionOf(`${organisation}/${program}`);
   }
 
-  /** Returns which instance owns a partition, by what the instances say. */
-  async ownerOf(partition: number): Promise<number | undefined> {
+  /** Returns which instance owns a partition, once that is one, as partitions move for a moment. */
+  async untilOwned(partition: number): Promise<number> {
+    const giveUpAt = performance.now() + OWNED_MILLISECONDS;
+    for (;;) {
+      const owner = await this.#ownerOf(partition);
+      if (owner !== undefined) return owner;
+      if (performance.now() > giveUpAt) throw new Error(`partition ${partition} has no owner`);
+      await delay(POLL_MILLISECONDS);
+    }
+  }
+
+  async #ownerOf(partition: number): Promise<number | undefined> {
     const owned = await Promise.all(
       Array.from({ length: this.instances }, (_, index) => this.#ownedBy(index)),
     );
--- a/packages/integration/src/faults/runCell.ts
+++ b/packages/integration/src/faults/runCell.ts
@@ -102,8 +102,7 @@
   program: string,
 ): Promise<Pick<CellCall, 'owner' | 'entry' | 'partition'>> => {
   const partition = fleet.partition(ORGANISATION, program);
-  const owner = await fleet.ownerOf(partition);
-  if (owner === undefined) throw new Error(`partition ${partition} has no owner`);
+  const owner = await fleet.untilOwned(partition);
   return { partition, owner, entry: (owner + 1) % fleet.instances };
 };
 
