Hold calls to fleet-wide rates by slices over the control streams

Cause: any organisation could send without limit. Change: the rate gate at the entry, slices lent by the owner of the organisation's partition, service received reported with the exchanges. Test: eight senders through three entries for 2 s get no more than rate x time + burst, all others 429 with Retry-After, and 20 calls of another organisation are all let in.

--- /dev/null
+++ b/packages/integration/tests/rates.test.ts
@@ -0,0 +1,75 @@
+import { request } from 'undici';
+import { keyDigest, LocalFleet } from '../src';
+
+jest.setTimeout(60_000);
+
+const INSTANCES = 3;
+const BURST = 20;
+const REQUESTS_PER_SECOND = 10;
+const SENDERS = 8;
+const WINDOW_MILLISECONDS = 2_000;
+
+const declarations = [
+  `{ kind: organisation, name: flooding, spec: { rate: { requestsPerSecond: ${REQUESTS_PER_SECOND}, burst: ${BURST} } } }`,
+  '{ kind: organisation, name: calm, spec: { rate: { requestsPerSecond: 50, burst: 50 } } }',
+  `{ kind: key, name: flooding-key, spec: { organisation: flooding, digest: "${keyDigest('flooding-secret')}" } }`,
+  `{ kind: key, name: calm-key, spec: { organisation: calm, digest: "${keyDigest('calm-secret')}" } }`,
+  `{ kind: route, name: quote, spec: { path: /tools/quote, idempotent: true,
+     service: { kind: service }, targets: [tools-1] } }`,
+].join('\n---\n');
+
+let fleet: LocalFleet;
+
+beforeAll(async () => {
+  fleet = await LocalFleet.start({
+    instances: INSTANCES,
+    engines: 1,
+    engineSettings: { models: ['small'] },
+    declarations,
+  });
+});
+
+afterAll(async () => fleet.stop());
+
+interface Sent {
+  readonly status: number;
+  readonly retryAfter: string | undefined;
+}
+
+const send = async (entry: number, secret: string): Promise<Sent> => {
+  const answer = await request(`${fleet.instances[entry]!.address}/tools/quote`, {
+    method: 'POST',
+    headers: { authorization: `Bearer ${secret}`, 'content-type': 'application/json' },
+    body: '{}',
+  });
+  await answer.body.dump();
+  return { status: answer.statusCode, retryAfter: answer.headers['retry-after'] as string };
+};
+
+/** Sends as fast as the answers come, until a time. */
+const flood = async (entry: number, until: number): Promise<readonly Sent[]> => {
+  const results: Sent[] = [];
+  while (performance.now() < until) results.push(await send(entry, 'flooding-secret'));
+  return results;
+};
+
+test('a flood through all entries gets no more than its rate and burst', async () => {
+  const startedAt = performance.now();
+  const until = startedAt + WINDOW_MILLISECONDS;
+  const senders = Array.from({ length: SENDERS }, async (_, index) =>
+    flood(index % INSTANCES, until),
+  );
+  const calm = Array.from({ length: 20 }, async (_, index) =>
+    send(index % INSTANCES, 'calm-secret'),
+  );
+  const results = (await Promise.all(senders)).flat();
+  const calmResults = await Promise.all(calm);
+  const seconds = (performance.now() - startedAt) / 1_000;
+  const letIn = results.filter(({ status }) => status === 200);
+  expect(letIn.length).toBeGreaterThan(0);
+  expect(letIn.length).toBeLessThanOrEqual(BURST + REQUESTS_PER_SECOND * seconds);
+  const refused = results.filter(({ status }) => status !== 200);
+  expect(new Set(refused.map(({ status }) => status))).toEqual(new Set([429]));
+  refused.forEach(({ retryAfter }) => expect(Number(retryAfter)).toBeGreaterThanOrEqual(1));
+  expect(calmResults.map(({ status }) => status)).toEqual(Array(20).fill(200));
+});
--- a/packages/server/src/entry/callDesk.ts
+++ b/packages/server/src/entry/callDesk.ts
@@ -19,6 +19,7 @@
 import type { HttpAnswerSinkOptions } from './httpAnswerSink';
 import type { OpenCalls } from './openCalls';
 import type { ProgramAddress } from './programAddress';
+import type { RateGate } from './rateGate';
 import { addressOf, parseProgramHeaders } from './programAddress';
 import { partitionOfProgram } from './programRequests';
 
@@ -31,6 +32,7 @@
 /** Options of {@link CallDesk}. */
 export interface CallDeskOptions {
   readonly admission: Admission;
+  readonly rates: RateGate;
   readonly relay: CallRelay;
   readonly openCalls: OpenCalls;
   readonly readiness: Readiness;
@@ -67,7 +69,7 @@
       explain: (problem) => problem,
     });
     request.response.once('close', () => abort.abort());
-    const admitted = this.#admit(request);
+    const admitted = await this.#admit(request, abort.signal);
     if (admitted.isErr()) {
       this.#options.metrics.increment('entry.refusals', 1, { problem: admitted.error.problem });
       sink.fail(admitted.error);
@@ -76,7 +78,10 @@
     await this.#relay(request, admitted.value, abort);
   }
 
-  #admit(request: CallerRequest): Result<AdmittedCall, Problem> {
+  async #admit(
+    request: CallerRequest,
+    signal: AbortSignal,
+  ): Promise<Result<AdmittedCall, Problem>> {
     const state = this.#options.readiness.state();
     if (state.kind === 'not-ready' && state.reason !== 'draining') {
       return err({
@@ -86,7 +91,11 @@
         retryAfterMilliseconds: NOT_READY_RETRY_MILLISECONDS,
       });
     }
-    return this.#options.admission.admit(request);
+    const { admission, rates } = this.#options;
+    const admitted = admission.admit(request);
+    if (admitted.isErr()) return admitted;
+    const passed = await rates.pass(admitted.value, request.source, signal);
+    return passed.map(() => admitted.value);
   }
 
   async #relay(request: CallerRequest, call: AdmittedCall, abort: AbortController): Promise<void> {
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -1,7 +1,9 @@
+import { RateLimiter } from '@limpetnotch/admission';
+import type { SliceDemand, SliceGrant } from '@limpetnotch/admission';
 import type { Logger, Metrics, Tracing } from '@limpetnotch/observability';
 import { ConfigurationFollower } from '@limpetnotch/declarations';
 import type { Configuration } from '@limpetnotch/declarations';
-import { PARTITION_COUNT, PartitionManager } from '@limpetnotch/partitions';
+import { PARTITION_COUNT, PartitionManager, partitionOf } from '@limpetnotch/partitions';
 import { PeerClients, PeerServer } from '@limpetnotch/peer-protocol';
 import { createStoreInstanceList } from '@limpetnotch/platform';
 import type { KeyValueStore } from '@limpetnotch/platform';
@@ -13,12 +15,14 @@
 import { CallRelay } from '../entry/callRelay';
 import { DeclaredAdmission } from '../entry/declaredAdmission';
 import { OpenCalls } from '../entry/openCalls';
+import { RateGate } from '../entry/rateGate';
 import { ProgramRequests } from '../entry/programRequests';
 import { EntryServer } from '../http/entryServer';
 import { CallOwner } from '../owner/callOwner';
 import { OwnedPartition } from '../owner/ownedPartition';
 import { ProgramDesk } from '../owner/programDesk';
 import { ConnectPeerChannel } from '../peers/connectPeerChannel';
+import { ConnectSliceSource } from '../peers/connectSliceSource';
 import { ControlDesk } from '../peers/controlDesk';
 import { Heartbeats } from '../peers/heartbeats';
 import { PEER_ROOT_KEY, PeerConfiguration } from '../peers/peerConfiguration';
@@ -81,6 +85,8 @@
 
   readonly #readiness: InstanceReadiness;
 
+  readonly #limiter: RateLimiter;
+
   constructor(options: InstanceOptions) {
     const { settings, store, logger, metrics, tracing } = options;
     const shared = { logger, metrics };
@@ -108,7 +114,11 @@
       ...shared,
       identity: identityOf(settings),
       partitionCount: PARTITION_COUNT,
-      handler: new PartitionStates({ configuration, ...shared }),
+      handler: new PartitionStates({
+        configuration,
+        mayAct: (number) => this.#partitions.mayAct(number),
+        ...shared,
+      }),
       peers: new ConnectPeerChannel(this.#clients),
       settings: {
         leaseMilliseconds: settings.leaseSeconds * MILLISECONDS_PER_SECOND,
@@ -119,6 +129,7 @@
       configuration,
       partition,
       scheduler: this.#scheduler,
+      onServed: (organisation) => this.#reportService(organisation),
       targets: this.#targets,
       ...shared,
       tracer: tracing.tracer,
@@ -135,6 +146,7 @@
       hearsMajority: () => this.#heartbeats.hearsMajority(),
       hasConfiguration: () => this.#follower.current().revision > 0,
     });
+    this.#limiter = this.#newLimiter();
     this.#follower.onChange((next) => this.#applyConfiguration(next));
   }
 
@@ -167,6 +179,7 @@
       startedChild('peer-server', async () => this.#startPeerServer()),
       { name: 'partitions', restart: 'always', run: (child) => this.#partitions.run(child) },
       { name: 'heartbeats', restart: 'always', run: async (child) => this.#heartbeats.run(child) },
+      this.#limiter.asChild(),
       this.#fleetFollower(),
       this.#engineMonitor(),
       this.#prober().asChild(),
@@ -224,7 +237,7 @@
       service: peerHandlers({
         owner: this.#owner,
         programs: this.#programs,
-        control: new ControlDesk(this.#heartbeats),
+        control: new ControlDesk({ heartbeats: this.#heartbeats, lend: this.#lend }),
         witness: new WitnessDesk(this.#partitions),
         configurationValue: (key) =>
           key === PEER_ROOT_KEY ? this.#follower.rootValue() : this.#follower.value(key),
@@ -252,6 +265,7 @@
       readiness: this.#readiness,
       calls: new CallDesk({
         admission,
+        rates: new RateGate(this.#limiter),
         relay: new CallRelay({ directory, metrics }),
         openCalls: this.#openCalls,
         readiness: this.#readiness,
@@ -301,6 +315,37 @@
     if (cut > 0) this.#options.metrics.increment('entry.calls-cut-by-key', cut);
   }
 
+  #newLimiter(): RateLimiter {
+    const { membership } = this.#partitions;
+    const source = new ConnectSliceSource({
+      entry: membership.identity.incarnation,
+      ownershipOf: (partition) => this.#partitions.ownershipOf(partition),
+      lend: this.#lend,
+      clients: this.#clients,
+    });
+    const limiter = new RateLimiter({
+      source,
+      rateOf: (organisation) => this.#follower.current().organisations.get(organisation)?.rate,
+      groupOf: (organisation) => source.groupOf(organisation),
+      ...this.#shared(),
+    });
+    limiter.onRemoteService((organisation, tokens) =>
+      this.#scheduler.addRemoteService(organisation, tokens),
+    );
+    return limiter;
+  }
+
+  /** Lends slices of the rates whose partitions this instance owns. */
+  readonly #lend = (entry: string, demands: readonly SliceDemand[]): readonly SliceGrant[] =>
+    demands.flatMap(
+      (demand) =>
+        this.#owned(partitionOf(demand.organisation))?.rates.exchange(entry, [demand]) ?? [],
+    );
+
+  #reportService(organisation: string): void {
+    this.#limiter.reportService(organisation, this.#scheduler.takeLocalService(organisation));
+  }
+
   #owned(partition: number): OwnedPartition | undefined {
     const state = this.#partitions.stateOf(partition);
     return state instanceof OwnedPartition ? state : undefined;
--- a/packages/server/src/instance/partitionStates.ts
+++ b/packages/server/src/instance/partitionStates.ts
@@ -1,3 +1,4 @@
+import { RateOwner, SLICE_LIFE_MILLISECONDS } from '@limpetnotch/admission';
 import type { Configuration } from '@limpetnotch/declarations';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type {
@@ -16,6 +17,8 @@
 /** Options of {@link PartitionStates}. */
 export interface PartitionStatesOptions {
   readonly configuration: () => Configuration;
+  /** Whether this instance may grant rates of a partition now. */
+  readonly mayAct: (partition: number) => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -52,9 +55,24 @@
             partition: journal.partition,
             epoch: journal.epoch,
             ledger,
+            rates: this.#rateOwner(recovered),
             previousOwnerMayActUntilMilliseconds,
           }),
       )
       .mapErr((error) => ({ kind: 'corrupt-state', detail: error.detail }));
   }
+
+  /** The rates start without a burst once the slices of a former owner are over. */
+  #rateOwner(recovered: RecoveredPartition): RateOwner {
+    const { configuration, mayAct, metrics } = this.#options;
+    const { journal, handedOver, previousOwnerMayActUntilMilliseconds } = recovered;
+    const hadOwner = handedOver || previousOwnerMayActUntilMilliseconds > 0;
+    const formerEnd = Math.max(Date.now(), previousOwnerMayActUntilMilliseconds);
+    return new RateOwner({
+      rateOf: (organisation) => configuration().organisations.get(organisation)?.rate,
+      grantsFromMilliseconds: hadOwner ? formerEnd + SLICE_LIFE_MILLISECONDS : 0,
+      mayAct: () => mayAct(journal.partition),
+      metrics,
+    });
+  }
 }
--- a/packages/server/src/owner/callOwner.ts
+++ b/packages/server/src/owner/callOwner.ts
@@ -19,6 +19,8 @@
   /** Returns a partition that this instance owns, `undefined` for all others. */
   readonly partition: (partition: number) => OwnedPartition | undefined;
   readonly scheduler: Scheduler;
+  /** Called when an organisation was served here. */
+  readonly onServed: (organisation: string) => void;
   readonly targets: TargetClient;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -131,5 +133,6 @@
       signal,
     });
     await runner.run();
+    this.#options.onServed(request.organisation);
   }
 }
--- a/packages/server/src/owner/ownedPartition.ts
+++ b/packages/server/src/owner/ownedPartition.ts
@@ -1,3 +1,4 @@
+import type { RateOwner } from '@limpetnotch/admission';
 import type { JsonValue, PartitionState } from '@limpetnotch/partitions';
 import type { ProgramLedger } from '@limpetnotch/programs';
 
@@ -6,6 +7,7 @@
   readonly partition: number;
   readonly epoch: number;
   readonly ledger: ProgramLedger;
+  readonly rates: RateOwner;
   /** Time until which the previous owner may still act, by `Date.now`. */
   readonly previousOwnerMayActUntilMilliseconds: number;
 }
@@ -18,12 +20,15 @@
 
   readonly ledger: ProgramLedger;
 
+  readonly rates: RateOwner;
+
   readonly previousOwnerMayActUntilMilliseconds: number;
 
   constructor(options: OwnedPartitionOptions) {
     this.partition = options.partition;
     this.epoch = options.epoch;
     this.ledger = options.ledger;
+    this.rates = options.rates;
     this.previousOwnerMayActUntilMilliseconds = options.previousOwnerMayActUntilMilliseconds;
   }
 
