--- a/packages/server/src/instance/partitionStates.ts
+++ b/packages/server/src/instance/partitionStates.ts
@@ -27,7 +27,7 @@
 const journalOf = (journal: PartitionJournal): Journal => ({
   partition: journal.partition,
   epoch: journal.epoch,
-  append: (records) => journal.append(records as unknown as readonly JsonValue[]),
+  append: (records) => journal.append(records),
 });
 
 /** Builds the ledger and the rates of each partition that this instance comes to own. */
--- a/packages/server/src/owner/ownedPartition.ts
+++ b/packages/server/src/owner/ownedPartition.ts
@@ -33,7 +33,7 @@
   }
 
   snapshot(): JsonValue {
-    return this.ledger.snapshot() as unknown as JsonValue;
+    return this.ledger.snapshot();
   }
 
   async drain(): Promise<void> {
--- a/packages/server/src/problems/problemId.ts
+++ b/packages/server/src/problems/problemId.ts
@@ -27,6 +27,7 @@
   'internal-error': { status: 500, title: 'The instance failed' },
   'target-broken': { status: 502, title: 'The target broke off the answer' },
   'outcome-unknown': { status: 502, title: 'It is not known whether the call ran' },
+  'answer-too-large': { status: 502, title: 'The answer is too large to be recorded' },
   'target-unreachable': { status: 502, title: 'No target could be reached' },
   'not-ready': { status: 503, title: 'The instance is not serving' },
   'owner-unreachable': { status: 503, title: "The program's owner cannot be reached" },
