Fair queueing starts at the organisation served last, not at the least active one

Change: start-time fair queueing: the system's virtual time is that of the organisation served last, and an organisation whose queue was empty starts there at the earliest.

--- a/packages/scheduling/src/dispatcher.ts
+++ b/packages/scheduling/src/dispatcher.ts
@@ -146,6 +146,7 @@
     const { organisations, programs, metrics, settings, order } = this.#options;
     const { outputTokenWeight } = settings;
     this.#unqueue(waiting);
+    organisations.serve(call.organisation);
     const queuedMilliseconds = performance.now() - waiting.enqueuedAtMilliseconds;
     const priority = order.level(waiting);
     const grant = new HeldGrant({
@@ -174,7 +175,6 @@
     outcome: AttemptOutcome,
   ): void {
     if (outcome.kind === 'answered') pool.recordOutput(outcome.outputTokens);
-    this.#options.organisations.leave(call.organisation);
     this.#options.onOutcome(call, view, outcome);
     this.pump();
   }
--- a/packages/scheduling/src/organisationService.ts
+++ b/packages/scheduling/src/organisationService.ts
@@ -1,14 +1,14 @@
 interface OrganisationAccount {
   /** Service received divided by the weight, in tokens. */
   virtualTime: number;
-  /** Calls that wait or run. */
-  activeCalls: number;
+  waitingCalls: number;
 }
 
 /**
- * Service received by each organisation, as virtual time of a weighted fair queue (after the
- * virtual token counter, with service in tokens). An organisation that becomes active starts at
- * the least virtual time of the active ones, so that idle time earns no credit.
+ * Service received by each organisation as virtual time, by start-time fair queueing with service
+ * in tokens. The system's virtual time is that of the organisation served last. An organisation
+ * whose queue was empty starts no earlier than there, so it earns no credit while it asks for less
+ * than its share, and the use of idle capacity is not held against it.
  */
 export class OrganisationService {
   readonly #accounts = new Map<string, OrganisationAccount>();
@@ -19,8 +19,7 @@
 
   #weights: ReadonlyMap<string, number> = new Map();
 
-  /** Virtual time that an organisation cannot be behind when it becomes active. */
-  #floor = 0;
+  #systemTime = 0;
 
   constructor(maximumLeadTokens: number) {
     this.#maximumLeadTokens = maximumLeadTokens;
@@ -35,19 +34,25 @@
     this.#weights = weights;
   }
 
-  /** Counts one more call that waits or runs. */
+  /** Counts one more call that waits. */
   enter(organisation: string): void {
     const account = this.#account(organisation);
-    if (account.activeCalls === 0) this.#activate(account);
-    account.activeCalls += 1;
+    if (account.waitingCalls === 0) this.#start(organisation, account);
+    account.waitingCalls += 1;
   }
 
-  /** Counts one call less; a balanced idle organisation is forgotten. */
+  /** Counts a waiting call that is served now. */
+  serve(organisation: string): void {
+    const account = this.#account(organisation);
+    this.#systemTime = Math.max(this.#systemTime, account.virtualTime);
+    this.leave(organisation);
+  }
+
+  /** Counts one waiting call less; an organisation that is not ahead is forgotten. */
   leave(organisation: string): void {
     const account = this.#account(organisation);
-    account.activeCalls = Math.max(0, account.activeCalls - 1);
-    this.#raiseFloor();
-    this.#forgetIfBalanced(organisation, account);
+    account.waitingCalls = Math.max(0, account.waitingCalls - 1);
+    this.#forgetIfNotAhead(organisation, account);
   }
 
   /** Adds service given by this instance; a negative amount corrects an estimate. */
@@ -69,43 +74,34 @@
   }
 
   virtualTime(organisation: string): number {
-    return this.#accounts.get(organisation)?.virtualTime ?? this.#floor;
+    return this.#accounts.get(organisation)?.virtualTime ?? this.#systemTime;
   }
 
   #charge(organisation: string, tokens: number): void {
     const account = this.#account(organisation);
-    account.virtualTime += tokens / (this.#weights.get(organisation) ?? 1);
-    this.#raiseFloor();
-    if (account.activeCalls === 0) this.#forgetIfBalanced(organisation, account);
-  }
-
-  #activate(account: OrganisationAccount): void {
-    const least = this.#leastActive() ?? this.#floor;
-    const capped = Math.min(account.virtualTime, least + this.#maximumLeadTokens);
-    Object.assign(account, { virtualTime: Math.max(capped, least) });
+    account.virtualTime += tokens / this.#weight(organisation);
+    this.#forgetIfNotAhead(organisation, account);
   }
 
-  #raiseFloor(): void {
-    this.#floor = Math.max(this.#floor, this.#leastActive() ?? this.#floor);
+  #start(organisation: string, account: OrganisationAccount): void {
+    const lead = this.#maximumLeadTokens / this.#weight(organisation);
+    const capped = Math.min(account.virtualTime, this.#systemTime + lead);
+    Object.assign(account, { virtualTime: Math.max(capped, this.#systemTime) });
   }
 
-  #leastActive(): number | undefined {
-    let least: number | undefined;
-    this.#accounts.forEach(({ activeCalls, virtualTime }) => {
-      if (activeCalls > 0 && (least === undefined || virtualTime < least)) least = virtualTime;
-    });
-    return least;
+  #weight(organisation: string): number {
+    return this.#weights.get(organisation) ?? 1;
   }
 
-  #forgetIfBalanced(organisation: string, account: OrganisationAccount): void {
-    if (account.activeCalls > 0 || account.virtualTime > this.#floor) return;
+  #forgetIfNotAhead(organisation: string, account: OrganisationAccount): void {
+    if (account.waitingCalls > 0 || account.virtualTime > this.#systemTime) return;
     this.#accounts.delete(organisation);
   }
 
   #account(organisation: string): OrganisationAccount {
     const known = this.#accounts.get(organisation);
     if (known) return known;
-    const account = { virtualTime: this.#floor, activeCalls: 0 };
+    const account = { virtualTime: this.#systemTime, waitingCalls: 0 };
     this.#accounts.set(organisation, account);
     return account;
   }
