--- a/packages/integration/src/experiments/modelFleet.ts
+++ b/packages/integration/src/experiments/modelFleet.ts
@@ -1,5 +1,5 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
-import type { Scheduler, SchedulerSettings, SchedulingPolicy } from '@limpetnotch/scheduling';
+import type { Scheduler, SchedulingPolicy } from '@limpetnotch/scheduling';
 import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import { EngineModel } from './engineModel';
@@ -34,7 +34,8 @@
 export interface ModelFleetOptions {
   readonly profile: UserProfile;
   readonly policy: SchedulingPolicy;
-  readonly settings?: Partial<SchedulerSettings>;
+  /** Settings that differ from their defaults. */
+  readonly settings?: Readonly<Record<string, number>>;
   readonly clock: VirtualClock;
   readonly seed: number;
 }
--- a/packages/integration/src/experiments/runExperiment.ts
+++ b/packages/integration/src/experiments/runExperiment.ts
@@ -1,5 +1,5 @@
 import { setMaxListeners } from 'node:events';
-import type { SchedulerSettings, SchedulingPolicy } from '@limpetnotch/scheduling';
+import type { SchedulingPolicy } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import { ModelFleet } from './modelFleet';
 import { ProgramRunner } from './programRunner';
@@ -18,7 +18,8 @@
   readonly policy: SchedulingPolicy;
   readonly workload: Workload;
   readonly seed: number;
-  readonly settings?: Partial<SchedulerSettings>;
+  /** Settings that differ from their defaults. */
+  readonly settings?: Readonly<Record<string, number>>;
 }
 
 const loseEngine = async (fleet: ModelFleet, duration: number): Promise<void> => {
--- a/packages/integration/src/experiments/schedulingCommand.ts
+++ b/packages/integration/src/experiments/schedulingCommand.ts
@@ -17,6 +17,7 @@
   seed: z.coerce.number().int(),
   durationSeconds: z.coerce.number().positive(),
   loads: z.array(z.coerce.number().positive()).min(1),
+  settings: z.record(z.string(), z.coerce.number()),
 });
 
 type SchedulingOptions = z.infer<typeof optionsSchema>;
@@ -40,6 +41,10 @@
 
   readonly policies = Option.String('--policies', POLICIES.map(({ kind }) => kind).join(','));
 
+  readonly settings = Option.Array('--setting', [], {
+    description: 'a setting of our scheduler for a trial, such as runningCallMilliseconds=50',
+  });
+
   readonly out = Option.String('--out', 'reports');
 
   async execute(): Promise<number> {
@@ -62,7 +67,7 @@
   async #runLoad(
     profile: UserProfile,
     load: number,
-    { seed, durationSeconds }: SchedulingOptions,
+    { seed, durationSeconds, settings }: SchedulingOptions,
   ): Promise<readonly LoadPoint[]> {
     const durationMilliseconds = durationSeconds * MILLISECONDS;
     const workload = planWorkload({ profile, load, durationMilliseconds, seed });
@@ -70,7 +75,7 @@
     const points: LoadPoint[] = [];
     const chosen = this.policies.split(',');
     for (const policy of POLICIES.filter(({ kind }) => chosen.includes(kind))) {
-      const figures = await runExperiment({ profile, policy, workload, seed });
+      const figures = await runExperiment({ profile, policy, workload, seed, settings });
       points.push({ policy: policy.kind, load, offeredLoad, refusedOverRate, figures });
       this.context.stderr.write(`${policy.kind} at ${load} done\n`);
     }
@@ -83,6 +88,12 @@
       seed: this.seed,
       durationSeconds: this.duration,
       loads: this.loads.split(','),
+      settings: Object.fromEntries(
+        this.settings.map((setting) => {
+          const [name, value] = setting.split('=');
+          return [name, value];
+        }),
+      ),
     });
     if (!parsed.success) throw new UsageError(z.prettifyError(parsed.error));
     return parsed.data;
--- a/packages/scheduling/src/schedulerSettings.ts
+++ b/packages/scheduling/src/schedulerSettings.ts
@@ -8,8 +8,8 @@
   prefillMillisecondsPerToken: z.number().positive().default(0.1),
   /** Weight of the delay that a prompt causes to each other call at the target; 1 by default. */
   delayToOthersWeight: z.number().min(0).default(1),
-  /** Delay that one running call adds to another at the same target; 150 by default. */
-  runningCallMilliseconds: z.number().min(0).default(150),
+  /** Delay that one running call adds to another at the same target; 50 by default. */
+  runningCallMilliseconds: z.number().min(0).default(50),
   /** Cost of a target in another zone; 5 by default. */
   otherZoneMilliseconds: z.number().min(0).default(5),
   /** Longest time that a call waits for the target that caches its prefix; 60,000 by default. */
