Trust stale cache hints by what answers say of them

Cause: each gap in a target's cache events halved the trust in all older hints again.

Change: a gap makes older hints stale once; stale hints are first trusted by half, then by the share of noted tokens that answers found cached.

--- a/packages/scheduling/src/cacheHints.ts
+++ b/packages/scheduling/src/cacheHints.ts
@@ -1,7 +1,9 @@
 import type { PrefixBlock } from './scheduledCall';
 import type { CacheEvent } from './scheduler';
 
-const STALE_TRUST = 0.5;
+/** Trust in a hint that is older than a lost event, before any answer told better. */
+const FIRST_STALE_TRUST = 0.5;
+const TRUST_WEIGHT = 0.02;
 
 /** Share of a target's blocks that is forgotten when there are too many. */
 const FORGOTTEN_SHARE = 0.125;
@@ -24,12 +26,18 @@
 /** Prompt tokens that a target probably has in its cache. */
 export interface CachedPrefix {
   readonly target: string;
+  /** Tokens expected to be cached, after the trust in the hint. */
   readonly tokens: number;
+  /** Tokens of the prefix that was noted. */
+  readonly notedTokens: number;
+  /** Whether events were lost since the hint was noted. */
+  readonly isStale: boolean;
 }
 
 /**
  * Blocks that targets probably cache, from what was sent there and from their cache events. All
- * are hints: a gap in a target's events halves the trust in what was noted before it.
+ * are hints: a gap in a target's events makes what was noted before it stale. Stale hints are first
+ * trusted by half, then by what the answers say of them.
  */
 export class CacheHints {
   readonly #maximumBlocksPerTarget: number;
@@ -38,6 +46,8 @@
 
   readonly #holders = new Map<string, Set<string>>();
 
+  #staleTrust = FIRST_STALE_TRUST;
+
   constructor(maximumBlocksPerTarget: number) {
     this.#maximumBlocksPerTarget = maximumBlocksPerTarget;
   }
@@ -71,6 +81,13 @@
     if (cache.blocks.size > this.#maximumBlocksPerTarget) this.#forgetOldest(target, cache);
   }
 
+  /** Learns from an answer what stale hints are worth. */
+  learn({ isStale, notedTokens }: CachedPrefix, cachedTokens: number): void {
+    if (!isStale || notedTokens === 0) return;
+    const found = Math.min(1, cachedTokens / notedTokens);
+    this.#staleTrust += TRUST_WEIGHT * (found - this.#staleTrust);
+  }
+
   /** Forgets a target's blocks, as after its restart. */
   forgetTarget(target: string): void {
     const cache = this.#caches.get(target);
@@ -83,7 +100,7 @@
 
   /** Returns the targets that probably cache a part of the prompt, with the tokens expected. */
   lookUp(prefix: readonly PrefixBlock[]): readonly CachedPrefix[] {
-    const found = new Map<string, number>();
+    const found = new Map<string, CachedPrefix>();
     let tokens = prefix.reduce((sum, block) => sum + block.tokens, 0);
     for (let index = prefix.length - 1; index >= 0; index -= 1) {
       const block = prefix[index];
@@ -91,16 +108,19 @@
       this.#collect(block.digest, tokens, found);
       tokens -= block.tokens;
     }
-    return [...found].map(([target, expected]) => ({ target, tokens: expected }));
+    return [...found.values()];
   }
 
-  #collect(digest: string, tokens: number, found: Map<string, number>): void {
+  #collect(digest: string, tokens: number, found: Map<string, CachedPrefix>): void {
     for (const target of this.#holders.get(digest) ?? []) {
       if (found.size >= MAXIMUM_FOUND_TARGETS) return;
       const cache = this.#caches.get(target);
       const gapsSince = (cache?.gaps ?? 0) - (cache?.blocks.get(digest) ?? 0);
-      const expected = tokens * STALE_TRUST ** gapsSince;
-      if (expected > (found.get(target) ?? 0)) found.set(target, expected);
+      const isStale = gapsSince > 0;
+      const expected = tokens * (isStale ? this.#staleTrust : 1);
+      if (expected > (found.get(target)?.tokens ?? 0)) {
+        found.set(target, { target, tokens: expected, notedTokens: tokens, isStale });
+      }
     }
   }
 
--- a/packages/scheduling/src/dispatcher.ts
+++ b/packages/scheduling/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Metrics } from '@limpetnotch/observability';
 import { err, ok } from 'neverthrow';
 import type { AttainedService } from './attainedService';
-import type { CacheHints } from './cacheHints';
+import type { CachedPrefix, CacheHints } from './cacheHints';
 import type { CallOrder } from './callOrder';
 import type { DrainRate } from './drainRate';
 import { HeldGrant } from './heldGrant';
@@ -134,14 +134,19 @@
     for (const waiting of waitingCallsInOrder(pool, policy, order)) {
       const decision = placement.choose(waiting, pool.candidates(waiting.call));
       if (decision.kind === 'place') {
-        this.#grant(pool, waiting, decision.view, decision.cachedTokens);
+        this.#grant(pool, waiting, decision.view, decision.hint);
         return true;
       }
     }
     return false;
   }
 
-  #grant(pool: TargetPool, waiting: WaitingCall, view: TargetView, cachedTokens: number): void {
+  #grant(
+    pool: TargetPool,
+    waiting: WaitingCall,
+    view: TargetView,
+    hint: CachedPrefix | undefined,
+  ): void {
     const { call } = waiting;
     const { organisations, programs, metrics, settings, order } = this.#options;
     const { outputTokenWeight } = settings;
@@ -154,11 +159,14 @@
       view,
       priority,
       queuedMilliseconds,
-      uncachedPromptTokens: waiting.promptTokens - cachedTokens,
+      uncachedPromptTokens: waiting.promptTokens - (hint?.tokens ?? 0),
       expectedOutputTokens: pool.expectedOutputTokens(call),
       isSuspect: this.#options.isSuspected(call.requestDigest),
       meter: new ServiceMeter({ call, organisations, programs, outputTokenWeight }),
       onRelease: (outcome) => {
+        if (hint && outcome.kind === 'answered') {
+          this.#options.hints.learn(hint, outcome.cachedTokens);
+        }
         this.#released(pool, call, view, outcome);
       },
     });
--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -1,4 +1,4 @@
-import type { CacheHints } from './cacheHints';
+import type { CachedPrefix, CacheHints } from './cacheHints';
 import type { SchedulerSettings } from './schedulerSettings';
 import type { SchedulingPolicy } from './schedulingPolicy';
 import type { CandidateTargets } from './targetPool';
@@ -9,7 +9,7 @@
 
 /** Where a call goes. */
 export type PlacementDecision =
-  | { readonly kind: 'place'; readonly view: TargetView; readonly cachedTokens: number }
+  | { readonly kind: 'place'; readonly view: TargetView; readonly hint: CachedPrefix | undefined }
   /** A target that caches the prompt is worth the wait. */
   | { readonly kind: 'hold' }
   /** No target has room. */
@@ -25,7 +25,7 @@
 
 interface Candidate {
   readonly view: TargetView;
-  readonly cachedTokens: number;
+  readonly hint: CachedPrefix | undefined;
   /** Expected delay of the call, and what its prompt delays others, in milliseconds. */
   readonly cost: number;
 }
@@ -62,7 +62,7 @@
       const view = targets[position];
       if (view && view.openSlots > 0) {
         this.#turn = position;
-        return { kind: 'place', view, cachedTokens: 0 };
+        return { kind: 'place', view, hint: undefined };
       }
     }
     return NO_ROOM;
@@ -86,7 +86,7 @@
       if (view.openSlots > 0) {
         const prefill = waiting.promptTokens * view.prefillMillisecondsPerToken;
         const cost = Placement.#delay(view, suspected) + prefill;
-        if (!best || cost < best.cost) best = { view, cachedTokens: 0, cost };
+        if (!best || cost < best.cost) best = { view, hint: undefined, cost };
       }
     }
     const holders = this.#holders(waiting, candidates, suspected);
@@ -97,7 +97,7 @@
     if (!best) return NO_ROOM;
     const full = holders.filter(({ view }) => view.openSlots <= 0);
     if (this.#isWorthWaiting(waiting, best, full)) return { kind: 'hold' };
-    return { kind: 'place', view: best.view, cachedTokens: best.cachedTokens };
+    return { kind: 'place', view: best.view, hint: best.hint };
   }
 
   #holders(
@@ -105,11 +105,11 @@
     candidates: CandidateTargets,
     suspected: boolean,
   ): readonly Candidate[] {
-    return this.#options.hints.lookUp(waiting.call.prefix).flatMap(({ target, tokens }) => {
-      const view = candidates.find(target);
+    return this.#options.hints.lookUp(waiting.call.prefix).flatMap((hint) => {
+      const view = candidates.find(hint.target);
       if (!view) return [];
-      const prefill = (waiting.promptTokens - tokens) * view.prefillMillisecondsPerToken;
-      return [{ view, cachedTokens: tokens, cost: Placement.#delay(view, suspected) + prefill }];
+      const prefill = (waiting.promptTokens - hint.tokens) * view.prefillMillisecondsPerToken;
+      return [{ view, hint, cost: Placement.#delay(view, suspected) + prefill }];
     });
   }
 
@@ -132,10 +132,10 @@
 
   #place(waiting: WaitingCall, view: TargetView | undefined): PlacementDecision {
     if (!view) return NO_ROOM;
-    const cached = this.#options.hints
+    const hint = this.#options.hints
       .lookUp(waiting.call.prefix)
       .find(({ target }) => target === view.name);
-    return { kind: 'place', view, cachedTokens: cached?.tokens ?? 0 };
+    return { kind: 'place', view, hint };
   }
 
   static #leastLoaded(targets: readonly TargetView[]): TargetView | undefined {
