--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -3,6 +3,7 @@
 import type { Configuration } from '@limpetnotch/declarations';
 import { PARTITION_COUNT, PartitionManager } from '@limpetnotch/partitions';
 import { PeerClients, PeerServer } from '@limpetnotch/peer-protocol';
+import { createStoreInstanceList } from '@limpetnotch/platform';
 import type { KeyValueStore } from '@limpetnotch/platform';
 import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
 import type { Scheduler } from '@limpetnotch/scheduling';
@@ -29,7 +30,8 @@
 import { EngineMonitor } from '../targets/engineMonitor';
 import { NewConnectionProbe } from '../targets/newConnectionProbe';
 import { TargetClient } from '../targets/targetClient';
-import { endIdlePrograms } from './idlePrograms';
+import { followFleet } from './followFleet';
+import { endIdlePrograms } from './endIdlePrograms';
 import { identityOf } from './identityOf';
 import { InstanceReadiness } from './instanceReadiness';
 import { MemoryRelease } from './memoryRelease';
@@ -65,6 +67,8 @@
 
   readonly #follower: ConfigurationFollower;
 
+  readonly #admission: DeclaredAdmission;
+
   readonly #scheduler: Scheduler;
 
   readonly #partitions: PartitionManager;
@@ -92,6 +96,7 @@
         addresses: () => this.#heartbeats.addresses(),
       }),
     });
+    this.#admission = new DeclaredAdmission(configuration);
     this.#scheduler = createScheduler({
       instance: settings.instance,
       ...shared,
@@ -118,7 +123,7 @@
       ...shared,
       tracer: tracing.tracer,
     });
-    this.#programs = new ProgramDesk({ partition });
+    this.#programs = new ProgramDesk({ partition, scheduler: this.#scheduler });
     this.#heartbeats = new Heartbeats({
       membership: this.#partitions.membership,
       clients: this.#clients,
@@ -162,6 +167,7 @@
       startedChild('peer-server', async () => this.#startPeerServer()),
       { name: 'partitions', restart: 'always', run: (child) => this.#partitions.run(child) },
       { name: 'heartbeats', restart: 'always', run: async (child) => this.#heartbeats.run(child) },
+      this.#fleetFollower(),
       this.#engineMonitor(),
       this.#prober().asChild(),
       ...memory.children(),
@@ -181,6 +187,17 @@
     return { logger, metrics };
   }
 
+  #fleetFollower(): ChildSpecification {
+    const { store, metrics } = this.#options;
+    const options = {
+      membership: this.#partitions.membership,
+      scheduler: this.#scheduler,
+      list: createStoreInstanceList({ store, metrics }),
+      onListedAsLeaving: () => this.#readiness.markDraining(),
+    };
+    return { name: 'fleet', restart: 'always', run: async (child) => followFleet(options, child) };
+  }
+
   #engineMonitor(): ChildSpecification {
     const monitor = new EngineMonitor({
       configuration: () => this.#follower.current(),
@@ -224,7 +241,7 @@
       programs: this.#programs,
       clients: this.#clients,
     });
-    const admission = new DeclaredAdmission(() => this.#follower.current());
+    const admission = this.#admission;
     const programs = new ProgramRequests(directory);
     const server = await EntryServer.start({
       host: settings.entryHost,
@@ -280,9 +297,7 @@
 
   #applyConfiguration(configuration: Configuration): void {
     this.#scheduler.applyConfiguration(configuration);
-    const isActive = (key: string): boolean =>
-      key === '' || configuration.keys.get(key)?.state === 'active';
-    const cut = this.#openCalls.cutKeys(isActive);
+    const cut = this.#openCalls.cutKeys((identity) => this.#admission.isInForce(identity));
     if (cut > 0) this.#options.metrics.increment('entry.calls-cut-by-key', cut);
   }
 
