Keep targets' figures in arrays for the scan of a decision

Cause: a decision at 1,500 targets read several fields of each target's object.

Change: open slots, delay and prefill cost of all targets stand in typed arrays by position.

--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -81,14 +81,7 @@
   /** Least expected cost: work that is there, prompt that is not cached, zone, suspects. */
   #leastCost(waiting: WaitingCall, candidates: CandidateTargets): PlacementDecision {
     const suspected = this.#options.isSuspected(waiting.call.requestDigest);
-    let best: Candidate | undefined;
-    for (const view of candidates.targets) {
-      if (view.openSlots > 0) {
-        const prefill = waiting.promptTokens * view.prefillMillisecondsPerToken;
-        const cost = Placement.#delay(view, suspected) + prefill;
-        if (!best || cost < best.cost) best = { view, hint: undefined, cost };
-      }
-    }
+    let best = Placement.#cheapestUncached(waiting, candidates, suspected);
     const holders = this.#holders(waiting, candidates, suspected);
     const open = holders.filter(({ view }) => view.openSlots > 0);
     for (const candidate of open) {
@@ -100,6 +93,27 @@
     return { kind: 'place', view: best.view, hint: best.hint };
   }
 
+  /** Scans all targets as if none cached anything. */
+  static #cheapestUncached(
+    { promptTokens }: WaitingCall,
+    { targets, positions, scores }: CandidateTargets,
+    suspected: boolean,
+  ): Candidate | undefined {
+    const { openSlots, delayMilliseconds, prefillMillisecondsPerToken } = scores;
+    let [best, leastCost] = [-1, Infinity];
+    for (let index = 0; index < positions.length; index += 1) {
+      const position = positions[index] ?? 0;
+      if ((openSlots[position] ?? 0) > 0) {
+        const prefill = promptTokens * (prefillMillisecondsPerToken[position] ?? 0);
+        const suspects = suspected ? (targets[index]?.suspects ?? 0) * SUSPECT_MILLISECONDS : 0;
+        const cost = (delayMilliseconds[position] ?? 0) + prefill + suspects;
+        if (cost < leastCost) [best, leastCost] = [index, cost];
+      }
+    }
+    const view = targets[best];
+    return view && { view, hint: undefined, cost: leastCost };
+  }
+
   #holders(
     waiting: WaitingCall,
     candidates: CandidateTargets,
--- a/packages/scheduling/src/targetPool.ts
+++ b/packages/scheduling/src/targetPool.ts
@@ -1,5 +1,6 @@
 import { CallQueue } from './callQueue';
 import type { ScheduledCall } from './scheduledCall';
+import type { TargetScores } from './targetScores';
 import type { TargetTable } from './targetTable';
 import type { TargetView } from './targetView';
 
@@ -8,6 +9,9 @@
 /** Targets among which a call is placed. */
 export interface CandidateTargets {
   readonly targets: readonly TargetView[];
+  /** Positions of the targets in the scores. */
+  readonly positions: Int32Array;
+  readonly scores: TargetScores;
   find(name: string): TargetView | undefined;
 }
 
@@ -25,6 +29,8 @@
 
   #targets: readonly TargetView[] = [];
 
+  #positions = new Int32Array();
+
   #expectedOutputTokens: number;
 
   constructor(table: TargetTable, model: string | undefined, expectedOutputTokens: number) {
@@ -38,6 +44,14 @@
     return this.#targets;
   }
 
+  get positions(): Int32Array {
+    return this.#positions;
+  }
+
+  get scores(): TargetScores {
+    return this.#table.scores;
+  }
+
   find(name: string): TargetView | undefined {
     return this.#views.get(name);
   }
@@ -58,6 +72,7 @@
       .map((name) => this.#table.view(name))
       .filter((view) => view?.serves(this.model) === true)
       .filter((view) => view !== undefined);
+    this.#positions = Int32Array.from(this.#targets, ({ position }) => position);
     this.#views = new Map(this.#targets.map((view) => [view.name, view]));
     this.#keepOneSlot();
   }
@@ -72,6 +87,8 @@
     const names = new Set(others.map(({ name }) => name));
     return {
       targets: others,
+      positions: Int32Array.from(others, ({ position }) => position),
+      scores: this.scores,
       find: (name) => (names.has(name) ? this.#views.get(name) : undefined),
     };
   }
--- a/packages/scheduling/src/targetTable.ts
+++ b/packages/scheduling/src/targetTable.ts
@@ -1,6 +1,7 @@
 import type { Configuration } from '@limpetnotch/declarations';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { SchedulerSettings } from './schedulerSettings';
+import { TargetScores } from './targetScores';
 import { TargetView } from './targetView';
 import { WindowSplit } from './windowSplit';
 
@@ -18,6 +19,8 @@
 
   readonly #split: WindowSplit;
 
+  readonly scores = new TargetScores();
+
   readonly #views = new Map<string, TargetView>();
 
   /** Targets of each route, by which the share of ejected ones is capped. */
@@ -46,10 +49,12 @@
     [...this.#views.keys()]
       .filter((name) => !targets.has(name))
       .forEach((name) => {
+        this.#views.get(name)?.retire();
         this.#views.delete(name);
       });
     targets.forEach((spec, name) => {
-      const view = this.#views.get(name) ?? new TargetView(name, spec, this.#options.settings);
+      const view =
+        this.#views.get(name) ?? new TargetView(name, spec, this.#options.settings, this.scores);
       this.#views.set(name, view);
       view.configure(spec, this.#split.share(name, spec.window), this.#split.size);
     });
--- a/packages/scheduling/src/targetView.ts
+++ b/packages/scheduling/src/targetView.ts
@@ -2,6 +2,7 @@
 import { LoadView } from './loadView';
 import type { SchedulerSettings } from './schedulerSettings';
 import { TargetHealth } from './targetHealth';
+import type { TargetScores } from './targetScores';
 
 /** What this instance knows of one target. */
 export class TargetView {
@@ -17,14 +18,10 @@
   /** Calls under way whose request was under way at a crash before. */
   suspects = 0;
 
-  /** Calls that this instance may send now; kept current by {@link refresh}. */
-  openSlots = 0;
+  /** Position of this target's figures in the scores, which {@link refresh} keeps current. */
+  readonly position: number;
 
-  /** Expected delay by the work that is there and by the zone; kept by {@link refresh}. */
-  delayMilliseconds = 0;
-
-  /** Cost of one prompt token that is not cached: it delays the call and all others there. */
-  prefillMillisecondsPerToken = 0;
+  readonly #scores: TargetScores;
 
   readonly #settings: SchedulerSettings;
 
@@ -36,8 +33,10 @@
 
   #changesWithTime = false;
 
-  constructor(name: string, spec: TargetSpec, settings: SchedulerSettings) {
+  constructor(name: string, spec: TargetSpec, settings: SchedulerSettings, scores: TargetScores) {
     this.name = name;
+    this.position = scores.allocate();
+    this.#scores = scores;
     this.#spec = spec;
     this.#settings = settings;
     this.health = new TargetHealth(settings);
@@ -47,6 +46,21 @@
     return this.#spec;
   }
 
+  /** Calls that this instance may send now. */
+  get openSlots(): number {
+    return this.#scores.openSlots[this.position] ?? 0;
+  }
+
+  /** Expected delay by the work that is there and by the zone. */
+  get delayMilliseconds(): number {
+    return this.#scores.delayMilliseconds[this.position] ?? 0;
+  }
+
+  /** Cost of one prompt token that is not cached: it delays the call and all others there. */
+  get prefillMillisecondsPerToken(): number {
+    return this.#scores.prefillMillisecondsPerToken[this.position] ?? 0;
+  }
+
   /** This instance's part of the window, without what is borrowed. */
   get share(): number {
     return this.#share;
@@ -93,15 +107,21 @@
     const zone = this.#spec.availabilityZone === availabilityZone ? 0 : otherZoneMilliseconds;
     const allowed = this.health.allowance(this.#share + this.#borrowed());
     this.#changesWithTime = this.health.state().kind !== 'healthy' || this.load.hasReport;
-    this.openSlots = this.isServing ? Math.max(0, allowed - this.inFlight) : 0;
-    this.prefillMillisecondsPerToken =
+    const scores = this.#scores;
+    scores.openSlots[this.position] = this.isServing ? Math.max(0, allowed - this.inFlight) : 0;
+    scores.prefillMillisecondsPerToken[this.position] =
       prefillMillisecondsPerToken * (1 + this.load.calls() * delayToOthersWeight);
-    this.delayMilliseconds =
+    scores.delayMilliseconds[this.position] =
       zone +
       this.load.calls() * runningCallMilliseconds +
       this.load.prefillTokens() * prefillMillisecondsPerToken;
   }
 
+  /** Gives the position back once the target is no longer declared. */
+  retire(): void {
+    this.#scores.free(this.position);
+  }
+
   /** Calls beyond the share that the last report leaves room for. */
   #borrowed(): number {
     const { reportExpiryMilliseconds, borrowedShare } = this.#settings;
