--- a/packages/integration/src/experiments/randomSource.ts
+++ b/packages/integration/src/experiments/randomSource.ts
@@ -2,12 +2,16 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Range } from './userProfile';
 
+const DISCARDED_VALUES = 64;
+
 /** Seeded source of random values. */
 export class RandomSource {
   readonly #generator: ReturnType<typeof xoroshiro128plus>;
 
   constructor(seed: number) {
     this.#generator = xoroshiro128plus(seed);
+    // The first values of neighbouring seeds resemble each other.
+    for (let value = 0; value < DISCARDED_VALUES; value += 1) this.uniform();
   }
 
   /** Returns a value from 0 up to 1. */
--- a/packages/integration/src/experiments/workload.ts
+++ b/packages/integration/src/experiments/workload.ts
@@ -7,6 +7,13 @@
 const SAMPLE_SEED_OFFSET = 7_919;
 const MILLISECONDS = 1_000;
 
+const ORGANISATION_SEED_STEP = 1_000_003;
+const PROGRAM_SEED_STEP = 101;
+
+/** Relative error of the load that is left as it is. */
+const LOAD_TOLERANCE = 0.01;
+const MAXIMUM_CORRECTIONS = 40;
+
 /** An organisation's declared rate is this many times its ordinary one. */
 const RATE_FACTOR = 2;
 const BURST_PROGRAMS = 10;
@@ -122,27 +129,52 @@
   }
 };
 
-/** Draws all programs of a run; the same options give the same programs. */
-export const planWorkload = (options: WorkloadOptions): Workload => {
-  const { profile, durationMilliseconds, seed } = options;
-  const random = new RandomSource(seed);
-  const rate = ordinaryRate(options);
+interface DrawnPrograms {
+  readonly programs: readonly PlannedProgram[];
+  readonly refusedOverRate: number;
+}
+
+/** Draws programs at a rate; each organisation and each program has its own random values. */
+const drawPrograms = (options: WorkloadOptions, rate: number): DrawnPrograms => {
+  const { profile, seed } = options;
   let refusedOverRate = 0;
-  const programs = profile.organisations.flatMap((organisation) => {
-    const { admitted, refused } = drawArrivals(random, organisation, rate, options);
-    refusedOverRate += refused;
-    return admitted.map((startMilliseconds, index): PlannedProgram => {
+  const programs = profile.organisations.flatMap((organisation, position) => {
+    const organisationSeed = seed + position * ORGANISATION_SEED_STEP;
+    const arrivals = drawArrivals(new RandomSource(organisationSeed), organisation, rate, options);
+    refusedOverRate += arrivals.refused;
+    return arrivals.admitted.map((startMilliseconds, index): PlannedProgram => {
       const name = `${organisation.name}.${index}`;
+      const random = new RandomSource(organisationSeed + (index + 1) * PROGRAM_SEED_STEP);
       const shape = drawShape(random, profile, organisation.name, name);
       const work = programWork(shape);
       return { name, organisation: organisation.name, startMilliseconds, shape, work };
     });
   });
-  const offered = programs.reduce((sum, { work }) => sum + work.engineMilliseconds, 0);
+  return { programs, refusedOverRate };
+};
+
+/**
+ * Draws all programs of a run; the same options give the same programs. The rate is corrected
+ * until the programs drawn make the load asked for, since a few long ones sway it.
+ */
+export const planWorkload = (options: WorkloadOptions): Workload => {
+  const { durationMilliseconds, load } = options;
+  const offeredBy = ({ programs }: DrawnPrograms): number =>
+    programs.reduce((sum, { work }) => sum + work.engineMilliseconds, 0) / engineTime(options);
+  let rate = ordinaryRate(options);
+  let drawn = drawPrograms(options, rate);
+  for (let correction = 0; correction < MAXIMUM_CORRECTIONS; correction += 1) {
+    const offered = offeredBy(drawn);
+    if (Math.abs(offered / load - 1) < LOAD_TOLERANCE) break;
+    rate *= (1 + load / offered) / 2;
+    drawn = drawPrograms(options, rate);
+  }
   return {
-    programs: [...programs].sort((one, other) => one.startMilliseconds - other.startMilliseconds),
+    programs: [...drawn.programs].sort(
+      (one, other) => one.startMilliseconds - other.startMilliseconds,
+    ),
     durationMilliseconds,
-    refusedOverRate,
-    offeredLoad: offered / engineTime(options),
+    refusedOverRate: drawn.refusedOverRate,
+    offeredLoad: offeredBy(drawn),
   };
 };
--- a/packages/integration/tests/workload.test.ts
+++ b/packages/integration/tests/workload.test.ts
@@ -16,10 +16,8 @@
   expect(plan(0.5, 1).programs).not.toEqual(plan(0.5, 2).programs);
 });
 
-test('programs make about the load asked for', () => {
-  const loads = [1, 2, 3, 4, 5, 6].map((seed) => plan(0.9, seed).offeredLoad);
-  const mean = loads.reduce((sum, load) => sum + load, 0) / loads.length;
-  expect(Math.abs(mean - 0.9)).toBeLessThan(0.05);
+test.each([1, 2, 3, 4])('programs make the load asked for, seed %i', (seed) => {
+  expect(Math.abs(plan(0.9, seed).offeredLoad - 0.9)).toBeLessThan(0.02);
 });
 
 test('the flooding organisation is cut to its rate', () => {
