--- a/packages/scheduling/src/dispatcher.ts
+++ b/packages/scheduling/src/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Metrics } from '@limpetnotch/observability';
 import { err, ok } from 'neverthrow';
 import type { AttainedService } from './attainedService';
-import type { CacheHints } from './cacheHints';
+import type { CachedPrefix, CacheHints } from './cacheHints';
 import type { CallOrder } from './callOrder';
 import type { DrainRate } from './drainRate';
 import { HeldGrant } from './heldGrant';
@@ -134,18 +134,24 @@
     for (const waiting of waitingCallsInOrder(pool, policy, order)) {
       const decision = placement.choose(waiting, pool.candidates(waiting.call));
       if (decision.kind === 'place') {
-        this.#grant(pool, waiting, decision.view, decision.cachedTokens);
+        this.#grant(pool, waiting, decision.view, decision.hint);
         return true;
       }
     }
     return false;
   }
 
-  #grant(pool: TargetPool, waiting: WaitingCall, view: TargetView, cachedTokens: number): void {
+  #grant(
+    pool: TargetPool,
+    waiting: WaitingCall,
+    view: TargetView,
+    hint: CachedPrefix | undefined,
+  ): void {
     const { call } = waiting;
     const { organisations, programs, metrics, settings, order } = this.#options;
     const { outputTokenWeight } = settings;
     this.#unqueue(waiting);
+    organisations.serve(call.organisation);
     const queuedMilliseconds = performance.now() - waiting.enqueuedAtMilliseconds;
     const priority = order.level(waiting);
     const grant = new HeldGrant({
@@ -153,11 +159,14 @@
       view,
       priority,
       queuedMilliseconds,
-      uncachedPromptTokens: waiting.promptTokens - cachedTokens,
+      uncachedPromptTokens: waiting.promptTokens - (hint?.tokens ?? 0),
       expectedOutputTokens: pool.expectedOutputTokens(call),
       isSuspect: this.#options.isSuspected(call.requestDigest),
       meter: new ServiceMeter({ call, organisations, programs, outputTokenWeight }),
       onRelease: (outcome) => {
+        if (hint && outcome.kind === 'answered') {
+          this.#options.hints.learn(hint, outcome.cachedTokens);
+        }
         this.#released(pool, call, view, outcome);
       },
     });
@@ -174,7 +183,6 @@
     outcome: AttemptOutcome,
   ): void {
     if (outcome.kind === 'answered') pool.recordOutput(outcome.outputTokens);
-    this.#options.organisations.leave(call.organisation);
     this.#options.onOutcome(call, view, outcome);
     this.pump();
   }
