--- a/packages/scheduling/src/placement.ts
+++ b/packages/scheduling/src/placement.ts
@@ -1,4 +1,4 @@
-import type { CacheHints } from './cacheHints';
+import type { CachedPrefix, CacheHints } from './cacheHints';
 import type { SchedulerSettings } from './schedulerSettings';
 import type { SchedulingPolicy } from './schedulingPolicy';
 import type { CandidateTargets } from './targetPool';
@@ -9,7 +9,7 @@
 
 /** Where a call goes. */
 export type PlacementDecision =
-  | { readonly kind: 'place'; readonly view: TargetView; readonly cachedTokens: number }
+  | { readonly kind: 'place'; readonly view: TargetView; readonly hint: CachedPrefix | undefined }
   /** A target that caches the prompt is worth the wait. */
   | { readonly kind: 'hold' }
   /** No target has room. */
@@ -25,7 +25,7 @@
 
 interface Candidate {
   readonly view: TargetView;
-  readonly cachedTokens: number;
+  readonly hint: CachedPrefix | undefined;
   /** Expected delay of the call, and what its prompt delays others, in milliseconds. */
   readonly cost: number;
 }
@@ -62,7 +62,7 @@
       const view = targets[position];
       if (view && view.openSlots > 0) {
         this.#turn = position;
-        return { kind: 'place', view, cachedTokens: 0 };
+        return { kind: 'place', view, hint: undefined };
       }
     }
     return NO_ROOM;
@@ -81,14 +81,7 @@
   /** Least expected cost: work that is there, prompt that is not cached, zone, suspects. */
   #leastCost(waiting: WaitingCall, candidates: CandidateTargets): PlacementDecision {
     const suspected = this.#options.isSuspected(waiting.call.requestDigest);
-    let best: Candidate | undefined;
-    for (const view of candidates.targets) {
-      if (view.openSlots > 0) {
-        const prefill = waiting.promptTokens * view.prefillMillisecondsPerToken;
-        const cost = Placement.#delay(view, suspected) + prefill;
-        if (!best || cost < best.cost) best = { view, cachedTokens: 0, cost };
-      }
-    }
+    let best = Placement.#cheapestUncached(waiting, candidates, suspected);
     const holders = this.#holders(waiting, candidates, suspected);
     const open = holders.filter(({ view }) => view.openSlots > 0);
     for (const candidate of open) {
@@ -97,7 +90,28 @@
     if (!best) return NO_ROOM;
     const full = holders.filter(({ view }) => view.openSlots <= 0);
     if (this.#isWorthWaiting(waiting, best, full)) return { kind: 'hold' };
-    return { kind: 'place', view: best.view, cachedTokens: best.cachedTokens };
+    return { kind: 'place', view: best.view, hint: best.hint };
+  }
+
+  /** Scans all targets as if none cached anything. */
+  static #cheapestUncached(
+    { promptTokens }: WaitingCall,
+    { targets, positions, scores }: CandidateTargets,
+    suspected: boolean,
+  ): Candidate | undefined {
+    const { openSlots, delayMilliseconds, prefillMillisecondsPerToken } = scores;
+    let [best, leastCost] = [-1, Infinity];
+    for (let index = 0; index < positions.length; index += 1) {
+      const position = positions[index] ?? 0;
+      if ((openSlots[position] ?? 0) > 0) {
+        const prefill = promptTokens * (prefillMillisecondsPerToken[position] ?? 0);
+        const suspects = suspected ? (targets[index]?.suspects ?? 0) * SUSPECT_MILLISECONDS : 0;
+        const cost = (delayMilliseconds[position] ?? 0) + prefill + suspects;
+        if (cost < leastCost) [best, leastCost] = [index, cost];
+      }
+    }
+    const view = targets[best];
+    return view && { view, hint: undefined, cost: leastCost };
   }
 
   #holders(
@@ -105,11 +119,11 @@
     candidates: CandidateTargets,
     suspected: boolean,
   ): readonly Candidate[] {
-    return this.#options.hints.lookUp(waiting.call.prefix).flatMap(({ target, tokens }) => {
-      const view = candidates.find(target);
+    return this.#options.hints.lookUp(waiting.call.prefix).flatMap((hint) => {
+      const view = candidates.find(hint.target);
       if (!view) return [];
-      const prefill = (waiting.promptTokens - tokens) * view.prefillMillisecondsPerToken;
-      return [{ view, cachedTokens: tokens, cost: Placement.#delay(view, suspected) + prefill }];
+      const prefill = (waiting.promptTokens - hint.tokens) * view.prefillMillisecondsPerToken;
+      return [{ view, hint, cost: Placement.#delay(view, suspected) + prefill }];
     });
   }
 
@@ -132,10 +146,10 @@
 
   #place(waiting: WaitingCall, view: TargetView | undefined): PlacementDecision {
     if (!view) return NO_ROOM;
-    const cached = this.#options.hints
+    const hint = this.#options.hints
       .lookUp(waiting.call.prefix)
       .find(({ target }) => target === view.name);
-    return { kind: 'place', view, cachedTokens: cached?.tokens ?? 0 };
+    return { kind: 'place', view, hint };
   }
 
   static #leastLoaded(targets: readonly TargetView[]): TargetView | undefined {
--- a/packages/server/src/instance/partitionStates.ts
+++ b/packages/server/src/instance/partitionStates.ts
@@ -1,7 +1,7 @@
+import { RateOwner, SLICE_LIFE_MILLISECONDS } from '@limpetnotch/admission';
 import type { Configuration } from '@limpetnotch/declarations';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type {
-  JsonValue,
   PartitionHandler,
   PartitionJournal,
   PartitionState,
@@ -16,6 +16,8 @@
 /** Options of {@link PartitionStates}. */
 export interface PartitionStatesOptions {
   readonly configuration: () => Configuration;
+  /** Whether this instance may grant rates of a partition now. */
+  readonly mayAct: (partition: number) => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -24,7 +26,7 @@
 const journalOf = (journal: PartitionJournal): Journal => ({
   partition: journal.partition,
   epoch: journal.epoch,
-  append: (records) => journal.append(records as unknown as readonly JsonValue[]),
+  append: (records) => journal.append(records),
 });
 
 /** Builds the ledger and the rates of each partition that this instance comes to own. */
@@ -52,9 +54,24 @@
             partition: journal.partition,
             epoch: journal.epoch,
             ledger,
+            rates: this.#rateOwner(recovered),
             previousOwnerMayActUntilMilliseconds,
           }),
       )
       .mapErr((error) => ({ kind: 'corrupt-state', detail: error.detail }));
   }
+
+  /** The rates start without a burst once the slices of a former owner are over. */
+  #rateOwner(recovered: RecoveredPartition): RateOwner {
+    const { configuration, mayAct, metrics } = this.#options;
+    const { journal, handedOver, previousOwnerMayActUntilMilliseconds } = recovered;
+    const hadOwner = handedOver || previousOwnerMayActUntilMilliseconds > 0;
+    const formerEnd = Math.max(Date.now(), previousOwnerMayActUntilMilliseconds);
+    return new RateOwner({
+      rateOf: (organisation) => configuration().organisations.get(organisation)?.rate,
+      grantsFromMilliseconds: hadOwner ? formerEnd + SLICE_LIFE_MILLISECONDS : 0,
+      mayAct: () => mayAct(journal.partition),
+      metrics,
+    });
+  }
 }
