--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -5,7 +5,6 @@
 import type { Configuration } from '@limpetnotch/declarations';
 import { PARTITION_COUNT, PartitionManager, partitionOf } from '@limpetnotch/partitions';
 import { PeerClients, PeerServer } from '@limpetnotch/peer-protocol';
-import { createStoreInstanceList } from '@limpetnotch/platform';
 import type { KeyValueStore } from '@limpetnotch/platform';
 import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
 import type { Scheduler } from '@limpetnotch/scheduling';
@@ -41,6 +40,7 @@
 import { MemoryRelease } from './memoryRelease';
 import { operatorDeskOf } from './operatorDeskOf';
 import { PartitionStates } from './partitionStates';
+import { platformListOf } from './platformList';
 import { startedChild } from './startedChild';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -120,6 +120,7 @@
         ...shared,
       }),
       peers: new ConnectPeerChannel(this.#clients),
+      instanceList: platformListOf(store, metrics),
       settings: {
         leaseMilliseconds: settings.leaseSeconds * MILLISECONDS_PER_SECOND,
         fleetWritesPerSecond: settings.fleetWritesPerSecond,
@@ -207,7 +208,7 @@
     const options = {
       membership: this.#partitions.membership,
       scheduler: this.#scheduler,
-      list: createStoreInstanceList({ store, metrics }),
+      list: platformListOf(store, metrics),
       onListedAsLeaving: () => this.#readiness.markDraining(),
     };
     return { name: 'fleet', restart: 'always', run: async (child) => followFleet(options, child) };
--- a/packages/server/src/owner/attemptLoop.ts
+++ b/packages/server/src/owner/attemptLoop.ts
@@ -57,7 +57,7 @@
   constructor(options: AttemptLoopOptions) {
     this.#options = options;
     this.#deadline = AbortSignal.timeout(AttemptLoop.#timeLimit(options));
-    this.#signal = AbortSignal.any([options.signal, this.#deadline]);
+    this.#signal = AbortSignal.any([options.signal, options.partition.lost, this.#deadline]);
   }
 
   /** Target of the last attempt that was sent, if any was. */
--- a/packages/server/src/owner/ownedPartition.ts
+++ b/packages/server/src/owner/ownedPartition.ts
@@ -18,6 +18,8 @@
 
   readonly epoch: number;
 
+  readonly #lost = new AbortController();
+
   readonly ledger: ProgramLedger;
 
   readonly rates: RateOwner;
@@ -32,6 +34,11 @@
     this.previousOwnerMayActUntilMilliseconds = options.previousOwnerMayActUntilMilliseconds;
   }
 
+  /** Aborts when the partition is owned no more: its calls dispatch nothing further. */
+  get lost(): AbortSignal {
+    return this.#lost.signal;
+  }
+
   snapshot(): JsonValue {
     return this.ledger.snapshot();
   }
@@ -41,6 +48,7 @@
   }
 
   stop(): void {
+    this.#lost.abort();
     this.ledger.stop();
   }
 }
--- a/packages/stand-ins/tests/engineStandIn.test.ts
+++ b/packages/stand-ins/tests/engineStandIn.test.ts
@@ -143,9 +143,13 @@
   };
   const runs = [run('first', 5)];
   await until(() => engine.statistics().running === 1);
+  // The first goes on only when both others wait, however slow the machine is.
+  await engine.setFaults({ hung: true });
   runs.push(run('late', 9));
   await until(() => engine.statistics().queued === 1);
   runs.push(run('urgent', 1));
+  await until(() => engine.statistics().queued === 2);
+  await engine.setFaults({ hung: false });
   await Promise.all(runs);
   expect(finished).toEqual(['first', 'urgent', 'late']);
 });
