--- a/packages/integration/src/benchCommands.ts
+++ b/packages/integration/src/benchCommands.ts
@@ -1,6 +1,8 @@
 import type { CommandClass } from 'clipanion';
 import { AdmissionBench } from './benches/admissionBench';
+import { ControlCommand } from './benches/controlCommand';
 import { JournalCommand } from './benches/journalCommand';
+import { PathCommand } from './benches/pathCommand';
 import { ConfigurationCommand } from './configuration/configurationCommand';
 import { PlacementCommand } from './experiments/placementCommand';
 import { SchedulingCommand } from './experiments/schedulingCommand';
@@ -9,7 +11,9 @@
 export const BENCH_COMMANDS: readonly CommandClass[] = [
   AdmissionBench,
   ConfigurationCommand,
+  ControlCommand,
   JournalCommand,
+  PathCommand,
   PlacementCommand,
   SchedulingCommand,
 ];
