Claim partitions whose handover's hint and offer were lost

Cause: a store outage right after a handover's commit loses both the hint that the partition is free and the offered claim. Ruled out: witnesses that do not answer, a failed assertion. Change: the member that comes first for a partition which another is said to own reads its head, one a claim interval; an offered claim that the store did not answer is kept. The new test failed before and passes after.

--- a/packages/integration/src/faults/faultFleet.ts
+++ b/packages/integration/src/faults/faultFleet.ts
@@ -291,7 +291,20 @@
       (partition) => !owners.includes(partition),
     );
     const double = owners.filter((partition, index) => owners.indexOf(partition) !== index);
-    return `${ready}; without an owner: ${free.join()}; with several: ${double.join()}`;
+    const found = `${ready}; without an owner: ${free.join()}; with several: ${double.join()}`;
+    return [found, ...this.#linesAbout(new Set([...free, ...double]))].join('\n');
+  }
+
+  /** Returns the last lines that instances logged about partitions. */
+  #linesAbout(partitions: ReadonlySet<number>): readonly string[] {
+    return Array.from({ length: this.instances }, (_, index) =>
+      this.#fleet.process(`entry-${index + 1}`).output.split('\n'),
+    ).flatMap((lines) =>
+      lines.filter((line) => {
+        const partition = /"partition":(\d+)/.exec(line)?.[1];
+        return partition === undefined || partitions.has(Number(partition));
+      }),
+    );
   }
 
   async #isReady(index: number): Promise<boolean> {
--- a/packages/partitions/src/partitionClaimer.ts
+++ b/packages/partitions/src/partitionClaimer.ts
@@ -27,6 +27,8 @@
   readonly hints: OwnerHints;
   readonly opener: PartitionOpener;
   readonly owned: OwnedPartitions;
+  /** Reads a partition's head and takes its owner in as a hint. */
+  readHead(partition: number): Promise<void>;
 }
 
 /** Finds partitions without a live owner that this instance comes first for, and claims them. */
@@ -40,6 +42,8 @@
   /** Partitions that their owner offered to this instance, whatever the ranking. */
   readonly #offered = new Set<number>();
 
+  #lastVerified = -1;
+
   constructor(options: PartitionClaimerOptions) {
     this.#options = options;
   }
@@ -68,6 +72,7 @@
       const room = CONCURRENT_CLAIMS - this.#claiming.size;
       const partitions = signal.aborted ? [] : this.#claimable().slice(0, room);
       partitions.forEach((partition) => this.#start(partition, signal));
+      if (!signal.aborted) await this.#verifyOne();
     }
     await Promise.all(this.#claiming.values());
   }
@@ -104,6 +109,34 @@
     });
   }
 
+  /**
+   * Reads the head of one partition that this instance comes first for and another is said to own.
+   * While the store is out a handover's hint and offer may both be lost; only the head then tells
+   * that the partition is free. Once all moves are done there is none to read.
+   */
+  async #verifyOne(): Promise<void> {
+    const doubtful = this.#doubtful();
+    const next = doubtful.find((partition) => partition > this.#lastVerified) ?? doubtful[0];
+    if (next === undefined) return;
+    this.#lastVerified = next;
+    this.#options.metrics.increment('partition.verified-heads');
+    await this.#options.readHead(next);
+  }
+
+  #doubtful(): readonly number[] {
+    const { membership, partitionCount, owned, hints } = this.#options;
+    if (!membership.isLeaseValid() || membership.identity.leaving) return [];
+    const candidates = membership.members().filter(({ leaving }) => !leaving);
+    const partitions = Array.from({ length: partitionCount }, (_value, partition) => partition);
+    return partitions.filter((partition) => {
+      const hint = hints.of(partition);
+      if (!hint || hint.handedOver || this.#isSelf(hint.owner)) return false;
+      if (owned.get(partition) || this.#claiming.has(partition)) return false;
+      const [first] = rankByRendezvous(partition, candidates);
+      return first !== undefined && this.#isSelf(first);
+    });
+  }
+
   #isSelf({ instance, incarnation }: Member): boolean {
     const { identity } = this.#options.membership;
     return instance === identity.instance && incarnation === identity.incarnation;
@@ -122,7 +155,7 @@
 
   async #claim(partition: number, signal: AbortSignal): Promise<void> {
     const { store, metrics, membership, settings } = this.#options;
-    this.#offered.delete(partition);
+    const wasOffered = this.#offered.delete(partition);
     const claimer = membership.identity;
     const claim = await claimPartition({
       store,
@@ -134,6 +167,8 @@
       onUnknownOutcome: () => metrics.increment('partition.unknown-claims'),
     });
     if (claim.isErr()) {
+      // The store gave no answer: the offer still stands.
+      if (wasOffered && claim.error.kind === 'try-again') this.#offered.add(partition);
       this.#noteError(partition, claim.error);
       return;
     }
--- a/packages/partitions/src/partitionManager.ts
+++ b/packages/partitions/src/partitionManager.ts
@@ -105,7 +105,12 @@
     const shared = { store, settings, logger, metrics, peers, membership, hints, owned };
     const opener = new PartitionOpener({ ...shared, handler, allowance, witness });
     this.#witness = witness;
-    this.#claimer = new PartitionClaimer({ ...shared, partitionCount, opener });
+    this.#claimer = new PartitionClaimer({
+      ...shared,
+      partitionCount,
+      opener,
+      readHead: (partition) => this.#readHead(partition),
+    });
     this.#handover = new PartitionHandover(shared);
     this.#outage = new OutageKeeper(shared);
   }
--- a/packages/partitions/tests/partitionHandover.test.ts
+++ b/packages/partitions/tests/partitionHandover.test.ts
@@ -101,3 +101,26 @@
   expect(fleet.ownerOf(0)!.states.get(0)!.records).toEqual(['kept']);
   await stop(fleet);
 });
+
+test('a handover whose hint and offer were lost leaves no partition without an owner', async () => {
+  const fleet = await start(2);
+  const [former, next] = [fleet.instances[0]!, fleet.instances[1]!];
+  const partition = numbers.find((number) => next.owns(number))!;
+  const head = fleet.store.read(`partitions/${partition}`)!;
+  const hint = fleet.store.read(`owners/${partition}`)!;
+  const epoch = fleet.newestEpoch(partition) + 1;
+  const claimed = { epoch, owner: former.member };
+  const put = (entry: typeof head, value: object): void => {
+    const text = JSON.stringify({ ...(JSON.parse(entry.value) as object), ...value });
+    fleet.store.swap({ key: entry.key, expectedRevision: entry.revision, value: text });
+  };
+  put(head, { ...claimed, handedOver: true });
+  // The former owner knows that it gave the partition up; all others have its claim's hint.
+  const refreshed = former.manager.refresh(partition);
+  await jest.advanceTimersByTimeAsync(10);
+  await refreshed;
+  put(hint, { ...claimed, handedOver: false });
+  await jest.advanceTimersByTimeAsync(10_000);
+  expect(fleet.ownerOf(partition)).toBe(next);
+  await stop(fleet);
+});
