--- a/packages/partitions/src/partitionClaimer.ts
+++ b/packages/partitions/src/partitionClaimer.ts
@@ -44,6 +44,8 @@
 
   #lastVerified = -1;
 
+  #isVerifying = false;
+
   constructor(options: PartitionClaimerOptions) {
     this.#options = options;
   }
@@ -72,7 +74,8 @@
       const room = CONCURRENT_CLAIMS - this.#claiming.size;
       const partitions = signal.aborted ? [] : this.#claimable().slice(0, room);
       partitions.forEach((partition) => this.#start(partition, signal));
-      if (!signal.aborted) await this.#verifyOne();
+      // A slow reading holds up no claim.
+      if (!signal.aborted && !this.#isVerifying) void this.#verifyOne();
     }
     await Promise.all(this.#claiming.values());
   }
@@ -119,8 +122,11 @@
     const next = doubtful.find((partition) => partition > this.#lastVerified) ?? doubtful[0];
     if (next === undefined) return;
     this.#lastVerified = next;
+    this.#isVerifying = true;
     this.#options.metrics.increment('partition.verified-heads');
-    await this.#options.readHead(next);
+    await this.#options.readHead(next).finally(() => {
+      this.#isVerifying = false;
+    });
   }
 
   #doubtful(): readonly number[] {
