--- a/packages/server/src/owner/callOwner.ts
+++ b/packages/server/src/owner/callOwner.ts
@@ -28,7 +28,6 @@
 }
 
 interface RunningCall {
-  readonly keyName: string;
   readonly abort: AbortController;
   readonly finished: Promise<void>;
 }
@@ -56,7 +55,7 @@
     const channel = new AnswerChannel<RunCallEvent>();
     const abort = new AbortController();
     const finished = this.#run(request, channel, abort.signal);
-    this.#running.set(request.relayId, { keyName: request.keyName, abort, finished });
+    this.#running.set(request.relayId, { abort, finished });
     void finished.finally(() => this.#running.delete(request.relayId));
     return channel;
   }
@@ -68,13 +67,6 @@
     return call !== undefined;
   }
 
-  /** Cancels the calls that came with a key, which was withdrawn. */
-  cancelKey(keyName: string): void {
-    this.#running.forEach((call) => {
-      if (call.keyName === keyName) call.abort.abort();
-    });
-  }
-
   /** Resolves when no call is under way. */
   async drain(): Promise<void> {
     while (this.#running.size > 0) {
--- a/packages/server/src/owner/chatRequest.ts
+++ b/packages/server/src/owner/chatRequest.ts
@@ -2,6 +2,7 @@
 import { err, ok } from 'neverthrow';
 import type { Result } from 'neverthrow';
 import { z } from 'zod';
+import { parseJson } from '../util/parseJson';
 
 const contentSchema = z.union([z.string(), z.array(z.unknown()), z.null()]);
 
@@ -16,14 +17,6 @@
 
 export type ChatRequest = z.infer<typeof chatRequestSchema>;
 
-const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-};
-
 /** Parses a chat completion request; the error is a text that names the faulty member. */
 export const parseChatRequest = (body: Uint8Array): Result<ChatRequest, string> => {
   const parsed = chatRequestSchema.safeParse(parseJson(Buffer.from(body).toString('utf8')));
--- a/packages/server/src/targets/answerReader.ts
+++ b/packages/server/src/targets/answerReader.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { parseJson } from '../util/parseJson';
 
 const usageSchema = z.object({
   usage: z.object({
@@ -25,14 +26,6 @@
 const DATA_PREFIX = 'data:';
 const DONE = '[DONE]';
 
-const parseJson = (text: string): unknown => {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-};
-
 const usageOf = (value: unknown): EngineUsage | undefined => {
   const parsed = usageSchema.safeParse(value);
   if (!parsed.success) return undefined;
