Hold organisations to their rates and programs to their budgets

Each instance now holds an equal part of every rate and tokens move between instances on demand; a program's budget lies in escrow in one key of the store, and an instance spends only what it took before.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -17,3 +17,5 @@
 export type { NamedRoute } from './routes/routeTable';
 export { SLICE_LIFE_MILLISECONDS } from './slice';
 export type { SliceDemand, SliceGrant } from './slice';
+export { SharedRate } from './shared/sharedRate';
+export type { RatePart } from './shared/sharedRate';
--- /dev/null
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -0,0 +1,119 @@
+/** Part of an organisation's rate that one instance holds. */
+export interface RatePart {
+  /** Requests a second of the organisation over all instances. */
+  readonly perSecond: number;
+  /** Requests that the organisation may send at once over all instances. */
+  readonly burst: number;
+  /** This instance's part, from 0 to 1; the parts of all instances sum up to 1 at most. */
+  readonly share: number;
+}
+
+/** Time over which the demand at this instance is averaged, in seconds. */
+const DEMAND_WINDOW_SECONDS = 1;
+
+/** Time for which an instance keeps tokens for its own demand before it gives any away, in seconds. */
+const OWN_DEMAND_SECONDS = 0.5;
+
+/**
+ * Part of the bucket that a started instance begins with. A restart forgets what was spent before,
+ * so that a full bucket would let an organisation exceed its rate by a restart.
+ */
+const STARTING_LEVEL = 0.2;
+
+const MILLISECONDS = 1_000;
+
+/**
+ * Token bucket over one instance's part of an organisation's rate. Answers a load that reaches the
+ * instances unevenly: tokens move between instances, and are never made by a move.
+ */
+export class SharedRate {
+  #part: RatePart;
+
+  #tokens: number;
+
+  #demandPerSecond = 0;
+
+  #updatedAtMilliseconds = performance.now();
+
+  constructor(part: RatePart) {
+    this.#part = part;
+    this.#tokens = this.#depth * STARTING_LEVEL;
+  }
+
+  /** Tokens that this instance may spend now. */
+  get tokens(): number {
+    this.#advance();
+    return this.#tokens;
+  }
+
+  /** Requests a second that came lately. */
+  get demandPerSecond(): number {
+    this.#advance();
+    return this.#demandPerSecond;
+  }
+
+  /** Time until the bucket holds a whole token, in seconds; infinite where nothing flows in. */
+  get secondsToNextToken(): number {
+    const missing = 1 - this.tokens;
+    return missing <= 0 ? 0 : missing / (this.#part.perSecond * this.#part.share);
+  }
+
+  /** Puts another part in force; what is held beyond it is dropped. */
+  setPart(part: RatePart): void {
+    this.#advance();
+    this.#part = part;
+    this.#tokens = Math.min(this.#tokens, this.#depth);
+  }
+
+  /** Notes a request. */
+  noteDemand(): void {
+    this.#advance();
+    this.#demandPerSecond += 1 / DEMAND_WINDOW_SECONDS;
+  }
+
+  /** Takes a token for a request; returns whether there was one. */
+  take(): boolean {
+    this.#advance();
+    if (this.#tokens < 1) return false;
+    this.#tokens -= 1;
+    return true;
+  }
+
+  /** Adds tokens that another instance gave up, or that were taken in vain. */
+  receive(tokens: number): void {
+    this.#advance();
+    this.#tokens = Math.min(Math.max(this.#depth, 1), this.#tokens + tokens);
+  }
+
+  /** Gives whole tokens up for another instance, beyond what the own demand needs. */
+  give(wanted: number): number {
+    this.#advance();
+    const spare = Math.floor(this.#tokens - this.#demandPerSecond * OWN_DEMAND_SECONDS);
+    const given = Math.max(0, Math.min(wanted, spare));
+    this.#tokens -= given;
+    return given;
+  }
+
+  /** Tokens to ask other instances for: the demand of a short time, as far as there is room. */
+  get wanted(): number {
+    this.#advance();
+    const room = Math.max(this.#depth, 1) - this.#tokens;
+    const needed = Math.max(1, this.#demandPerSecond * OWN_DEMAND_SECONDS);
+    return Math.max(1, Math.floor(Math.min(room, needed)));
+  }
+
+  get #depth(): number {
+    return this.#part.burst * this.#part.share;
+  }
+
+  #advance(): void {
+    const now = performance.now();
+    const seconds = (now - this.#updatedAtMilliseconds) / MILLISECONDS;
+    if (seconds <= 0) return;
+    this.#updatedAtMilliseconds = now;
+    this.#demandPerSecond *= Math.exp(-seconds / DEMAND_WINDOW_SECONDS);
+    if (this.#tokens >= this.#depth) return;
+    const flow = this.#part.perSecond * this.#part.share;
+    this.#tokens = Math.min(this.#depth, this.#tokens + flow * seconds);
+  }
+}
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -173,7 +173,7 @@
     const { program, prompt } = call.envelope;
     if (program?.tokenBudget === undefined || !prompt) return this.#parts.runner.run(call);
     const decision = await this.#parts.budgets.reserve({
-      programId: program.id,
+      programId: `${call.organisation?.name ?? ''}/${program.id}`,
       limitTokens: program.tokenBudget,
       turnTokens: prompt.maximumOutputTokens,
     });
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -66,7 +66,9 @@
       target,
       connectionLimit: Math.max(1, Math.floor(share)),
       priority: undefined,
-      silenceMilliseconds: SILENCE_MILLISECONDS,
+      // A plain service that answers nobody may just be at work; an engine makes a step in milliseconds.
+      silenceMilliseconds:
+        call.route.execution.kind === 'event-stream' ? SILENCE_MILLISECONDS : Infinity,
     });
     const outcome = await attempt.run();
     if (outcome.kind !== 'delivered') {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
+import { PeerServer } from '@limpetnotch/peer-protocol';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { delay, Supervisor } from '@limpetnotch/supervision';
-import type { BudgetGate } from './budgets/budgetGate';
+import { EscrowBudgets } from './budgets/escrowBudgets';
 import { AnswerWriter } from './calls/answerWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
@@ -11,9 +12,13 @@
 import type { FleetCodec } from './fleet/fleetCodec';
 import { FleetFollower } from './fleet/fleetFollower';
 import { FleetState } from './fleet/fleetState';
+import { RetirementDuty } from './fleet/retirementDuty';
 import type { GatewaySettings } from './gatewaySettings';
 import { IngressServer } from './ingress/ingressServer';
-import type { QuotaGate } from './quotas/quotaGate';
+import { createFleetService } from './peers/fleetService';
+import { FleetPeers } from './peers/fleetPeers';
+import { Membership } from './peers/membership';
+import { SharedQuotas } from './quotas/sharedQuotas';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
@@ -47,8 +52,18 @@
 
   readonly #loads = new TargetLoads();
 
+  readonly #peers: FleetPeers;
+
+  readonly #membership: Membership;
+
+  readonly #quotas: SharedQuotas;
+
+  readonly #budgets: EscrowBudgets;
+
   readonly #calls: CallGateway;
 
+  #peerServer: PeerServer | undefined;
+
   #ingress: IngressServer | undefined;
 
   #readiness: IngressServer | undefined;
@@ -60,6 +75,26 @@
     const { logger, metrics, wireCodec: codec, settings } = parts;
     this.#supervisor = new Supervisor({ name: 'gateway', logger, metrics });
     const writer = new AnswerWriter({ codec, isClosing: () => this.#isClosing });
+    this.#peers = new FleetPeers(logger, metrics);
+    this.#membership = new Membership({
+      store: parts.store,
+      instance: settings.instance,
+      address: `${settings.peer.host}:${settings.peer.port}`,
+      logger,
+      onChange: () => this.#onMembership(),
+    });
+    this.#quotas = new SharedQuotas({
+      peers: this.#peers,
+      share: () => 1 / Math.max(1, this.#membership.members.length),
+      logger,
+      metrics,
+    });
+    this.#budgets = new EscrowBudgets({
+      store: parts.store,
+      logger,
+      metrics,
+      recall: (budgetKey) => this.#peers.releaseBudget(budgetKey),
+    });
     const runner = new CallRunner({
       codec,
       connections: this.#connections,
@@ -69,17 +104,13 @@
       availabilityZone: settings.availabilityZone,
       logger,
       metrics,
-      instanceCount: () => 4,
+      instanceCount: () => this.#membership.presentCount,
     });
-    const quotas: QuotaGate = { take: () => ({ kind: 'taken', giveBack: () => undefined }) };
-    const budgets: BudgetGate = {
-      reserve: async () => ({ kind: 'reserved', settle: () => undefined }),
-    };
     this.#calls = new CallGateway({
       codec,
       fleet: this.#fleet,
-      quotas,
-      budgets,
+      quotas: this.#quotas,
+      budgets: this.#budgets,
       runner,
       writer,
       logger,
@@ -107,6 +138,12 @@
 
   async #start(): Promise<void> {
     const { settings, store, fleetCodec: codec, logger, metrics } = this.#parts;
+    const retirement = new RetirementDuty({
+      store,
+      codec,
+      logger,
+      rank: () => this.#membership.rank,
+    });
     const follower = new FleetFollower({
       store,
       codec,
@@ -115,7 +152,9 @@
       metrics,
       onConfiguration: (configuration) => this.#onConfiguration(configuration),
       onTargetsChanged: () => this.#onTargetsChanged(),
-      onRetirement: (instance) => logger.info('retirement.requested', { retired: instance }),
+      onRetirement: (instance) => {
+        void retirement.retire(instance);
+      },
     });
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
@@ -125,7 +164,11 @@
       ...settings.entry,
       handle: (request, response) => this.#calls.serve(request, response),
     });
-    for (const task of follower.tasks) await this.#supervisor.startChild(task);
+    this.#peerServer = await PeerServer.start({
+      ...settings.peer,
+      fleet: createFleetService(this.#quotas, this.#budgets),
+    });
+    for (const task of [...follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
   }
 
   async #stop(): Promise<void> {
@@ -133,7 +176,9 @@
       this.#ingress?.stop(),
       this.#readiness?.stop(),
       this.#connections.close(),
+      this.#peerServer?.close(),
     ]);
+    this.#peers.close();
   }
 
   async #answerReadiness(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -143,8 +188,14 @@
     response.end();
   }
 
-  #onConfiguration({ limits }: FleetConfiguration): void {
-    this.#ingress?.setTimes(limits);
+  #onConfiguration(configuration: FleetConfiguration): void {
+    this.#ingress?.setTimes(configuration.limits);
+    this.#quotas.apply(configuration);
+  }
+
+  #onMembership(): void {
+    this.#peers.setPeers(this.#membership.peers);
+    this.#quotas.apply(this.#fleet.index?.configuration);
   }
 
   #onTargetsChanged(): void {
--- /dev/null
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -0,0 +1,110 @@
+import type { Logger, Metrics } from '@limpetnotch/observability';
+import { connectPeer, FleetService } from '@limpetnotch/peer-protocol';
+import type { PeerConnection } from '@limpetnotch/peer-protocol';
+
+/** A request waits for tokens of peers; an answer within an availability zone takes 2 ms. */
+const TOKENS_DEADLINE_MILLISECONDS = 60;
+
+/** A release writes to the store before it answers. */
+const RELEASE_DEADLINE_MILLISECONDS = 400;
+
+/** Peers asked for tokens in one round, so that the cost doesn't grow with the fleet. */
+const PEERS_ASKED = 4;
+
+type Connection = PeerConnection<typeof FleetService>;
+
+interface Peer {
+  readonly address: string;
+  readonly connection: Connection;
+}
+
+/** Connections to the other instances. */
+export class FleetPeers {
+  readonly #logger: Logger;
+
+  readonly #metrics: Metrics;
+
+  readonly #peers = new Map<string, Peer>();
+
+  /** Names in the order in which they are asked; one that gave something moves to the front. */
+  #order: string[] = [];
+
+  constructor(logger: Logger, metrics: Metrics) {
+    this.#logger = logger;
+    this.#metrics = metrics;
+  }
+
+  /** Sets the other instances by name, with the host and port of each. */
+  setPeers(addresses: ReadonlyMap<string, string>): void {
+    this.#peers.forEach((peer, name) => {
+      if (addresses.get(name) === peer.address) return;
+      peer.connection.sessions.abort();
+      this.#peers.delete(name);
+      this.#logger.info('peers.left', { peer: name });
+    });
+    addresses.forEach((address, name) => {
+      if (this.#peers.has(name)) return;
+      this.#peers.set(name, { address, connection: connectPeer(address, FleetService) });
+      this.#logger.info('peers.joined', { peer: name, address });
+    });
+    this.#order = [...this.#peers.keys()];
+  }
+
+  get size(): number {
+    return this.#peers.size;
+  }
+
+  /** Asks peers one after another for tokens of an organisation's rate; returns how many came. */
+  async takeTokens(organisation: string, wanted: number): Promise<number> {
+    let received = 0;
+    for (const name of this.#order.slice(0, PEERS_ASKED)) {
+      const missing = wanted - received;
+      if (missing <= 0) break;
+      const given = await this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
+        client.takeTokens({ organisation, wanted: missing }, options),
+      );
+      received += Math.min(missing, given?.given ?? 0);
+      this.#reorder(name, (given?.given ?? 0) > 0);
+    }
+    return received;
+  }
+
+  /** Has all peers give back what they hold of a budget; resolves when all answered or are late. */
+  async releaseBudget(budget: string): Promise<number> {
+    const released = await Promise.all(
+      [...this.#peers.keys()].map((name) =>
+        this.#call(name, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
+          client.releaseBudget({ budget }, options),
+        ),
+      ),
+    );
+    return released.reduce((sum, answer) => sum + (answer?.released ?? 0), 0);
+  }
+
+  close(): void {
+    this.setPeers(new Map());
+  }
+
+  #reorder(name: string, isGiving: boolean): void {
+    const others = this.#order.filter((other) => other !== name);
+    this.#order = isGiving ? [name, ...others] : [...others, name];
+  }
+
+  async #call<Answer>(
+    name: string,
+    deadlineMilliseconds: number,
+    send: (client: Connection['client'], options: { timeoutMs: number }) => Promise<Answer>,
+  ): Promise<Answer | undefined> {
+    const peer = this.#peers.get(name);
+    if (!peer) return undefined;
+    try {
+      return await send(peer.connection.client, { timeoutMs: deadlineMilliseconds });
+    } catch (error) {
+      // What a peer can't say now is asked again later; tokens of a lost answer are dropped.
+      this.#metrics.increment('peers.failed-calls', 1, { peer: name });
+      const detail = error instanceof Error ? error.message : String(error);
+      this.#logger.debug('peers.call-failed', { peer: name, detail });
+      return undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/peers/membership.ts
@@ -0,0 +1,272 @@
+import type { Logger } from '@limpetnotch/observability';
+import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
+import { compareAndSwapUntilKnown, followPrefix } from '@limpetnotch/store';
+import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
+import { delay } from '@limpetnotch/supervision';
+import { z } from 'zod';
+
+const PREFIX = 'limpetnotch/';
+const PRESENCE_PREFIX = `${PREFIX}instances/`;
+const MEMBERS_KEY = `${PREFIX}members`;
+
+/** Presence ends this long after an instance was last able to renew it. */
+const PRESENCE_MILLISECONDS = 5_000;
+const RENEWAL_MILLISECONDS = 1_600;
+
+/** A membership watch hears of joins and leaves only, which are rare. */
+const WATCH_SILENCE_MILLISECONDS = 15_000;
+
+/**
+ * Time after which the part of an absent instance falls to the others. Longer than a restart or a
+ * cut usually takes, as an instance that is only cut off goes on spending its part.
+ */
+const ABSENCE_MILLISECONDS = 25_000;
+const ABSENCE_CHECK_MILLISECONDS = 3_000;
+
+/** A new member waits this long before it uses its part, until the others have heard of it. */
+const JOIN_DELAY_MILLISECONDS = 1_500;
+
+const RETRY_MILLISECONDS = 300;
+
+const presenceSchema = z.object({ address: z.string() });
+const membersSchema = z.object({ members: z.array(z.string()) });
+
+/** Parts of a {@link Membership}. */
+export interface MembershipParts {
+  readonly store: KeyValueStore;
+  readonly instance: string;
+  /** Host and port on which other instances are served here. */
+  readonly address: string;
+  readonly logger: Logger;
+  /** Called when the instances that are present, or the members, have changed. */
+  readonly onChange: () => void;
+}
+
+const parseEntry = <Value>(schema: z.ZodType<Value>, entry: StoreEntry): Value | undefined => {
+  try {
+    return schema.parse(JSON.parse(entry.value));
+  } catch {
+    // The caller logs the key of an entry that can't be read.
+    return undefined;
+  }
+};
+
+/**
+ * Who shares the rates of organisations. Members are listed in one key of the store, each with an
+ * equal part; presence, by a lease, tells where they listen. A member that is absent for long is
+ * taken off the list by the first one that is present.
+ */
+export class Membership {
+  readonly #parts: MembershipParts;
+
+  #members: readonly string[] = [];
+
+  #membersRevision = 0;
+
+  #joinedAtMilliseconds = Infinity;
+
+  readonly #present = new Map<string, string>();
+
+  readonly #absentSince = new Map<string, number>();
+
+  constructor(parts: MembershipParts) {
+    this.#parts = parts;
+  }
+
+  get tasks(): readonly ChildSpecification[] {
+    return [
+      { name: 'membership', restart: 'always', run: (context) => this.#follow(context) },
+      { name: 'presence', restart: 'always', run: (context) => this.#keepPresence(context) },
+      { name: 'absence', restart: 'always', run: (context) => this.#dropAbsent(context) },
+    ];
+  }
+
+  /** Members in a fixed order; empty until this instance is one. */
+  get members(): readonly string[] {
+    const { instance } = this.#parts;
+    const hasJoined = performance.now() - this.#joinedAtMilliseconds >= JOIN_DELAY_MILLISECONDS;
+    return hasJoined && this.#members.includes(instance) ? this.#members : [];
+  }
+
+  /** Other instances that are present, with their addresses. */
+  get peers(): ReadonlyMap<string, string> {
+    return new Map([...this.#present].filter(([name]) => name !== this.#parts.instance));
+  }
+
+  /** Rank of this instance among those present, from 0, for duties that one of them does. */
+  get rank(): number {
+    const names = [...this.#present.keys()].sort();
+    return Math.max(0, names.indexOf(this.#parts.instance));
+  }
+
+  /** Instances that are present, this one included. */
+  get presentCount(): number {
+    return Math.max(1, this.#present.size);
+  }
+
+  async #follow({ signal, ready }: ChildContext): Promise<void> {
+    ready();
+    await followPrefix({
+      store: this.#parts.store,
+      prefix: PREFIX,
+      listener: this.#listener(),
+      signal,
+      silenceMilliseconds: WATCH_SILENCE_MILLISECONDS,
+    });
+  }
+
+  #listener(): PrefixListener {
+    return {
+      replaced: (entries) => {
+        this.#present.clear();
+        entries.forEach((entry) => this.#apply(entry));
+        this.#noteAbsence();
+        this.#parts.onChange();
+      },
+      put: (entry) => {
+        this.#apply(entry);
+        this.#noteAbsence();
+        this.#parts.onChange();
+      },
+      removed: (key) => {
+        this.#present.delete(key.slice(PRESENCE_PREFIX.length));
+        this.#noteAbsence();
+        this.#parts.onChange();
+      },
+      confirmed: () => undefined,
+      lost: (detail) => this.#parts.logger.info('membership.watch-lost', { detail }),
+    };
+  }
+
+  #apply(entry: StoreEntry): void {
+    if (entry.key === MEMBERS_KEY) {
+      this.#setMembers(entry);
+      return;
+    }
+    if (!entry.key.startsWith(PRESENCE_PREFIX)) return;
+    const presence = parseEntry(presenceSchema, entry);
+    if (presence) this.#present.set(entry.key.slice(PRESENCE_PREFIX.length), presence.address);
+    else this.#parts.logger.warn('membership.unreadable', { key: entry.key });
+  }
+
+  #setMembers(entry: StoreEntry): void {
+    if (entry.revision < this.#membersRevision) return;
+    const list = parseEntry(membersSchema, entry);
+    if (!list) {
+      this.#parts.logger.warn('membership.unreadable', { key: entry.key });
+      return;
+    }
+    this.#members = list.members;
+    this.#membersRevision = entry.revision;
+    this.#parts.logger.info('membership.members', {
+      members: list.members.length,
+      revision: entry.revision,
+    });
+  }
+
+  #noteAbsence(): void {
+    const now = performance.now();
+    this.#members.forEach((name) => {
+      if (this.#present.has(name)) this.#absentSince.delete(name);
+      else if (!this.#absentSince.has(name)) this.#absentSince.set(name, now);
+    });
+  }
+
+  /** Joins the members and keeps the lease of the presence renewed. */
+  async #keepPresence({ signal, ready }: ChildContext): Promise<void> {
+    ready();
+    await this.#join(signal);
+    let leaseId: string | undefined;
+    while (!signal.aborted) {
+      leaseId = leaseId === undefined ? await this.#announce() : await this.#renew(leaseId);
+      await delay(leaseId === undefined ? RETRY_MILLISECONDS : RENEWAL_MILLISECONDS, signal);
+    }
+    if (leaseId !== undefined) await this.#parts.store.revokeLease(leaseId);
+  }
+
+  async #announce(): Promise<string | undefined> {
+    const { store, instance, address, logger } = this.#parts;
+    const lease = await store.grantLease(PRESENCE_MILLISECONDS);
+    if (lease.isErr()) {
+      logger.info('membership.announce-failed', { detail: lease.error.detail });
+      return undefined;
+    }
+    const { leaseId } = lease.value;
+    const key = `${PRESENCE_PREFIX}${instance}`;
+    const value = JSON.stringify({ address });
+    let expectedRevision = 0;
+    for (let attempt = 0; attempt < 3; attempt += 1) {
+      const written = await store.compareAndSwap({ key, value, expectedRevision, leaseId });
+      if (written.isErr()) {
+        logger.info('membership.announce-failed', { detail: written.error.detail });
+        return undefined;
+      }
+      if (written.value.kind === 'swapped') return leaseId;
+      expectedRevision = written.value.current?.revision ?? 0;
+    }
+    return undefined;
+  }
+
+  async #renew(leaseId: string): Promise<string | undefined> {
+    const renewed = await this.#parts.store.renewLease(leaseId);
+    // Any other failure leaves the lease as it is; the next renewal may succeed.
+    if (renewed.isErr() && renewed.error.kind === 'lease-ended') return undefined;
+    return leaseId;
+  }
+
+  async #join(signal: AbortSignal): Promise<void> {
+    const { instance, logger } = this.#parts;
+    while (!signal.aborted) {
+      const isMember = await this.#change(signal, (members) =>
+        members.includes(instance) ? members : [...members, instance].sort(),
+      );
+      if (isMember) {
+        this.#joinedAtMilliseconds = performance.now();
+        logger.info('membership.joined', { members: this.#members.length });
+        this.#parts.onChange();
+        return;
+      }
+      await delay(RETRY_MILLISECONDS, signal);
+    }
+  }
+
+  /** Changes the list of members; returns whether the list is then as wanted. */
+  async #change(
+    signal: AbortSignal,
+    change: (members: readonly string[]) => readonly string[],
+  ): Promise<boolean> {
+    const { store } = this.#parts;
+    const read = await store.read(MEMBERS_KEY);
+    if (read.isErr()) return false;
+    if (read.value) this.#setMembers(read.value);
+    const wanted = change(read.value ? this.#members : []);
+    if (read.value && wanted.join() === this.#members.join()) return true;
+    const value = JSON.stringify({ members: wanted });
+    const written = await compareAndSwapUntilKnown({
+      store,
+      request: { key: MEMBERS_KEY, expectedRevision: read.value?.revision ?? 0, value },
+      isOwnWrite: (entry) => entry.value === value,
+      signal,
+    });
+    if (written.isErr() || written.value.kind === 'conflict') return false;
+    this.#setMembers({ key: MEMBERS_KEY, value, revision: written.value.revision });
+    return true;
+  }
+
+  /** Takes members off the list that are absent for long, one duty of the first one present. */
+  async #dropAbsent({ signal, ready }: ChildContext): Promise<void> {
+    ready();
+    while (!signal.aborted) {
+      await delay(ABSENCE_CHECK_MILLISECONDS, signal);
+      const now = performance.now();
+      const gone = [...this.#absentSince]
+        .filter(([, since]) => now - since > ABSENCE_MILLISECONDS)
+        .map(([name]) => name);
+      if (gone.length > 0 && this.rank === 0) {
+        gone.forEach((name) => this.#absentSince.delete(name));
+        await this.#change(signal, (members) => members.filter((name) => !gone.includes(name)));
+        this.#parts.logger.info('membership.dropped', { dropped: gone.join() });
+      }
+    }
+  }
+}
--- a/packages/programs/src/index.ts
+++ b/packages/programs/src/index.ts
@@ -31,3 +31,5 @@
 export type { LedgerRestoreError } from './restoreTable';
 export { sharedBody } from './sharedBody';
 export type { SharedBody } from './sharedBody';
+export { EscrowAccount } from './escrow/escrowAccount';
+export type { EscrowState, GrantPlan } from './escrow/escrowAccount';
