--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -20,6 +20,12 @@
  */
 const STARTING_LEVEL = 0.2;
 
+/**
+ * Level of the bucket below which no program may begin. A program needs a dozen requests or more,
+ * and one that is refused midway has wasted all before it.
+ */
+const PROGRAM_LEVEL = 0.5;
+
 const MILLISECONDS = 1_000;
 
 /**
@@ -54,7 +60,22 @@
 
   /** Time until the bucket holds a whole token, in seconds; infinite where nothing flows in. */
   get secondsToNextToken(): number {
-    const missing = 1 - this.tokens;
+    return this.secondsToTokens(1);
+  }
+
+  /** Whether a whole program may begin: tokens are kept for the programs that have begun. */
+  get hasRoomForProgram(): boolean {
+    return this.tokens >= this.#programLevel;
+  }
+
+  /** Time until a program may begin, in seconds, if nothing else is taken. */
+  get secondsToRoomForProgram(): number {
+    return this.secondsToTokens(this.#programLevel);
+  }
+
+  /** Time until the bucket holds this many tokens, in seconds. */
+  secondsToTokens(tokens: number): number {
+    const missing = tokens - this.tokens;
     return missing <= 0 ? 0 : missing / (this.#part.perSecond * this.#part.share);
   }
 
@@ -102,6 +123,10 @@
     return Math.max(1, Math.floor(Math.min(room, needed)));
   }
 
+  get #programLevel(): number {
+    return Math.max(1, this.#depth * PROGRAM_LEVEL);
+  }
+
   get #depth(): number {
     return this.#part.burst * this.#part.share;
   }
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -14,6 +14,12 @@
 /** Callers come back once a short loss of the store may be over. */
 const RETRY_AFTER_SECONDS = 0.5;
 
+/**
+ * Time for which a spent budget is taken for spent without asking again. Programs that run away
+ * come back many times a second; what a turn under way gives back may come in meanwhile.
+ */
+const SPENT_MILLISECONDS = 500;
+
 /** Programs that this instance remembers; the longest unused go first. */
 const MAXIMUM_ACCOUNTS = 20_000;
 
@@ -36,6 +42,8 @@
   /** Ends when the last change of this program's key has ended. */
   changing: Promise<unknown>;
   usedAtMilliseconds: number;
+  /** Until then the budget is taken for spent by turns of this size or larger. */
+  spent: { readonly untilMilliseconds: number; readonly turnTokens: number } | undefined;
 }
 
 /** Parts of {@link EscrowBudgets}. */
@@ -119,6 +127,7 @@
     let hasRecalled = false;
     for (let attempt = 0; attempt < 6; attempt += 1) {
       if (budget.account.reserve(turnTokens)) return 'reserved';
+      if (this.#isSpent(budget, turnTokens)) return 'spent';
       const state = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
       const plan = budget.account.plan(turnTokens, state);
       if (plan.kind === 'exhausted') {
@@ -136,7 +145,17 @@
     return 'unavailable';
   }
 
+  #isSpent({ spent }: ProgramBudget, turnTokens: number): boolean {
+    return (
+      spent !== undefined &&
+      turnTokens >= spent.turnTokens &&
+      performance.now() < spent.untilMilliseconds
+    );
+  }
+
   #noteSpent(programId: string, budget: ProgramBudget, turnTokens: number): 'spent' {
+    const known = budget;
+    known.spent = { turnTokens, untilMilliseconds: performance.now() + SPENT_MILLISECONDS };
     this.#parts.logger.info('budget.spent', {
       program: programId,
       limitTokens: budget.seen?.state.limitTokens,
@@ -211,6 +230,7 @@
       seen: undefined,
       changing: Promise.resolve(),
       usedAtMilliseconds: 0,
+      spent: undefined,
     };
     budget.usedAtMilliseconds = performance.now();
     this.#budgets.delete(key);
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -4,13 +4,14 @@
 import type { ConfigurationIndex } from '../configuration/configurationIndex';
 import type { FleetOrganisation, FleetRoute } from '../configuration/fleetConfiguration';
 import type { FleetState } from '../fleet/fleetState';
-import type { QuotaGate } from '../quotas/quotaGate';
+import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
 import type { AnswerWriter } from './answerWriter';
 import { Call } from './call';
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
 import { readBody } from './readBody';
+import { SeenPrograms } from './seenPrograms';
 import type { Refusal } from './refusal';
 import type { WireCodec } from './wireCodec';
 
@@ -38,10 +39,16 @@
 
 const pathOf = (pathAndQuery: string): string => pathAndQuery.split('?', 1)[0] ?? '';
 
+/** Tells programs of different organisations apart, whatever identifiers their callers choose. */
+const programKeyOf = ({ envelope, organisation }: Call): string =>
+  `${organisation?.name ?? ''}/${envelope.program?.id ?? ''}`;
+
 /** Takes requests of callers: checks them, holds them to rate and budget, and has them run. */
 export class CallGateway {
   readonly #parts: CallGatewayParts;
 
+  readonly #programs = new SeenPrograms();
+
   #underWay = 0;
 
   constructor(parts: CallGatewayParts) {
@@ -159,21 +166,40 @@
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
     if (!organisation?.rate) return this.#runWithinBudget(call);
-    const quota = await this.#parts.quotas.take(organisation);
+    const quota = await this.#parts.quotas.take(organisation, this.#stageOf(call));
     if (quota.kind === 'refused') {
       const { retryAfterSeconds } = quota;
+      this.#parts.logger.info('quota.refused', {
+        request: call.envelope.id,
+        organisation: organisation.name,
+        perSecond: organisation.rate.perSecond,
+        burst: organisation.rate.burst,
+        share: quota.share,
+        demandPerSecond: Math.round(quota.demandPerSecond),
+        retryAfterSeconds,
+      });
       return { kind: 'refused', refusal: { kind: 'over-rate', retryAfterSeconds } };
     }
+    if (call.envelope.program) this.#programs.note(programKeyOf(call));
     const result = await this.#runWithinBudget(call);
     if (call.ranAt.length === 0) quota.giveBack();
     return result;
   }
 
+  /** The first turn of a program's main line, as far as this instance has seen. */
+  #stageOf(call: Call): ProgramStage {
+    const { program, prompt } = call.envelope;
+    if (!program) return 'new-program';
+    const isMainLine = program.session === undefined || program.session === program.id;
+    const isFirst = isMainLine && prompt !== undefined && !this.#programs.has(programKeyOf(call));
+    return isFirst ? 'new-program' : 'under-way';
+  }
+
   async #runWithinBudget(call: Call): Promise<CallResult> {
     const { program, prompt } = call.envelope;
     if (program?.tokenBudget === undefined || !prompt) return this.#parts.runner.run(call);
     const decision = await this.#parts.budgets.reserve({
-      programId: `${call.organisation?.name ?? ''}/${program.id}`,
+      programId: programKeyOf(call),
       limitTokens: program.tokenBudget,
       turnTokens: prompt.maximumOutputTokens,
     });
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -3,7 +3,8 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
 import type { FleetPeers } from '../peers/fleetPeers';
-import type { QuotaDecision, QuotaGate } from './quotaGate';
+import { delay } from '@limpetnotch/supervision';
+import type { ProgramStage, QuotaDecision, QuotaGate } from './quotaGate';
 
 /** Time after a fruitless round of questions before peers are asked again. */
 const FRUITLESS_PAUSE_MILLISECONDS = 150;
@@ -15,8 +16,16 @@
 const SHORTEST_RETRY_AFTER_SECONDS = 0.1;
 const LONGEST_RETRY_AFTER_SECONDS = 1;
 
+/** Longest wait of a request of a program under way for its organisation's next token. */
+const LONGEST_WAIT_MILLISECONDS = 300;
+
+const MILLISECONDS = 1_000;
+
 interface OrganisationRate {
   readonly rate: SharedRate;
+  /** Requests that wait for a token, one after another. */
+  waiting: number;
+  lastTurn: Promise<void>;
   asking: Promise<void> | undefined;
   askAgainAtMilliseconds: number;
 }
@@ -52,22 +61,56 @@
     });
   }
 
-  async take(organisation: FleetOrganisation): Promise<QuotaDecision> {
+  async take(organisation: FleetOrganisation, stage: ProgramStage): Promise<QuotaDecision> {
     const entry = this.#rateOf(organisation);
     const { rate } = entry;
     rate.noteDemand();
-    const giveBack = (): void => rate.receive(1);
-    if (rate.take()) {
+    if (entry.waiting === 0 && this.#takeNow(rate, stage)) {
       if (rate.tokens < LOW_WATER_TOKENS) void this.#ask(organisation, entry);
-      return { kind: 'taken', giveBack };
+      return this.#taken(rate);
     }
     await this.#ask(organisation, entry);
-    if (rate.take()) return { kind: 'taken', giveBack };
+    if (entry.waiting === 0 && this.#takeNow(rate, stage)) return this.#taken(rate);
+    if (stage === 'under-way' && (await this.#waitForToken(entry))) return this.#taken(rate);
+    return this.#refused(rate, stage);
+  }
+
+  #takeNow(rate: SharedRate, stage: ProgramStage): boolean {
+    switch (stage) {
+      case 'new-program':
+        return rate.hasRoomForProgram && rate.take();
+      case 'under-way':
+        return rate.take();
+    }
+  }
+
+  #taken(rate: SharedRate): QuotaDecision {
+    return { kind: 'taken', giveBack: () => rate.receive(1) };
+  }
+
+  #refused(rate: SharedRate, stage: ProgramStage): QuotaDecision {
+    const { demandPerSecond } = rate;
+    const seconds =
+      stage === 'new-program' ? rate.secondsToRoomForProgram : rate.secondsToNextToken;
     const retryAfterSeconds = Math.min(
       LONGEST_RETRY_AFTER_SECONDS,
-      Math.max(SHORTEST_RETRY_AFTER_SECONDS, rate.secondsToNextToken),
+      Math.max(SHORTEST_RETRY_AFTER_SECONDS, seconds),
     );
-    return { kind: 'refused', retryAfterSeconds };
+    return { kind: 'refused', retryAfterSeconds, share: this.#parts.share(), demandPerSecond };
+  }
+
+  /** Waits in line for a token; returns false at once where the line is too long. */
+  async #waitForToken(entry: OrganisationRate): Promise<boolean> {
+    const { rate } = entry;
+    const expected = rate.secondsToTokens(entry.waiting + 1) * MILLISECONDS;
+    if (expected > LONGEST_WAIT_MILLISECONDS) return false;
+    const shared = entry;
+    shared.waiting += 1;
+    const turn = entry.lastTurn.then(() => delay(rate.secondsToNextToken * MILLISECONDS));
+    shared.lastTurn = turn;
+    await turn;
+    shared.waiting -= 1;
+    return rate.take();
   }
 
   /** Gives tokens up for a peer. */
@@ -102,6 +145,8 @@
     if (known) return known;
     const entry: OrganisationRate = {
       rate: new SharedRate(this.#partOf(organisation)),
+      waiting: 0,
+      lastTurn: Promise.resolve(),
       asking: undefined,
       askAgainAtMilliseconds: 0,
     };
--- a/packages/programs/src/escrow/escrowAccount.ts
+++ b/packages/programs/src/escrow/escrowAccount.ts
@@ -6,8 +6,11 @@
   readonly grantedTokens: number;
 }
 
-/** Turns whose tokens an instance takes at once, so that most turns need no write. */
-const TURNS_AT_ONCE = 2;
+/**
+ * Part of a budget that an instance takes at once. Turns generate far less than they may, so that
+ * half mostly lasts for a whole program; an instance that dies loses no more of it.
+ */
+const PART_AT_ONCE = 0.5;
 
 /** How much an instance should take for a turn. */
 export type GrantPlan =
@@ -68,7 +71,7 @@
     if (needed <= 0) return { kind: 'enough' };
     const left = state.limitTokens - state.grantedTokens;
     if (left < needed) return { kind: 'exhausted' };
-    const comfortable = turnTokens * TURNS_AT_ONCE - this.#heldTokens;
-    return { kind: 'take', tokens: Math.min(left, comfortable) };
+    const comfortable = Math.floor(state.limitTokens * PART_AT_ONCE);
+    return { kind: 'take', tokens: Math.min(left, Math.max(needed, comfortable)) };
   }
 }
