--- /dev/null
+++ b/deploy/launch.cjs
@@ -0,0 +1,34 @@
+const { readFileSync } = require('node:fs');
+const { createRequire } = require('node:module');
+const { join } = require('node:path');
+const { Script } = require('node:vm');
+
+const BUNDLE = join(__dirname, 'bundle.js');
+const CODE_CACHE = join(__dirname, 'bundle.cache');
+
+/** Returns the code cache of the build, or undefined where there is none: only the start is slower. */
+const readCache = () => {
+  try {
+    return readFileSync(CODE_CACHE);
+  } catch {
+    return undefined;
+  }
+};
+
+/** Compiles the bundle, with its code cache where that fits this version of the runtime. */
+const compile = () => {
+  const source = `(function (exports, require, module, __filename, __dirname) {${readFileSync(BUNDLE, 'utf8')}\n})`;
+  return new Script(source, { filename: BUNDLE, cachedData: readCache() });
+};
+
+const script = compile();
+const bundle = { exports: {} };
+script.runInThisContext()(bundle.exports, createRequire(BUNDLE), bundle, BUNDLE, __dirname);
+
+module.exports = { script, ...bundle.exports };
+
+if (require.main === module) {
+  bundle.exports.runCli(process.argv.slice(2)).then((code) => {
+    process.exit(code);
+  });
+}
--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -16,9 +16,10 @@
 
 /**
  * Part of the bucket that a started instance begins with. A restart forgets what was spent before,
- * so that a full bucket would let an organisation exceed its rate by a restart.
+ * so that a full bucket would let an organisation exceed its rate; half of one flowed in at least
+ * while the process was down.
  */
-const STARTING_LEVEL = 0.2;
+const STARTING_LEVEL = 0.5;
 
 /**
  * Level of the bucket below which no program may begin. A program needs a dozen requests or more,
--- a/packages/gateway/src/budgets/budgetGate.ts
+++ b/packages/gateway/src/budgets/budgetGate.ts
@@ -22,4 +22,6 @@
 /** Holds programs to their token budgets over all instances. */
 export interface BudgetGate {
   reserve(request: BudgetRequest): Promise<BudgetDecision>;
+  /** Whether a turn of the program was granted tokens at any instance. */
+  hasBegun(programId: string): Promise<boolean>;
 }
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -11,6 +11,9 @@
 /** A turn waits at most this long for its grant; a store in good order answers in milliseconds. */
 const GRANT_TIMEOUT_MILLISECONDS = 1_000;
 
+/** Writes for one turn or one release; each conflict means that another instance went ahead. */
+const MAXIMUM_WRITES = 8;
+
 /** Callers come back once a short loss of the store may be over. */
 const RETRY_AFTER_SECONDS = 0.5;
 
@@ -91,18 +94,32 @@
     };
   }
 
+  async hasBegun(programId: string): Promise<boolean> {
+    const key = keyOf(programId);
+    const budget = this.#budgetOf(key);
+    if (!budget.seen) await this.#serialised(budget, () => this.#refresh(key, budget));
+    return budget.seen !== undefined;
+  }
+
   /** Gives back to the store what this instance holds of a budget; resolves to how much it was. */
   async release(key: string): Promise<number> {
     const budget = this.#budgets.get(key);
     if (!budget || budget.account.heldTokens === 0) return 0;
-    return this.#serialised(budget, async () => {
+    return this.#serialised(budget, () => this.#giveBack(key, budget));
+  }
+
+  /** Writes what is held back to the store; other instances may do the same at the same time. */
+  async #giveBack(key: string, budget: ProgramBudget): Promise<number> {
+    for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       const tokens = budget.account.withdraw();
       if (tokens === 0) return 0;
       const written = await this.#change(key, budget, -tokens);
+      if (written === 'done') return tokens;
       // Where the outcome is unknown the tokens are lost to the program, and never spent twice.
-      if (written === 'conflict') budget.account.receive(tokens);
-      return written === 'done' ? tokens : 0;
-    });
+      if (written === 'failed') return 0;
+      budget.account.receive(tokens);
+    }
+    return 0;
   }
 
   #refusalOf(reason: 'spent' | 'unavailable'): BudgetDecision {
@@ -125,7 +142,7 @@
     { programId, limitTokens, turnTokens }: BudgetRequest,
   ): Promise<'reserved' | 'spent' | 'unavailable'> {
     let hasRecalled = false;
-    for (let attempt = 0; attempt < 6; attempt += 1) {
+    for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (budget.account.reserve(turnTokens)) return 'reserved';
       if (this.#isSpent(budget, turnTokens)) return 'spent';
       const state = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -176,6 +176,7 @@
     if (call.response.headersSent) {
       throw new AttemptEnd({ kind: 'broken', detail: `status ${head.status} to a resumed stream` });
     }
+    call.answeredAtMilliseconds = call.ageMilliseconds;
     this.#parts.writer.whole(call.response, head.status, head.passedHeaders, Buffer.concat(chunks));
     return { kind: 'delivered', status: head.status };
   }
@@ -200,6 +201,7 @@
   #relayEvent(head: AnswerHead, event: StreamEvent): void {
     const { call } = this.#options;
     if (!call.response.headersSent) {
+      call.answeredAtMilliseconds = call.ageMilliseconds;
       this.#parts.writer.head(call.response, head.status, head.passedHeaders);
     }
     call.response.write(event.bytes);
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -38,6 +38,18 @@
   /** Events that went to the caller. */
   events = 0;
 
+  /** Age at which the request was admitted within its rate, in milliseconds. */
+  quotaAtMilliseconds = 0;
+
+  /** Age at which its tokens were reserved, in milliseconds. */
+  budgetAtMilliseconds = 0;
+
+  /** Age at which the first event, or the whole answer, went to the caller, in milliseconds. */
+  answeredAtMilliseconds = 0;
+
+  /** Why the last target was chosen. */
+  placement = '';
+
   constructor(parts: CallParts) {
     this.envelope = parts.envelope;
     this.route = parts.route;
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationIndex } from '../configuration/configurationIndex';
 import type { FleetOrganisation, FleetRoute } from '../configuration/fleetConfiguration';
 import type { FleetState } from '../fleet/fleetState';
-import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
+import type { ProgramStage, QuotaDecision, QuotaGate } from '../quotas/quotaGate';
 import type { AnswerWriter } from './answerWriter';
 import { Call } from './call';
 import type { CallEnvelope } from './callEnvelope';
@@ -142,7 +142,28 @@
       response,
       arrivedAtMilliseconds,
     });
-    return this.#runWithinRate(call);
+    const result = await this.#runWithinRate(call);
+    this.#logServed(call, result);
+    return result;
+  }
+
+  #logServed(call: Call, result: CallResult): void {
+    if (result.kind === 'refused') return;
+    this.#parts.logger.info('call.served', {
+      request: call.envelope.id,
+      route: call.route.name,
+      program: call.envelope.program?.id,
+      result: result.kind,
+      status: 'status' in result ? result.status : undefined,
+      target: call.ranAt.at(-1),
+      placement: call.placement,
+      dispatches: call.ranAt.length,
+      quotaAtMilliseconds: Math.round(call.quotaAtMilliseconds),
+      budgetAtMilliseconds: Math.round(call.budgetAtMilliseconds),
+      answeredAtMilliseconds: Math.round(call.answeredAtMilliseconds),
+      endedAtMilliseconds: Math.round(call.ageMilliseconds),
+      events: call.events,
+    });
   }
 
   #notConfigured(): Refusal {
@@ -166,7 +187,7 @@
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
     if (!organisation?.rate) return this.#runWithinBudget(call);
-    const quota = await this.#parts.quotas.take(organisation, this.#stageOf(call));
+    const quota = await this.#takeQuota(call, organisation);
     if (quota.kind === 'refused') {
       const { retryAfterSeconds } = quota;
       this.#parts.logger.info('quota.refused', {
@@ -180,12 +201,24 @@
       });
       return { kind: 'refused', refusal: { kind: 'over-rate', retryAfterSeconds } };
     }
+    const admitted = call;
+    admitted.quotaAtMilliseconds = call.ageMilliseconds;
     if (call.envelope.program) this.#programs.note(programKeyOf(call));
     const result = await this.#runWithinBudget(call);
     if (call.ranAt.length === 0) quota.giveBack();
     return result;
   }
 
+  /** A program that seems new here, but has begun at another instance, isn't refused as new. */
+  async #takeQuota(call: Call, organisation: FleetOrganisation): Promise<QuotaDecision> {
+    const { quotas, budgets } = this.#parts;
+    const stage = this.#stageOf(call);
+    const quota = await quotas.take(organisation, stage);
+    if (quota.kind === 'taken' || stage === 'under-way') return quota;
+    const hasBegun = await budgets.hasBegun(programKeyOf(call));
+    return hasBegun ? quotas.take(organisation, 'under-way') : quota;
+  }
+
   /** The first turn of a program's main line, as far as this instance has seen. */
   #stageOf(call: Call): ProgramStage {
     const { program, prompt } = call.envelope;
@@ -214,6 +247,8 @@
         };
       }
       case 'reserved': {
+        const reserved = call;
+        reserved.budgetAtMilliseconds = call.ageMilliseconds;
         const result = await this.#parts.runner.run(call);
         decision.settle(call.events * (call.service.engine?.tokensPerEvent ?? 0));
         return result;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -126,7 +126,10 @@
         slowness: 1,
       })),
     );
-    return placement && fleet.targets.get(placement.targetId);
+    if (!placement) return undefined;
+    const placed = call;
+    placed.placement = placement.reason;
+    return fleet.targets.get(placement.targetId);
   }
 
   #affinityKeyOf({ envelope, route }: Call): string | undefined {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -85,7 +85,7 @@
     });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
-      share: () => 1 / Math.max(1, this.#membership.members.length),
+      share: () => this.#membership.share,
       logger,
       metrics,
     });
@@ -121,8 +121,12 @@
   /** Serves until the signal aborts; then finishes what is under way within the grace period. */
   async run(signal: AbortSignal): Promise<void> {
     const { logger, settings } = this.#parts;
+    logger.info('gateway.starting', { startMilliseconds: Math.round(process.uptime() * 1_000) });
     await this.#start();
-    logger.info('gateway.started', { availabilityZone: settings.availabilityZone });
+    logger.info('gateway.started', {
+      availabilityZone: settings.availabilityZone,
+      startMilliseconds: Math.round(process.uptime() * 1_000),
+    });
     const stopping = new AbortController();
     const supervised = this.#supervisor.run(stopping.signal);
     const drained = this.#drainAfter(signal).finally(() => stopping.abort());
@@ -156,6 +160,8 @@
         void retirement.retire(instance);
       },
     });
+    // The store answers while the servers start, so that the first request finds a configuration.
+    for (const task of [...follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
       handle: (request, response) => this.#answerReadiness(request, response),
@@ -168,7 +174,6 @@
       ...settings.peer,
       fleet: createFleetService(this.#quotas, this.#budgets),
     });
-    for (const task of [...follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
   }
 
   async #stop(): Promise<void> {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,3 +27,4 @@
 export type { GatewaySettings } from './gatewaySettings';
 export { fleetTargetSchema } from './targets/fleetTarget';
 export type { FleetTarget } from './targets/fleetTarget';
+export { IngressServer } from './ingress/ingressServer';
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -63,7 +63,7 @@
 
   #membersRevision = 0;
 
-  #joinedAtMilliseconds = Infinity;
+  #hasShare = false;
 
   readonly #present = new Map<string, string>();
 
@@ -81,11 +81,10 @@
     ];
   }
 
-  /** Members in a fixed order; empty until this instance is one. */
-  get members(): readonly string[] {
-    const { instance } = this.#parts;
-    const hasJoined = performance.now() - this.#joinedAtMilliseconds >= JOIN_DELAY_MILLISECONDS;
-    return hasJoined && this.#members.includes(instance) ? this.#members : [];
+  /** This instance's part of every rate, from 0 to 1; 0 until the others know of a new member. */
+  get share(): number {
+    if (!this.#hasShare) return 0;
+    return this.#members.includes(this.#parts.instance) ? 1 / this.#members.length : 0;
   }
 
   /** Other instances that are present, with their addresses. */
@@ -217,12 +216,15 @@
   async #join(signal: AbortSignal): Promise<void> {
     const { instance, logger } = this.#parts;
     while (!signal.aborted) {
-      const isMember = await this.#change(signal, (members) =>
-        members.includes(instance) ? members : [...members, instance].sort(),
-      );
+      let isNew = false;
+      const isMember = await this.#change(signal, (members) => {
+        isNew = !members.includes(instance);
+        return isNew ? [...members, instance].sort() : members;
+      });
       if (isMember) {
-        this.#joinedAtMilliseconds = performance.now();
-        logger.info('membership.joined', { members: this.#members.length });
+        logger.info('membership.joined', { members: this.#members.length, isNew });
+        if (isNew) await delay(JOIN_DELAY_MILLISECONDS, signal);
+        this.#hasShare = true;
         this.#parts.onChange();
         return;
       }
--- a/packages/programs/src/escrow/escrowAccount.ts
+++ b/packages/programs/src/escrow/escrowAccount.ts
@@ -7,10 +7,17 @@
 }
 
 /**
- * Part of a budget that an instance takes at once. Turns generate far less than they may, so that
- * half mostly lasts for a whole program; an instance that dies loses no more of it.
+ * Part of what is left in the store that an instance takes at once. Turns generate far less than
+ * they may, so that a quarter mostly lasts for a whole program, and an instance that dies loses no
+ * more of the budget.
  */
-const PART_AT_ONCE = 0.5;
+const PART_AT_ONCE = 0.25;
+
+/** Turns that a small budget should cover without another write. */
+const TURNS_AT_ONCE = 2.5;
+
+/** Part of what is left that an instance leaves for the others beyond the turn at hand. */
+const LARGEST_PART = 0.5;
 
 /** How much an instance should take for a turn. */
 export type GrantPlan =
@@ -71,7 +78,8 @@
     if (needed <= 0) return { kind: 'enough' };
     const left = state.limitTokens - state.grantedTokens;
     if (left < needed) return { kind: 'exhausted' };
-    const comfortable = Math.floor(state.limitTokens * PART_AT_ONCE);
-    return { kind: 'take', tokens: Math.min(left, Math.max(needed, comfortable)) };
+    const comfortable = Math.max(turnTokens * TURNS_AT_ONCE, left * PART_AT_ONCE);
+    const bounded = Math.floor(Math.min(comfortable, left * LARGEST_PART));
+    return { kind: 'take', tokens: Math.max(needed, bounded) };
   }
 }
