Grant tokens without the store: by peers, and on trust for new programs

An entry that can't reach the store borrows tokens from a peer; where no member has seen a program, and all remember everything, its budget is granted on trust and recorded when the store is back. The store is probed three times a second by one turn each; watches wait shorter after a loss. Peers talk HTTP/1.1.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -5,11 +5,18 @@
 import { compareAndSwapUntilKnown } from '@limpetnotch/store';
 import { z } from 'zod';
 import type { BudgetDecision, BudgetGate, BudgetRequest } from './budgetGate';
+import type { Loan, LoanAnswer, LoanRequest } from './loan';
 
 const PREFIX = 'budgets/';
 
-/** A turn waits at most this long for its grant; a store in good order answers in milliseconds. */
-const GRANT_TIMEOUT_MILLISECONDS = 1_000;
+/** A turn waits at most this long for the store, which answers in milliseconds when in good order. */
+const GRANT_TIMEOUT_MILLISECONDS = 450;
+
+/** After a failed call one turn in this time tries the store again; the others ask peers. */
+const PROBE_MILLISECONDS = 300;
+
+/** Turns that a loan covers, so that a program needs few of them. */
+const TURNS_LENT = 2;
 
 /** Writes for one turn or one release; each conflict means that another instance went ahead. */
 const MAXIMUM_WRITES = 8;
@@ -45,6 +52,13 @@
   /** Ends when the last change of this program's key has ended. */
   changing: Promise<unknown>;
   usedAtMilliseconds: number;
+  /** Tokens granted while the store was out of reach, which it doesn't know of yet. */
+  unrecordedTokens: number;
+  /** Whether a turn was ever granted tokens here. */
+  hasGranted: boolean;
+  /** Turns that wait for tokens. */
+  acquiring: number;
+  unrecordedLimit: number;
   /** Until then the budget is taken for spent by turns of this size or larger. */
   spent: { readonly untilMilliseconds: number; readonly turnTokens: number } | undefined;
 }
@@ -54,6 +68,10 @@
   readonly store: KeyValueStore;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Asks the other instances for tokens that this one can't get from the store. */
+  readonly borrow: (request: LoanRequest) => Promise<Loan>;
+  /** Whether this instance remembers every program that it ever granted tokens to. */
+  readonly isMemoryWhole: () => boolean;
   /** Has the other instances give back what they hold of a budget; resolves to how much it was. */
   readonly recall: (budgetKey: string) => Promise<number>;
 }
@@ -77,17 +95,31 @@
   /** In the order of their last use. */
   readonly #budgets = new Map<string, ProgramBudget>();
 
+  /** When the store may be tried again; undefined while it answers. */
+  #nextProbeMilliseconds: number | undefined;
+
+  #isCutOff = false;
+
   constructor(parts: EscrowBudgetsParts) {
     this.#parts = parts;
   }
 
+  /** Whether the last turn that needed tokens got them neither from the store nor from a peer. */
+  get isCutOff(): boolean {
+    return this.#isCutOff;
+  }
+
   async reserve(request: BudgetRequest): Promise<BudgetDecision> {
     const key = keyOf(request.programId);
     const budget = this.#budgetOf(key);
     if (!budget.account.reserve(request.turnTokens)) {
-      const obtained = await this.#serialised(budget, () => this.#obtain(key, budget, request));
+      budget.acquiring += 1;
+      const obtained = await this.#serialised(budget, () => this.#acquire(key, budget, request));
+      budget.acquiring -= 1;
+      this.#isCutOff = obtained === 'unavailable';
       if (obtained !== 'reserved') return this.#refusalOf(obtained);
     }
+    budget.hasGranted = true;
     return {
       kind: 'reserved',
       settle: (usedTokens) => budget.account.settle(request.turnTokens, usedTokens),
@@ -135,6 +167,119 @@
     return done;
   }
 
+  /** Lends tokens to an instance that can't reach the store. */
+  async lend({ budget: key, limitTokens, turnTokens }: LoanRequest): Promise<LoanAnswer> {
+    const isKnown = this.#isKnown(this.#budgets.get(key));
+    if (!isKnown && this.#isStoreSuspect) {
+      return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
+    }
+    const budget = this.#budgetOf(key);
+    return this.#serialised(budget, async (): Promise<LoanAnswer> => {
+      const { account } = budget;
+      const plenty = turnTokens * TURNS_LENT;
+      const tokens = account.heldTokens >= plenty ? plenty : turnTokens;
+      const request = { programId: key, limitTokens, turnTokens: tokens };
+      const obtained = this.#isStoreSuspect
+        ? this.#reserveHeld(account, tokens)
+        : await this.#obtain(key, budget, request);
+      if (obtained === 'spent') return { kind: 'spent' };
+      if (obtained === 'unavailable') {
+        return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
+      }
+      account.settle(tokens, tokens);
+      return { kind: 'lent', tokens };
+    });
+  }
+
+  /** Writes to the store what was granted while it was out of reach. */
+  async recordGrants(): Promise<void> {
+    const unrecorded = [...this.#budgets].filter(([, { unrecordedTokens }]) => unrecordedTokens > 0);
+    for (const [key, budget] of unrecorded) {
+      const written = await this.#serialised(budget, () => this.#record(key, budget));
+      if (written === 'failed') return;
+    }
+  }
+
+  async #record(key: string, budget: ProgramBudget): Promise<'done' | 'conflict' | 'failed'> {
+    for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
+      if (budget.unrecordedTokens === 0) return 'done';
+      const written = await this.#change(key, budget, 0, budget.unrecordedLimit);
+      if (written !== 'conflict') return written;
+    }
+    return 'conflict';
+  }
+
+  get #isStoreSuspect(): boolean {
+    return this.#nextProbeMilliseconds !== undefined;
+  }
+
+  /** Whether a turn may try the store: always while it answers, else once in a while. */
+  #mayTryStore(): boolean {
+    if (this.#nextProbeMilliseconds === undefined) return true;
+    if (performance.now() < this.#nextProbeMilliseconds) return false;
+    this.#suspectStore();
+    return true;
+  }
+
+  #suspectStore(): void {
+    this.#nextProbeMilliseconds = performance.now() + PROBE_MILLISECONDS;
+  }
+
+  /** A program whose first turn waits here counts as known, so that two never trust it at once. */
+  #isKnown(budget: ProgramBudget | undefined): boolean {
+    if (!budget) return false;
+    return budget.hasGranted || budget.acquiring > 0 || budget.seen !== undefined;
+  }
+
+  #reserveHeld(account: EscrowAccount, tokens: number): 'reserved' | 'unavailable' {
+    return account.reserve(tokens) ? 'reserved' : 'unavailable';
+  }
+
+  /** Takes tokens from the store, from a peer, or, for a program that is new to all, on trust. */
+  async #acquire(
+    key: string,
+    budget: ProgramBudget,
+    request: BudgetRequest,
+  ): Promise<'reserved' | 'spent' | 'unavailable'> {
+    const { account } = budget;
+    if (account.reserve(request.turnTokens)) return 'reserved';
+    if (this.#mayTryStore()) {
+      const obtained = await this.#obtain(key, budget, request);
+      if (obtained !== 'unavailable') return obtained;
+    }
+    const { limitTokens, turnTokens } = request;
+    const loan = await this.#parts.borrow({ budget: key, limitTokens, turnTokens });
+    switch (loan.kind) {
+      case 'lent':
+        account.receive(loan.tokens);
+        return this.#reserveHeld(account, turnTokens);
+      case 'spent':
+        return 'spent';
+      case 'none':
+        return loan.isUnknownToAll ? this.#grantOnTrust(budget, request) : 'unavailable';
+    }
+  }
+
+  /**
+   * Grants a program's whole budget without the store: all members are up since they began to
+   * remember, and none has seen the program. The store is told once it is back.
+   */
+  #grantOnTrust(
+    budget: ProgramBudget,
+    { programId, limitTokens, turnTokens }: BudgetRequest,
+  ): 'reserved' | 'unavailable' {
+    const isNew = budget.seen === undefined && budget.unrecordedTokens === 0;
+    if (!isNew || budget.account.reservedTokens > 0 || !this.#parts.isMemoryWhole()) {
+      return 'unavailable';
+    }
+    const trusted = budget;
+    trusted.unrecordedTokens = limitTokens;
+    trusted.unrecordedLimit = limitTokens;
+    budget.account.receive(limitTokens);
+    this.#parts.logger.info('budget.granted-on-trust', { program: programId, limitTokens });
+    return this.#reserveHeld(budget.account, turnTokens);
+  }
+
   /** Takes tokens from the store until the turn's are reserved, or it is known that there are none. */
   async #obtain(
     key: string,
@@ -188,7 +333,11 @@
   /** Reads the state anew; returns false where the store gave none. */
   async #refresh(key: string, budget: ProgramBudget): Promise<boolean> {
     const read = await this.#parts.store.read(key);
-    if (read.isErr()) return false;
+    if (read.isErr()) {
+      this.#suspectStore();
+      return false;
+    }
+    this.#nextProbeMilliseconds = undefined;
     return this.#see(budget, read.value);
   }
 
@@ -214,7 +363,7 @@
     const before = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
     const state: StoredState = {
       limitTokens: before.limitTokens,
-      grantedTokens: Math.max(0, before.grantedTokens + tokens),
+      grantedTokens: Math.max(0, before.grantedTokens + budget.unrecordedTokens + tokens),
       writeId: randomUUID(),
     };
     metrics.increment('budget.writes');
@@ -230,13 +379,17 @@
     });
     const known = budget;
     if (written.isErr()) {
+      this.#suspectStore();
       logger.info('budget.write-failed', { error: written.error.kind, tokens });
       return 'failed';
     }
     if (written.value.kind === 'swapped') {
       known.seen = { state, revision: written.value.revision };
+      known.unrecordedTokens = 0;
+      this.#nextProbeMilliseconds = undefined;
       return 'done';
     }
+    this.#nextProbeMilliseconds = undefined;
     return this.#see(budget, written.value.current) ? 'conflict' : 'failed';
   }
 
@@ -247,6 +400,10 @@
       seen: undefined,
       changing: Promise.resolve(),
       usedAtMilliseconds: 0,
+      unrecordedTokens: 0,
+      hasGranted: false,
+      acquiring: 0,
+      unrecordedLimit: 0,
       spent: undefined,
     };
     budget.usedAtMilliseconds = performance.now();
--- /dev/null
+++ b/packages/gateway/src/budgets/loan.ts
@@ -0,0 +1,27 @@
+/** A turn for which an instance asks its peers for tokens. */
+export interface LoanRequest {
+  /** Key of the program's budget. */
+  readonly budget: string;
+  /** Tokens that all turns of the program may generate. */
+  readonly limitTokens: number;
+  /** Most tokens that the turn generates. */
+  readonly turnTokens: number;
+}
+
+/** What peers can spare of a program's budget. */
+export type Loan =
+  /** Tokens that a peer has given up. */
+  | { readonly kind: 'lent'; readonly tokens: number }
+  /** A peer in touch with the store found the budget spent. */
+  | { readonly kind: 'spent' }
+  | {
+      readonly kind: 'none';
+      /** Whether every other member would know the program had it begun, and doesn't. */
+      readonly isUnknownToAll: boolean;
+    };
+
+/** How an instance answers a peer's request for tokens. */
+export type LoanAnswer =
+  | { readonly kind: 'lent'; readonly tokens: number }
+  | { readonly kind: 'spent' }
+  | { readonly kind: 'none'; readonly isKnown: boolean; readonly isMemoryWhole: boolean };
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -25,6 +25,7 @@
   readonly onConfiguration: (configuration: FleetConfiguration) => void;
   readonly onTargetsChanged: () => void;
   readonly onRetirement: (instance: string) => void;
+  readonly onStoreRegained: () => void;
 }
 
 /** Logs when a dependency is lost or regained, once for each change. */
@@ -63,8 +64,14 @@
 export class FleetFollower {
   readonly #parts: FleetFollowerParts;
 
+  readonly #operatorContact: Contact;
+
+  readonly #targetContact: Contact;
+
   constructor(parts: FleetFollowerParts) {
     this.#parts = parts;
+    this.#operatorContact = new Contact(parts.logger, parts.codec.operatorPrefix);
+    this.#targetContact = new Contact(parts.logger, parts.codec.targetPrefix);
   }
 
   /** One task for what operators write and one for the announcements of targets. */
@@ -90,13 +97,13 @@
   }
 
   #operatorListener(): PrefixListener {
-    const contact = new Contact(this.#parts.logger, this.#parts.codec.operatorPrefix);
+    const contact = this.#operatorContact;
     return {
       replaced: (entries) => entries.forEach((entry) => this.#applyOperatorEntry(entry)),
       put: (entry) => this.#applyOperatorEntry(entry),
       removed: () => undefined,
       confirmed: () => {
-        contact.regained();
+        if (contact.regained() > 0) this.#parts.onStoreRegained();
       },
       lost: (detail) => contact.lost(detail),
     };
@@ -104,7 +111,7 @@
 
   #targetListener(): PrefixListener {
     const { codec, state, logger, onTargetsChanged } = this.#parts;
-    const contact = new Contact(logger, codec.targetPrefix);
+    const contact = this.#targetContact;
     const noteContact = (): void => {
       const lostMilliseconds = contact.regained();
       if (lostMilliseconds < SHORT_LOSS_MILLISECONDS) return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { PeerServer } from '@limpetnotch/peer-protocol';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import { EscrowBudgets } from './budgets/escrowBudgets';
@@ -15,6 +14,7 @@
 import { RetirementDuty } from './fleet/retirementDuty';
 import type { GatewaySettings } from './gatewaySettings';
 import { IngressServer } from './ingress/ingressServer';
+import { FleetServer } from './peers/fleetServer';
 import { createFleetService } from './peers/fleetService';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
@@ -28,6 +28,11 @@
 /** Part of the grace period that is kept for the end of the process itself. */
 const EXIT_RESERVE_MILLISECONDS = 700;
 
+/** Programs may return within a minute of their last turn. */
+const PROGRAM_RETENTION_MILLISECONDS = 90_000;
+
+const MILLISECONDS = 1_000;
+
 const DRAIN_CHECK_MILLISECONDS = 50;
 
 /** Parts of a {@link Gateway}. */
@@ -60,9 +65,11 @@
 
   readonly #budgets: EscrowBudgets;
 
+  readonly #follower: FleetFollower;
+
   readonly #calls: CallGateway;
 
-  #peerServer: PeerServer | undefined;
+  #peerServer: FleetServer | undefined;
 
   #ingress: IngressServer | undefined;
 
@@ -94,6 +101,29 @@
       logger,
       metrics,
       recall: (budgetKey) => this.#peers.releaseBudget(budgetKey),
+      borrow: (request) => this.#peers.borrowBudget(request, this.#membership.others),
+      isMemoryWhole: () => this.#isMemoryWhole,
+    });
+    const retirement = new RetirementDuty({
+      store: parts.store,
+      codec: parts.fleetCodec,
+      logger,
+      rank: () => this.#membership.rank,
+    });
+    this.#follower = new FleetFollower({
+      store: parts.store,
+      codec: parts.fleetCodec,
+      state: this.#fleet,
+      logger,
+      metrics,
+      onConfiguration: (configuration) => this.#onConfiguration(configuration),
+      onTargetsChanged: () => this.#onTargetsChanged(),
+      onRetirement: (instance) => {
+        void retirement.retire(instance);
+      },
+      onStoreRegained: () => {
+        void this.#budgets.recordGrants();
+      },
     });
     const runner = new CallRunner({
       codec,
@@ -121,11 +151,14 @@
   /** Serves until the signal aborts; then finishes what is under way within the grace period. */
   async run(signal: AbortSignal): Promise<void> {
     const { logger, settings } = this.#parts;
-    logger.info('gateway.starting', { startMilliseconds: Math.round(process.uptime() * 1_000) });
+    logger.info('gateway.starting', {
+      startMilliseconds: Math.round(process.uptime() * MILLISECONDS),
+      isFirstStart: settings.isFirstStart,
+    });
     await this.#start();
     logger.info('gateway.started', {
       availabilityZone: settings.availabilityZone,
-      startMilliseconds: Math.round(process.uptime() * 1_000),
+      startMilliseconds: Math.round(process.uptime() * MILLISECONDS),
     });
     const stopping = new AbortController();
     const supervised = this.#supervisor.run(stopping.signal);
@@ -141,27 +174,9 @@
   }
 
   async #start(): Promise<void> {
-    const { settings, store, fleetCodec: codec, logger, metrics } = this.#parts;
-    const retirement = new RetirementDuty({
-      store,
-      codec,
-      logger,
-      rank: () => this.#membership.rank,
-    });
-    const follower = new FleetFollower({
-      store,
-      codec,
-      state: this.#fleet,
-      logger,
-      metrics,
-      onConfiguration: (configuration) => this.#onConfiguration(configuration),
-      onTargetsChanged: () => this.#onTargetsChanged(),
-      onRetirement: (instance) => {
-        void retirement.retire(instance);
-      },
-    });
+    const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
-    for (const task of [...follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
+    for (const task of [...this.#follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
       handle: (request, response) => this.#answerReadiness(request, response),
@@ -170,9 +185,9 @@
       ...settings.entry,
       handle: (request, response) => this.#calls.serve(request, response),
     });
-    this.#peerServer = await PeerServer.start({
+    this.#peerServer = await FleetServer.start({
       ...settings.peer,
-      fleet: createFleetService(this.#quotas, this.#budgets),
+      service: createFleetService(this.#quotas, this.#budgets),
     });
   }
 
@@ -188,11 +203,18 @@
 
   async #answerReadiness(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const isKnown = request.url === this.#parts.settings.readinessPath;
-    const isReady = !this.#isClosing && this.#fleet.index !== undefined;
+    const isReady =
+      !this.#isClosing && this.#fleet.index !== undefined && !this.#budgets.isCutOff;
     response.writeHead(isKnown && isReady ? 200 : 503, { 'content-length': 0 });
     response.end();
   }
 
+  /** Whether no earlier process of this instance can have granted what this one doesn't know of. */
+  get #isMemoryWhole(): boolean {
+    const isOld = process.uptime() * MILLISECONDS > PROGRAM_RETENTION_MILLISECONDS;
+    return this.#parts.settings.isFirstStart || isOld;
+  }
+
   #onConfiguration(configuration: FleetConfiguration): void {
     this.#ingress?.setTimes(configuration.limits);
     this.#quotas.apply(configuration);
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -18,6 +18,8 @@
   /** Address on which other instances are served, and which they are told. */
   peer: addressSchema,
   /** Time between the request to stop and the end of the process, in milliseconds. */
+  /** Whether the whole system starts for the first time, so that nothing happened before. */
+  isFirstStart: z.boolean(),
   graceMilliseconds: z.number().positive(),
 });
 
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -1,6 +1,11 @@
+import { Agent } from 'node:http';
+import type { Client } from '@connectrpc/connect';
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { connectPeer, FleetService } from '@limpetnotch/peer-protocol';
-import type { PeerConnection } from '@limpetnotch/peer-protocol';
+import { FleetService, LendBudgetResponse_Outcome as LendOutcome } from '@limpetnotch/peer-protocol';
+import type { LendBudgetResponse } from '@limpetnotch/peer-protocol';
+import type { Loan, LoanRequest } from '../budgets/loan';
 
 /** A request waits for tokens of peers; an answer within an availability zone takes 2 ms. */
 const TOKENS_DEADLINE_MILLISECONDS = 60;
@@ -11,13 +16,32 @@
 /** Peers asked for tokens in one round, so that the cost doesn't grow with the fleet. */
 const PEERS_ASKED = 4;
 
-type Connection = PeerConnection<typeof FleetService>;
+/** A peer that lends may have to ask the store first. */
+const LOAN_DEADLINE_MILLISECONDS = 250;
+
+/** Connections kept to one peer; questions beyond them wait for a free one. */
+const CONNECTIONS_PER_PEER = 4;
 
 interface Peer {
   readonly address: string;
-  readonly connection: Connection;
+  readonly client: Client<typeof FleetService>;
+  readonly agent: Agent;
 }
 
+const connect = (address: string): Peer => {
+  const agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS_PER_PEER });
+  const transport = createConnectTransport({
+    baseUrl: `http://${address}`,
+    httpVersion: '1.1',
+    acceptCompression: [],
+    nodeOptions: { agent },
+  });
+  return { address, client: createClient(FleetService, transport), agent };
+};
+
+const isDecided = (answer: LendBudgetResponse | undefined): boolean =>
+  answer?.outcome === LendOutcome.LENT || answer?.outcome === LendOutcome.SPENT;
+
 /** Connections to the other instances. */
 export class FleetPeers {
   readonly #logger: Logger;
@@ -38,13 +62,13 @@
   setPeers(addresses: ReadonlyMap<string, string>): void {
     this.#peers.forEach((peer, name) => {
       if (addresses.get(name) === peer.address) return;
-      peer.connection.sessions.abort();
+      peer.agent.destroy();
       this.#peers.delete(name);
       this.#logger.info('peers.left', { peer: name });
     });
     addresses.forEach((address, name) => {
       if (this.#peers.has(name)) return;
-      this.#peers.set(name, { address, connection: connectPeer(address, FleetService) });
+      this.#peers.set(name, connect(address));
       this.#logger.info('peers.joined', { peer: name, address });
     });
     this.#order = [...this.#peers.keys()];
@@ -81,6 +105,24 @@
     return released.reduce((sum, answer) => sum + (answer?.released ?? 0), 0);
   }
 
+  /**
+   * Asks peers one after another to lend tokens of a budget. Where none can, tells whether all of
+   * the given members answered that they never saw the program and would remember it.
+   */
+  async borrowBudget(request: LoanRequest, members: readonly string[]): Promise<Loan> {
+    const unaware = new Set<string>();
+    for (const name of this.#order) {
+      const answer = await this.#call(name, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
+        client.lendBudget(request, options),
+      );
+      this.#reorder(name, isDecided(answer));
+      if (answer?.outcome === LendOutcome.LENT) return { kind: 'lent', tokens: answer.tokens };
+      if (answer?.outcome === LendOutcome.SPENT) return { kind: 'spent' };
+      if (answer && !answer.isKnown && answer.isMemoryWhole) unaware.add(name);
+    }
+    return { kind: 'none', isUnknownToAll: members.every((name) => unaware.has(name)) };
+  }
+
   close(): void {
     this.setPeers(new Map());
   }
@@ -93,12 +135,12 @@
   async #call<Answer>(
     name: string,
     deadlineMilliseconds: number,
-    send: (client: Connection['client'], options: { timeoutMs: number }) => Promise<Answer>,
+    send: (client: Peer['client'], options: { timeoutMs: number }) => Promise<Answer>,
   ): Promise<Answer | undefined> {
     const peer = this.#peers.get(name);
     if (!peer) return undefined;
     try {
-      return await send(peer.connection.client, { timeoutMs: deadlineMilliseconds });
+      return await send(peer.client, { timeoutMs: deadlineMilliseconds });
     } catch (error) {
       // What a peer can't say now is asked again later; tokens of a lost answer are dropped.
       this.#metrics.increment('peers.failed-calls', 1, { peer: name });
--- a/packages/gateway/src/peers/fleetService.ts
+++ b/packages/gateway/src/peers/fleetService.ts
@@ -1,5 +1,6 @@
 import type { ServiceImpl } from '@connectrpc/connect';
 import type { FleetService } from '@limpetnotch/peer-protocol';
+import { LendBudgetResponse_Outcome as LendOutcome } from '@limpetnotch/peer-protocol';
 import type { EscrowBudgets } from '../budgets/escrowBudgets';
 import type { SharedQuotas } from '../quotas/sharedQuotas';
 
@@ -9,5 +10,20 @@
   budgets: EscrowBudgets,
 ): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, wanted }) => ({ given: quotas.give(organisation, wanted) }),
+  lendBudget: async (request) => {
+    const loan = await budgets.lend(request);
+    switch (loan.kind) {
+      case 'lent':
+        return { outcome: LendOutcome.LENT, tokens: loan.tokens };
+      case 'spent':
+        return { outcome: LendOutcome.SPENT };
+      case 'none':
+        return {
+          outcome: LendOutcome.UNAVAILABLE,
+          isKnown: loan.isKnown,
+          isMemoryWhole: loan.isMemoryWhole,
+        };
+    }
+  },
   releaseBudget: async ({ budget }) => ({ released: await budgets.release(budget) }),
 });
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -87,6 +87,11 @@
     return this.#members.includes(this.#parts.instance) ? 1 / this.#members.length : 0;
   }
 
+  /** Names of the other members, present or not. */
+  get others(): readonly string[] {
+    return this.#members.filter((name) => name !== this.#parts.instance);
+  }
+
   /** Other instances that are present, with their addresses. */
   get peers(): ReadonlyMap<string, string> {
     return new Map([...this.#present].filter(([name]) => name !== this.#parts.instance));
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -1,6 +1,4 @@
 export { AsyncQueue } from './asyncQueue';
-export { connectPeer } from './connectPeer';
-export type { PeerConnection } from './connectPeer';
 export type { ControlMessage, ControlReply } from './controlStream';
 export * from './generated/limpetnotch/fleet/v1/fleet_pb';
 export * from './generated/limpetnotch/peer/v1/peer_pb';
--- a/packages/peer-protocol/src/peerClient.ts
+++ b/packages/peer-protocol/src/peerClient.ts
@@ -1,18 +1,26 @@
 import type { Client } from '@connectrpc/connect';
+import { createClient } from '@connectrpc/connect';
+import { createConnectTransport, Http2SessionManager } from '@connectrpc/connect-node';
 import type { ResultAsync } from 'neverthrow';
-import { connectPeer } from './connectPeer';
-import type { PeerConnection } from './connectPeer';
 import type { ControlMessage, ControlReply } from './controlStream';
 import { ControlStream } from './controlStream';
 import { PeerService } from './generated/limpetnotch/peer/v1/peer_pb';
 import type { PeerCallError } from './peerCallError';
 
+const PING_INTERVAL_MILLISECONDS = 1_000;
+const PING_TIMEOUT_MILLISECONDS = 3_000;
 const CONTROL_DEADLINE_MILLISECONDS = 2_000;
+const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
 
-type Connection = PeerConnection<typeof PeerService>;
+interface Connection {
+  readonly client: Client<typeof PeerService>;
+  readonly sessions: Http2SessionManager;
+}
 
 /** Connections to one peer: one for control messages, another for calls and bulk. */
 export class PeerClient {
+  readonly #address: string;
+
   readonly #calls: Connection;
 
   readonly #control: Connection;
@@ -21,8 +29,9 @@
 
   /** Takes the peer's host and port, such as `127.0.0.1:7001`. */
   constructor(address: string) {
-    this.#calls = connectPeer(address, PeerService);
-    this.#control = connectPeer(address, PeerService);
+    this.#address = address;
+    this.#calls = this.#connect();
+    this.#control = this.#connect();
     this.#controlStream = new ControlStream({
       client: this.#control.client,
       deadlineMilliseconds: CONTROL_DEADLINE_MILLISECONDS,
@@ -46,4 +55,21 @@
     this.#control.sessions.abort();
     this.#calls.sessions.abort();
   }
+
+  #connect(): Connection {
+    const baseUrl = `http://${this.#address}`;
+    // Idle connections are not pinged: the manager would ping them after an abort, which throws.
+    const sessions = new Http2SessionManager(baseUrl, {
+      pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+      pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+    });
+    const transport = createConnectTransport({
+      baseUrl,
+      httpVersion: '2',
+      sessionManager: sessions,
+      acceptCompression: [],
+      readMaxBytes: MAXIMUM_MESSAGE_BYTES,
+    });
+    return { client: createClient(PeerService, transport), sessions };
+  }
 }
--- a/packages/peer-protocol/src/peerServer.ts
+++ b/packages/peer-protocol/src/peerServer.ts
@@ -3,7 +3,6 @@
 import { createServer } from 'node:http2';
 import type { ServiceImpl } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { FleetService } from './generated/limpetnotch/fleet/v1/fleet_pb';
 import { PeerService } from './generated/limpetnotch/peer/v1/peer_pb';
 
 const MAXIMUM_MESSAGE_BYTES = 32 * 1024 * 1024;
@@ -13,10 +12,7 @@
   readonly host: string;
   /** TCP port; 0 lets the system choose. */
   readonly port: number;
-  /** Calls on programs whose history this instance keeps. */
-  readonly service?: Partial<ServiceImpl<typeof PeerService>>;
-  /** Calls between instances whose callers carry the context. */
-  readonly fleet?: Partial<ServiceImpl<typeof FleetService>>;
+  readonly service: Partial<ServiceImpl<typeof PeerService>>;
 }
 
 /** Listens for other instances over connect on HTTP/2 without TLS. */
@@ -36,12 +32,9 @@
   }
 
   /** Starts to listen; rejects when the port is taken. */
-  static async start({ host, port, service, fleet }: PeerServerOptions): Promise<PeerServer> {
+  static async start({ host, port, service }: PeerServerOptions): Promise<PeerServer> {
     const handler = connectNodeAdapter({
-      routes: (router) => {
-        if (service) router.service(PeerService, service);
-        if (fleet) router.service(FleetService, fleet);
-      },
+      routes: (router) => router.service(PeerService, service),
       acceptCompression: [],
       readMaxBytes: MAXIMUM_MESSAGE_BYTES,
     });
--- a/packages/store/src/followPrefix.ts
+++ b/packages/store/src/followPrefix.ts
@@ -4,6 +4,9 @@
 import { backoffMilliseconds } from './util/backoffMilliseconds';
 import { WatchError } from './watchError';
 
+/** Silence allowed after a failure, so that a store that is back is soon noticed. */
+const SILENCE_AFTER_FAILURE_MILLISECONDS = 900;
+
 const BACKOFF: BackoffBounds = { firstMilliseconds: 50, maximumMilliseconds: 500 };
 
 /** What a follower of a prefix is told. */
@@ -28,24 +31,41 @@
   readonly silenceMilliseconds: number;
 }
 
-/** Follows the changes after a revision; returns the revision to go on from, or 0 to list again. */
-const watchFrom = async (options: FollowOptions, revision: number): Promise<number> => {
+interface Watched {
+  /** Revision to go on from, or 0 to list again. */
+  readonly revision: number;
+  readonly isAnswered: boolean;
+}
+
+/** Follows the changes after a revision until the watch fails, or has answered after a failure. */
+const watchFrom = async (
+  options: FollowOptions,
+  revision: number,
+  hasFailed: boolean,
+): Promise<Watched> => {
   const { store, prefix, listener, signal, silenceMilliseconds } = options;
   let last = revision;
   try {
-    const watch = store.watch({ prefix, fromRevision: last + 1, signal, silenceMilliseconds });
+    const watch = store.watch({
+      prefix,
+      fromRevision: last + 1,
+      signal,
+      silenceMilliseconds: hasFailed ? SILENCE_AFTER_FAILURE_MILLISECONDS : silenceMilliseconds,
+    });
     for await (const event of watch) {
       if (event.kind === 'put') listener.put(event.entry);
       if (event.kind === 'removed') listener.removed(event.key);
       last = Math.max(last, event.kind === 'put' ? event.entry.revision : event.revision);
       listener.confirmed();
+      if (hasFailed) return { revision: last, isAnswered: true };
     }
   } catch (error) {
     if (!(error instanceof WatchError)) throw error;
     listener.lost(error.message);
-    if (error.kind === 'compacted' || error.kind === 'malformed') return 0;
+    const isUnusable = error.kind === 'compacted' || error.kind === 'malformed';
+    return { revision: isUnusable ? 0 : last, isAnswered: error.kind === 'compacted' };
   }
-  return last;
+  return { revision: last, isAnswered: true };
 };
 
 /** Lists a prefix and follows its changes until the signal aborts; lists again where history is gone. */
@@ -66,12 +86,13 @@
       }
     }
     if (revision > 0) {
-      const reached = await watchFrom(options, revision);
-      failures = reached > revision ? 0 : failures;
-      revision = reached;
+      const watched = await watchFrom(options, revision, failures > 0);
+      failures = watched.isAnswered ? 0 : failures + 1;
+      revision = watched.revision;
+    } else {
+      failures += 1;
     }
     if (signal.aborted) return;
-    await delay(backoffMilliseconds(failures, BACKOFF), signal);
-    failures += 1;
+    if (failures > 0) await delay(backoffMilliseconds(failures, BACKOFF), signal);
   }
 };
