Let a program begin only where those under way leave room in the flow

Cause: programs of an organisation at its limit began whenever the bucket was half full, though those under way used the whole flow; requests of programs under way were refused. A line of a refusal names the stage now.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -27,6 +27,12 @@
  */
 const PROGRAM_LEVEL = 0.5;
 
+/** Part of the flow that the programs under way may use while another one begins. */
+const PROGRAM_FLOW = 0.8;
+
+/** Level of the bucket at which tokens would soon be lost, so that a program may begin anyway. */
+const FULL_LEVEL = 0.9;
+
 const MILLISECONDS = 1_000;
 
 /**
@@ -40,6 +46,8 @@
 
   #demandPerSecond = 0;
 
+  #servedPerSecond = 0;
+
   #updatedAtMilliseconds = performance.now();
 
   constructor(part: RatePart) {
@@ -64,9 +72,13 @@
     return this.secondsToTokens(1);
   }
 
-  /** Whether a whole program may begin: tokens are kept for the programs that have begun. */
+  /**
+   * Whether a whole program may begin. Tokens are kept for the programs that have begun, and where
+   * these use most of what flows in already, another one would only take from them.
+   */
   get hasRoomForProgram(): boolean {
-    return this.tokens >= this.#programLevel;
+    if (this.tokens < this.#programLevel) return false;
+    return this.#servedPerSecond <= this.#flow * PROGRAM_FLOW || this.tokens >= this.#fullLevel;
   }
 
   /** Time until a program may begin, in seconds, if nothing else is taken. */
@@ -77,7 +89,7 @@
   /** Time until the bucket holds this many tokens, in seconds. */
   secondsToTokens(tokens: number): number {
     const missing = tokens - this.tokens;
-    return missing <= 0 ? 0 : missing / (this.#part.perSecond * this.#part.share);
+    return missing <= 0 ? 0 : missing / this.#flow;
   }
 
   /** Puts another part in force; what is held beyond it is dropped. */
@@ -98,6 +110,7 @@
     this.#advance();
     if (this.#tokens < 1) return false;
     this.#tokens -= 1;
+    this.#servedPerSecond += 1 / DEMAND_WINDOW_SECONDS;
     return true;
   }
 
@@ -128,6 +141,14 @@
     return Math.max(1, this.#depth * PROGRAM_LEVEL);
   }
 
+  get #fullLevel(): number {
+    return Math.max(1, this.#depth * FULL_LEVEL);
+  }
+
+  get #flow(): number {
+    return this.#part.perSecond * this.#part.share;
+  }
+
   get #depth(): number {
     return this.#part.burst * this.#part.share;
   }
@@ -137,9 +158,10 @@
     const seconds = (now - this.#updatedAtMilliseconds) / MILLISECONDS;
     if (seconds <= 0) return;
     this.#updatedAtMilliseconds = now;
-    this.#demandPerSecond *= Math.exp(-seconds / DEMAND_WINDOW_SECONDS);
+    const decay = Math.exp(-seconds / DEMAND_WINDOW_SECONDS);
+    this.#demandPerSecond *= decay;
+    this.#servedPerSecond *= decay;
     if (this.#tokens >= this.#depth) return;
-    const flow = this.#part.perSecond * this.#part.share;
-    this.#tokens = Math.min(this.#depth, this.#tokens + flow * seconds);
+    this.#tokens = Math.min(this.#depth, this.#tokens + this.#flow * seconds);
   }
 }
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -152,6 +152,7 @@
     this.#parts.logger.info('call.served', {
       request: call.envelope.id,
       route: call.route.name,
+      organisation: call.organisation?.name,
       program: call.envelope.program?.id,
       result: result.kind,
       status: 'status' in result ? result.status : undefined,
@@ -193,6 +194,7 @@
       this.#parts.logger.info('quota.refused', {
         request: call.envelope.id,
         organisation: organisation.name,
+        stage: this.#stageOf(call),
         perSecond: organisation.rate.perSecond,
         burst: organisation.rate.burst,
         share: quota.share,
