Lend a program's tokens between entries instead of writing to the store

Ruled out: watches (about 250 calls) and renewals.

A program that has moved borrows half of what a peer holds; the store is asked once in two seconds whether it knows a refused program.

--- a/packages/gateway/src/budgets/budgetGate.ts
+++ b/packages/gateway/src/budgets/budgetGate.ts
@@ -17,6 +17,8 @@
   readonly limitTokens: number;
   /** Most tokens that this turn generates. */
   readonly turnTokens: number;
+  /** Whether turns of the program must have run before, maybe at another instance. */
+  readonly isContinuation: boolean;
 }
 
 /** Holds programs to their token budgets over all instances. */
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -15,8 +15,8 @@
 /** After a failed call one turn in this time tries the store again; the others ask peers. */
 const PROBE_MILLISECONDS = 300;
 
-/** Turns that a loan covers, so that a program needs few of them. */
-const TURNS_LENT = 2;
+/** Part of what is held that a loan takes, so that a program that has moved needs few of them. */
+const PART_LENT = 0.5;
 
 /** Writes for one turn or one release; each conflict means that another instance went ahead. */
 const MAXIMUM_WRITES = 8;
@@ -30,6 +30,9 @@
  */
 const SPENT_MILLISECONDS = 500;
 
+/** Time for which a program is taken for new that the store didn't know; its caller tries again soon. */
+const ABSENT_MILLISECONDS = 2_000;
+
 /** Programs that this instance remembers; the longest unused go first. */
 const MAXIMUM_ACCOUNTS = 20_000;
 
@@ -54,6 +57,8 @@
   usedAtMilliseconds: number;
   /** Tokens granted while the store was out of reach, which it doesn't know of yet. */
   unrecordedTokens: number;
+  /** Until then the store is not asked again whether it knows the program. */
+  absentUntilMilliseconds: number;
   /** Whether a turn was ever granted tokens here. */
   hasGranted: boolean;
   /** Turns that wait for tokens. */
@@ -129,7 +134,10 @@
   async hasBegun(programId: string): Promise<boolean> {
     const key = keyOf(programId);
     const budget = this.#budgetOf(key);
-    if (!budget.seen) await this.#serialised(budget, () => this.#refresh(key, budget));
+    if (budget.seen || budget.hasGranted) return true;
+    if (performance.now() < budget.absentUntilMilliseconds || this.#isStoreSuspect) return false;
+    await this.#serialised(budget, () => this.#refresh(key, budget));
+    budget.absentUntilMilliseconds = performance.now() + ABSENT_MILLISECONDS;
     return budget.seen !== undefined;
   }
 
@@ -167,23 +175,24 @@
     return done;
   }
 
-  /** Lends tokens to an instance that can't reach the store. */
-  async lend({ budget: key, limitTokens, turnTokens }: LoanRequest): Promise<LoanAnswer> {
+  /** Lends tokens to another instance: of what is held here, or, if it may, from the store. */
+  async lend(request: LoanRequest): Promise<LoanAnswer> {
+    const { budget: key, limitTokens, turnTokens, mayUseStore } = request;
     const isKnown = this.#isKnown(this.#budgets.get(key));
-    if (!isKnown && this.#isStoreSuspect) {
+    const canUseStore = mayUseStore && !this.#isStoreSuspect;
+    if (!isKnown && !canUseStore) {
       return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
     }
     const budget = this.#budgetOf(key);
     return this.#serialised(budget, async (): Promise<LoanAnswer> => {
       const { account } = budget;
-      const plenty = turnTokens * TURNS_LENT;
-      const tokens = account.heldTokens >= plenty ? plenty : turnTokens;
-      const request = { programId: key, limitTokens, turnTokens: tokens };
-      const obtained = this.#isStoreSuspect
-        ? this.#reserveHeld(account, tokens)
-        : await this.#obtain(key, budget, request);
+      const tokens = Math.max(turnTokens, Math.floor(account.heldTokens * PART_LENT));
+      const turn = { programId: key, limitTokens, turnTokens: tokens, isContinuation: true };
+      const obtained = canUseStore
+        ? await this.#obtain(key, budget, turn)
+        : this.#reserveHeld(account, tokens);
       if (obtained === 'spent') return { kind: 'spent' };
-      if (obtained === 'unavailable') {
+      if (obtained !== 'reserved') {
         return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
       }
       account.settle(tokens, tokens);
@@ -193,7 +202,9 @@
 
   /** Writes to the store what was granted while it was out of reach. */
   async recordGrants(): Promise<void> {
-    const unrecorded = [...this.#budgets].filter(([, { unrecordedTokens }]) => unrecordedTokens > 0);
+    const unrecorded = [...this.#budgets].filter(
+      ([, { unrecordedTokens }]) => unrecordedTokens > 0,
+    );
     for (const [key, budget] of unrecorded) {
       const written = await this.#serialised(budget, () => this.#record(key, budget));
       if (written === 'failed') return;
@@ -243,12 +254,15 @@
   ): Promise<'reserved' | 'spent' | 'unavailable'> {
     const { account } = budget;
     if (account.reserve(request.turnTokens)) return 'reserved';
+    const isMoved = request.isContinuation && !budget.hasGranted;
+    if (isMoved && (await this.#borrowHeld(key, budget, request))) return 'reserved';
     if (this.#mayTryStore()) {
       const obtained = await this.#obtain(key, budget, request);
       if (obtained !== 'unavailable') return obtained;
     }
     const { limitTokens, turnTokens } = request;
-    const loan = await this.#parts.borrow({ budget: key, limitTokens, turnTokens });
+    const wanted = { budget: key, limitTokens, turnTokens, mayUseStore: true };
+    const loan = await this.#parts.borrow(wanted);
     switch (loan.kind) {
       case 'lent':
         account.receive(loan.tokens);
@@ -260,6 +274,18 @@
     }
   }
 
+  /** Borrows what a peer holds for a program that has moved here, which costs no call to the store. */
+  async #borrowHeld(
+    key: string,
+    { account }: ProgramBudget,
+    { limitTokens, turnTokens }: BudgetRequest,
+  ): Promise<boolean> {
+    const wanted = { budget: key, limitTokens, turnTokens, mayUseStore: false };
+    const loan = await this.#parts.borrow(wanted);
+    if (loan.kind === 'lent') account.receive(loan.tokens);
+    return account.reserve(turnTokens);
+  }
+
   /**
    * Grants a program's whole budget without the store: all members are up since they began to
    * remember, and none has seen the program. The store is told once it is back.
@@ -284,8 +310,9 @@
   async #obtain(
     key: string,
     budget: ProgramBudget,
-    { programId, limitTokens, turnTokens }: BudgetRequest,
+    request: BudgetRequest,
   ): Promise<'reserved' | 'spent' | 'unavailable'> {
+    const { programId, limitTokens, turnTokens } = request;
     let hasRecalled = false;
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (budget.account.reserve(turnTokens)) return 'reserved';
@@ -299,9 +326,14 @@
         if (!(await this.#refresh(key, budget))) return 'unavailable';
       }
       if (plan.kind === 'take') {
+        const wasUnseen = budget.seen === undefined;
         const written = await this.#change(key, budget, plan.tokens, limitTokens);
         if (written === 'done') budget.account.receive(plan.tokens);
         if (written === 'failed') return 'unavailable';
+        // The program has begun at a peer, which mostly holds enough for both.
+        if (written === 'conflict' && wasUnseen && (await this.#borrowHeld(key, budget, request))) {
+          return 'reserved';
+        }
       }
     }
     return 'unavailable';
@@ -401,6 +433,7 @@
       changing: Promise.resolve(),
       usedAtMilliseconds: 0,
       unrecordedTokens: 0,
+      absentUntilMilliseconds: 0,
       hasGranted: false,
       acquiring: 0,
       unrecordedLimit: 0,
--- a/packages/gateway/src/budgets/loan.ts
+++ b/packages/gateway/src/budgets/loan.ts
@@ -6,6 +6,8 @@
   readonly limitTokens: number;
   /** Most tokens that the turn generates. */
   readonly turnTokens: number;
+  /** Whether the lender may take tokens from the store, as the borrower can't. */
+  readonly mayUseStore: boolean;
 }
 
 /** What peers can spare of a program's budget. */
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -1,5 +1,9 @@
 import type { ServerResponse } from 'node:http';
-import type { FleetOrganisation, FleetRoute, TargetService } from '../configuration/fleetConfiguration';
+import type {
+  FleetOrganisation,
+  FleetRoute,
+  TargetService,
+} from '../configuration/fleetConfiguration';
 import type { CallEnvelope } from './callEnvelope';
 
 /** Parts of a {@link Call}. */
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -237,6 +237,7 @@
       programId: programKeyOf(call),
       limitTokens: program.tokenBudget,
       turnTokens: prompt.maximumOutputTokens,
+      isContinuation: program.session !== undefined && program.session !== program.id,
     });
     switch (decision.kind) {
       case 'spent':
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,7 +176,8 @@
   async #start(): Promise<void> {
     const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
-    for (const task of [...this.#follower.tasks, ...this.#membership.tasks]) await this.#supervisor.startChild(task);
+    for (const task of [...this.#follower.tasks, ...this.#membership.tasks])
+      await this.#supervisor.startChild(task);
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
       handle: (request, response) => this.#answerReadiness(request, response),
@@ -203,8 +204,7 @@
 
   async #answerReadiness(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const isKnown = request.url === this.#parts.settings.readinessPath;
-    const isReady =
-      !this.#isClosing && this.#fleet.index !== undefined && !this.#budgets.isCutOff;
+    const isReady = !this.#isClosing && this.#fleet.index !== undefined && !this.#budgets.isCutOff;
     response.writeHead(isKnown && isReady ? 200 : 503, { 'content-length': 0 });
     response.end();
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,10 +1,5 @@
 export type { BudgetDecision, BudgetGate, BudgetRequest } from './budgets/budgetGate';
-export type {
-  CallEnvelope,
-  ProgramReference,
-  PromptPart,
-  PromptShape,
-} from './calls/callEnvelope';
+export type { CallEnvelope, ProgramReference, PromptPart, PromptShape } from './calls/callEnvelope';
 export type {
   AnswerHead,
   DispatchNote,
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -3,7 +3,10 @@
 import { createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { FleetService, LendBudgetResponse_Outcome as LendOutcome } from '@limpetnotch/peer-protocol';
+import {
+  FleetService,
+  LendBudgetResponse_Outcome as LendOutcome,
+} from '@limpetnotch/peer-protocol';
 import type { LendBudgetResponse } from '@limpetnotch/peer-protocol';
 import type { Loan, LoanRequest } from '../budgets/loan';
 
@@ -111,7 +114,8 @@
    */
   async borrowBudget(request: LoanRequest, members: readonly string[]): Promise<Loan> {
     const unaware = new Set<string>();
-    for (const name of this.#order) {
+    const asked = request.mayUseStore ? [...this.#order] : this.#order.slice(0, PEERS_ASKED);
+    for (const name of asked) {
       const answer = await this.#call(name, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
         client.lendBudget(request, options),
       );
