--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -14,6 +14,8 @@
 export default [
   globalIgnores([
     '**/dist/**',
+    'target/**',
+    'journal/**',
     'coverage/**',
     'reports/**',
     'packages/*/bin/**',
@@ -71,5 +73,15 @@
       '@typescript-eslint/no-non-null-assertion': 'off',
     },
   },
+  {
+    // Scripts of the build and the start of a process run once, before anything else could wait.
+    files: ['deploy/*.{mjs,cjs}'],
+    rules: {
+      'n/no-sync': 'off',
+      // What is still open at the end, such as a question to a peer, must not hold the end up.
+      'n/no-process-exit': 'off',
+      'import-x/no-extraneous-dependencies': ['error', { devDependencies: true }],
+    },
+  },
   { rules: stylisticOff },
 ];
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -4,6 +4,7 @@
 import type { TargetConnections } from '../targets/targetConnections';
 import type { TargetLoads } from '../targets/targetLoads';
 import type { AnswerWriter } from './answerWriter';
+import { AttemptEnd } from './attemptEnd';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import { EventStreamReader } from './eventStreamReader';
@@ -35,16 +36,6 @@
   readonly silenceMilliseconds: number;
 }
 
-/** Thrown inside an attempt to end it with an outcome. */
-class AttemptEnd extends Error {
-  readonly outcome: AttemptOutcome;
-
-  constructor(outcome: AttemptOutcome) {
-    super(outcome.kind);
-    this.outcome = outcome;
-  }
-}
-
 const isSuccess = ({ status }: AnswerHead): boolean => status >= 200 && status < 300;
 
 /** One dispatch of a call to one target, and the relay of its answer to the caller. */
--- /dev/null
+++ b/packages/gateway/src/calls/attemptEnd.ts
@@ -0,0 +1,11 @@
+import type { AttemptOutcome } from './attemptOutcome';
+
+/** Thrown inside an attempt to end it with an outcome. */
+export class AttemptEnd extends Error {
+  readonly outcome: AttemptOutcome;
+
+  constructor(outcome: AttemptOutcome) {
+    super(outcome.kind);
+    this.outcome = outcome;
+  }
+}
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -5,6 +5,7 @@
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
 import type { FleetCodec } from './fleetCodec';
 import type { FleetState } from './fleetState';
+import { StoreContact } from './storeContact';
 
 /** Watches answer at least every 2.5 s; one without an answer for longer is silent. */
 const SILENCE_MILLISECONDS = 3_000;
@@ -28,50 +29,18 @@
   readonly onStoreRegained: () => void;
 }
 
-/** Logs when a dependency is lost or regained, once for each change. */
-class Contact {
-  readonly #logger: Logger;
-
-  readonly #prefix: string;
-
-  #lostAtMilliseconds: number | undefined;
-
-  constructor(logger: Logger, prefix: string) {
-    this.#logger = logger;
-    this.#prefix = prefix;
-  }
-
-  lost(detail: string): void {
-    if (this.#lostAtMilliseconds !== undefined) return;
-    this.#lostAtMilliseconds = performance.now();
-    this.#logger.warn('store.watch-lost', { prefix: this.#prefix, detail });
-  }
-
-  /** Returns how long the contact was lost, in milliseconds; 0 where it was not. */
-  regained(): number {
-    if (this.#lostAtMilliseconds === undefined) return 0;
-    const lostMilliseconds = performance.now() - this.#lostAtMilliseconds;
-    this.#lostAtMilliseconds = undefined;
-    this.#logger.info('store.watch-regained', {
-      prefix: this.#prefix,
-      lostMilliseconds: Math.round(lostMilliseconds),
-    });
-    return lostMilliseconds;
-  }
-}
-
 /** Keeps the fleet's state up to date from the store. */
 export class FleetFollower {
   readonly #parts: FleetFollowerParts;
 
-  readonly #operatorContact: Contact;
+  readonly #operatorContact: StoreContact;
 
-  readonly #targetContact: Contact;
+  readonly #targetContact: StoreContact;
 
   constructor(parts: FleetFollowerParts) {
     this.#parts = parts;
-    this.#operatorContact = new Contact(parts.logger, parts.codec.operatorPrefix);
-    this.#targetContact = new Contact(parts.logger, parts.codec.targetPrefix);
+    this.#operatorContact = new StoreContact(parts.logger, parts.codec.operatorPrefix);
+    this.#targetContact = new StoreContact(parts.logger, parts.codec.targetPrefix);
   }
 
   /** One task for what operators write and one for the announcements of targets. */
@@ -175,8 +144,9 @@
         return;
       case 'unreadable':
         logger.error('configuration.unreadable', { key: entry.key, detail: decoded.detail });
-        return;
+        break;
       case 'other':
+        break;
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -176,8 +176,9 @@
   async #start(): Promise<void> {
     const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
-    for (const task of [...this.#follower.tasks, ...this.#membership.tasks])
+    for (const task of [...this.#follower.tasks, ...this.#membership.tasks]) {
       await this.#supervisor.startChild(task);
+    }
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
       handle: (request, response) => this.#answerReadiness(request, response),
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -1,12 +1,9 @@
 import 'reflect-metadata';
-import type { DynamicModule } from '@nestjs/common';
-import { Module } from '@nestjs/common';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
-import { RequestController } from './requestController';
+import { IngressModule } from './ingressModule';
 import type { RequestHandler } from './requestHandler';
-import { REQUEST_HANDLER } from './requestHandler';
 
 /** Bound of the parser; the configuration's own bound on headers lies below. */
 const MAXIMUM_HEADER_BYTES = 64 * 1024;
@@ -28,18 +25,6 @@
   readonly idleTimeoutMilliseconds: number;
 }
 
-/** Nest module around one handler. */
-@Module({})
-class IngressModule {
-  static with(handle: RequestHandler): DynamicModule {
-    return {
-      module: IngressModule,
-      controllers: [RequestController],
-      providers: [{ provide: REQUEST_HANDLER, useValue: handle }],
-    };
-  }
-}
-
 /** Listens for HTTP requests and hands each one on as it came: raw path, headers and body. */
 export class IngressServer {
   readonly #application: NestFastifyApplication;
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -1,9 +1,9 @@
 import { SharedRate } from '@limpetnotch/admission';
 import type { RatePart } from '@limpetnotch/admission';
 import type { Logger, Metrics } from '@limpetnotch/observability';
+import { delay } from '@limpetnotch/supervision';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
 import type { FleetPeers } from '../peers/fleetPeers';
-import { delay } from '@limpetnotch/supervision';
 import type { ProgramStage, QuotaDecision, QuotaGate } from './quotaGate';
 
 /** Time after a fruitless round of questions before peers are asked again. */
--- a/packages/gateway/src/targets/targetConnections.ts
+++ b/packages/gateway/src/targets/targetConnections.ts
@@ -1,4 +1,3 @@
-import type { Dispatcher } from 'undici';
 import { Pool } from 'undici';
 import { Exchange } from './exchange';
 import type { FleetTarget } from './fleetTarget';
@@ -27,7 +26,7 @@
     const exchange = new Exchange();
     this.#poolOf(target, connectionLimit).dispatch(
       {
-        method: request.method as Dispatcher.HttpMethod,
+        method: request.method,
         path: request.pathAndQuery,
         headers: request.headers,
         body: request.body.length > 0 ? request.body : null,
