--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -64,7 +64,7 @@
     },
   },
   {
-    files: ['packages/*/tests/**/*.ts'],
+    files: ['packages/*/tests/**/*.ts', 'platform/tests/**/*.ts'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'max-classes-per-file': 'off',
--- /dev/null
+++ b/packages/gateway/tests/budgets/memoryStore.ts
@@ -0,0 +1,39 @@
+import type { CompareAndSwapRequest, KeyValueStore, StoreEntry } from '@limpetnotch/store';
+import { errAsync, okAsync } from 'neverthrow';
+
+/** Keys in memory, with an outage that refuses every call. */
+export class MemoryStore {
+  isDown = false;
+
+  #revision = 0;
+
+  readonly #entries = new Map<string, StoreEntry>();
+
+  /** The verbs that budgets use. */
+  get client(): KeyValueStore {
+    return {
+      read: (key: string) => (this.isDown ? this.#unavailable() : okAsync(this.#entries.get(key))),
+      compareAndSwap: (request: CompareAndSwapRequest) => this.#swap(request),
+    } as unknown as KeyValueStore;
+  }
+
+  /** Values of all keys, parsed. */
+  get values(): readonly unknown[] {
+    return [...this.#entries.values()].map(({ value }) => JSON.parse(value));
+  }
+
+  #swap({ key, value, expectedRevision }: CompareAndSwapRequest) {
+    if (this.isDown) return this.#unavailable();
+    const current = this.#entries.get(key);
+    if ((current?.revision ?? 0) !== expectedRevision) {
+      return okAsync({ kind: 'conflict' as const, current });
+    }
+    this.#revision += 1;
+    this.#entries.set(key, { key, value, revision: this.#revision });
+    return okAsync({ kind: 'swapped' as const, revision: this.#revision });
+  }
+
+  #unavailable() {
+    return errAsync({ kind: 'unavailable' as const, detail: 'the store is down' });
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/calls/eventStreamReader.test.ts
@@ -0,0 +1,21 @@
+import { EventStreamReader } from '../../src/calls/eventStreamReader';
+
+test('events are cut at blank lines, whatever the chunks', () => {
+  const text = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n';
+  for (let size = 1; size <= text.length; size += 1) {
+    const reader = new EventStreamReader();
+    const ids: (string | undefined)[] = [];
+    for (let start = 0; start < text.length; start += size) {
+      const chunk = Buffer.from(text.slice(start, start + size));
+      ids.push(...reader.push(chunk).map(({ id }) => id));
+    }
+    expect(ids).toEqual(['1', '2', '3']);
+    expect(reader.isInsideEvent).toBe(false);
+  }
+});
+
+test('a torn event is noticed and not handed on', () => {
+  const reader = new EventStreamReader();
+  expect(reader.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))).toHaveLength(1);
+  expect(reader.isInsideEvent).toBe(true);
+});
--- /dev/null
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -0,0 +1,58 @@
+import type { FleetTarget } from '../../src/targets/fleetTarget';
+import { TargetDirectory } from '../../src/targets/targetDirectory';
+
+const target = (id: string, state: FleetTarget['state'] = 'serving'): FleetTarget => ({
+  id,
+  service: 'engine',
+  address: '127.0.0.1:9000',
+  availabilityZone: 'a',
+  slots: 16,
+  state,
+});
+
+const servingIds = (directory: TargetDirectory): string[] =>
+  directory.serving('engine').map(({ id }) => id);
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  jest.useRealTimers();
+});
+
+test('a leaving target gets nothing new', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.put(target('2'));
+  directory.put(target('1', 'leaving'));
+  expect(servingIds(directory)).toEqual(['2']);
+});
+
+test('announcements that lapsed in an outage come back or go', () => {
+  const directory = new TargetDirectory();
+  directory.replaceAll([target('1'), target('2')]);
+  directory.startGracePeriod(2_200);
+  directory.replaceAll([]);
+  expect(servingIds(directory)).toEqual(['1', '2']);
+  directory.put(target('1'));
+  jest.advanceTimersByTime(2_300);
+  expect(directory.get('2')).toBeUndefined();
+  expect(servingIds(directory)).toEqual(['1']);
+});
+
+test('a removal outside an outage holds at once', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.remove('1');
+  expect(servingIds(directory)).toEqual([]);
+});
+
+test('a target that declined as another one waits for its next announcement', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.markRefused('1');
+  expect(servingIds(directory)).toEqual([]);
+  directory.put(target('1'));
+  expect(servingIds(directory)).toEqual(['1']);
+});
