Bound the runs of a request that breaks its targets, keep unrecorded grants

A request whose connection broke off was sent up to six times; one that crashes its targets would take them all down.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -448,10 +448,12 @@
 
   #forgetUnused(): void {
     const idleSince = performance.now() - ACCOUNT_IDLE_MILLISECONDS;
-    for (const [key, { usedAtMilliseconds, account }] of this.#budgets) {
-      const isUnused = account.reservedTokens === 0 && usedAtMilliseconds < idleSince;
+    for (const [key, { usedAtMilliseconds, account, unrecordedTokens }] of this.#budgets) {
+      const isNeeded = account.reservedTokens > 0 || unrecordedTokens > 0;
+      const isUnused = !isNeeded && usedAtMilliseconds < idleSince;
       if (!isUnused && this.#budgets.size <= MAXIMUM_ACCOUNTS) return;
-      if (account.reservedTokens === 0) this.#budgets.delete(key);
+      if (!isNeeded) this.#budgets.delete(key);
     }
   }
+  }
 }
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -11,6 +11,9 @@
 /** Dispatches that a request gets at most, declined ones included. */
 const MAXIMUM_DISPATCHES = 6;
 
+/** Runs of one request at most: one that broke off this often may be what breaks its targets. */
+const MAXIMUM_RUNS = 3;
+
 /** A target that answers nobody for this long is taken for lost; steps take some milliseconds. */
 const SILENCE_MILLISECONDS = 700;
 
@@ -101,7 +104,7 @@
         return undefined;
       case 'broken':
       case 'stalled':
-        if (call.isRepeatable) return undefined;
+        if (call.isRepeatable && call.ranAt.length < MAXIMUM_RUNS) return undefined;
         return refused({ kind: 'outcome-unknown', reason: outcome.detail });
     }
   }
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -223,3 +223,14 @@
   const { status } = await run({ kind: 'at-most-once' }, [handle]);
   expect(status).toBe(502);
 });
+
+test('a request that breaks its targets runs three times at most', async () => {
+  let runs = 0;
+  const handle: RequestListener = (request) => {
+    runs += 1;
+    request.socket.destroy();
+  };
+  const { status } = await run({ kind: 'idempotent' }, [handle, handle, handle, handle]);
+  expect(status).toBe(502);
+  expect(runs).toBe(3);
+});
