--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -455,5 +455,4 @@
       if (!isNeeded) this.#budgets.delete(key);
     }
   }
-  }
 }
