Take the jitter out of a test that depended on its luck

Cause: the test "a claim that fails is repeated after a pause" starts an outage half a second before the lease of the dead owner ends. Each claimer renews its watch on the members at a jittered time; where the renewal falls into that half second, its listing fails, the claimer doesn't learn of the death before the store is back, and it rightly claims nothing.

Change: the test pins the jitter, and now expects that each claimer repeats its claim, where it expected one of them.

--- a/packages/partitions/tests/partitionManager.test.ts
+++ b/packages/partitions/tests/partitionManager.test.ts
@@ -5,7 +5,10 @@
 const numbers = Array.from({ length: PARTITIONS }, (_value, partition) => partition);
 
 beforeEach(() => jest.useFakeTimers());
-afterEach(() => jest.useRealTimers());
+afterEach(() => {
+  jest.restoreAllMocks();
+  jest.useRealTimers();
+});
 
 const startThree = async (): Promise<Fleet> => {
   const fleet = new Fleet(PARTITIONS);
@@ -83,6 +86,9 @@
 });
 
 test('a claim that fails is repeated after a pause', async () => {
+  // A watch that is renewed between the start of the outage and the end of the lease misses the
+  // owner's death, and then nobody claims. Without jitter no renewal falls into that half second.
+  jest.spyOn(Math, 'random').mockReturnValue(0);
   const fleet = await startThree();
   fleet.ownerOf(0)!.kill();
   const claimers = fleet.instances.filter(({ isDead }) => !isDead);
@@ -94,7 +100,7 @@
   );
   // At most one attempt in each half second for each partition.
   failures.forEach((count) => expect(count).toBeLessThanOrEqual(PARTITIONS * 4));
-  expect(Math.max(...failures)).toBeGreaterThan(0);
+  failures.forEach((count) => expect(count).toBeGreaterThan(0));
   await stop(fleet);
 });
 
