Count programs over all instances before another one begins, and quotas by windows

Change: SharedRate counts spent tokens over the operator's window under a bucket of the burst's depth; moved tokens lapse; parts are whole tokens. Instances near their part ask all peers for admitted programs and unspent tokens; admitProgram weighs what all need against what is and becomes free. A request asks until it has a token or the peers have none.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -1,64 +1,63 @@
-/** Part of an organisation's rate that one instance holds. */
-export interface RatePart {
-  /** Requests a second of the organisation over all instances. */
-  readonly perSecond: number;
-  /** Requests that the organisation may send at once over all instances. */
-  readonly burst: number;
-  /** This instance's part, from 0 to 1; the parts of all instances sum up to 1 at most. */
-  readonly share: number;
-}
+import type { RatePart } from './ratePart';
+import { ReleaseQueue } from './releaseQueue';
 
 /** Time over which the demand at this instance is averaged, in seconds. */
 const DEMAND_WINDOW_SECONDS = 1;
 
-/** Time for which an instance keeps tokens for its own demand before it gives any away, in seconds. */
-const OWN_DEMAND_SECONDS = 0.5;
-
 /**
- * Part of the bucket that a started instance begins with. A restart forgets what was spent before,
- * so that a full bucket would let an organisation exceed its rate; half of one flowed in at least
- * while the process was down.
+ * Time for which an instance keeps tokens for its own demand before it gives any away, in seconds:
+ * that of a few questions among peers.
  */
-const STARTING_LEVEL = 0.5;
+const OWN_DEMAND_SECONDS = 0.05;
 
-/**
- * Level of the bucket below which no program may begin. A program needs a dozen requests or more,
- * and one that is refused midway has wasted all before it.
- */
-const PROGRAM_LEVEL = 0.5;
+/** Time within which a moved token must be spent; its giver counts on that. */
+const MOVED_TOKEN_MILLISECONDS = 150;
 
-/** Part of the flow that the programs under way may use while another one begins. */
-const PROGRAM_FLOW = 0.8;
+/** Time that a moved token may be on its way, longer than an instance waits for its peers. */
+const MOVE_MILLISECONDS = 100;
 
-/** Level of the bucket at which tokens would soon be lost, so that a program may begin anyway. */
-const FULL_LEVEL = 0.9;
+/** Steps in which a started instance gets its tokens over the first window. */
+const START_STEPS = 50;
 
 const MILLISECONDS = 1_000;
 
 /**
- * Token bucket over one instance's part of an organisation's rate. Answers a load that reaches the
- * instances unevenly: tokens move between instances, and are never made by a move.
+ * One instance's part of an organisation's rate. Within any window the organisation may send what
+ * flows in over the window and its burst, so a spent token becomes free again one window later. A
+ * bucket of the burst's depth bounds how many of them are spent at once: what an instance spent
+ * before it died is unknown after its restart.
+ *
+ * Answers a load that reaches the instances unevenly: tokens move between instances. A moved token
+ * lapses soon where it isn't spent, and is back at its giver one window after that, so tokens are
+ * never made.
  */
 export class SharedRate {
   #part: RatePart;
 
-  #tokens: number;
+  /** Tokens of this part that were spent within the last window. */
+  readonly #spent = new ReleaseQueue();
 
-  #demandPerSecond = 0;
+  /** Tokens of this part that others got, and may have spent within the last window. */
+  readonly #given = new ReleaseQueue();
+
+  /** Tokens that other instances gave, until they lapse. */
+  readonly #received = new ReleaseQueue();
 
-  #servedPerSecond = 0;
+  #bucketTokens = 0;
+
+  #demandPerSecond = 0;
 
   #updatedAtMilliseconds = performance.now();
 
   constructor(part: RatePart) {
     this.#part = part;
-    this.#tokens = this.#depth * STARTING_LEVEL;
+    this.#spendAll();
   }
 
   /** Tokens that this instance may spend now. */
   get tokens(): number {
     this.#advance();
-    return this.#tokens;
+    return this.#ownTokens + this.#received.size;
   }
 
   /** Requests a second that came lately. */
@@ -67,36 +66,40 @@
     return this.#demandPerSecond;
   }
 
-  /** Time until the bucket holds a whole token, in seconds; infinite where nothing flows in. */
+  /** Time until a whole token is free, in seconds; infinite where none will be. */
   get secondsToNextToken(): number {
     return this.secondsToTokens(1);
   }
 
-  /**
-   * Whether a whole program may begin. Tokens are kept for the programs that have begun, and where
-   * these use most of what flows in already, another one would only take from them.
-   */
-  get hasRoomForProgram(): boolean {
-    if (this.tokens < this.#programLevel) return false;
-    return this.#servedPerSecond <= this.#flow * PROGRAM_FLOW || this.tokens >= this.#fullLevel;
+  /** Tokens of this part that were not spent within the last window. */
+  get unspentTokens(): number {
+    this.#advance();
+    return Math.max(0, this.#windowTokens);
   }
 
-  /** Time until a program may begin, in seconds, if nothing else is taken. */
-  get secondsToRoomForProgram(): number {
-    return this.secondsToTokens(this.#programLevel);
+  /** Part of this instance's tokens of a window that is not spent, from 0 to 1. */
+  get unspentPart(): number {
+    return this.#partTokens === 0 ? 0 : this.unspentTokens / this.#partTokens;
   }
 
-  /** Time until the bucket holds this many tokens, in seconds. */
+  /** Time until this many tokens are free, in seconds. */
   secondsToTokens(tokens: number): number {
-    const missing = tokens - this.tokens;
-    return missing <= 0 ? 0 : missing / this.#flow;
-  }
-
-  /** Puts another part in force; what is held beyond it is dropped. */
+    const now = this.#advance();
+    const missing = tokens - this.#received.size;
+    if (missing <= 0) return 0;
+    const missingInWindow = missing - this.#windowTokens;
+    const releasedAt =
+      missingInWindow <= 0 ? now : (this.#spent.timeOfRelease(missingInWindow) ?? Infinity);
+    const missingInBucket = missing - this.#bucketTokens;
+    const inBucket = missingInBucket <= 0 ? 0 : missingInBucket / this.#flow;
+    return Math.max(0, (releasedAt - now) / MILLISECONDS, inBucket);
+  }
+
+  /** Puts another part in force. What was spent of the former one counts on. */
   setPart(part: RatePart): void {
     this.#advance();
     this.#part = part;
-    this.#tokens = Math.min(this.#tokens, this.#depth);
+    this.#bucketTokens = Math.min(this.#bucketTokens, this.#depth);
   }
 
   /** Notes a request. */
@@ -107,61 +110,93 @@
 
   /** Takes a token for a request; returns whether there was one. */
   take(): boolean {
-    this.#advance();
-    if (this.#tokens < 1) return false;
-    this.#tokens -= 1;
-    this.#servedPerSecond += 1 / DEMAND_WINDOW_SECONDS;
+    const now = this.#advance();
+    if (this.#received.size > 0) {
+      this.#received.cancel(1);
+    } else if (this.#ownTokens >= 1) {
+      this.#spent.add(1, now + this.#windowMilliseconds);
+      this.#bucketTokens -= 1;
+    } else {
+      return false;
+    }
     return true;
   }
 
-  /** Adds tokens that another instance gave up, or that were taken in vain. */
-  receive(tokens: number): void {
+  /** Puts a token back whose request never ran. */
+  putBack(): void {
     this.#advance();
-    this.#tokens = Math.min(Math.max(this.#depth, 1), this.#tokens + tokens);
+    this.#spent.cancel(1);
+    this.#bucketTokens = Math.min(this.#depth, this.#bucketTokens + 1);
+  }
+
+  /** Adds tokens that another instance gave up just now. */
+  receive(tokens: number): void {
+    this.#received.add(tokens, this.#advance() + MOVED_TOKEN_MILLISECONDS);
   }
 
   /** Gives whole tokens up for another instance, beyond what the own demand needs. */
   give(wanted: number): number {
-    this.#advance();
-    const spare = Math.floor(this.#tokens - this.#demandPerSecond * OWN_DEMAND_SECONDS);
+    const now = this.#advance();
+    const spare = Math.floor(this.#ownTokens - this.#demandPerSecond * OWN_DEMAND_SECONDS);
     const given = Math.max(0, Math.min(wanted, spare));
-    this.#tokens -= given;
+    const lapsesAt = now + MOVE_MILLISECONDS + MOVED_TOKEN_MILLISECONDS;
+    this.#given.add(given, lapsesAt + this.#windowMilliseconds);
+    this.#bucketTokens -= given;
     return given;
   }
 
-  /** Tokens to ask other instances for: the demand of a short time, as far as there is room. */
-  get wanted(): number {
-    this.#advance();
-    const room = Math.max(this.#depth, 1) - this.#tokens;
-    const needed = Math.max(1, this.#demandPerSecond * OWN_DEMAND_SECONDS);
-    return Math.max(1, Math.floor(Math.min(room, needed)));
+  /** Whole tokens of this part that the window and the bucket allow to spend. */
+  get #ownTokens(): number {
+    return Math.max(0, Math.min(this.#windowTokens, this.#bucketTokens));
+  }
+
+  get #windowTokens(): number {
+    return this.#partTokens - this.#spent.size - this.#given.size;
   }
 
-  get #programLevel(): number {
-    return Math.max(1, this.#depth * PROGRAM_LEVEL);
+  /** Whole tokens of this part in a window; the parts of all holders sum up to the whole. */
+  get #partTokens(): number {
+    const { perSecond, burst, windowSeconds, rank, holders } = this.#part;
+    const tokens = perSecond * windowSeconds + burst;
+    if (holders === 0) return 0;
+    return Math.floor((tokens * (rank + 1)) / holders) - Math.floor((tokens * rank) / holders);
   }
 
-  get #fullLevel(): number {
-    return Math.max(1, this.#depth * FULL_LEVEL);
+  get #windowMilliseconds(): number {
+    return this.#part.windowSeconds * MILLISECONDS;
   }
 
+  /** Tokens a second that can be spent for good. */
   get #flow(): number {
-    return this.#part.perSecond * this.#part.share;
+    return this.#partTokens / this.#part.windowSeconds;
   }
 
   get #depth(): number {
-    return this.#part.burst * this.#part.share;
+    const { burst, holders } = this.#part;
+    return holders === 0 ? 0 : Math.max(1, burst / holders);
+  }
+
+  /** A started instance doesn't know what it spent before, and takes all for spent evenly. */
+  #spendAll(): void {
+    const count = this.#partTokens / START_STEPS;
+    for (let step = 1; step <= START_STEPS; step += 1) {
+      const delay = (this.#windowMilliseconds * step) / START_STEPS;
+      this.#spent.add(count, this.#updatedAtMilliseconds + delay);
+    }
   }
 
-  #advance(): void {
+  /** Brings all up to now, and returns that time. */
+  #advance(): number {
     const now = performance.now();
     const seconds = (now - this.#updatedAtMilliseconds) / MILLISECONDS;
-    if (seconds <= 0) return;
+    if (seconds <= 0) return now;
     this.#updatedAtMilliseconds = now;
+    this.#spent.release(now);
+    this.#given.release(now);
+    this.#received.release(now);
     const decay = Math.exp(-seconds / DEMAND_WINDOW_SECONDS);
     this.#demandPerSecond *= decay;
-    this.#servedPerSecond *= decay;
-    if (this.#tokens >= this.#depth) return;
-    this.#tokens = Math.min(this.#depth, this.#tokens + this.#flow * seconds);
+    this.#bucketTokens = Math.min(this.#depth, this.#bucketTokens + this.#flow * seconds);
+    return now;
   }
 }
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -4,20 +4,25 @@
 import type { ConfigurationIndex } from '../configuration/configurationIndex';
 import type { FleetOrganisation, FleetRoute } from '../configuration/fleetConfiguration';
 import type { FleetState } from '../fleet/fleetState';
-import type { ProgramStage, QuotaDecision, QuotaGate } from '../quotas/quotaGate';
+import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
 import type { AnswerWriter } from './answerWriter';
 import { Call } from './call';
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
 import { readBody } from './readBody';
-import { SeenPrograms } from './seenPrograms';
 import type { Refusal } from './refusal';
 import type { WireCodec } from './wireCodec';
 
 /** Callers that came before the first configuration was read try again shortly. */
 const NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5;
 
+/** Programs are allowed about this many times less than their objective on idle targets. */
+const EXPECTED_PART_OF_OBJECTIVE = 0.6;
+
+/** Objective of a program whose caller names none. */
+const UNKNOWN_OBJECTIVE_MILLISECONDS = 4_000;
+
 /** Parts of a {@link CallGateway}. */
 export interface CallGatewayParts {
   readonly codec: WireCodec;
@@ -47,8 +52,6 @@
 export class CallGateway {
   readonly #parts: CallGatewayParts;
 
-  readonly #programs = new SeenPrograms();
-
   #underWay = 0;
 
   constructor(parts: CallGatewayParts) {
@@ -188,46 +191,42 @@
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
     if (!organisation?.rate) return this.#runWithinBudget(call);
-    const quota = await this.#takeQuota(call, organisation);
+    const programKey = call.envelope.program && programKeyOf(call);
+    const stage = this.#stageOf(call);
+    const quota = await this.#parts.quotas.take({ organisation, programKey, stage });
     if (quota.kind === 'refused') {
       const { retryAfterSeconds } = quota;
       this.#parts.logger.info('quota.refused', {
         request: call.envelope.id,
+        program: call.envelope.program?.id,
         organisation: organisation.name,
-        stage: this.#stageOf(call),
+        stage: stage.kind,
+        reason: quota.reason,
         perSecond: organisation.rate.perSecond,
         burst: organisation.rate.burst,
-        share: quota.share,
+        tokens: Math.floor(quota.tokens),
         demandPerSecond: Math.round(quota.demandPerSecond),
+        programs: quota.demand?.programs,
+        requestsPerProgramSecond: quota.demand?.requestsPerProgramSecond,
+        unspentTokens: quota.demand && Math.floor(quota.demand.unspentTokens),
         retryAfterSeconds,
       });
       return { kind: 'refused', refusal: { kind: 'over-rate', retryAfterSeconds } };
     }
     const admitted = call;
     admitted.quotaAtMilliseconds = call.ageMilliseconds;
-    if (call.envelope.program) this.#programs.note(programKeyOf(call));
     const result = await this.#runWithinBudget(call);
     if (call.ranAt.length === 0) quota.giveBack();
     return result;
   }
 
-  /** A program that seems new here, but has begun at another instance, isn't refused as new. */
-  async #takeQuota(call: Call, organisation: FleetOrganisation): Promise<QuotaDecision> {
-    const { quotas, budgets } = this.#parts;
-    const stage = this.#stageOf(call);
-    const quota = await quotas.take(organisation, stage);
-    if (quota.kind === 'taken' || stage === 'under-way') return quota;
-    const hasBegun = await budgets.hasBegun(programKeyOf(call));
-    return hasBegun ? quotas.take(organisation, 'under-way') : quota;
-  }
-
-  /** The first turn of a program's main line, as far as this instance has seen. */
+  /** A turn of a program's main line may be its first; what else a program sends comes later. */
   #stageOf(call: Call): ProgramStage {
     const { program, prompt } = call.envelope;
-    if (!program) return 'new-program';
-    const isMainLine = program.session === undefined || program.session === program.id;
-    const isFirst = isMainLine && prompt !== undefined && !this.#programs.has(programKeyOf(call));
-    return isFirst ? 'new-program' : 'under-way';
+    const isMainLine = program?.session === undefined || program.session === program.id;
+    if (!program || !prompt || !isMainLine) return { kind: 'under-way' };
+    const objective = program.finishMilliseconds ?? UNKNOWN_OBJECTIVE_MILLISECONDS;
+    return { kind: 'new-program', expectedMilliseconds: objective * EXPECTED_PART_OF_OBJECTIVE };
   }
 
   async #runWithinBudget(call: Call): Promise<CallResult> {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,9 @@
 /** Programs may return within a minute of their last turn. */
 const PROGRAM_RETENTION_MILLISECONDS = 90_000;
 
+/** Time within which nearly every program has ended. */
+const LONGEST_PROGRAM_MILLISECONDS = 20_000;
+
 const MILLISECONDS = 1_000;
 
 const DRAIN_CHECK_MILLISECONDS = 50;
@@ -92,7 +95,9 @@
     });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
-      share: () => this.#membership.share,
+      holding: () => this.#membership.holding,
+      windowSeconds: settings.quotaWindowSeconds,
+      hasBegun: async (programKey) => this.#isYoung && (await this.#budgets.hasBegun(programKey)),
       logger,
       metrics,
     });
@@ -216,6 +221,11 @@
     return this.#parts.settings.isFirstStart || isOld;
   }
 
+  /** Whether programs that began before this process may be under way still. */
+  get #isYoung(): boolean {
+    return process.uptime() * MILLISECONDS < LONGEST_PROGRAM_MILLISECONDS;
+  }
+
   #onConfiguration(configuration: FleetConfiguration): void {
     this.#ingress?.setTimes(configuration.limits);
     this.#quotas.apply(configuration);
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -17,10 +17,12 @@
   readinessPath: z.string().startsWith('/'),
   /** Address on which other instances are served, and which they are told. */
   peer: addressSchema,
-  /** Time between the request to stop and the end of the process, in milliseconds. */
   /** Whether the whole system starts for the first time, so that nothing happened before. */
   isFirstStart: z.boolean(),
+  /** Time between the request to stop and the end of the process, in milliseconds. */
   graceMilliseconds: z.number().positive(),
+  /** Window over which the operator measures the rates of organisations, in seconds. */
+  quotaWindowSeconds: z.number().positive(),
 });
 
 export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>;
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -8,6 +8,7 @@
   LendBudgetResponse_Outcome as LendOutcome,
 } from '@limpetnotch/peer-protocol';
 import type { LendBudgetResponse } from '@limpetnotch/peer-protocol';
+import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
 
 /** A request waits for tokens of peers; an answer within an availability zone takes 2 ms. */
@@ -46,7 +47,7 @@
   answer?.outcome === LendOutcome.LENT || answer?.outcome === LendOutcome.SPENT;
 
 /** Connections to the other instances. */
-export class FleetPeers {
+export class FleetPeers implements QuotaPeers {
   readonly #logger: Logger;
 
   readonly #metrics: Metrics;
@@ -96,6 +97,18 @@
     return received;
   }
 
+  /** Asks all peers at once what they know of an organisation's programs. */
+  async describeDemand(organisation: string, program: string): Promise<readonly PeerDemand[]> {
+    const answers = await Promise.all(
+      [...this.#peers.keys()].map((name) =>
+        this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
+          client.describeDemand({ organisation, program }, options),
+        ),
+      ),
+    );
+    return answers.filter((answer) => answer !== undefined);
+  }
+
   /** Has all peers give back what they hold of a budget; resolves when all answered or are late. */
   async releaseBudget(budget: string): Promise<number> {
     const released = await Promise.all(
--- a/packages/gateway/src/peers/fleetService.ts
+++ b/packages/gateway/src/peers/fleetService.ts
@@ -10,6 +10,7 @@
   budgets: EscrowBudgets,
 ): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, wanted }) => ({ given: quotas.give(organisation, wanted) }),
+  describeDemand: async ({ organisation, program }) => quotas.describe(organisation, program),
   lendBudget: async (request) => {
     const loan = await budgets.lend(request);
     switch (loan.kind) {
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -4,6 +4,7 @@
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
+import type { Holding } from '../quotas/holding';
 
 const PREFIX = 'limpetnotch/';
 const PRESENCE_PREFIX = `${PREFIX}instances/`;
@@ -81,10 +82,11 @@
     ];
   }
 
-  /** This instance's part of every rate, from 0 to 1; 0 until the others know of a new member. */
-  get share(): number {
-    if (!this.#hasShare) return 0;
-    return this.#members.includes(this.#parts.instance) ? 1 / this.#members.length : 0;
+  /** This instance's part of every rate; none until the others know of a new member. */
+  get holding(): Holding {
+    const rank = this.#members.indexOf(this.#parts.instance);
+    if (!this.#hasShare || rank === -1) return { rank: 0, holders: 0 };
+    return { rank, holders: this.#members.length };
   }
 
   /** Names of the other members, present or not. */
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -1,28 +1,43 @@
-import { SharedRate } from '@limpetnotch/admission';
-import type { RatePart } from '@limpetnotch/admission';
+import { createHash } from 'node:crypto';
+import { AdmittedPrograms, admitProgram, ProgramLoad, SharedRate } from '@limpetnotch/admission';
+import type { OrganisationDemand, RatePart } from '@limpetnotch/admission';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
-import type { FleetPeers } from '../peers/fleetPeers';
-import type { ProgramStage, QuotaDecision, QuotaGate } from './quotaGate';
+import type { Holding } from './holding';
+import type { PeerDemand, QuotaPeers } from './quotaPeers';
+import type { ProgramStage, QuotaDecision, QuotaGate, QuotaRequest } from './quotaGate';
+import { SeenPrograms } from './seenPrograms';
 
 /** Time after a fruitless round of questions before peers are asked again. */
-const FRUITLESS_PAUSE_MILLISECONDS = 150;
+const FRUITLESS_PAUSE_MILLISECONDS = 75;
 
-/** Peers are asked before the last token is spent, so that few requests wait for the answer. */
-const LOW_WATER_TOKENS = 3;
-
-/** Bounds of what a refused caller is told, in seconds. */
+/**
+ * Bounds of what a refused caller is told, in seconds. Programs have about half of their idle time
+ * to spare, a second or less, so that a later return is mostly in vain.
+ */
 const SHORTEST_RETRY_AFTER_SECONDS = 0.1;
-const LONGEST_RETRY_AFTER_SECONDS = 1;
+const LONGEST_RETRY_AFTER_SECONDS = 0.2;
+
+/** Rounds of questions for one request; others may take what the first ones brought. */
+const MAXIMUM_QUESTIONS = 4;
 
-/** Longest wait of a request of a program under way for its organisation's next token. */
+/** Longest wait of an admitted request for its organisation's next token. */
 const LONGEST_WAIT_MILLISECONDS = 300;
 
+/** Unspent part of this instance's tokens below which it asks the others before a program begins. */
+const PRESSED_UNSPENT_PART = 0.6;
+
+/** Part of the rate that programs admitted here, taken as typical, may need before it asks. */
+const PRESSED_DEMAND_PART = 0.5;
+
 const MILLISECONDS = 1_000;
 
 interface OrganisationRate {
   readonly rate: SharedRate;
+  readonly programs: AdmittedPrograms;
+  /** Requests that found no token here. */
+  short: number;
   /** Requests that wait for a token, one after another. */
   waiting: number;
   lastTurn: Promise<void>;
@@ -32,19 +47,41 @@
 
 /** Parts of {@link SharedQuotas}. */
 export interface SharedQuotasParts {
-  readonly peers: FleetPeers;
-  /** This instance's part of every rate, from 0 to 1. */
-  readonly share: () => number;
+  readonly peers: QuotaPeers;
+  /** This instance's part of every rate. */
+  readonly holding: () => Holding;
+  /** Window over which the operator measures rates, in seconds. */
+  readonly windowSeconds: number;
+  /** Whether a program that no instance remembers has begun all the same, before a restart. */
+  readonly hasBegun: (programKey: string) => Promise<boolean>;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
-/** Holds organisations to their rates by equal parts of the instances, and moves tokens on demand. */
+type Refused = Extract<QuotaDecision, { kind: 'refused' }>;
+
+const OFFSET_BYTES = 4;
+
+const offsetOf = (organisation: string): number =>
+  createHash('md5').update(organisation).digest().readUIntBE(0, OFFSET_BYTES);
+
+const clampRetryAfter = (seconds: number): number =>
+  Math.min(LONGEST_RETRY_AFTER_SECONDS, Math.max(SHORTEST_RETRY_AFTER_SECONDS, seconds));
+
+/**
+ * Holds organisations to their rates by equal parts of the instances, and moves tokens on demand.
+ * Where an organisation's programs need more than its rate, the instances count them together and
+ * refuse new ones, so that those under way can end.
+ */
 export class SharedQuotas implements QuotaGate {
   readonly #parts: SharedQuotasParts;
 
   readonly #rates = new Map<string, OrganisationRate>();
 
+  readonly #seen = new SeenPrograms();
+
+  readonly #load = new ProgramLoad();
+
   constructor(parts: SharedQuotasParts) {
     this.#parts = parts;
   }
@@ -61,42 +98,134 @@
     });
   }
 
-  async take(organisation: FleetOrganisation, stage: ProgramStage): Promise<QuotaDecision> {
+  async take({ organisation, programKey, stage }: QuotaRequest): Promise<QuotaDecision> {
     const entry = this.#rateOf(organisation);
-    const { rate } = entry;
-    rate.noteDemand();
-    if (entry.waiting === 0 && this.#takeNow(rate, stage)) {
-      if (rate.tokens < LOW_WATER_TOKENS) void this.#ask(organisation, entry);
-      return this.#taken(rate);
+    entry.rate.noteDemand();
+    const begins = this.#begins(programKey, stage);
+    if (begins && this.#isPressed(entry, organisation)) {
+      const refused = await this.#refuseProgram(organisation, entry, programKey);
+      if (refused) return refused;
     }
-    await this.#ask(organisation, entry);
-    if (entry.waiting === 0 && this.#takeNow(rate, stage)) return this.#taken(rate);
-    if (stage === 'under-way' && (await this.#waitForToken(entry))) return this.#taken(rate);
-    return this.#refused(rate, stage);
-  }
-
-  #takeNow(rate: SharedRate, stage: ProgramStage): boolean {
-    switch (stage) {
-      case 'new-program':
-        return rate.hasRoomForProgram && rate.take();
-      case 'under-way':
-        return rate.take();
+    if (!(await this.#takeToken(organisation, entry))) return this.#noToken(entry);
+    if (begins) this.#noteProgram(entry, stage);
+    if (programKey !== undefined) {
+      this.#seen.note(programKey);
+      this.#load.noteRequest();
     }
+    return { kind: 'taken', giveBack: () => entry.rate.putBack() };
+  }
+
+  /** Gives tokens up for a peer. */
+  give(organisationName: string, wanted: number): number {
+    return this.#rates.get(organisationName)?.rate.give(wanted) ?? 0;
+  }
+
+  /** Tells a peer what this instance knows of an organisation's programs. */
+  describe(organisationName: string, programKey: string): PeerDemand {
+    const entry = this.#rates.get(organisationName);
+    return {
+      programs: entry?.programs.count ?? 0,
+      unspentTokens: Math.floor(entry?.rate.unspentTokens ?? 0),
+      isProgramKnown: this.#seen.has(programKey),
+    };
+  }
+
+  /** Whether this may be a program's first request, as far as this instance has seen. */
+  #begins(programKey: string | undefined, stage: ProgramStage): boolean {
+    if (stage.kind === 'under-way' || programKey === undefined) return false;
+    return !this.#seen.has(programKey);
   }
 
-  #taken(rate: SharedRate): QuotaDecision {
-    return { kind: 'taken', giveBack: () => rate.receive(1) };
+  #noteProgram(entry: OrganisationRate, stage: ProgramStage): void {
+    if (stage.kind !== 'new-program') return;
+    entry.programs.add(stage.expectedMilliseconds);
+    this.#load.noteProgram(stage.expectedMilliseconds);
   }
 
-  #refused(rate: SharedRate, stage: ProgramStage): QuotaDecision {
-    const { demandPerSecond } = rate;
-    const seconds =
-      stage === 'new-program' ? rate.secondsToRoomForProgram : rate.secondsToNextToken;
-    const retryAfterSeconds = Math.min(
-      LONGEST_RETRY_AFTER_SECONDS,
-      Math.max(SHORTEST_RETRY_AFTER_SECONDS, seconds),
-    );
-    return { kind: 'refused', retryAfterSeconds, share: this.#parts.share(), demandPerSecond };
+  /** Whether the organisation may be near its rate, judged by what this instance alone knows. */
+  #isPressed({ rate, programs }: OrganisationRate, organisation: FleetOrganisation): boolean {
+    if (rate.unspentPart < PRESSED_UNSPENT_PART) return true;
+    const { holders } = this.#parts.holding();
+    const demand = programs.count * holders * this.#load.requestsPerProgramSecond;
+    return demand > this.#tokensPerSecond(organisation) * PRESSED_DEMAND_PART;
+  }
+
+  /** Returns why a program may not begin, judged by what all instances know; undefined if it may. */
+  async #refuseProgram(
+    organisation: FleetOrganisation,
+    entry: OrganisationRate,
+    programKey = '',
+  ): Promise<Refused | undefined> {
+    const { peers, hasBegun } = this.#parts;
+    const answers = await peers.describeDemand(organisation.name, programKey);
+    if (answers.some(({ isProgramKnown }) => isProgramKnown)) return undefined;
+    const demand = this.#demandOf(organisation, entry, answers);
+    const decision = admitProgram(demand);
+    if (decision.kind === 'admitted' || (await hasBegun(programKey))) return undefined;
+    return {
+      kind: 'refused',
+      reason: decision.reason,
+      retryAfterSeconds: clampRetryAfter(entry.programs.secondsToNextEnd ?? 0),
+      tokens: entry.rate.tokens,
+      demandPerSecond: entry.rate.demandPerSecond,
+      demand,
+    };
+  }
+
+  #demandOf(
+    organisation: FleetOrganisation,
+    { rate, programs }: OrganisationRate,
+    answers: readonly PeerDemand[],
+  ): OrganisationDemand {
+    const { holders } = this.#parts.holding();
+    // What is held by an instance that doesn't answer can't be spent.
+    const reachablePart = Math.min(1, (1 + answers.length) / Math.max(1, holders));
+    const tokensPerSecond = this.#tokensPerSecond(organisation) * reachablePart;
+    return {
+      programs: answers.reduce((sum, answer) => sum + answer.programs, programs.count),
+      unspentTokens: answers.reduce(
+        (sum, answer) => sum + answer.unspentTokens,
+        rate.unspentTokens,
+      ),
+      windowTokens: tokensPerSecond * this.#parts.windowSeconds,
+      tokensPerSecond,
+      requestsPerProgramSecond: this.#load.requestsPerProgramSecond,
+    };
+  }
+
+  #tokensPerSecond({ rate }: FleetOrganisation): number {
+    return (rate?.perSecond ?? 0) + (rate?.burst ?? 0) / this.#parts.windowSeconds;
+  }
+
+  #noToken({ rate }: OrganisationRate): Refused {
+    return {
+      kind: 'refused',
+      reason: 'no-token',
+      retryAfterSeconds: clampRetryAfter(rate.secondsToNextToken),
+      tokens: rate.tokens,
+      demandPerSecond: rate.demandPerSecond,
+      demand: undefined,
+    };
+  }
+
+  /** Takes a token held here, or one of a peer, or waits shortly for the next one. */
+  async #takeToken(organisation: FleetOrganisation, entry: OrganisationRate): Promise<boolean> {
+    if (entry.waiting === 0 && entry.rate.take()) return true;
+    const shared = entry;
+    shared.short += 1;
+    const isObtained = await this.#askForToken(organisation, entry);
+    shared.short -= 1;
+    return isObtained || this.#waitForToken(entry);
+  }
+
+  /** Asks peers until they give a token to this request, or none at all. */
+  async #askForToken(organisation: FleetOrganisation, entry: OrganisationRate): Promise<boolean> {
+    for (let round = 0; round < MAXIMUM_QUESTIONS; round += 1) {
+      if (performance.now() < entry.askAgainAtMilliseconds) return false;
+      await this.#ask(organisation, entry);
+      if (entry.rate.take()) return true;
+    }
+    return false;
   }
 
   /** Waits in line for a token; returns false at once where the line is too long. */
@@ -113,14 +242,8 @@
     return rate.take();
   }
 
-  /** Gives tokens up for a peer. */
-  give(organisationName: string, wanted: number): number {
-    return this.#rates.get(organisationName)?.rate.give(wanted) ?? 0;
-  }
-
   #ask(organisation: FleetOrganisation, entry: OrganisationRate): Promise<void> {
     if (entry.asking) return entry.asking;
-    if (performance.now() < entry.askAgainAtMilliseconds) return Promise.resolve();
     // The entry is shared by all requests of the organisation that wait for the same answer.
     const asked = entry;
     asked.asking = this.#askPeers(organisation.name, entry).finally(() => {
@@ -130,8 +253,7 @@
   }
 
   async #askPeers(name: string, entry: OrganisationRate): Promise<void> {
-    const { wanted } = entry.rate;
-    const received = await this.#parts.peers.takeTokens(name, wanted);
+    const received = await this.#parts.peers.takeTokens(name, Math.max(1, entry.short));
     entry.rate.receive(received);
     this.#parts.metrics.increment('quota.tokens-received', received);
     const asked = entry;
@@ -145,6 +267,8 @@
     if (known) return known;
     const entry: OrganisationRate = {
       rate: new SharedRate(this.#partOf(organisation)),
+      programs: new AdmittedPrograms(),
+      short: 0,
       waiting: 0,
       lastTurn: Promise.resolve(),
       asking: undefined,
@@ -154,11 +278,15 @@
     return entry;
   }
 
-  #partOf({ rate }: FleetOrganisation): RatePart {
+  /** Ranks differ from one organisation to the next, so that single tokens are spread evenly. */
+  #partOf({ name, rate }: FleetOrganisation): RatePart {
+    const { holders, rank } = this.#parts.holding();
     return {
       perSecond: rate?.perSecond ?? 0,
       burst: rate?.burst ?? 0,
-      share: this.#parts.share(),
+      windowSeconds: this.#parts.windowSeconds,
+      holders,
+      rank: holders === 0 ? 0 : (rank + offsetOf(name)) % holders,
     };
   }
 }
