Grant new programs their part of the budget while the store and a member are away

Change: entries announce programs that begin; a restarted one reads the keys of all budgets. A program that is new to all members that answer is trusted with their part of the members. Peers are asked at once, and one that failed twice is left alone for a second. Nobody takes tokens from the store for a program that has begun elsewhere and isn't recorded.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -1,19 +1,12 @@
-import { createHash, randomUUID } from 'node:crypto';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { EscrowAccount } from '@limpetnotch/programs';
-import type { KeyValueStore, StoreEntry } from '@limpetnotch/store';
-import { compareAndSwapUntilKnown } from '@limpetnotch/store';
-import { z } from 'zod';
+import type { KeyValueStore } from '@limpetnotch/store';
+import { RecentKeys } from '../util/recentKeys';
 import type { BudgetDecision, BudgetGate, BudgetRequest } from './budgetGate';
+import { BudgetLedger } from './budgetLedger';
+import type { LedgerOutcome } from './budgetLedger';
 import type { Loan, LoanAnswer, LoanRequest } from './loan';
-
-const PREFIX = 'budgets/';
-
-/** A turn waits at most this long for the store, which answers in milliseconds when in good order. */
-const GRANT_TIMEOUT_MILLISECONDS = 450;
-
-/** After a failed call one turn in this time tries the store again; the others ask peers. */
-const PROBE_MILLISECONDS = 300;
+import type { ProgramBudget } from './programBudget';
+import { budgetKeyOf, createProgramBudget, serialise } from './programBudget';
 
 /** Part of what is held that a loan takes, so that a program that has moved needs few of them. */
 const PART_LENT = 0.5;
@@ -39,34 +32,7 @@
 /** An account without turns for this long is forgotten; programs may return after a minute. */
 const ACCOUNT_IDLE_MILLISECONDS = 120_000;
 
-const stateSchema = z.object({
-  limitTokens: z.number().int(),
-  grantedTokens: z.number().int(),
-  /** Identifies the write, so that a writer whose answer was lost knows its own. */
-  writeId: z.string(),
-});
-
-type StoredState = z.infer<typeof stateSchema>;
-
-interface ProgramBudget {
-  readonly account: EscrowAccount;
-  /** State and revision of the store as last seen; undefined where nothing was seen. */
-  seen: { readonly state: StoredState; readonly revision: number } | undefined;
-  /** Ends when the last change of this program's key has ended. */
-  changing: Promise<unknown>;
-  usedAtMilliseconds: number;
-  /** Tokens granted while the store was out of reach, which it doesn't know of yet. */
-  unrecordedTokens: number;
-  /** Until then the store is not asked again whether it knows the program. */
-  absentUntilMilliseconds: number;
-  /** Whether a turn was ever granted tokens here. */
-  hasGranted: boolean;
-  /** Turns that wait for tokens. */
-  acquiring: number;
-  unrecordedLimit: number;
-  /** Until then the budget is taken for spent by turns of this size or larger. */
-  spent: { readonly untilMilliseconds: number; readonly turnTokens: number } | undefined;
-}
+type Obtained = 'reserved' | 'spent' | 'unavailable';
 
 /** Parts of {@link EscrowBudgets}. */
 export interface EscrowBudgetsParts {
@@ -75,38 +41,35 @@
   readonly metrics: Metrics;
   /** Asks the other instances for tokens that this one can't get from the store. */
   readonly borrow: (request: LoanRequest) => Promise<Loan>;
-  /** Whether this instance remembers every program that it ever granted tokens to. */
-  readonly isMemoryWhole: () => boolean;
+  /** Tells the other instances that a program has begun here. */
+  readonly announce: (budgetKey: string) => void;
   /** Has the other instances give back what they hold of a budget; resolves to how much it was. */
   readonly recall: (budgetKey: string) => Promise<number>;
+  /** Whether no earlier process of this instance can have granted tokens. */
+  readonly isFirstProcess: () => boolean;
+  /** Instances that may grant tokens, this one included, present or not. */
+  readonly memberCount: () => number;
 }
 
-const keyOf = (programId: string): string =>
-  `${PREFIX}${createHash('sha256').update(programId).digest('base64url')}`;
-
-const parseState = (entry: StoreEntry): StoredState | undefined => {
-  try {
-    return stateSchema.parse(JSON.parse(entry.value));
-  } catch {
-    // The caller treats a state that can't be read as a budget that can't be granted.
-    return undefined;
-  }
-};
-
 /** Token budgets of programs, in escrow: one key of the store for each program. */
 export class EscrowBudgets implements BudgetGate {
   readonly #parts: EscrowBudgetsParts;
 
+  readonly #ledger: BudgetLedger;
+
   /** In the order of their last use. */
   readonly #budgets = new Map<string, ProgramBudget>();
 
-  /** When the store may be tried again; undefined while it answers. */
-  #nextProbeMilliseconds: number | undefined;
+  /** Budgets of programs that have begun, here or elsewhere. */
+  readonly #begun = new RecentKeys(MAXIMUM_ACCOUNTS);
+
+  #hasListed = false;
 
   #isCutOff = false;
 
   constructor(parts: EscrowBudgetsParts) {
     this.#parts = parts;
+    this.#ledger = new BudgetLedger(parts);
   }
 
   /** Whether the last turn that needed tokens got them neither from the store nor from a peer. */
@@ -115,16 +78,16 @@
   }
 
   async reserve(request: BudgetRequest): Promise<BudgetDecision> {
-    const key = keyOf(request.programId);
-    const budget = this.#budgetOf(key);
+    const budget = this.#budgetOf(budgetKeyOf(request.programId));
+    budget.limitTokens = request.limitTokens;
     if (!budget.account.reserve(request.turnTokens)) {
       budget.acquiring += 1;
-      const obtained = await this.#serialised(budget, () => this.#acquire(key, budget, request));
+      const obtained = await serialise(budget, () => this.#acquire(budget, request));
       budget.acquiring -= 1;
       this.#isCutOff = obtained === 'unavailable';
       if (obtained !== 'reserved') return this.#refusalOf(obtained);
     }
-    budget.hasGranted = true;
+    this.#noteGrant(budget);
     return {
       kind: 'reserved',
       settle: (usedTokens) => budget.account.settle(request.turnTokens, usedTokens),
@@ -132,69 +95,58 @@
   }
 
   async hasBegun(programId: string): Promise<boolean> {
-    const key = keyOf(programId);
+    const key = budgetKeyOf(programId);
+    if (this.#begun.has(key)) return true;
     const budget = this.#budgetOf(key);
-    if (budget.seen || budget.hasGranted) return true;
-    if (performance.now() < budget.absentUntilMilliseconds || this.#isStoreSuspect) return false;
-    await this.#serialised(budget, () => this.#refresh(key, budget));
+    if (budget.seen) return true;
+    if (performance.now() < budget.absentUntilMilliseconds) return false;
+    if (!this.#ledger.isReachable()) return false;
+    await serialise(budget, () => this.#ledger.refresh(budget));
     budget.absentUntilMilliseconds = performance.now() + ABSENT_MILLISECONDS;
     return budget.seen !== undefined;
   }
 
-  /** Gives back to the store what this instance holds of a budget; resolves to how much it was. */
-  async release(key: string): Promise<number> {
-    const budget = this.#budgets.get(key);
-    if (!budget || budget.account.heldTokens === 0) return 0;
-    return this.#serialised(budget, () => this.#giveBack(key, budget));
+  /** Remembers that a program has begun at another instance. */
+  noteBegun(key: string): void {
+    this.#begun.note(key);
   }
 
-  /** Writes what is held back to the store; other instances may do the same at the same time. */
-  async #giveBack(key: string, budget: ProgramBudget): Promise<number> {
-    for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
-      const tokens = budget.account.withdraw();
-      if (tokens === 0) return 0;
-      const written = await this.#change(key, budget, -tokens);
-      if (written === 'done') return tokens;
-      // Where the outcome is unknown the tokens are lost to the program, and never spent twice.
-      if (written === 'failed') return 0;
-      budget.account.receive(tokens);
-    }
-    return 0;
-  }
-
-  #refusalOf(reason: 'spent' | 'unavailable'): BudgetDecision {
-    return reason === 'spent'
-      ? { kind: 'spent' }
-      : { kind: 'unavailable', retryAfterSeconds: RETRY_AFTER_SECONDS };
+  /**
+   * Learns from the store which programs have begun, as an earlier process of this instance may
+   * have granted tokens; returns whether the store answered.
+   */
+  async learnBegun(): Promise<boolean> {
+    const keys = await this.#ledger.listKeys();
+    if (!keys) return false;
+    keys.forEach((key) => this.#begun.note(key));
+    this.#hasListed = true;
+    return true;
   }
 
-  async #serialised<Value>(budget: ProgramBudget, work: () => Promise<Value>): Promise<Value> {
-    const done = budget.changing.then(work);
-    const entry = budget;
-    entry.changing = done.catch(() => undefined);
-    return done;
+  /** Gives back to the store what this instance holds of a budget; resolves to how much it was. */
+  async release(key: string): Promise<number> {
+    const budget = this.#budgets.get(key);
+    if (!budget || budget.account.heldTokens === 0) return 0;
+    return serialise(budget, () => this.#giveBack(budget));
   }
 
   /** Lends tokens to another instance: of what is held here, or, if it may, from the store. */
   async lend(request: LoanRequest): Promise<LoanAnswer> {
     const { budget: key, limitTokens, turnTokens, mayUseStore } = request;
-    const isKnown = this.#isKnown(this.#budgets.get(key));
-    const canUseStore = mayUseStore && !this.#isStoreSuspect;
-    if (!isKnown && !canUseStore) {
-      return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
-    }
+    const isHeld = (this.#budgets.get(key)?.account.heldTokens ?? 0) >= turnTokens;
+    const canUseStore = this.#ledger.isReachable();
+    if (!isHeld && !(mayUseStore && canUseStore)) return this.#nothingToLend(key);
     const budget = this.#budgetOf(key);
-    return this.#serialised(budget, async (): Promise<LoanAnswer> => {
+    budget.limitTokens = limitTokens;
+    return serialise(budget, async (): Promise<LoanAnswer> => {
       const { account } = budget;
       const tokens = Math.max(turnTokens, Math.floor(account.heldTokens * PART_LENT));
-      const turn = { programId: key, limitTokens, turnTokens: tokens, isContinuation: true };
-      const obtained = canUseStore
-        ? await this.#obtain(key, budget, turn)
-        : this.#reserveHeld(account, tokens);
+      const obtained =
+        mayUseStore && canUseStore
+          ? await this.#obtain(budget, { programId: key, turnTokens: tokens })
+          : this.#reserveHeld(budget, tokens);
       if (obtained === 'spent') return { kind: 'spent' };
-      if (obtained !== 'reserved') {
-        return { kind: 'none', isKnown, isMemoryWhole: this.#parts.isMemoryWhole() };
-      }
+      if (obtained === 'unavailable') return this.#nothingToLend(key);
       account.settle(tokens, tokens);
       return { kind: 'lent', tokens };
     });
@@ -202,136 +154,168 @@
 
   /** Writes to the store what was granted while it was out of reach. */
   async recordGrants(): Promise<void> {
-    const unrecorded = [...this.#budgets].filter(
-      ([, { unrecordedTokens }]) => unrecordedTokens > 0,
+    const unrecorded = [...this.#budgets.values()].filter(
+      ({ unrecordedTokens }) => unrecordedTokens > 0,
     );
-    for (const [key, budget] of unrecorded) {
-      const written = await this.#serialised(budget, () => this.#record(key, budget));
+    for (const budget of unrecorded) {
+      const written = await serialise(budget, () => this.#record(budget));
       if (written === 'failed') return;
     }
   }
 
-  async #record(key: string, budget: ProgramBudget): Promise<'done' | 'conflict' | 'failed'> {
+  async #record(budget: ProgramBudget): Promise<LedgerOutcome> {
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (budget.unrecordedTokens === 0) return 'done';
-      const written = await this.#change(key, budget, 0, budget.unrecordedLimit);
+      const written = await this.#ledger.change(budget, 0);
       if (written !== 'conflict') return written;
     }
     return 'conflict';
   }
 
-  get #isStoreSuspect(): boolean {
-    return this.#nextProbeMilliseconds !== undefined;
+  /** Writes what is held back to the store; other instances may do the same at the same time. */
+  async #giveBack(budget: ProgramBudget): Promise<number> {
+    for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
+      const tokens = budget.account.withdraw();
+      if (tokens === 0) return 0;
+      const written = await this.#ledger.change(budget, -tokens);
+      if (written === 'done') return tokens;
+      // Where the outcome is unknown the tokens are lost to the program, and never spent twice.
+      if (written === 'failed') return 0;
+      budget.account.receive(tokens);
+    }
+    return 0;
+  }
+
+  #noteGrant(budget: ProgramBudget): void {
+    if (budget.hasGranted) return;
+    const granted = budget;
+    granted.hasGranted = true;
+    const isNews = !this.#begun.has(budget.key);
+    this.#begun.note(budget.key);
+    if (isNews) this.#parts.announce(budget.key);
   }
 
-  /** Whether a turn may try the store: always while it answers, else once in a while. */
-  #mayTryStore(): boolean {
-    if (this.#nextProbeMilliseconds === undefined) return true;
-    if (performance.now() < this.#nextProbeMilliseconds) return false;
-    this.#suspectStore();
-    return true;
+  #refusalOf(reason: 'spent' | 'unavailable'): BudgetDecision {
+    return reason === 'spent'
+      ? { kind: 'spent' }
+      : { kind: 'unavailable', retryAfterSeconds: RETRY_AFTER_SECONDS };
   }
 
-  #suspectStore(): void {
-    this.#nextProbeMilliseconds = performance.now() + PROBE_MILLISECONDS;
+  #nothingToLend(key: string): LoanAnswer {
+    return {
+      kind: 'none',
+      isKnown: this.#isKnown(key),
+      isMemoryWhole: this.#isMemoryWhole,
+      canUseStore: this.#ledger.isReachable(),
+    };
   }
 
   /** A program whose first turn waits here counts as known, so that two never trust it at once. */
-  #isKnown(budget: ProgramBudget | undefined): boolean {
-    if (!budget) return false;
-    return budget.hasGranted || budget.acquiring > 0 || budget.seen !== undefined;
+  #isKnown(key: string): boolean {
+    const budget = this.#budgets.get(key);
+    if (this.#begun.has(key)) return true;
+    return budget !== undefined && (budget.acquiring > 0 || budget.seen !== undefined);
+  }
+
+  /** Whether this instance knows every program that its member has granted tokens to. */
+  get #isMemoryWhole(): boolean {
+    return this.#hasListed || this.#parts.isFirstProcess();
   }
 
-  #reserveHeld(account: EscrowAccount, tokens: number): 'reserved' | 'unavailable' {
+  #reserveHeld({ account }: ProgramBudget, tokens: number): 'reserved' | 'unavailable' {
     return account.reserve(tokens) ? 'reserved' : 'unavailable';
   }
 
   /** Takes tokens from the store, from a peer, or, for a program that is new to all, on trust. */
-  async #acquire(
-    key: string,
-    budget: ProgramBudget,
-    request: BudgetRequest,
-  ): Promise<'reserved' | 'spent' | 'unavailable'> {
+  async #acquire(budget: ProgramBudget, request: BudgetRequest): Promise<Obtained> {
     const { account } = budget;
     if (account.reserve(request.turnTokens)) return 'reserved';
     const isMoved = request.isContinuation && !budget.hasGranted;
-    if (isMoved && (await this.#borrowHeld(key, budget, request))) return 'reserved';
-    if (this.#mayTryStore()) {
-      const obtained = await this.#obtain(key, budget, request);
+    if (isMoved && (await this.#borrowHeld(budget, request.turnTokens))) return 'reserved';
+    if (this.#ledger.isReachable()) {
+      const obtained = await this.#obtain(budget, request);
       if (obtained !== 'unavailable') return obtained;
     }
-    const { limitTokens, turnTokens } = request;
-    const wanted = { budget: key, limitTokens, turnTokens, mayUseStore: true };
-    const loan = await this.#parts.borrow(wanted);
+    const loan = await this.#borrow(budget, request.turnTokens, true);
     switch (loan.kind) {
       case 'lent':
-        account.receive(loan.tokens);
-        return this.#reserveHeld(account, turnTokens);
+        return this.#reserveHeld(budget, request.turnTokens);
       case 'spent':
         return 'spent';
       case 'none':
-        return loan.isUnknownToAll ? this.#grantOnTrust(budget, request) : 'unavailable';
+        return loan.mayHaveBegun ? 'unavailable' : this.#trust(budget, request, loan.answers);
     }
   }
 
-  /** Borrows what a peer holds for a program that has moved here, which costs no call to the store. */
-  async #borrowHeld(
-    key: string,
-    { account }: ProgramBudget,
-    { limitTokens, turnTokens }: BudgetRequest,
-  ): Promise<boolean> {
-    const wanted = { budget: key, limitTokens, turnTokens, mayUseStore: false };
-    const loan = await this.#parts.borrow(wanted);
+  async #borrow(budget: ProgramBudget, turnTokens: number, mayUseStore: boolean): Promise<Loan> {
+    const { key, limitTokens, account } = budget;
+    const loan = await this.#parts.borrow({ budget: key, limitTokens, turnTokens, mayUseStore });
     if (loan.kind === 'lent') account.receive(loan.tokens);
-    return account.reserve(turnTokens);
+    return loan;
+  }
+
+  /** Borrows what a peer holds for a program that has moved here, which costs no call to the store. */
+  async #borrowHeld(budget: ProgramBudget, turnTokens: number): Promise<boolean> {
+    await this.#borrow(budget, turnTokens, false);
+    return budget.account.reserve(turnTokens);
   }
 
   /**
-   * Grants a program's whole budget without the store: all members are up since they began to
-   * remember, and none has seen the program. The store is told once it is back.
+   * Grants a part of a program's budget without the store: no member that answered has seen it,
+   * and all tell each other of the programs that begin. Members that don't answer may do the same
+   * among themselves, so that each side grants no more than its part of the members. The store is
+   * told once it is back.
    */
-  #grantOnTrust(
+  #trust(
     budget: ProgramBudget,
     { programId, limitTokens, turnTokens }: BudgetRequest,
+    answers: number,
   ): 'reserved' | 'unavailable' {
-    const isNew = budget.seen === undefined && budget.unrecordedTokens === 0;
-    if (!isNew || budget.account.reservedTokens > 0 || !this.#parts.isMemoryWhole()) {
-      return 'unavailable';
-    }
+    const isNew = !this.#begun.has(budget.key) && budget.seen === undefined;
+    if (!isNew || !this.#isMemoryWhole) return 'unavailable';
+    const members = Math.max(1, this.#parts.memberCount());
+    const part = Math.min(1, (answers + 1) / members);
+    const tokens = Math.floor(limitTokens * part);
+    if (tokens < turnTokens) return 'unavailable';
     const trusted = budget;
-    trusted.unrecordedTokens = limitTokens;
-    trusted.unrecordedLimit = limitTokens;
-    budget.account.receive(limitTokens);
-    this.#parts.logger.info('budget.granted-on-trust', { program: programId, limitTokens });
-    return this.#reserveHeld(budget.account, turnTokens);
+    trusted.unrecordedTokens = tokens;
+    budget.account.receive(tokens);
+    this.#parts.logger.info('budget.granted-on-trust', {
+      program: programId,
+      limitTokens,
+      tokens,
+      answers,
+      members,
+    });
+    return this.#reserveHeld(budget, turnTokens);
   }
 
   /** Takes tokens from the store until the turn's are reserved, or it is known that there are none. */
   async #obtain(
-    key: string,
     budget: ProgramBudget,
-    request: BudgetRequest,
-  ): Promise<'reserved' | 'spent' | 'unavailable'> {
-    const { programId, limitTokens, turnTokens } = request;
+    { programId, turnTokens }: { readonly programId: string; readonly turnTokens: number },
+  ): Promise<Obtained> {
+    const { account, limitTokens } = budget;
+    if (!(await this.#isRecorded(budget))) return 'unavailable';
     let hasRecalled = false;
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
-      if (budget.account.reserve(turnTokens)) return 'reserved';
+      if (account.reserve(turnTokens)) return 'reserved';
       if (this.#isSpent(budget, turnTokens)) return 'spent';
       const state = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
-      const plan = budget.account.plan(turnTokens, state);
+      const plan = account.plan(turnTokens, state);
       if (plan.kind === 'exhausted') {
         if (hasRecalled) return this.#noteSpent(programId, budget, turnTokens);
         hasRecalled = true;
-        await this.#parts.recall(key);
-        if (!(await this.#refresh(key, budget))) return 'unavailable';
+        await this.#parts.recall(budget.key);
+        if (!(await this.#ledger.refresh(budget))) return 'unavailable';
       }
       if (plan.kind === 'take') {
         const wasUnseen = budget.seen === undefined;
-        const written = await this.#change(key, budget, plan.tokens, limitTokens);
-        if (written === 'done') budget.account.receive(plan.tokens);
+        const written = await this.#ledger.change(budget, plan.tokens);
+        if (written === 'done') account.receive(plan.tokens);
         if (written === 'failed') return 'unavailable';
         // The program has begun at a peer, which mostly holds enough for both.
-        if (written === 'conflict' && wasUnseen && (await this.#borrowHeld(key, budget, request))) {
+        if (written === 'conflict' && wasUnseen && (await this.#borrowHeld(budget, turnTokens))) {
           return 'reserved';
         }
       }
@@ -339,6 +323,16 @@
     return 'unavailable';
   }
 
+  /**
+   * Whether the store knows what was granted of this budget so far. A program that has begun at a
+   * peer while the store was out of reach is recorded by that peer alone, which lends meanwhile.
+   */
+  async #isRecorded(budget: ProgramBudget): Promise<boolean> {
+    const isOwn = budget.hasGranted || budget.seen !== undefined;
+    if (isOwn || !this.#begun.has(budget.key)) return true;
+    return (await this.#ledger.refresh(budget)) && budget.seen !== undefined;
+  }
+
   #isSpent({ spent }: ProgramBudget, turnTokens: number): boolean {
     return (
       spent !== undefined &&
@@ -362,83 +356,9 @@
     return 'spent';
   }
 
-  /** Reads the state anew; returns false where the store gave none. */
-  async #refresh(key: string, budget: ProgramBudget): Promise<boolean> {
-    const read = await this.#parts.store.read(key);
-    if (read.isErr()) {
-      this.#suspectStore();
-      return false;
-    }
-    this.#nextProbeMilliseconds = undefined;
-    return this.#see(budget, read.value);
-  }
-
-  #see(budget: ProgramBudget, entry: StoreEntry | undefined): boolean {
-    const state = entry && parseState(entry);
-    if (entry && !state) {
-      this.#parts.logger.error('budget.unreadable', { key: entry.key, revision: entry.revision });
-      return false;
-    }
-    const known = budget;
-    known.seen = entry && state ? { state, revision: entry.revision } : undefined;
-    return true;
-  }
-
-  /** Changes the granted tokens by one compare-and-swap. */
-  async #change(
-    key: string,
-    budget: ProgramBudget,
-    tokens: number,
-    limitTokens = 0,
-  ): Promise<'done' | 'conflict' | 'failed'> {
-    const { store, metrics, logger } = this.#parts;
-    const before = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
-    const state: StoredState = {
-      limitTokens: before.limitTokens,
-      grantedTokens: Math.max(0, before.grantedTokens + budget.unrecordedTokens + tokens),
-      writeId: randomUUID(),
-    };
-    metrics.increment('budget.writes');
-    const written = await compareAndSwapUntilKnown({
-      store,
-      request: {
-        key,
-        expectedRevision: budget.seen?.revision ?? 0,
-        value: JSON.stringify(state),
-      },
-      isOwnWrite: (entry) => parseState(entry)?.writeId === state.writeId,
-      signal: AbortSignal.timeout(GRANT_TIMEOUT_MILLISECONDS),
-    });
-    const known = budget;
-    if (written.isErr()) {
-      this.#suspectStore();
-      logger.info('budget.write-failed', { error: written.error.kind, tokens });
-      return 'failed';
-    }
-    if (written.value.kind === 'swapped') {
-      known.seen = { state, revision: written.value.revision };
-      known.unrecordedTokens = 0;
-      this.#nextProbeMilliseconds = undefined;
-      return 'done';
-    }
-    this.#nextProbeMilliseconds = undefined;
-    return this.#see(budget, written.value.current) ? 'conflict' : 'failed';
-  }
-
   #budgetOf(key: string): ProgramBudget {
     const known = this.#budgets.get(key);
-    const budget: ProgramBudget = known ?? {
-      account: new EscrowAccount(),
-      seen: undefined,
-      changing: Promise.resolve(),
-      usedAtMilliseconds: 0,
-      unrecordedTokens: 0,
-      absentUntilMilliseconds: 0,
-      hasGranted: false,
-      acquiring: 0,
-      unrecordedLimit: 0,
-      spent: undefined,
-    };
+    const budget = known ?? createProgramBudget(key);
     budget.usedAtMilliseconds = performance.now();
     this.#budgets.delete(key);
     this.#budgets.set(key, budget);
--- a/packages/gateway/src/budgets/loan.ts
+++ b/packages/gateway/src/budgets/loan.ts
@@ -12,18 +12,26 @@
 
 /** What peers can spare of a program's budget. */
 export type Loan =
-  /** Tokens that a peer has given up. */
+  /** Tokens that peers have given up. */
   | { readonly kind: 'lent'; readonly tokens: number }
   /** A peer in touch with the store found the budget spent. */
   | { readonly kind: 'spent' }
   | {
       readonly kind: 'none';
-      /** Whether every other member would know the program had it begun, and doesn't. */
-      readonly isUnknownToAll: boolean;
+      /** Whether an instance that answered knows the program, or may have forgotten it. */
+      readonly mayHaveBegun: boolean;
+      /** Other members that answered. */
+      readonly answers: number;
     };
 
 /** How an instance answers a peer's request for tokens. */
 export type LoanAnswer =
   | { readonly kind: 'lent'; readonly tokens: number }
   | { readonly kind: 'spent' }
-  | { readonly kind: 'none'; readonly isKnown: boolean; readonly isMemoryWhole: boolean };
+  | {
+      readonly kind: 'none';
+      readonly isKnown: boolean;
+      readonly isMemoryWhole: boolean;
+      /** Whether it could ask the store. */
+      readonly canUseStore: boolean;
+    };
--- /dev/null
+++ b/packages/gateway/src/budgets/storedBudget.ts
@@ -0,0 +1,22 @@
+import type { StoreEntry } from '@limpetnotch/store';
+import { z } from 'zod';
+
+const storedBudgetSchema = z.object({
+  limitTokens: z.number().int(),
+  grantedTokens: z.number().int(),
+  /** Identifies the write, so that a writer whose answer was lost knows its own. */
+  writeId: z.string(),
+});
+
+/** What the store holds of a program's token budget. */
+export type StoredBudget = z.infer<typeof storedBudgetSchema>;
+
+/** Reads a budget from its entry; undefined where the value can't be read. */
+export const parseStoredBudget = (entry: StoreEntry): StoredBudget | undefined => {
+  try {
+    return storedBudgetSchema.parse(JSON.parse(entry.value));
+  } catch {
+    // The caller logs it, and grants nothing.
+    return undefined;
+  }
+};
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore } from '@limpetnotch/store';
+import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import { EscrowBudgets } from './budgets/escrowBudgets';
 import { AnswerWriter } from './calls/answerWriter';
@@ -34,6 +35,9 @@
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
 
+/** Pause before the store is asked again for the programs that have begun. */
+const LEARN_RETRY_MILLISECONDS = 500;
+
 const MILLISECONDS = 1_000;
 
 const DRAIN_CHECK_MILLISECONDS = 50;
@@ -106,8 +110,10 @@
       logger,
       metrics,
       recall: (budgetKey) => this.#peers.releaseBudget(budgetKey),
-      borrow: (request) => this.#peers.borrowBudget(request, this.#membership.others),
-      isMemoryWhole: () => this.#isMemoryWhole,
+      borrow: (request) => this.#peers.borrowBudget(request),
+      announce: (budgetKey) => this.#peers.announceProgram(budgetKey),
+      isFirstProcess: () => this.#isFirstProcess,
+      memberCount: () => this.#membership.others.length + 1,
     });
     const retirement = new RetirementDuty({
       store: parts.store,
@@ -181,7 +187,9 @@
   async #start(): Promise<void> {
     const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
-    for (const task of [...this.#follower.tasks, ...this.#membership.tasks]) {
+    const tasks = [...this.#follower.tasks, ...this.#membership.tasks];
+    if (!settings.isFirstStart) tasks.push(this.#learnBegunPrograms());
+    for (const task of tasks) {
       await this.#supervisor.startChild(task);
     }
     this.#readiness = await IngressServer.start({
@@ -215,8 +223,8 @@
     response.end();
   }
 
-  /** Whether no earlier process of this instance can have granted what this one doesn't know of. */
-  get #isMemoryWhole(): boolean {
+  /** Whether no earlier process of this instance can have served programs that still run. */
+  get #isFirstProcess(): boolean {
     const isOld = process.uptime() * MILLISECONDS > PROGRAM_RETENTION_MILLISECONDS;
     return this.#parts.settings.isFirstStart || isOld;
   }
@@ -226,6 +234,20 @@
     return process.uptime() * MILLISECONDS < LONGEST_PROGRAM_MILLISECONDS;
   }
 
+  /** Reads the programs that an earlier process may have served, until the store has answered. */
+  #learnBegunPrograms(): ChildSpecification {
+    return {
+      name: 'begun-programs',
+      restart: 'never',
+      run: async ({ signal, ready }) => {
+        ready();
+        while (!signal.aborted && !(await this.#budgets.learnBegun())) {
+          await delay(LEARN_RETRY_MILLISECONDS, signal);
+        }
+      },
+    };
+  }
+
   #onConfiguration(configuration: FleetConfiguration): void {
     this.#ingress?.setTimes(configuration.limits);
     this.#quotas.apply(configuration);
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -26,10 +26,26 @@
 /** Connections kept to one peer; questions beyond them wait for a free one. */
 const CONNECTIONS_PER_PEER = 4;
 
+/** Programs that begin within this time are announced together. */
+const ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
+
+/** Peers told of each program, enough to outlast the loss of some. */
+const PEERS_TOLD = 6;
+
+/** Failures in a row after which a peer is taken for lost. */
+const FAILURES_TO_SILENCE = 2;
+
+/** Time for which a peer that is taken for lost isn't asked, so that requests don't wait for it. */
+const SILENCE_MILLISECONDS = 1_000;
+
 interface Peer {
   readonly address: string;
   readonly client: Client<typeof FleetService>;
   readonly agent: Agent;
+  /** Questions in a row that got no answer in time. */
+  failures: number;
+  /** Until then it is not asked, as it is likely dead or cut off. */
+  silentUntilMilliseconds: number;
 }
 
 const connect = (address: string): Peer => {
@@ -40,12 +56,10 @@
     acceptCompression: [],
     nodeOptions: { agent },
   });
-  return { address, client: createClient(FleetService, transport), agent };
+  const client = createClient(FleetService, transport);
+  return { address, client, agent, failures: 0, silentUntilMilliseconds: 0 };
 };
 
-const isDecided = (answer: LendBudgetResponse | undefined): boolean =>
-  answer?.outcome === LendOutcome.LENT || answer?.outcome === LendOutcome.SPENT;
-
 /** Connections to the other instances. */
 export class FleetPeers implements QuotaPeers {
   readonly #logger: Logger;
@@ -54,6 +68,9 @@
 
   readonly #peers = new Map<string, Peer>();
 
+  /** Budgets of programs that have begun here, and of which the peers weren't told yet. */
+  #announcements: string[] = [];
+
   /** Names in the order in which they are asked; one that gave something moves to the front. */
   #order: string[] = [];
 
@@ -122,28 +139,60 @@
   }
 
   /**
-   * Asks peers one after another to lend tokens of a budget. Where none can, tells whether all of
-   * the given members answered that they never saw the program and would remember it.
+   * Asks peers to lend tokens of a budget: all that may hold some at once, then, where none does
+   * and the request allows it, those in touch with the store one after another.
    */
-  async borrowBudget(request: LoanRequest, members: readonly string[]): Promise<Loan> {
-    const unaware = new Set<string>();
+  async borrowBudget(request: LoanRequest): Promise<Loan> {
     const asked = request.mayUseStore ? [...this.#order] : this.#order.slice(0, PEERS_ASKED);
-    for (const name of asked) {
-      const answer = await this.#call(name, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
-        client.lendBudget(request, options),
-      );
-      this.#reorder(name, isDecided(answer));
-      if (answer?.outcome === LendOutcome.LENT) return { kind: 'lent', tokens: answer.tokens };
-      if (answer?.outcome === LendOutcome.SPENT) return { kind: 'spent' };
-      if (answer && !answer.isKnown && answer.isMemoryWhole) unaware.add(name);
+    const answers = await this.#askToLend(asked, { ...request, mayUseStore: false });
+    const lent = answers.reduce((sum, { answer }) => sum + answer.tokens, 0);
+    if (lent > 0) return { kind: 'lent', tokens: lent };
+    const inTouch = answers.filter(({ answer }) => answer.canUseStore);
+    for (const { name } of request.mayUseStore ? inTouch : []) {
+      const [reply] = await this.#askToLend([name], request);
+      if (reply?.answer.outcome === LendOutcome.SPENT) return { kind: 'spent' };
+      if (reply && reply.answer.tokens > 0) return { kind: 'lent', tokens: reply.answer.tokens };
     }
-    return { kind: 'none', isUnknownToAll: members.every((name) => unaware.has(name)) };
+    const mayHaveBegun = answers.some(({ answer }) => answer.isKnown || !answer.isMemoryWhole);
+    return { kind: 'none', mayHaveBegun, answers: answers.length };
+  }
+
+  /** Tells peers that a program has begun here, together with others that begin at the same time. */
+  announceProgram(budget: string): void {
+    this.#announcements.push(budget);
+    if (this.#announcements.length > 1) return;
+    setTimeout(() => this.#sendAnnouncements(), ANNOUNCEMENT_DELAY_MILLISECONDS).unref();
   }
 
   close(): void {
     this.setPeers(new Map());
   }
 
+  #sendAnnouncements(): void {
+    const budgets = this.#announcements;
+    this.#announcements = [];
+    [...this.#peers.keys()].slice(0, PEERS_TOLD).forEach((name) => {
+      void this.#call(name, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
+        client.announcePrograms({ budgets }, options),
+      );
+    });
+  }
+
+  async #askToLend(
+    names: readonly string[],
+    request: LoanRequest,
+  ): Promise<readonly { readonly name: string; readonly answer: LendBudgetResponse }[]> {
+    const answers = await Promise.all(
+      names.map(async (name) => ({
+        name,
+        answer: await this.#call(name, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
+          client.lendBudget(request, options),
+        ),
+      })),
+    );
+    return answers.flatMap(({ name, answer }) => (answer ? [{ name, answer }] : []));
+  }
+
   #reorder(name: string, isGiving: boolean): void {
     const others = this.#order.filter((other) => other !== name);
     this.#order = isGiving ? [name, ...others] : [...others, name];
@@ -155,10 +204,16 @@
     send: (client: Peer['client'], options: { timeoutMs: number }) => Promise<Answer>,
   ): Promise<Answer | undefined> {
     const peer = this.#peers.get(name);
-    if (!peer) return undefined;
+    if (!peer || performance.now() < peer.silentUntilMilliseconds) return undefined;
     try {
-      return await send(peer.client, { timeoutMs: deadlineMilliseconds });
+      const answer = await send(peer.client, { timeoutMs: deadlineMilliseconds });
+      peer.failures = 0;
+      return answer;
     } catch (error) {
+      peer.failures += 1;
+      if (peer.failures >= FAILURES_TO_SILENCE) {
+        peer.silentUntilMilliseconds = performance.now() + SILENCE_MILLISECONDS;
+      }
       // What a peer can't say now is asked again later; tokens of a lost answer are dropped.
       this.#metrics.increment('peers.failed-calls', 1, { peer: name });
       const detail = error instanceof Error ? error.message : String(error);
--- a/packages/gateway/src/peers/fleetService.ts
+++ b/packages/gateway/src/peers/fleetService.ts
@@ -23,8 +23,13 @@
           outcome: LendOutcome.UNAVAILABLE,
           isKnown: loan.isKnown,
           isMemoryWhole: loan.isMemoryWhole,
+          canUseStore: loan.canUseStore,
         };
     }
   },
+  announcePrograms: async ({ budgets: keys }) => {
+    keys.forEach((key) => budgets.noteBegun(key));
+    return {};
+  },
   releaseBudget: async ({ budget }) => ({ released: await budgets.release(budget) }),
 });
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -3,11 +3,11 @@
 import type { OrganisationDemand, RatePart } from '@limpetnotch/admission';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
+import { RecentKeys } from '../util/recentKeys';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
 import type { Holding } from './holding';
 import type { PeerDemand, QuotaPeers } from './quotaPeers';
 import type { ProgramStage, QuotaDecision, QuotaGate, QuotaRequest } from './quotaGate';
-import { SeenPrograms } from './seenPrograms';
 
 /** Time after a fruitless round of questions before peers are asked again. */
 const FRUITLESS_PAUSE_MILLISECONDS = 75;
@@ -31,6 +31,9 @@
 /** Part of the rate that programs admitted here, taken as typical, may need before it asks. */
 const PRESSED_DEMAND_PART = 0.5;
 
+/** Programs remembered; twice those under way on an instance at the size designed for. */
+const MAXIMUM_PROGRAMS = 20_000;
+
 const MILLISECONDS = 1_000;
 
 interface OrganisationRate {
@@ -78,7 +81,7 @@
 
   readonly #rates = new Map<string, OrganisationRate>();
 
-  readonly #seen = new SeenPrograms();
+  readonly #seen = new RecentKeys(MAXIMUM_PROGRAMS);
 
   readonly #load = new ProgramLoad();
 
--- /dev/null
+++ b/packages/gateway/src/util/recentKeys.ts
@@ -0,0 +1,22 @@
+/** Keys noted lately; beyond a maximum the longest unnoted are forgotten. */
+export class RecentKeys {
+  readonly #maximum: number;
+
+  readonly #keys = new Set<string>();
+
+  constructor(maximum: number) {
+    this.#maximum = maximum;
+  }
+
+  has(key: string): boolean {
+    return this.#keys.has(key);
+  }
+
+  note(key: string): void {
+    this.#keys.delete(key);
+    this.#keys.add(key);
+    if (this.#keys.size <= this.#maximum) return;
+    const [oldest] = this.#keys;
+    if (oldest !== undefined) this.#keys.delete(oldest);
+  }
+}
--- a/packages/gateway/tests/budgets/memoryStore.ts
+++ b/packages/gateway/tests/budgets/memoryStore.ts
@@ -13,6 +13,7 @@
   get client(): KeyValueStore {
     return {
       read: (key: string) => (this.isDown ? this.#unavailable() : okAsync(this.#entries.get(key))),
+      list: (prefix: string) => (this.isDown ? this.#unavailable() : okAsync(this.#list(prefix))),
       compareAndSwap: (request: CompareAndSwapRequest) => this.#swap(request),
     } as unknown as KeyValueStore;
   }
@@ -22,6 +23,11 @@
     return [...this.#entries.values()].map(({ value }): unknown => JSON.parse(value));
   }
 
+  #list(prefix: string) {
+    const entries = [...this.#entries.values()].filter(({ key }) => key.startsWith(prefix));
+    return { entries, revision: this.#revision };
+  }
+
   #swap({ key, value, expectedRevision }: CompareAndSwapRequest) {
     if (this.isDown) return this.#unavailable();
     const current = this.#entries.get(key);
--- a/packages/partitions/src/bulkText.ts
+++ b/packages/partitions/src/bulkText.ts
@@ -1,8 +1,8 @@
 import type { KeyValueStore, StoreError } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { BulkReference } from './partitionHead';
-import { withDeadline } from './util/withDeadline';
 
 /** UTF-16 code units of one part: at most 480 KB in UTF-8. */
 const PART_LENGTH = 160_000;
@@ -52,7 +52,7 @@
     await access.beforeWrite();
     const request = { key: partKey(key, part), expectedRevision: 0, value };
     const swap = access.store.compareAndSwap(request);
-    const written = await withDeadline(swap, access.deadlineMilliseconds);
+    const written = await boundStoreCall(swap, access.deadlineMilliseconds);
     if (written.isErr()) return err(written.error);
     const outcome = written.value;
     if (outcome.kind === 'conflict' && outcome.current?.value !== value) {
@@ -68,7 +68,7 @@
   reference: BulkReference,
 ): Promise<Result<string, BulkReadError>> => {
   const reads = partKeys(reference).map(async (key) => {
-    const entry = await withDeadline(access.store.read(key), access.deadlineMilliseconds);
+    const entry = await boundStoreCall(access.store.read(key), access.deadlineMilliseconds);
     return { key, entry };
   });
   let text = '';
--- a/packages/partitions/src/claimPartition.ts
+++ b/packages/partitions/src/claimPartition.ts
@@ -1,4 +1,5 @@
 import type { KeyValueStore, StoreError } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import type { JournalHead } from './journalHead';
@@ -7,7 +8,6 @@
 import type { HeadError, PartitionHead } from './partitionHead';
 import { headKey, parseHead } from './partitionHead';
 import { swapHead } from './swapHead';
-import { withDeadline } from './util/withDeadline';
 
 /** A claim that took effect. */
 export interface Claim {
@@ -45,7 +45,7 @@
   request: ClaimRequest,
 ): Promise<Result<{ head: PartitionHead | undefined; revision: number }, ClaimError>> => {
   const { store, partition, deadlineMilliseconds } = request;
-  const entry = await withDeadline(store.read(headKey(partition)), deadlineMilliseconds);
+  const entry = await boundStoreCall(store.read(headKey(partition)), deadlineMilliseconds);
   if (entry.isErr()) return err(tryAgain(entry.error));
   if (!entry.value) return ok({ head: undefined, revision: 0 });
   const { revision } = entry.value;
--- a/packages/partitions/src/deleteOrphans.ts
+++ b/packages/partitions/src/deleteOrphans.ts
@@ -1,8 +1,8 @@
+import { boundStoreCall } from '@limpetnotch/store';
 import type { BulkAccess } from './bulkText';
 import { partKeys } from './bulkText';
 import type { JournalHead } from './journalHead';
 import { bulkReferences } from './journalHead';
-import { withDeadline } from './util/withDeadline';
 
 const AREAS = ['segments', 'snapshots'] as const;
 
@@ -21,14 +21,14 @@
   const { store, deadlineMilliseconds } = access;
   const referenced = new Set(bulkReferences(head).flatMap(partKeys));
   for (const area of AREAS) {
-    const listing = await withDeadline(store.list(`${area}/${partition}/`), deadlineMilliseconds);
+    const listing = await boundStoreCall(store.list(`${area}/${partition}/`), deadlineMilliseconds);
     const entries = listing.isOk() ? listing.value.entries : [];
     const orphans = entries.filter(
       ({ key }) => !referenced.has(key) && epochOfKey(key) < head.epoch,
     );
     for (const { key, revision } of orphans) {
       await access.beforeWrite();
-      await withDeadline(store.remove(key, revision), deadlineMilliseconds);
+      await boundStoreCall(store.remove(key, revision), deadlineMilliseconds);
     }
   }
 };
--- a/packages/partitions/src/deleteTexts.ts
+++ b/packages/partitions/src/deleteTexts.ts
@@ -1,7 +1,7 @@
+import { boundStoreCall } from '@limpetnotch/store';
 import type { BulkAccess } from './bulkText';
 import { partKeys } from './bulkText';
 import type { BulkReference } from './partitionHead';
-import { withDeadline } from './util/withDeadline';
 
 /** Deletes the parts of texts until one fails; resolves to the number of parts deleted. */
 export const deleteTexts = async (
@@ -11,12 +11,12 @@
   const { store, deadlineMilliseconds } = access;
   let deleted = 0;
   for (const key of references.flatMap(partKeys)) {
-    const entry = await withDeadline(store.read(key), deadlineMilliseconds);
+    const entry = await boundStoreCall(store.read(key), deadlineMilliseconds);
     if (entry.isErr()) return deleted;
     if (entry.value) {
       await access.beforeWrite();
       const removal = store.remove(key, entry.value.revision);
-      const removed = await withDeadline(removal, deadlineMilliseconds);
+      const removed = await boundStoreCall(removal, deadlineMilliseconds);
       if (removed.isErr()) return deleted;
       deleted += 1;
     }
--- a/packages/partitions/src/membership.ts
+++ b/packages/partitions/src/membership.ts
@@ -6,6 +6,7 @@
   StoreListing,
   WatchEvent,
 } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import type { Member } from './member';
@@ -13,7 +14,6 @@
 import type { PartitionSettings } from './partitionSettings';
 import { followPrefix } from './util/followPrefix';
 import { parseWith } from './util/parseWith';
-import { withDeadline } from './util/withDeadline';
 
 const INSTANCES_PREFIX = 'instances/';
 const RENEWALS_PER_LEASE = 3;
@@ -139,7 +139,7 @@
     this.#lease = undefined;
     if (!lease) return;
     const { store, settings } = this.#options;
-    await withDeadline(store.revokeLease(lease.leaseId), settings.storeDeadlineMilliseconds);
+    await boundStoreCall(store.revokeLease(lease.leaseId), settings.storeDeadlineMilliseconds);
   }
 
   /** Tasks for the supervisor: the lease, and the watch on the others. */
@@ -163,7 +163,7 @@
   async #register(): Promise<boolean> {
     const { store, settings, logger, metrics } = this.#options;
     const sentAt = { monotonic: performance.now(), wall: Date.now() };
-    const granted = await withDeadline(
+    const granted = await boundStoreCall(
       store.grantLease(settings.leaseMilliseconds),
       settings.storeDeadlineMilliseconds,
     );
@@ -180,7 +180,7 @@
   async #renew({ leaseId }: HeldLease): Promise<boolean> {
     const { store, settings, logger, metrics } = this.#options;
     const sentAt = { monotonic: performance.now(), wall: Date.now() };
-    const renewed = await withDeadline(
+    const renewed = await boundStoreCall(
       store.renewLease(leaseId),
       Math.min(settings.storeDeadlineMilliseconds, settings.leaseMilliseconds / RENEWALS_PER_LEASE),
     );
@@ -216,11 +216,11 @@
   async #publish(leaseId: string): Promise<boolean> {
     const { store, settings } = this.#options;
     const key = `${INSTANCES_PREFIX}${this.#identity.instance}`;
-    const current = await withDeadline(store.read(key), settings.storeDeadlineMilliseconds);
+    const current = await boundStoreCall(store.read(key), settings.storeDeadlineMilliseconds);
     if (current.isErr()) return this.#countFailure(current.error);
     const value = JSON.stringify(this.#identity);
     const expectedRevision = current.value?.revision ?? 0;
-    const written = await withDeadline(
+    const written = await boundStoreCall(
       store.compareAndSwap({ key, expectedRevision, value, leaseId }),
       settings.storeDeadlineMilliseconds,
     );
--- a/packages/partitions/src/ownerHints.ts
+++ b/packages/partitions/src/ownerHints.ts
@@ -1,12 +1,12 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore, StoreListing, WatchEvent } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { z } from 'zod';
 import { memberSchema } from './member';
 import type { PartitionSettings } from './partitionSettings';
 import { followPrefix } from './util/followPrefix';
 import { parseWith } from './util/parseWith';
-import { withDeadline } from './util/withDeadline';
 
 const OWNERS_PREFIX = 'owners/';
 
@@ -62,7 +62,7 @@
     const { store, settings, metrics } = this.#options;
     this.learn(hint);
     const key = `${OWNERS_PREFIX}${hint.partition}`;
-    const current = await withDeadline(store.read(key), settings.storeDeadlineMilliseconds);
+    const current = await boundStoreCall(store.read(key), settings.storeDeadlineMilliseconds);
     if (current.isErr()) {
       metrics.increment('partition.hint-failures');
       return;
@@ -71,7 +71,7 @@
     if (!OwnerHints.#isNewer(hint, known)) return;
     const expectedRevision = current.value?.revision ?? 0;
     const request = { key, expectedRevision, value: JSON.stringify(hint) };
-    const written = await withDeadline(
+    const written = await boundStoreCall(
       store.compareAndSwap(request),
       settings.storeDeadlineMilliseconds,
     );
--- a/packages/partitions/src/partitionManager.ts
+++ b/packages/partitions/src/partitionManager.ts
@@ -1,5 +1,6 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { InstanceList, KeyValueStore } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { Supervisor } from '@limpetnotch/supervision';
 import { InstanceListView } from './instanceListView';
@@ -24,7 +25,6 @@
   WitnessReply,
   WitnessRequest,
 } from './peerChannel';
-import { withDeadline } from './util/withDeadline';
 import { Witness } from './witness';
 import { WriteAllowance } from './writeAllowance';
 
@@ -210,7 +210,7 @@
   async #readHead(partition: number): Promise<void> {
     const { store, metrics } = this.#options;
     const read = store.read(headKey(partition));
-    const entry = await withDeadline(read, this.#settings.storeDeadlineMilliseconds);
+    const entry = await boundStoreCall(read, this.#settings.storeDeadlineMilliseconds);
     metrics.increment('partition.refreshes');
     const head = entry.isOk() && entry.value ? parseHead(entry.value.value) : undefined;
     if (head?.isOk()) {
--- a/packages/partitions/src/swapHead.ts
+++ b/packages/partitions/src/swapHead.ts
@@ -1,8 +1,8 @@
 import type { KeyValueStore, StoreEntry, StoreError } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import type { EncodedHead } from './journalHead';
 import type { HeadError } from './partitionHead';
 import { headKey, parseHead } from './partitionHead';
-import { withDeadline } from './util/withDeadline';
 
 /** How an attempt to write a partition's head ended. */
 export type SwapOutcome =
@@ -43,7 +43,7 @@
 const resolveUnknown = async (request: SwapRequest, error: StoreError): Promise<SwapOutcome> => {
   const { store, partition, deadlineMilliseconds, expectedRevision } = request;
   request.onUnknownOutcome();
-  const read = await withDeadline(store.read(headKey(partition)), deadlineMilliseconds);
+  const read = await boundStoreCall(store.read(headKey(partition)), deadlineMilliseconds);
   if (read.isErr()) return { kind: 'unknown', error };
   // The write may still be on its way: an unchanged key proves nothing.
   if ((read.value?.revision ?? 0) === expectedRevision) return { kind: 'unknown', error };
@@ -58,7 +58,7 @@
     expectedRevision,
     value: head.value,
   });
-  const result = await withDeadline(swap, deadlineMilliseconds);
+  const result = await boundStoreCall(swap, deadlineMilliseconds);
   if (result.isErr()) {
     const { error } = result;
     switch (error.kind) {
--- a/packages/partitions/src/util/followPrefix.ts
+++ b/packages/partitions/src/util/followPrefix.ts
@@ -1,6 +1,6 @@
 import type { KeyValueStore, StoreListing, WatchEvent } from '@limpetnotch/store';
+import { boundStoreCall } from '@limpetnotch/store';
 import { delay } from '@limpetnotch/supervision';
-import { withDeadline } from './withDeadline';
 
 const RETRY_MILLISECONDS = 250;
 const RENEWAL_JITTER = 0.2;
@@ -53,7 +53,7 @@
  */
 export const followPrefix = async (options: FollowOptions): Promise<void> => {
   while (!options.signal.aborted) {
-    const listing = await withDeadline(
+    const listing = await boundStoreCall(
       options.store.list(options.prefix),
       options.deadlineMilliseconds,
     );
--- a/packages/partitions/src/util/withDeadline.ts
+++ b/packages/store/src/util/boundStoreCall.ts
@@ -1,10 +1,10 @@
-import type { StoreError } from '@limpetnotch/store';
 import { Deferred } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
 import { err, ResultAsync } from 'neverthrow';
+import type { StoreError } from '../storeError';
 
 /** Bounds a call of the store; one unanswered in time has an unknown outcome. */
-export const withDeadline = <Value>(
+export const boundStoreCall = <Value>(
   operation: ResultAsync<Value, StoreError>,
   milliseconds: number,
 ): ResultAsync<Value, StoreError> => {
