Presume grants on trust that may have been forgotten

Ruled out: a second grant from the store by an entry that knew of the first (all four processes were new), and lending (no loan in the log).

Change: half of a budget is granted on trust, by a majority of members only. An instance that can't rule out a forgotten grant writes a new key with that half as presumed; recording the grant replaces the presumption. Budgets of less than two turns get one turn, which the tolerance of one turn covers.

--- a/packages/gateway/src/budgets/budgetLedger.ts
+++ b/packages/gateway/src/budgets/budgetLedger.ts
@@ -16,6 +16,16 @@
 /** How a change of a budget's key ended. */
 export type LedgerOutcome = 'done' | 'conflict' | 'failed';
 
+/** State of a budget that the store doesn't know yet. */
+export const firstState = ({
+  limitTokens,
+  presumedTokens,
+}: ProgramBudget): Omit<StoredBudget, 'writeId'> => ({
+  limitTokens,
+  grantedTokens: presumedTokens,
+  presumedTokens,
+});
+
 /** Parts of a {@link BudgetLedger}. */
 export interface BudgetLedgerParts {
   readonly store: KeyValueStore;
@@ -70,10 +80,13 @@
    */
   async change(budget: ProgramBudget, tokens: number): Promise<LedgerOutcome> {
     const { store, metrics, logger } = this.#parts;
-    const before = budget.seen?.state ?? { limitTokens: budget.limitTokens, grantedTokens: 0 };
+    const before = budget.seen?.state ?? firstState(budget);
+    const presumed = Math.min(before.presumedTokens, budget.unrecordedTokens);
+    const granted = before.grantedTokens - presumed + budget.unrecordedTokens + tokens;
     const state: StoredBudget = {
       limitTokens: before.limitTokens,
-      grantedTokens: Math.max(0, before.grantedTokens + budget.unrecordedTokens + tokens),
+      grantedTokens: Math.max(0, granted),
+      presumedTokens: before.presumedTokens - presumed,
       writeId: randomUUID(),
     };
     metrics.increment('budget.writes');
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -2,10 +2,11 @@
 import type { KeyValueStore } from '@limpetnotch/store';
 import { RecentKeys } from '../util/recentKeys';
 import type { BudgetDecision, BudgetGate, BudgetRequest } from './budgetGate';
-import { BudgetLedger } from './budgetLedger';
+import { BudgetLedger, firstState } from './budgetLedger';
 import type { LedgerOutcome } from './budgetLedger';
 import type { Loan, LoanAnswer, LoanRequest } from './loan';
 import type { ProgramBudget } from './programBudget';
+import { presumedTokensOf, trustedTokensOf } from './trust';
 import { budgetKeyOf, createProgramBudget, serialise } from './programBudget';
 
 /** Part of what is held that a loan takes, so that a program that has moved needs few of them. */
@@ -261,10 +262,9 @@
   }
 
   /**
-   * Grants a part of a program's budget without the store: no member that answered has seen it,
-   * and all tell each other of the programs that begin. Members that don't answer may do the same
-   * among themselves, so that each side grants no more than its part of the members. The store is
-   * told once it is back.
+   * Grants a part of a program's budget without the store, where most members answered and none
+   * has seen it: members that are cut off from these are too few to do the same. The store is told
+   * once it is back. Should all that know of it die before, it is presumed to have happened.
    */
   #trust(
     budget: ProgramBudget,
@@ -274,9 +274,8 @@
     const isNew = !this.#begun.has(budget.key) && budget.seen === undefined;
     if (!isNew || !this.#isMemoryWhole) return 'unavailable';
     const members = Math.max(1, this.#parts.memberCount());
-    const part = Math.min(1, (answers + 1) / members);
-    const tokens = Math.floor(limitTokens * part);
-    if (tokens < turnTokens) return 'unavailable';
+    const tokens = trustedTokensOf(limitTokens, turnTokens);
+    if (2 * (answers + 1) <= members || tokens < turnTokens) return 'unavailable';
     const trusted = budget;
     trusted.unrecordedTokens = tokens;
     budget.account.receive(tokens);
@@ -295,13 +294,13 @@
     budget: ProgramBudget,
     { programId, turnTokens }: { readonly programId: string; readonly turnTokens: number },
   ): Promise<Obtained> {
-    const { account, limitTokens } = budget;
-    if (!(await this.#isRecorded(budget))) return 'unavailable';
+    const { account } = budget;
+    this.#presume(budget, turnTokens);
     let hasRecalled = false;
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (account.reserve(turnTokens)) return 'reserved';
       if (this.#isSpent(budget, turnTokens)) return 'spent';
-      const state = budget.seen?.state ?? { limitTokens, grantedTokens: 0 };
+      const state = budget.seen?.state ?? firstState(budget);
       const plan = account.plan(turnTokens, state);
       if (plan.kind === 'exhausted') {
         if (hasRecalled) return this.#noteSpent(programId, budget, turnTokens);
@@ -324,13 +323,16 @@
   }
 
   /**
-   * Whether the store knows what was granted of this budget so far. A program that has begun at a
-   * peer while the store was out of reach is recorded by that peer alone, which lends meanwhile.
+   * Presumes that a program was trusted elsewhere, where that can't be ruled out: it has begun at a
+   * peer, or an earlier process may have forgotten it. The store then counts the most that can have
+   * been granted that way, unless it already knows the program.
    */
-  async #isRecorded(budget: ProgramBudget): Promise<boolean> {
-    const isOwn = budget.hasGranted || budget.seen !== undefined;
-    if (isOwn || !this.#begun.has(budget.key)) return true;
-    return (await this.#ledger.refresh(budget)) && budget.seen !== undefined;
+  #presume(budget: ProgramBudget, turnTokens: number): void {
+    const mayBeTrusted = this.#begun.has(budget.key) || !this.#parts.isFirstProcess();
+    const isOwn = budget.hasGranted || budget.unrecordedTokens > 0;
+    const presumed = budget;
+    presumed.presumedTokens =
+      mayBeTrusted && !isOwn ? presumedTokensOf(budget.limitTokens, turnTokens) : 0;
   }
 
   #isSpent({ spent }: ProgramBudget, turnTokens: number): boolean {
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -22,6 +22,8 @@
   unrecordedTokens: number;
   /** Tokens that all turns of the program may generate; 0 until a turn has said so. */
   limitTokens: number;
+  /** Tokens that may have been granted without the store, as far as this instance can't rule out. */
+  presumedTokens: number;
   /** Until then the store is not asked again whether it knows the program. */
   absentUntilMilliseconds: number;
   /** Whether a turn was ever granted tokens here. */
@@ -41,6 +43,7 @@
   usedAtMilliseconds: performance.now(),
   unrecordedTokens: 0,
   limitTokens: 0,
+  presumedTokens: 0,
   absentUntilMilliseconds: 0,
   hasGranted: false,
   acquiring: 0,
--- a/packages/gateway/src/budgets/storedBudget.ts
+++ b/packages/gateway/src/budgets/storedBudget.ts
@@ -4,6 +4,8 @@
 const storedBudgetSchema = z.object({
   limitTokens: z.number().int(),
   grantedTokens: z.number().int(),
+  /** Part of the granted tokens that some instance may have granted while the store was away. */
+  presumedTokens: z.number().int().default(0),
   /** Identifies the write, so that a writer whose answer was lost knows its own. */
   writeId: z.string(),
 });
