Ask peers before the store for a program that instances share

Change: an instance that knows by announcement, by a loan or as a lender that others hold tokens of a program asks them first.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -149,6 +149,7 @@
       if (obtained === 'spent') return { kind: 'spent' };
       if (obtained === 'unavailable') return this.#nothingToLend(key);
       account.settle(tokens, tokens);
+      budget.isShared = true;
       return { kind: 'lent', tokens };
     });
   }
@@ -231,8 +232,10 @@
   async #acquire(budget: ProgramBudget, request: BudgetRequest): Promise<Obtained> {
     const { account } = budget;
     if (account.reserve(request.turnTokens)) return 'reserved';
-    const isMoved = request.isContinuation && !budget.hasGranted;
-    if (isMoved && (await this.#borrowHeld(budget, request.turnTokens))) return 'reserved';
+    const hasMoved = !budget.hasGranted && (request.isContinuation || this.#begun.has(budget.key));
+    if (hasMoved || budget.isShared) {
+      if (await this.#borrowHeld(budget, request.turnTokens)) return 'reserved';
+    }
     if (this.#ledger.isReachable()) {
       const obtained = await this.#obtain(budget, request);
       if (obtained !== 'unavailable') return obtained;
@@ -251,7 +254,11 @@
   async #borrow(budget: ProgramBudget, turnTokens: number, mayUseStore: boolean): Promise<Loan> {
     const { key, limitTokens, account } = budget;
     const loan = await this.#parts.borrow({ budget: key, limitTokens, turnTokens, mayUseStore });
-    if (loan.kind === 'lent') account.receive(loan.tokens);
+    if (loan.kind === 'lent') {
+      account.receive(loan.tokens);
+      const shared = budget;
+      shared.isShared = true;
+    }
     return loan;
   }
 
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -28,6 +28,8 @@
   absentUntilMilliseconds: number;
   /** Whether a turn was ever granted tokens here. */
   hasGranted: boolean;
+  /** Whether another instance is known to hold tokens of it, or did so lately. */
+  isShared: boolean;
   /** Turns that wait for tokens. */
   acquiring: number;
   /** Until then the budget is taken for spent by turns of this size or larger. */
@@ -46,6 +48,7 @@
   presumedTokens: 0,
   absentUntilMilliseconds: 0,
   hasGranted: false,
+  isShared: false,
   acquiring: 0,
   spent: undefined,
 });
--- a/packages/gateway/tests/budgets/escrowBudgets.test.ts
+++ b/packages/gateway/tests/budgets/escrowBudgets.test.ts
@@ -62,6 +62,16 @@
   expect((await instances[1]!.reserve(turn(8_000))).kind).toBe('reserved');
 });
 
+test('a program that moves to and fro costs one write', async () => {
+  const { instances, store } = new BudgetFleet(3);
+  for (let round = 0; round < 12; round += 1) {
+    const decision = await instances[round % 2]!.reserve(turn(6_000));
+    if (decision.kind === 'reserved') decision.settle(72);
+    expect(decision.kind).toBe('reserved');
+  }
+  expect(store.writes).toBe(1);
+});
+
 test('without the store only programs that are new to all are trusted', async () => {
   const fleet = new BudgetFleet(3);
   const { instances, store } = fleet;
--- a/packages/gateway/tests/budgets/memoryStore.ts
+++ b/packages/gateway/tests/budgets/memoryStore.ts
@@ -5,6 +5,9 @@
 export class MemoryStore {
   isDown = false;
 
+  /** Writes that were tried, whatever came of them. */
+  writes = 0;
+
   #revision = 0;
 
   readonly #entries = new Map<string, StoreEntry>();
@@ -29,6 +32,7 @@
   }
 
   #swap({ key, value, expectedRevision }: CompareAndSwapRequest) {
+    this.writes += 1;
     if (this.isDown) return this.#unavailable();
     const current = this.#entries.get(key);
     if ((current?.revision ?? 0) !== expectedRevision) {
