Let a rate's bucket be deeper than its burst

Ruled out: the count of programs (three under way, none refused).

Change: the bucket holds 1.4 bursts. At 1.5 the restart test exceeds its bound (265 requests in a window, 264 allowed), so that is the limit.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -16,6 +16,13 @@
 /** Time that a moved token may be on its way, longer than an instance waits for its peers. */
 const MOVE_MILLISECONDS = 100;
 
+/**
+ * Depth of the bucket as a part of the burst. Programs start several requests at once, and the
+ * window allows far more; but a deeper bucket would let an organisation that was served a burst
+ * just before all instances restarted exceed its rate by more than the tenth that is tolerated.
+ */
+const BUCKET_DEPTH = 1.4;
+
 /** Steps in which a started instance gets its tokens over the first window. */
 const START_STEPS = 50;
 
@@ -24,8 +31,8 @@
 /**
  * One instance's part of an organisation's rate. Within any window the organisation may send what
  * flows in over the window and its burst, so a spent token becomes free again one window later. A
- * bucket of the burst's depth bounds how many of them are spent at once: what an instance spent
- * before it died is unknown after its restart.
+ * bucket bounds how many of them are spent at once: what an instance spent before it died is
+ * unknown after its restart.
  *
  * Answers a load that reaches the instances unevenly: tokens move between instances. A moved token
  * lapses soon where it isn't spent, and is back at its giver one window after that, so tokens are
@@ -173,7 +180,7 @@
 
   get #depth(): number {
     const { burst, holders } = this.#part;
-    return holders === 0 ? 0 : Math.max(1, burst / holders);
+    return holders === 0 ? 0 : Math.max(1, (burst * BUCKET_DEPTH) / holders);
   }
 
   /** A started instance doesn't know what it spent before, and takes all for spent evenly. */
