--- a/packages/scheduling/tests/carried/turnPriority.test.ts
+++ b/packages/scheduling/tests/carried/turnPriority.test.ts
@@ -2,7 +2,7 @@
 
 test('less time to the objective goes first', () => {
   const ranks = [300, 800, 1_500, 3_000, 9_000].map(turnPriority);
-  expect(ranks).toEqual([...ranks].sort());
+  expect(ranks).toEqual([...ranks].sort((first, second) => first - second));
   expect(new Set(ranks).size).toBe(5);
 });
 
