Serve metrics as text, bound the logs, and explain requests from them

Cause: on call there are only logs and metrics. The entries kept metrics in memory only, wrote each log line by itself and synchronously where the output is a pipe, without a bound, and a failed request had to be looked for by hand.

Change: counters and histograms are served as text at the address that the deploy file gives; a taken port is logged and doesn't stop the instance. `limpetnotch explain ID FILE...` prints the lines of a request or a program, what its instance believed then, and the cause.

--- a/packages/cli/src/createCli.ts
+++ b/packages/cli/src/createCli.ts
@@ -1,6 +1,7 @@
 import { Builtins, Cli } from 'clipanion';
 import { CheckCommand } from './commands/checkCommand';
 import { DiffCommand } from './commands/diffCommand';
+import { ExplainCommand } from './commands/explainCommand';
 import { KeyIssueCommand } from './commands/keyIssueCommand';
 import { KeyWithdrawCommand } from './commands/keyWithdrawCommand';
 import { ProgramEndCommand } from './commands/programEndCommand';
@@ -25,6 +26,7 @@
   TargetDrainCommand,
   QuarantineListCommand,
   QuarantineLiftCommand,
+  ExplainCommand,
   Builtins.HelpCommand,
   Builtins.VersionCommand,
 ];
--- /dev/null
+++ b/packages/cli/src/explain/causeOf.ts
@@ -0,0 +1,41 @@
+import type { LogLine } from './logLine';
+
+const QUOTA_CAUSES: Readonly<Record<string, string>> = {
+  'no-token':
+    "the organisation's rate had no token left here, at peers, or within the longest wait",
+  'programs-need-the-rate': "programs under way need all of the organisation's rate",
+  'window-is-spent': "nearly all of the organisation's rate in the window was spent",
+};
+
+const REFUSAL_CAUSES: Readonly<Record<string, string>> = {
+  malformed: 'the request could not be read',
+  'unknown-key': 'the configuration in force here had no such key',
+  'unknown-route': 'the configuration in force here had no such route',
+  'body-too-large': 'the body was larger than the configuration allows',
+  'over-rate': "the organisation's rate was used up; see the line quota.refused",
+  'budget-spent': "the program's token budget was spent; see the line budget.spent",
+  'outcome-unknown': 'the target broke off, and the request must not be repeated',
+  'timed-out': "the route's time or the caller's deadline was over",
+};
+
+const textOf = (line: LogLine, field: string): string => String(line[field] ?? '');
+
+/** Says in one sentence what a line did to a request; undefined where it decided nothing. */
+export const causeOf = (line: LogLine): string | undefined => {
+  switch (line.message) {
+    case 'quota.refused':
+      return QUOTA_CAUSES[textOf(line, 'reason')];
+    case 'budget.spent':
+      return `${textOf(line, 'grantedTokens')} of ${textOf(line, 'limitTokens')} tokens were granted, and a turn may need ${textOf(line, 'turnTokens')}`;
+    case 'budget.granted-on-trust':
+      return 'the store was out of reach, and no instance knew the program';
+    case 'call.attempt-ended':
+      return `target ${textOf(line, 'target')} ended the attempt: ${textOf(line, 'outcome')} ${textOf(line, 'detail')}`.trim();
+    case 'call.refused':
+      return REFUSAL_CAUSES[textOf(line, 'refusal')] ?? textOf(line, 'reason');
+    case 'call.served':
+      return `served by target ${textOf(line, 'target')} in ${textOf(line, 'endedAtMilliseconds')} ms`;
+    default:
+      return undefined;
+  }
+};
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -112,6 +112,8 @@
     metrics.increment('call.results', 1, {
       result: result.kind === 'refused' ? result.refusal.kind : result.kind,
     });
+    const ageMilliseconds = performance.now() - arrivedAtMilliseconds;
+    metrics.distribution('call.duration-milliseconds', ageMilliseconds, { result: result.kind });
     if (result.kind !== 'refused') return;
     const { refusal } = result;
     logger.info('call.refused', {
@@ -119,7 +121,7 @@
       refusal: refusal.kind,
       reason: 'reason' in refusal ? refusal.reason : undefined,
       program: envelope.program?.id,
-      ageMilliseconds: Math.round(performance.now() - arrivedAtMilliseconds),
+      ageMilliseconds: Math.round(ageMilliseconds),
     });
     writer.refuse(response, envelope, refusal);
   }
@@ -152,6 +154,10 @@
 
   #logServed(call: Call, result: CallResult): void {
     if (result.kind === 'refused') return;
+    const { metrics } = this.#parts;
+    const { answeredAtMilliseconds, budgetAtMilliseconds } = call;
+    metrics.distribution('call.first-answer-milliseconds', answeredAtMilliseconds);
+    metrics.distribution('call.grant-milliseconds', budgetAtMilliseconds);
     this.#parts.logger.info('call.served', {
       request: call.envelope.id,
       route: call.route.name,
--- /dev/null
+++ b/packages/observability/tests/textMetrics.test.ts
@@ -0,0 +1,25 @@
+import { request } from 'undici';
+import { MetricsServer } from '../src/metricsServer';
+import { TextMetrics } from '../src/textMetrics';
+
+test('counters and histograms are served as text', async () => {
+  const metrics = new TextMetrics();
+  metrics.increment('call.results', 2, { result: 'delivered' });
+  metrics.gauge('call.under-way', 3);
+  metrics.distribution('call.duration-milliseconds', 150, { result: 'delivered' });
+  const server = await MetricsServer.start({ host: '127.0.0.1', port: 0, metrics });
+  try {
+    const answer = await request(`http://127.0.0.1:${server.port}/metrics`);
+    const text = await answer.body.text();
+    expect(text).toContain('limpetnotch_call_results_total{result="delivered"} 2');
+    expect(text).toContain('limpetnotch_call_under_way 3');
+    expect(text).toContain(
+      'limpetnotch_call_duration_milliseconds_bucket{le="200",result="delivered"} 1',
+    );
+    const other = await request(`http://127.0.0.1:${server.port}/other`);
+    await other.body.dump();
+    expect(other.statusCode).toBe(404);
+  } finally {
+    await server.close();
+  }
+});
