Read the programs that began only after a started process has served

After all machines lost power, entry lahore-b-1 listed its targets at 45.836 s and answered nothing before 46.28 s; a request sent at 45.652 s reached its target at 46.340 s, and 11 programs failed at the caller's deadline.

Ruled out: the store (members and configuration were read at 45.82 s), the budgets' grants (first turns after the stall: 32 to 241 ms, falling), and quotas (wait 0 to 4 ms).

They are needed only in an outage of the store. The membership's watch logs the loss and the return of the store once each, no longer every attempt.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -117,10 +117,15 @@
    * have granted tokens; returns whether the store answered.
    */
   async learnBegun(): Promise<boolean> {
+    const beganMilliseconds = performance.now();
     const keys = await this.#ledger.listKeys();
     if (!keys) return false;
     keys.forEach((key) => this.#begun.note(key));
     this.#hasListed = true;
+    this.#parts.logger.info('budget.begun-learned', {
+      programs: keys.length,
+      milliseconds: Math.round(performance.now() - beganMilliseconds),
+    });
     return true;
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,9 +2,9 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
-import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import { EscrowBudgets } from './budgets/escrowBudgets';
+import { learnBegunPrograms } from './budgets/learnBegunPrograms';
 import { AnswerWriter } from './calls/answerWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
@@ -36,9 +36,6 @@
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
 
-/** Pause before the store is asked again for the programs that have begun. */
-const LEARN_RETRY_MILLISECONDS = 500;
-
 const MILLISECONDS = 1_000;
 
 const DRAIN_CHECK_MILLISECONDS = 50;
@@ -195,7 +192,7 @@
     const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
     const tasks = [...this.#follower.tasks, ...this.#membership.tasks];
-    if (!settings.isFirstStart) tasks.push(this.#learnBegunPrograms());
+    if (!settings.isFirstStart) tasks.push(learnBegunPrograms(this.#budgets));
     for (const task of tasks) {
       await this.#supervisor.startChild(task);
     }
@@ -241,20 +238,6 @@
     return process.uptime() * MILLISECONDS < LONGEST_PROGRAM_MILLISECONDS;
   }
 
-  /** Reads the programs that an earlier process may have served, until the store has answered. */
-  #learnBegunPrograms(): ChildSpecification {
-    return {
-      name: 'begun-programs',
-      restart: 'never',
-      run: async ({ signal, ready }) => {
-        ready();
-        while (!signal.aborted && !(await this.#budgets.learnBegun())) {
-          await delay(LEARN_RETRY_MILLISECONDS, signal);
-        }
-      },
-    };
-  }
-
   #onConfiguration(configuration: FleetConfiguration): void {
     this.#ingress?.setTimes(configuration.limits);
     this.#quotas.apply(configuration);
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -4,6 +4,7 @@
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
+import { StoreContact } from '../fleet/storeContact';
 import type { Holding } from '../quotas/holding';
 
 const PREFIX = 'limpetnotch/';
@@ -70,8 +71,11 @@
 
   readonly #absentSince = new Map<string, number>();
 
+  readonly #contact: StoreContact;
+
   constructor(parts: MembershipParts) {
     this.#parts = parts;
+    this.#contact = new StoreContact(parts.logger, PREFIX);
   }
 
   get tasks(): readonly ChildSpecification[] {
@@ -139,8 +143,10 @@
         this.#noteAbsence();
         this.#parts.onChange();
       },
-      confirmed: () => undefined,
-      lost: (detail) => this.#parts.logger.info('membership.watch-lost', { detail }),
+      confirmed: () => {
+        this.#contact.regained();
+      },
+      lost: (detail) => this.#contact.lost(detail),
     };
   }
 
