Start a rate's part with what flowed in while the process was down

Ruled out: the window (nothing was spent) and the count of programs (reason no-token).

Change: a part that is put in force first counts as spent evenly up to the end of the process before, half a second ago at the earliest.

Also drops settings and fields that nothing read.

--- a/packages/admission/src/shared/releaseQueue.ts
+++ b/packages/admission/src/shared/releaseQueue.ts
@@ -35,6 +35,8 @@
     const due = this.#releases.findIndex(({ atMilliseconds }) => atMilliseconds > nowMilliseconds);
     const released = this.#releases.splice(0, due === -1 ? this.#releases.length : due);
     this.#size -= released.reduce((sum, { count }) => sum + count, 0);
+    // Fractions of tokens leave rounding errors behind.
+    if (this.#releases.length === 0) this.#size = 0;
   }
 
   /** Frees items ahead of time, the newest first. */
--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -21,11 +21,14 @@
  * window allows far more; but a deeper bucket would let an organisation that was served a burst
  * just before all instances restarted exceed its rate by more than the tenth that is tolerated.
  */
-const BUCKET_DEPTH = 1.4;
+const BUCKET_DEPTH = 1.3;
 
 /** Steps in which a started instance gets its tokens over the first window. */
 const START_STEPS = 50;
 
+/** A process is back half a second after its end at the earliest. */
+const RESTART_MILLISECONDS = 500;
+
 const MILLISECONDS = 1_000;
 
 /**
@@ -102,10 +105,12 @@
     return Math.max(0, (releasedAt - now) / MILLISECONDS, inBucket);
   }
 
-  /** Puts another part in force. What was spent of the former one counts on. */
+  /** Puts another part in force. What was spent of the former one, if any, counts on. */
   setPart(part: RatePart): void {
     this.#advance();
+    const isFirst = this.#part.holders === 0;
     this.#part = part;
+    if (isFirst) this.#spendAll();
     this.#bucketTokens = Math.min(this.#bucketTokens, this.#depth);
   }
 
@@ -183,13 +188,18 @@
     return holders === 0 ? 0 : Math.max(1, (burst * BUCKET_DEPTH) / holders);
   }
 
-  /** A started instance doesn't know what it spent before, and takes all for spent evenly. */
+  /**
+   * A started instance doesn't know what it spent before, and takes all for spent evenly up to the
+   * end of the process before.
+   */
   #spendAll(): void {
     const count = this.#partTokens / START_STEPS;
     for (let step = 1; step <= START_STEPS; step += 1) {
-      const delay = (this.#windowMilliseconds * step) / START_STEPS;
-      this.#spent.add(count, this.#updatedAtMilliseconds + delay);
+      const age = (this.#windowMilliseconds * step) / START_STEPS - RESTART_MILLISECONDS;
+      this.#spent.add(count, this.#updatedAtMilliseconds + Math.max(0, age));
     }
+    this.#spent.release(this.#updatedAtMilliseconds);
+    this.#bucketTokens = Math.min(this.#depth, this.#windowTokens);
   }
 
   /** Brings all up to now, and returns that time. */
--- a/packages/gateway/src/calls/wireCodec.ts
+++ b/packages/gateway/src/calls/wireCodec.ts
@@ -33,7 +33,6 @@
   /** Whether another target has the address now. */
   readonly isMisdirected: boolean;
   readonly hasContentEncoding: boolean;
-  readonly contentLength: number | undefined;
   readonly load: ReportedLoad | undefined;
   /** Names and values by turns, of the headers that pass through to the caller unchanged. */
   readonly passedHeaders: readonly string[];
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -18,7 +18,6 @@
 export type { FleetCodec, KeyedValue, OperatorEntry, TargetEntry } from './fleet/fleetCodec';
 export { Gateway } from './gateway';
 export type { GatewayParts } from './gateway';
-export { gatewaySettingsSchema } from './gatewaySettings';
 export type { GatewaySettings } from './gatewaySettings';
 export { fleetTargetSchema } from './targets/fleetTarget';
 export type { FleetTarget } from './targets/fleetTarget';
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -95,10 +95,6 @@
     this.#order = [...this.#peers.keys()];
   }
 
-  get size(): number {
-    return this.#peers.size;
-  }
-
   /** Asks peers one after another for tokens of an organisation's rate; returns how many came. */
   async takeTokens(organisation: string, wanted: number): Promise<number> {
     let received = 0;
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -70,10 +70,6 @@
     return this.#targets.get(id);
   }
 
-  get size(): number {
-    return this.#targets.size;
-  }
-
   #expireLapsed(): void {
     if (this.#lapsed.size === 0) return;
     const now = performance.now();
