Refuse unknown keys for good only while the store is in reach

The store turns entry amm-a-2 away from 2.5 to 11.8 s while the operator changes keys; at 11.375 s it answers 401 to a key that version 28 had added (read by the others at 11.665 s at the latest; amm-a-2 stood at 12), and the program ends at once.

Ruled out: a late change at the others (they read each version within 5 ms of each other).

Change: while the configuration's watch is lost, an unknown key or route is answered 503 with a return after 0.1 s, at which the balancer mostly leads to another entry. Known ones are served as before.

--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -1,22 +1,17 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { BudgetGate } from '../budgets/budgetGate';
-import type { ConfigurationIndex } from '../configuration/configurationIndex';
-import type { FleetOrganisation, FleetRoute } from '../configuration/fleetConfiguration';
 import type { FleetState } from '../fleet/fleetState';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
+import { admitCall } from './admitCall';
 import type { AnswerWriter } from './answerWriter';
 import { Call } from './call';
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
 import { readBody } from './readBody';
-import type { Refusal } from './refusal';
 import type { WireCodec } from './wireCodec';
 
-/** Callers that came before the first configuration was read try again shortly. */
-const NO_CONFIGURATION_RETRY_AFTER_SECONDS = 0.5;
-
 /** Programs are allowed about this many times less than their objective on idle targets. */
 const EXPECTED_PART_OF_OBJECTIVE = 0.6;
 
@@ -35,15 +30,6 @@
   readonly metrics: Metrics;
 }
 
-interface Admitted {
-  readonly route: FleetRoute;
-  readonly organisation: FleetOrganisation | undefined;
-}
-
-const isRefusal = (value: Admitted | Call | Refusal): value is Refusal => 'kind' in value;
-
-const pathOf = (pathAndQuery: string): string => pathAndQuery.split('?', 1)[0] ?? '';
-
 /** Tells programs of different organisations apart, whatever identifiers their callers choose. */
 const programKeyOf = ({ envelope, organisation }: Call): string =>
   `${organisation?.name ?? ''}/${envelope.program?.id ?? ''}`;
@@ -132,11 +118,11 @@
     response: ServerResponse,
     arrivedAtMilliseconds: number,
   ): Promise<CallResult> {
-    const { index } = this.#parts.fleet;
-    const admitted = index ? this.#admit(index, envelope) : this.#notConfigured();
-    if (isRefusal(admitted)) return { kind: 'refused', refusal: admitted };
-    const { route, organisation } = admitted;
-    const service = index?.serviceOf(chooseDestination(route, envelope));
+    const { fleet } = this.#parts;
+    const admission = admitCall(fleet, envelope);
+    if (admission.kind === 'refused') return admission;
+    const { route, organisation } = admission;
+    const service = fleet.index?.serviceOf(chooseDestination(route, envelope));
     if (!service) return { kind: 'refused', refusal: { kind: 'unknown-route' } };
     const call = new Call({
       envelope,
@@ -176,24 +162,6 @@
     });
   }
 
-  #notConfigured(): Refusal {
-    return {
-      kind: 'unavailable',
-      reason: 'no configuration',
-      retryAfterSeconds: NO_CONFIGURATION_RETRY_AFTER_SECONDS,
-    };
-  }
-
-  #admit(index: ConfigurationIndex, envelope: CallEnvelope): Admitted | Refusal {
-    const organisation =
-      envelope.key === undefined ? undefined : index.organisationOf(envelope.key);
-    const route = index.routeOf(envelope.host, pathOf(envelope.pathAndQuery));
-    if (!route) return { kind: 'unknown-route' };
-    const needsKey = index.hasOrganisations && !route.isOpenToAll;
-    if (needsKey && !organisation) return { kind: 'unknown-key' };
-    return { route, organisation };
-  }
-
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
     if (!organisation?.rate) return this.#runWithinBudget(call);
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -67,14 +67,19 @@
 
   #operatorListener(): PrefixListener {
     const contact = this.#operatorContact;
+    const { state } = this.#parts;
     return {
       replaced: (entries) => entries.forEach((entry) => this.#applyOperatorEntry(entry)),
       put: (entry) => this.#applyOperatorEntry(entry),
       removed: () => undefined,
       confirmed: () => {
+        state.isConfigurationInDoubt = false;
         if (contact.regained() > 0) this.#parts.onStoreRegained();
       },
-      lost: (detail) => contact.lost(detail),
+      lost: (detail) => {
+        state.isConfigurationInDoubt = true;
+        contact.lost(detail);
+      },
     };
   }
 
--- a/packages/gateway/src/fleet/fleetState.ts
+++ b/packages/gateway/src/fleet/fleetState.ts
@@ -6,6 +6,9 @@
 export class FleetState {
   readonly targets = new TargetDirectory();
 
+  /** Whether the store is out of reach, so that a newer configuration may be in force elsewhere. */
+  isConfigurationInDoubt = false;
+
   #index: ConfigurationIndex | undefined;
 
   /** The configuration in force; undefined until the first one is known. */
--- /dev/null
+++ b/packages/gateway/tests/calls/admitCall.test.ts
@@ -0,0 +1,79 @@
+import { admitCall } from '../../src/calls/admitCall';
+import type { CallEnvelope } from '../../src/calls/callEnvelope';
+import { FleetState } from '../../src/fleet/fleetState';
+
+const envelopeOf = (change: Partial<CallEnvelope>): CallEnvelope => ({
+  id: 'request',
+  method: 'POST',
+  host: 'amman.example',
+  pathAndQuery: '/turns/1?trace=1',
+  patienceMilliseconds: undefined,
+  key: 'known-key',
+  program: undefined,
+  prompt: undefined,
+  lastEventId: undefined,
+  passedHeaders: [],
+  ...change,
+});
+
+const configuredFleet = (): FleetState => {
+  const fleet = new FleetState();
+  fleet.apply({
+    version: 1,
+    routes: [
+      {
+        name: 'turns',
+        host: 'amman.example',
+        pathPrefix: '/turns/',
+        execution: { kind: 'idempotent' },
+        context: { kind: 'carried' },
+        destinations: [{ service: 'engine', weight: 1 }],
+        timeoutMilliseconds: 4_000,
+        latencyObjectiveMilliseconds: 200,
+        priority: 0,
+        maximumTargets: 1,
+        isOpenToAll: false,
+        hasSessionAffinity: false,
+      },
+    ],
+    services: [],
+    limits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMilliseconds: 1,
+      idleTimeoutMilliseconds: 1,
+    },
+    organisations: [{ name: 'amman', keys: ['known-key'], priority: 0 }],
+  });
+  return fleet;
+};
+
+test('a known route and key are admitted', () => {
+  const admission = admitCall(configuredFleet(), envelopeOf({}));
+  expect(admission).toMatchObject({ kind: 'admitted', organisation: { name: 'amman' } });
+});
+
+test.each([
+  ['unknown-key', { key: 'other-key' }],
+  ['unknown-route', { pathAndQuery: '/other/' }],
+])('%s is final while the store is in reach', (kind, change) => {
+  const admission = admitCall(configuredFleet(), envelopeOf(change));
+  expect(admission).toMatchObject({ kind: 'refused', refusal: { kind } });
+});
+
+test.each([
+  ['unknown-key', { key: 'other-key' }],
+  ['unknown-route', { pathAndQuery: '/other/' }],
+])('%s may be known elsewhere while the store is out of reach', (_kind, change) => {
+  const fleet = configuredFleet();
+  fleet.isConfigurationInDoubt = true;
+  const admission = admitCall(fleet, envelopeOf(change));
+  expect(admission).toMatchObject({ kind: 'refused', refusal: { kind: 'unavailable' } });
+  expect(admitCall(fleet, envelopeOf({})).kind).toBe('admitted');
+});
+
+test('without any configuration callers come back', () => {
+  expect(admitCall(new FleetState(), envelopeOf({}))).toMatchObject({
+    refusal: { kind: 'unavailable', reason: 'no configuration' },
+  });
+});
