--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -40,6 +40,9 @@
 
 const DRAIN_CHECK_MILLISECONDS = 50;
 
+/** Settings that may change while an instance runs. */
+export type ReloadableSettings = Pick<GatewaySettings, 'graceMilliseconds' | 'quotaWindowSeconds'>;
+
 /** Parts of a {@link Gateway}. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
@@ -84,10 +87,13 @@
 
   #readiness: IngressServer | undefined;
 
+  #reloadable: ReloadableSettings;
+
   #isClosing = false;
 
   constructor(parts: GatewayParts) {
     this.#parts = parts;
+    this.#reloadable = parts.settings;
     const { logger, metrics, wireCodec: codec, settings } = parts;
     this.#supervisor = new Supervisor({ name: 'gateway', logger, metrics });
     const writer = new AnswerWriter({ codec, isClosing: () => this.#isClosing });
@@ -102,7 +108,7 @@
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
       holding: () => this.#membership.holding,
-      windowSeconds: settings.quotaWindowSeconds,
+      windowSeconds: () => this.#reloadable.quotaWindowSeconds,
       hasBegun: async (programKey) => this.#isYoung && (await this.#budgets.hasBegun(programKey)),
       logger,
       metrics,
@@ -163,6 +169,12 @@
     });
   }
 
+  /** Takes over the settings that may change while the instance runs. */
+  reload({ graceMilliseconds, quotaWindowSeconds }: ReloadableSettings): void {
+    this.#reloadable = { graceMilliseconds, quotaWindowSeconds };
+    this.#quotas.apply(this.#fleet.index?.configuration);
+  }
+
   /** Serves until the signal aborts; then finishes what is under way within the grace period. */
   async run(signal: AbortSignal): Promise<void> {
     const { logger, settings } = this.#parts;
@@ -261,12 +273,12 @@
       if (signal.aborted) resolve();
       signal.addEventListener('abort', () => resolve(), { once: true });
     });
-    const { logger, settings } = this.#parts;
+    const { logger } = this.#parts;
     this.#isClosing = true;
     const began = performance.now();
     logger.info('gateway.draining', { underWay: this.#calls.underWay });
     await delay(READINESS_LAG_MILLISECONDS);
-    const limit = settings.graceMilliseconds - EXIT_RESERVE_MILLISECONDS;
+    const limit = this.#reloadable.graceMilliseconds - EXIT_RESERVE_MILLISECONDS;
     while (performance.now() - began < limit) {
       if (this.#calls.underWay === 0) this.#ingress?.closeIdleConnections();
       if (this.#calls.underWay === 0) return;
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -54,7 +54,7 @@
   /** This instance's part of every rate. */
   readonly holding: () => Holding;
   /** Window over which the operator measures rates, in seconds. */
-  readonly windowSeconds: number;
+  readonly windowSeconds: () => number;
   /** Whether a program that no instance remembers has begun all the same, before a restart. */
   readonly hasBegun: (programKey: string) => Promise<boolean>;
   readonly logger: Logger;
@@ -190,14 +190,14 @@
         (sum, answer) => sum + answer.unspentTokens,
         rate.unspentTokens,
       ),
-      windowTokens: tokensPerSecond * this.#parts.windowSeconds,
+      windowTokens: tokensPerSecond * this.#parts.windowSeconds(),
       tokensPerSecond,
       requestsPerProgramSecond: this.#load.requestsPerProgramSecond,
     };
   }
 
   #tokensPerSecond({ rate }: FleetOrganisation): number {
-    return (rate?.perSecond ?? 0) + (rate?.burst ?? 0) / this.#parts.windowSeconds;
+    return (rate?.perSecond ?? 0) + (rate?.burst ?? 0) / this.#parts.windowSeconds();
   }
 
   #noToken({ rate }: OrganisationRate): Refused {
@@ -287,7 +287,7 @@
     return {
       perSecond: rate?.perSecond ?? 0,
       burst: rate?.burst ?? 0,
-      windowSeconds: this.#parts.windowSeconds,
+      windowSeconds: this.#parts.windowSeconds(),
       holders,
       rank: holders === 0 ? 0 : (rank + offsetOf(name)) % holders,
     };
--- a/packages/gateway/tests/quotas/quotaFleet.ts
+++ b/packages/gateway/tests/quotas/quotaFleet.ts
@@ -21,7 +21,7 @@
         new SharedQuotas({
           peers: this.#peersOf(rank),
           holding: () => ({ holders: count, rank }),
-          windowSeconds,
+          windowSeconds: () => windowSeconds,
           hasBegun: async () => false,
           logger: silentLogger,
           metrics: new MemoryMetrics(),
