Count targets that fail many requests as slow

Ruled out: repeats (requests that may be repeated were, at other targets).

A few lost or spoilt answers change nothing (test).

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -25,6 +25,7 @@
 const FULL_RETRY_AFTER_SECONDS = 0.25;
 
 const FIRST_ERROR_STATUS = 400;
+const FIRST_SERVER_ERROR_STATUS = 500;
 
 /** How a call ended. */
 export type CallResult =
@@ -44,6 +45,23 @@
   readonly instanceCount: () => number;
 }
 
+/** Whether an attempt ended in a way that speaks against its target. */
+const isTargetFailure = (outcome: AttemptOutcome): boolean => {
+  switch (outcome.kind) {
+    case 'broken':
+    case 'stalled':
+      return true;
+    case 'timed-out':
+      return outcome.wasSent;
+    case 'delivered':
+      return outcome.status >= FIRST_SERVER_ERROR_STATUS;
+    case 'caller-gone':
+    case 'declined':
+    case 'not-sent':
+      return false;
+  }
+};
+
 const refused = (refusal: Refusal): CallResult => ({ kind: 'refused', refusal });
 
 /** Runs admitted calls: chooses targets, dispatches, and repeats where that is allowed. */
@@ -84,6 +102,7 @@
     const beganMilliseconds = performance.now();
     const eventsBefore = call.events;
     const outcome = await attempt.run();
+    if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isWhole = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isWhole && eventsBefore === 0) {
       this.#learn(call, target, performance.now() - beganMilliseconds);
--- a/packages/scheduling/src/carried/targetSpeeds.ts
+++ b/packages/scheduling/src/carried/targetSpeeds.ts
@@ -14,8 +14,19 @@
 const LEAST_SLOWNESS = 0.5;
 const MOST_SLOWNESS = 8;
 
+/** Share of failed requests that targets have in good order, when an answer is lost now and then. */
+const USUAL_FAILURE_SHARE = 0.1;
+
+/** Weight of a new outcome in the share of failed requests; ten outcomes replace most of it. */
+const FAILURE_WEIGHT = 0.1;
+
+/** How much slower a target counts as that fails all requests. */
+const FAILURE_SLOWNESS = 6;
+
 interface TargetSpeed {
   slowness: number;
+  /** Share of failed requests, from 0 to 1. */
+  failures: number;
   sampledAtMilliseconds: number;
 }
 
@@ -33,19 +44,43 @@
     this.#means.set(kind, mean + (bounded - mean) * MEAN_WEIGHT);
     const ratio = mean > 0 ? milliseconds / mean : 1;
     const sample = Math.min(MOST_SLOWNESS, Math.max(LEAST_SLOWNESS, ratio));
-    const slowness = this.slowness(targetId);
+    const known = this.#current(targetId);
+    this.#targets.set(targetId, {
+      slowness: known.slowness + (sample - known.slowness) * SAMPLE_WEIGHT,
+      failures: known.failures * (1 - FAILURE_WEIGHT),
+      sampledAtMilliseconds: performance.now(),
+    });
+  }
+
+  /** Notes a request that a target broke off, failed, or never answered. */
+  observeFailure(targetId: string): void {
+    const known = this.#current(targetId);
     this.#targets.set(targetId, {
-      slowness: slowness + (sample - slowness) * SAMPLE_WEIGHT,
+      slowness: known.slowness,
+      failures: known.failures + (1 - known.failures) * FAILURE_WEIGHT,
       sampledAtMilliseconds: performance.now(),
     });
   }
 
-  /** Service time against the usual; 1 is usual, 2 is half as fast. */
+  /**
+   * Service time against the usual; 1 is usual, 2 is half as fast. A target that fails many requests
+   * counts as slower, as those requests start anew elsewhere, or fail.
+   */
   slowness(targetId: string): number {
+    const { slowness, failures } = this.#current(targetId);
+    return slowness * (1 + Math.max(0, failures - USUAL_FAILURE_SHARE) * FAILURE_SLOWNESS);
+  }
+
+  #current(targetId: string): TargetSpeed {
+    const now = performance.now();
     const known = this.#targets.get(targetId);
-    if (!known) return 1;
-    const age = performance.now() - known.sampledAtMilliseconds;
-    return 1 + (known.slowness - 1) * 0.5 ** (age / HALF_LIFE_MILLISECONDS);
+    if (!known) return { slowness: 1, failures: 0, sampledAtMilliseconds: now };
+    const kept = 0.5 ** ((now - known.sampledAtMilliseconds) / HALF_LIFE_MILLISECONDS);
+    return {
+      slowness: 1 + (known.slowness - 1) * kept,
+      failures: known.failures * kept,
+      sampledAtMilliseconds: now,
+    };
   }
 
   /** Usual time of a kind of work in milliseconds; undefined before the first sample. */
--- a/packages/scheduling/tests/carried/targetSpeeds.test.ts
+++ b/packages/scheduling/tests/carried/targetSpeeds.test.ts
@@ -30,3 +30,15 @@
   }
   expect(speeds.slowness('first')).toBeCloseTo(speeds.slowness('second'), 5);
 });
+
+test('a target that fails many requests counts as slow, and one that fails few does not', () => {
+  const speeds = new TargetSpeeds();
+  for (let request = 1; request <= 60; request += 1) {
+    if (request % 5 < 2) speeds.observeFailure('grey');
+    else speeds.observe('grey', 'turn', 200);
+    if (request % 20 === 0) speeds.observeFailure('usual');
+    else speeds.observe('usual', 'turn', 200);
+  }
+  expect(speeds.slowness('grey')).toBeGreaterThan(2);
+  expect(speeds.slowness('usual')).toBeLessThan(1.3);
+});
