--- a/packages/admission/src/shared/programAdmission.ts
+++ b/packages/admission/src/shared/programAdmission.ts
@@ -12,14 +12,14 @@
   readonly requestsPerProgramSecond: number;
 }
 
-/** Time for which the programs' needs are weighed, as a part of the window; most end within it. */
-const HORIZON = 0.5;
-
 /** Why a program may begin, or may not. */
 export type ProgramDecision =
   | { readonly kind: 'admitted' }
   | { readonly kind: 'refused'; readonly reason: 'programs-need-the-rate' | 'window-is-spent' };
 
+/** Time for which the programs' needs are weighed, as a part of the window; most end within it. */
+const HORIZON = 0.5;
+
 /**
  * Part of a window's tokens below which no program begins: programs send unevenly, and one that is
  * refused midway has wasted all before it.
--- a/packages/gateway/src/targets/targetLoads.ts
+++ b/packages/gateway/src/targets/targetLoads.ts
@@ -43,10 +43,6 @@
     return performance.now() - (this.#loads.get(targetId)?.lastHeardMilliseconds ?? -Infinity);
   }
 
-  ownInFlight(targetId: string): number {
-    return this.#loads.get(targetId)?.ownInFlight ?? 0;
-  }
-
   /** Estimates the requests of all instances at a target. */
   estimate(targetId: string): number {
     const load = this.#loads.get(targetId);
