--- a/packages/admission/tests/shared/sharedRate.test.ts
+++ b/packages/admission/tests/shared/sharedRate.test.ts
@@ -57,7 +57,7 @@
 const TOLERATED_PART = 0.1;
 const TOLERATED_REQUESTS = 20;
 
-const RESTARTS: readonly [number, number][] = [
+const RESTARTS: [number, number][] = [
   [607, 784],
   [7_303, 519],
   [5_957, 510],
