Let one piece of code serve where the gateway wrote it again

Written again, now one piece each: values of the store parsed by a schema (parseWith moves from partitions to store; membership, budgets and the instance list had their own), the end of a wait (settleWithin under boundStoreCall and withPeerDeadline), shutdownSignal (server, platform), headers that concern one connection (connectionHeaders of admission, which the adapter had as a list and a loop of its own), a small HTTP listener (FleetServer and MetricsServer were the same class), a 32-bit hash (two in the gateway), the question to several peers (three loops in FleetPeers), a prompt's part and an instance's holding (types), the random draws, the route and the request of tests (SeededRandom and two fixtures).

Without use: the load of a declined attempt, how many tokens peers released, loggers and metrics of three parts, a second look at a program's stage.

Done twice or in the wrong place: the metrics listener no longer holds the start up; the same list of members is logged once; the build takes the flags of the code cache from the deploy file instead of repeating them.

Draws of the replay tests differ, as SeededRandom drops its first ones; their bounds are the same.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -1,6 +1,7 @@
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, rmSync } from 'node:fs';
+import { copyFileSync, readFileSync, rmSync } from 'node:fs';
 import { build } from 'esbuild';
+import { parse } from 'smol-toml';
 
 /** Parts of Nest that are loaded only where an application uses them; this one doesn't. */
 const UNUSED_OPTIONAL_PACKAGES = [
@@ -15,8 +16,15 @@
   'class-validator',
 ];
 
-/** The flag of the entry role in system.toml; a cache made with other flags is rejected. */
-const ENTRY_HEAP_FLAG = '--max-old-space-size=160';
+/** Flags of the runtime for the entry role: a cache made with others is rejected. */
+const runtimeFlags = () => {
+  const { roles } = parse(readFileSync('deploy/system.toml', 'utf8'));
+  const [, ...words] = roles.entry.run.split(' ');
+  return words.slice(
+    0,
+    words.findIndex((word) => !word.startsWith('-')),
+  );
+};
 
 rmSync('target/bundle.cache', { force: true });
 await build({
@@ -33,6 +41,6 @@
   external: UNUSED_OPTIONAL_PACKAGES,
 });
 copyFileSync('deploy/launch.cjs', 'target/main.js');
-execFileSync(process.execPath, [ENTRY_HEAP_FLAG, 'deploy/writeCodeCache.cjs'], {
+execFileSync(process.execPath, [...runtimeFlags(), 'deploy/writeCodeCache.cjs'], {
   stdio: ['ignore', 'ignore', 'inherit'],
 });
--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -7,6 +7,8 @@
 export type { KeyIdentity } from './keyIdentity';
 export { credentialOf } from './keys/credentialOf';
 export { KeyRing } from './keys/keyRing';
+export { connectionHeaders } from './keys/connectionHeaders';
+export { pairHeaders } from './keys/rawHeader';
 export type { RawHeader } from './keys/rawHeader';
 export { secretMentions } from './keys/secretMentions';
 export { stripCredentials } from './keys/stripCredentials';
--- a/packages/admission/src/keys/stripCredentials.ts
+++ b/packages/admission/src/keys/stripCredentials.ts
@@ -1,3 +1,4 @@
+import { connectionHeaders } from './connectionHeaders';
 import { pairHeaders } from './rawHeader';
 import type { RawHeader } from './rawHeader';
 import { parseRequestTarget } from './requestTarget';
@@ -33,35 +34,17 @@
   'authorization',
 ]);
 
-const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
-const namedByConnection = (headers: readonly RawHeader[]): ReadonlySet<string> =>
-  new Set(
-    headers
-      .filter(({ name }) => name.toLowerCase() === 'connection')
-      .flatMap(({ value }) => value.split(','))
-      .map((name) => name.trim().toLowerCase()),
-  );
-
 type SecretCheck = (text: string) => boolean;
 
 const stripHeaders = (
   headers: readonly RawHeader[],
   holdsSecret: SecretCheck,
 ): readonly RawHeader[] => {
-  const perConnection = namedByConnection(headers);
+  const perConnection = connectionHeaders(headers);
   return headers.filter(({ name, value }) => {
     const lowerName = name.toLowerCase();
-    if (CREDENTIAL_HEADERS.has(lowerName) || HOP_BY_HOP_HEADERS.has(lowerName)) return false;
-    return !perConnection.has(lowerName) && !holdsSecret(name) && !holdsSecret(value);
+    if (CREDENTIAL_HEADERS.has(lowerName) || perConnection.has(lowerName)) return false;
+    return !holdsSecret(name) && !holdsSecret(value);
   });
 };
 
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -44,8 +44,8 @@
   readonly borrow: (request: LoanRequest) => Promise<Loan>;
   /** Tells the other instances that a program has begun here. */
   readonly announce: (budgetKey: string) => void;
-  /** Has the other instances give back what they hold of a budget; resolves to how much it was. */
-  readonly recall: (budgetKey: string) => Promise<number>;
+  /** Has the other instances give back what they hold of a budget. */
+  readonly recall: (budgetKey: string) => Promise<void>;
   /** Whether no earlier process of this instance can have granted tokens. */
   readonly isFirstProcess: () => boolean;
   /** Instances that may grant tokens, this one included, present or not. */
@@ -129,11 +129,11 @@
     return true;
   }
 
-  /** Gives back to the store what this instance holds of a budget; resolves to how much it was. */
-  async release(key: string): Promise<number> {
+  /** Gives back to the store what this instance holds of a budget. */
+  async release(key: string): Promise<void> {
     const budget = this.#budgets.get(key);
-    if (!budget || budget.account.heldTokens === 0) return 0;
-    return serialise(budget, () => this.#giveBack(budget));
+    if (!budget || budget.account.heldTokens === 0) return;
+    await serialise(budget, () => this.#giveBack(budget));
   }
 
   /** Lends tokens to another instance: of what is held here, or, if it may, from the store. */
@@ -180,17 +180,14 @@
   }
 
   /** Writes what is held back to the store; other instances may do the same at the same time. */
-  async #giveBack(budget: ProgramBudget): Promise<number> {
+  async #giveBack(budget: ProgramBudget): Promise<void> {
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       const tokens = budget.account.withdraw();
-      if (tokens === 0) return 0;
-      const written = await this.#ledger.change(budget, -tokens);
-      if (written === 'done') return tokens;
+      if (tokens === 0) return;
       // Where the outcome is unknown the tokens are lost to the program, and never spent twice.
-      if (written === 'failed') return 0;
+      if ((await this.#ledger.change(budget, -tokens)) !== 'conflict') return;
       budget.account.receive(tokens);
     }
-    return 0;
   }
 
   #noteGrant(budget: ProgramBudget): void {
--- a/packages/gateway/src/budgets/storedBudget.ts
+++ b/packages/gateway/src/budgets/storedBudget.ts
@@ -1,4 +1,5 @@
 import type { StoreEntry } from '@limpetnotch/store';
+import { parseWith } from '@limpetnotch/store';
 import { z } from 'zod';
 
 const storedBudgetSchema = z.object({
@@ -14,11 +15,5 @@
 export type StoredBudget = z.infer<typeof storedBudgetSchema>;
 
 /** Reads a budget from its entry; undefined where the value can't be read. */
-export const parseStoredBudget = (entry: StoreEntry): StoredBudget | undefined => {
-  try {
-    return storedBudgetSchema.parse(JSON.parse(entry.value));
-  } catch {
-    // The caller logs it, and grants nothing.
-    return undefined;
-  }
-};
+export const parseStoredBudget = ({ value }: StoreEntry): StoredBudget | undefined =>
+  parseWith(storedBudgetSchema, value);
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -143,10 +143,10 @@
       throw broken('answer to another request');
     }
     if (head.isMisdirected) {
-      throw new AttemptEnd({ kind: 'declined', reason: 'misdirected', load: head.load });
+      throw new AttemptEnd({ kind: 'declined', reason: 'misdirected' });
     }
     if (head.isNotExecuted) {
-      throw new AttemptEnd({ kind: 'declined', reason: 'full', load: head.load });
+      throw new AttemptEnd({ kind: 'declined', reason: 'full' });
     }
     if (isSuccess(head) && !head.isSigned) throw broken('success without a signature');
     if (head.hasContentEncoding) throw broken('encoded body');
--- a/packages/gateway/src/calls/callEnvelope.ts
+++ b/packages/gateway/src/calls/callEnvelope.ts
@@ -1,3 +1,5 @@
+import type { PrefixPart } from '@limpetnotch/scheduling';
+
 /** The program that a request belongs to. */
 export interface ProgramReference {
   readonly id: string;
@@ -9,17 +11,11 @@
   readonly tokenBudget: number | undefined;
 }
 
-/** One part of a prompt, shared with other requests that name the same one. */
-export interface PromptPart {
-  readonly id: string;
-  readonly tokens: number;
-}
-
 /** What a request for a model says of its prompt and its output. */
 export interface PromptShape {
   readonly inputTokens: number;
   readonly maximumOutputTokens: number;
-  readonly parts: readonly PromptPart[];
+  readonly parts: readonly PrefixPart[];
 }
 
 /** A request of a caller, decoded from its headers. */
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,4 +1,4 @@
-import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { Logger } from '@limpetnotch/observability';
 import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { FleetState } from '../fleet/fleetState';
@@ -40,7 +40,6 @@
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
   readonly logger: Logger;
-  readonly metrics: Metrics;
   /** Instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -1,4 +1,4 @@
-import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { Logger } from '@limpetnotch/observability';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
 import { followPrefix } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
@@ -22,7 +22,6 @@
   readonly codec: FleetCodec;
   readonly state: FleetState;
   readonly logger: Logger;
-  readonly metrics: Metrics;
   readonly onConfiguration: (configuration: FleetConfiguration) => void;
   readonly onTargetsChanged: () => void;
   readonly onRetirement: (instance: string) => void;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,9 +15,9 @@
 import { FleetState } from './fleet/fleetState';
 import { RetirementDuty } from './fleet/retirementDuty';
 import type { GatewaySettings } from './gatewaySettings';
+import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
-import { FleetServer } from './peers/fleetServer';
-import { createFleetService } from './peers/fleetService';
+import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
 import { SharedQuotas } from './quotas/sharedQuotas';
@@ -81,7 +81,7 @@
 
   readonly #calls: CallGateway;
 
-  #peerServer: FleetServer | undefined;
+  #peerListener: HttpListener | undefined;
 
   #ingress: IngressServer | undefined;
 
@@ -110,7 +110,6 @@
       holding: () => this.#membership.holding,
       windowSeconds: () => this.#reloadable.quotaWindowSeconds,
       hasBegun: async (programKey) => this.#isYoung && (await this.#budgets.hasBegun(programKey)),
-      logger,
       metrics,
     });
     this.#budgets = new EscrowBudgets({
@@ -134,7 +133,6 @@
       codec: parts.fleetCodec,
       state: this.#fleet,
       logger,
-      metrics,
       onConfiguration: (configuration) => this.#onConfiguration(configuration),
       onTargetsChanged: () => this.#onTargetsChanged(),
       onRetirement: (instance) => {
@@ -154,7 +152,6 @@
       fleet: this.#fleet,
       availabilityZone: settings.availabilityZone,
       logger,
-      metrics,
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
@@ -216,9 +213,9 @@
       ...settings.entry,
       handle: (request, response) => this.#calls.serve(request, response),
     });
-    this.#peerServer = await FleetServer.start({
+    this.#peerListener = await HttpListener.start({
       ...settings.peer,
-      service: createFleetService(this.#quotas, this.#budgets),
+      listener: createFleetListener(this.#quotas, this.#budgets),
     });
   }
 
@@ -227,7 +224,7 @@
       this.#ingress?.stop(),
       this.#readiness?.stop(),
       this.#connections.close(),
-      this.#peerServer?.close(),
+      this.#peerListener?.close(),
     ]);
     this.#peers.close();
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 export type { BudgetDecision, BudgetGate, BudgetRequest } from './budgets/budgetGate';
-export type { CallEnvelope, ProgramReference, PromptPart, PromptShape } from './calls/callEnvelope';
+export type { CallEnvelope, ProgramReference, PromptShape } from './calls/callEnvelope';
 export type {
   AnswerHead,
   DispatchNote,
@@ -21,4 +21,5 @@
 export type { GatewaySettings } from './gatewaySettings';
 export { fleetTargetSchema } from './targets/fleetTarget';
 export type { FleetTarget } from './targets/fleetTarget';
+export { HttpListener } from './ingress/httpListener';
 export { IngressServer } from './ingress/ingressServer';
--- a/packages/gateway/src/peers/fleetServer.ts
+++ b/packages/gateway/src/ingress/httpListener.ts
@@ -1,20 +1,17 @@
 import { once } from 'node:events';
-import type { Server } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
 import { createServer } from 'node:http';
-import type { ServiceImpl } from '@connectrpc/connect';
-import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { FleetService } from '@limpetnotch/peer-protocol';
 
-/** Options of {@link FleetServer.start}. */
-export interface FleetServerOptions {
+/** Options of {@link HttpListener.start}. */
+export interface HttpListenerOptions {
   readonly host: string;
   /** TCP port; 0 lets the system choose. */
   readonly port: number;
-  readonly service: Partial<ServiceImpl<typeof FleetService>>;
+  readonly listener: RequestListener;
 }
 
-/** Listens for other instances, by connect over HTTP/1.1: their messages are few and short. */
-export class FleetServer {
+/** Listens over HTTP/1.1 for few and short requests, such as those of other instances. */
+export class HttpListener {
   readonly #server: Server;
 
   private constructor(server: Server) {
@@ -22,15 +19,11 @@
   }
 
   /** Starts to listen; rejects when the port is taken. */
-  static async start({ host, port, service }: FleetServerOptions): Promise<FleetServer> {
-    const handler = connectNodeAdapter({
-      routes: (router) => router.service(FleetService, service),
-      acceptCompression: [],
-    });
-    const server = createServer(handler);
+  static async start({ host, port, listener }: HttpListenerOptions): Promise<HttpListener> {
+    const server = createServer(listener);
     server.listen(port, host);
     await once(server, 'listening');
-    return new FleetServer(server);
+    return new HttpListener(server);
   }
 
   /** TCP port on which the server listens. */
--- a/packages/gateway/src/peers/fleetService.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -1,11 +1,14 @@
+import type { RequestListener } from 'node:http';
 import type { ServiceImpl } from '@connectrpc/connect';
-import type { FleetService } from '@limpetnotch/peer-protocol';
-import { LendBudgetResponse_Outcome as LendOutcome } from '@limpetnotch/peer-protocol';
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import {
+  FleetService,
+  LendBudgetResponse_Outcome as LendOutcome,
+} from '@limpetnotch/peer-protocol';
 import type { EscrowBudgets } from '../budgets/escrowBudgets';
 import type { SharedQuotas } from '../quotas/sharedQuotas';
 
-/** Answers the questions of other instances. */
-export const createFleetService = (
+const createFleetService = (
   quotas: SharedQuotas,
   budgets: EscrowBudgets,
 ): Partial<ServiceImpl<typeof FleetService>> => ({
@@ -31,5 +34,18 @@
     keys.forEach((key) => budgets.noteBegun(key));
     return {};
   },
-  releaseBudget: async ({ budget }) => ({ released: await budgets.release(budget) }),
+  releaseBudget: async ({ budget }) => {
+    await budgets.release(budget);
+    return {};
+  },
 });
+
+/** Creates a listener that answers the questions of other instances, by connect. */
+export const createFleetListener = (
+  quotas: SharedQuotas,
+  budgets: EscrowBudgets,
+): RequestListener =>
+  connectNodeAdapter({
+    routes: (router) => router.service(FleetService, createFleetService(quotas, budgets)),
+    acceptCompression: [],
+  });
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -48,6 +48,14 @@
   silentUntilMilliseconds: number;
 }
 
+/** What a peer answered. */
+interface Reply<Answer> {
+  readonly name: string;
+  readonly answer: Answer;
+}
+
+type Send<Answer> = (client: Peer['client'], options: { timeoutMs: number }) => Promise<Answer>;
+
 const connect = (address: string): Peer => {
   const agent = new Agent({ keepAlive: true, maxSockets: CONNECTIONS_PER_PEER });
   const transport = createConnectTransport({
@@ -112,26 +120,21 @@
 
   /** Asks all peers at once what they know of an organisation's programs. */
   async describeDemand(organisation: string, program: string): Promise<readonly PeerDemand[]> {
-    const answers = await Promise.all(
-      [...this.#peers.keys()].map((name) =>
-        this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
-          client.describeDemand({ organisation, program }, options),
-        ),
-      ),
+    const replies = await this.#callEach(
+      [...this.#peers.keys()],
+      TOKENS_DEADLINE_MILLISECONDS,
+      (client, options) => client.describeDemand({ organisation, program }, options),
     );
-    return answers.filter((answer) => answer !== undefined);
+    return replies.map(({ answer }) => answer);
   }
 
   /** Has all peers give back what they hold of a budget; resolves when all answered or are late. */
-  async releaseBudget(budget: string): Promise<number> {
-    const released = await Promise.all(
-      [...this.#peers.keys()].map((name) =>
-        this.#call(name, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
-          client.releaseBudget({ budget }, options),
-        ),
-      ),
+  async releaseBudget(budget: string): Promise<void> {
+    await this.#callEach(
+      [...this.#peers.keys()],
+      RELEASE_DEADLINE_MILLISECONDS,
+      (client, options) => client.releaseBudget({ budget }, options),
     );
-    return released.reduce((sum, answer) => sum + (answer?.released ?? 0), 0);
   }
 
   /**
@@ -167,26 +170,19 @@
   #sendAnnouncements(): void {
     const budgets = this.#announcements;
     this.#announcements = [];
-    [...this.#peers.keys()].slice(0, PEERS_TOLD).forEach((name) => {
-      void this.#call(name, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
-        client.announcePrograms({ budgets }, options),
-      );
-    });
+    const told = [...this.#peers.keys()].slice(0, PEERS_TOLD);
+    void this.#callEach(told, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
+      client.announcePrograms({ budgets }, options),
+    );
   }
 
-  async #askToLend(
+  #askToLend(
     names: readonly string[],
     request: LoanRequest,
-  ): Promise<readonly { readonly name: string; readonly answer: LendBudgetResponse }[]> {
-    const answers = await Promise.all(
-      names.map(async (name) => ({
-        name,
-        answer: await this.#call(name, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
-          client.lendBudget(request, options),
-        ),
-      })),
+  ): Promise<readonly Reply<LendBudgetResponse>[]> {
+    return this.#callEach(names, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
+      client.lendBudget(request, options),
     );
-    return answers.flatMap(({ name, answer }) => (answer ? [{ name, answer }] : []));
   }
 
   #reorder(name: string, isGiving: boolean): void {
@@ -194,10 +190,25 @@
     this.#order = isGiving ? [name, ...others] : [...others, name];
   }
 
+  /** Sends the same question to peers at once; those that don't answer in time are left out. */
+  async #callEach<Answer>(
+    names: readonly string[],
+    deadlineMilliseconds: number,
+    send: Send<Answer>,
+  ): Promise<readonly Reply<Answer>[]> {
+    const replies = await Promise.all(
+      names.map(async (name) => ({
+        name,
+        answer: await this.#call(name, deadlineMilliseconds, send),
+      })),
+    );
+    return replies.flatMap(({ name, answer }) => (answer ? [{ name, answer }] : []));
+  }
+
   async #call<Answer>(
     name: string,
     deadlineMilliseconds: number,
-    send: (client: Peer['client'], options: { timeoutMs: number }) => Promise<Answer>,
+    send: Send<Answer>,
   ): Promise<Answer | undefined> {
     const peer = this.#peers.get(name);
     if (!peer || performance.now() < peer.silentUntilMilliseconds) return undefined;
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '@limpetnotch/observability';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
-import { compareAndSwapUntilKnown, followPrefix } from '@limpetnotch/store';
+import { compareAndSwapUntilKnown, followPrefix, parseWith } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
@@ -44,15 +44,6 @@
   readonly onChange: () => void;
 }
 
-const parseEntry = <Value>(schema: z.ZodType<Value>, entry: StoreEntry): Value | undefined => {
-  try {
-    return schema.parse(JSON.parse(entry.value));
-  } catch {
-    // The caller logs the key of an entry that can't be read.
-    return undefined;
-  }
-};
-
 /**
  * Who shares the rates of organisations. Members are listed in one key of the store, each with an
  * equal part; presence, by a lease, tells where they listen. A member that is absent for long is
@@ -156,14 +147,14 @@
       return;
     }
     if (!entry.key.startsWith(PRESENCE_PREFIX)) return;
-    const presence = parseEntry(presenceSchema, entry);
+    const presence = parseWith(presenceSchema, entry.value);
     if (presence) this.#present.set(entry.key.slice(PRESENCE_PREFIX.length), presence.address);
     else this.#parts.logger.warn('membership.unreadable', { key: entry.key });
   }
 
   #setMembers(entry: StoreEntry): void {
-    if (entry.revision < this.#membersRevision) return;
-    const list = parseEntry(membersSchema, entry);
+    if (entry.revision <= this.#membersRevision) return;
+    const list = parseWith(membersSchema, entry.value);
     if (!list) {
       this.#parts.logger.warn('membership.unreadable', { key: entry.key });
       return;
--- a/packages/gateway/src/quotas/holding.ts
+++ b/packages/gateway/src/quotas/holding.ts
@@ -1,7 +1,4 @@
+import type { RatePart } from '@limpetnotch/admission';
+
 /** Which part of every organisation's rate an instance holds. */
-export interface Holding {
-  /** Instances that hold equal parts; 0 where this one holds none. */
-  readonly holders: number;
-  /** Rank of this instance among them, from 0. */
-  readonly rank: number;
-}
+export type Holding = Pick<RatePart, 'holders' | 'rank'>;
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -1,8 +1,8 @@
-import { createHash } from 'node:crypto';
 import { AdmittedPrograms, admitProgram, ProgramLoad, SharedRate } from '@limpetnotch/admission';
 import type { OrganisationDemand, RatePart } from '@limpetnotch/admission';
-import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
+import { hash32 } from '../util/hash32';
 import { RecentKeys } from '../util/recentKeys';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
 import type { Holding } from './holding';
@@ -57,16 +57,12 @@
   readonly windowSeconds: () => number;
   /** Whether a program that no instance remembers has begun all the same, before a restart. */
   readonly hasBegun: (programKey: string) => Promise<boolean>;
-  readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
-type Refused = Extract<QuotaDecision, { kind: 'refused' }>;
-
-const OFFSET_BYTES = 4;
+type NewProgram = Extract<ProgramStage, { kind: 'new-program' }>;
 
-const offsetOf = (organisation: string): number =>
-  createHash('md5').update(organisation).digest().readUIntBE(0, OFFSET_BYTES);
+type Refused = Extract<QuotaDecision, { kind: 'refused' }>;
 
 const clampRetryAfter = (seconds: number): number =>
   Math.min(LONGEST_RETRY_AFTER_SECONDS, Math.max(SHORTEST_RETRY_AFTER_SECONDS, seconds));
@@ -104,13 +100,13 @@
   async take({ organisation, programKey, stage }: QuotaRequest): Promise<QuotaDecision> {
     const entry = this.#rateOf(organisation);
     entry.rate.noteDemand();
-    const begins = this.#begins(programKey, stage);
-    if (begins && this.#isPressed(entry, organisation)) {
+    const beginning = this.#begins(programKey, stage) ? stage : undefined;
+    if (beginning && this.#isPressed(entry, organisation)) {
       const refused = await this.#refuseProgram(organisation, entry, programKey);
       if (refused) return refused;
     }
     if (!(await this.#takeToken(organisation, entry))) return this.#noToken(entry);
-    if (begins) this.#noteProgram(entry, stage);
+    if (beginning) this.#noteProgram(entry, beginning);
     if (programKey !== undefined) {
       this.#seen.note(programKey);
       this.#load.noteRequest();
@@ -134,15 +130,14 @@
   }
 
   /** Whether this may be a program's first request, as far as this instance has seen. */
-  #begins(programKey: string | undefined, stage: ProgramStage): boolean {
+  #begins(programKey: string | undefined, stage: ProgramStage): stage is NewProgram {
     if (stage.kind === 'under-way' || programKey === undefined) return false;
     return !this.#seen.has(programKey);
   }
 
-  #noteProgram(entry: OrganisationRate, stage: ProgramStage): void {
-    if (stage.kind !== 'new-program') return;
-    entry.programs.add(stage.expectedMilliseconds);
-    this.#load.noteProgram(stage.expectedMilliseconds);
+  #noteProgram({ programs }: OrganisationRate, { expectedMilliseconds }: NewProgram): void {
+    programs.add(expectedMilliseconds);
+    this.#load.noteProgram(expectedMilliseconds);
   }
 
   /** Whether the organisation may be near its rate, judged by what this instance alone knows. */
@@ -289,7 +284,7 @@
       burst: rate?.burst ?? 0,
       windowSeconds: this.#parts.windowSeconds(),
       holders,
-      rank: holders === 0 ? 0 : (rank + offsetOf(name)) % holders,
+      rank: holders === 0 ? 0 : (rank + hash32(name)) % holders,
     };
   }
 }
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -33,8 +33,7 @@
       logger: silentLogger,
       metrics: new MemoryMetrics(),
       recall: async (key) => {
-        const released = await Promise.all(this.#peersOf(index).map((peer) => peer.release(key)));
-        return released.reduce((sum, tokens) => sum + tokens, 0);
+        await Promise.all(this.#peersOf(index).map((peer) => peer.release(key)));
       },
       borrow: (request) => this.#borrow(index, request),
       announce: (key) => {
--- a/packages/gateway/tests/calls/admitCall.test.ts
+++ b/packages/gateway/tests/calls/admitCall.test.ts
@@ -1,41 +1,22 @@
 import { admitCall } from '../../src/calls/admitCall';
 import type { CallEnvelope } from '../../src/calls/callEnvelope';
 import { FleetState } from '../../src/fleet/fleetState';
+import { callEnvelope } from '../support/callEnvelope';
+import { fleetRoute } from '../support/fleetRoute';
 
-const envelopeOf = (change: Partial<CallEnvelope>): CallEnvelope => ({
-  id: 'request',
-  method: 'POST',
-  host: 'amman.example',
-  pathAndQuery: '/turns/1?trace=1',
-  patienceMilliseconds: undefined,
-  key: 'known-key',
-  program: undefined,
-  prompt: undefined,
-  lastEventId: undefined,
-  passedHeaders: [],
-  ...change,
-});
+const envelopeOf = (change: Partial<CallEnvelope>): CallEnvelope =>
+  callEnvelope({
+    host: 'amman.example',
+    pathAndQuery: '/turns/1?trace=1',
+    key: 'known-key',
+    ...change,
+  });
 
 const configuredFleet = (): FleetState => {
   const fleet = new FleetState();
   fleet.apply({
     version: 1,
-    routes: [
-      {
-        name: 'turns',
-        host: 'amman.example',
-        pathPrefix: '/turns/',
-        execution: { kind: 'idempotent' },
-        context: { kind: 'carried' },
-        destinations: [{ service: 'engine', weight: 1 }],
-        timeoutMilliseconds: 4_000,
-        latencyObjectiveMilliseconds: 200,
-        priority: 0,
-        maximumTargets: 1,
-        isOpenToAll: false,
-        hasSessionAffinity: false,
-      },
-    ],
+    routes: [fleetRoute({ host: 'amman.example', pathPrefix: '/turns/', isOpenToAll: false })],
     services: [],
     limits: {
       headerBytes: 1,
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { createServer, request as httpRequest } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
-import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { silentLogger } from '@limpetnotch/observability';
 import { AnswerWriter } from '../../src/calls/answerWriter';
 import { Call } from '../../src/calls/call';
 import type { CallResult } from '../../src/calls/callRunner';
@@ -12,6 +12,8 @@
 import { FleetState } from '../../src/fleet/fleetState';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { TargetLoads } from '../../src/targets/targetLoads';
+import { callEnvelope } from '../support/callEnvelope';
+import { fleetRoute } from '../support/fleetRoute';
 
 /** Names of headers that only these tests use. */
 const codec: WireCodec = {
@@ -87,38 +89,13 @@
     fleet,
     availabilityZone: 'a',
     logger: silentLogger,
-    metrics: new MemoryMetrics(),
     instanceCount: () => 1,
   });
   let result: CallResult | undefined;
   const entry = await listen((_request: IncomingMessage, response: ServerResponse) => {
     const call = new Call({
-      envelope: {
-        id: 'r1',
-        method: 'POST',
-        host: 'h',
-        pathAndQuery: '/',
-        patienceMilliseconds: 2_000,
-        key: undefined,
-        program: undefined,
-        prompt: undefined,
-        lastEventId: undefined,
-        passedHeaders: [],
-      },
-      route: {
-        name: 'r',
-        host: 'h',
-        pathPrefix: '/',
-        execution,
-        context: { kind: 'carried' },
-        destinations: [{ service: 's', weight: 1 }],
-        timeoutMilliseconds: 2_000,
-        latencyObjectiveMilliseconds: 200,
-        priority: 0,
-        maximumTargets: 2,
-        isOpenToAll: true,
-        hasSessionAffinity: false,
-      },
+      envelope: callEnvelope({ patienceMilliseconds: 2_000 }),
+      route: fleetRoute({ execution }),
       organisation: undefined,
       service: { name: 's', connectionLimit: 8 },
       body: Buffer.from('x'),
--- a/packages/gateway/tests/quotas/programCallers.ts
+++ b/packages/gateway/tests/quotas/programCallers.ts
@@ -1,6 +1,5 @@
+import type { SeededRandom } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
-import type { RandomGenerator } from 'pure-rand/types/RandomGenerator';
-import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import type { FleetOrganisation } from '../../src/configuration/fleetConfiguration';
 import type { QuotaFleet } from './quotaFleet';
 
@@ -44,7 +43,7 @@
 
   readonly #organisation: FleetOrganisation;
 
-  readonly #random: RandomGenerator;
+  readonly #random: SeededRandom;
 
   /** Whether the instances are told which requests may begin a program. */
   readonly #tellsBeginnings: boolean;
@@ -54,7 +53,7 @@
   constructor(options: {
     readonly fleet: QuotaFleet;
     readonly organisation: FleetOrganisation;
-    readonly random: RandomGenerator;
+    readonly random: SeededRandom;
     readonly tellsBeginnings: boolean;
   }) {
     this.#fleet = options.fleet;
@@ -68,21 +67,17 @@
     const until = performance.now() + milliseconds;
     const running: Promise<void>[] = [];
     while (performance.now() < until) {
-      await delay((-Math.log(1 - this.#draw()) * 1_000 * MEAN_REQUESTS) / requestsPerSecond);
+      await delay(this.#random.exponential((1_000 * MEAN_REQUESTS) / requestsPerSecond));
       running.push(this.#play(this.#begin()));
     }
     await Promise.all(running);
   }
 
-  #draw(): number {
-    return uniformFloat64(this.#random);
-  }
-
   #begin(): Program {
     this.#begun += 1;
-    const mean = this.#draw() < 0.75 ? 4 : 11;
-    const turns = Math.max(2, Math.round(mean * (0.6 + 0.8 * this.#draw())));
-    const tools = Array.from({ length: turns }, () => Math.floor(this.#draw() * 4));
+    const mean = this.#random.chance(0.75) ? 4 : 11;
+    const turns = Math.max(2, Math.round(mean * (0.6 + 0.8 * this.#random.fraction())));
+    const tools = Array.from({ length: turns }, () => this.#random.integer(0, 3));
     const idle = tools.reduce(
       (sum, count) =>
         sum + TURN_MILLISECONDS + PAUSE_MILLISECONDS + (count > 0 ? TOOL_MILLISECONDS : 0),
@@ -90,22 +85,13 @@
     );
     return {
       key: `program-${this.#begun}`,
-      instance: this.#chooseInstance(),
+      instance: this.#random.pickWeighted(INSTANCE_WEIGHTS),
       tools,
       beganAtMilliseconds: performance.now(),
       objectiveMilliseconds: idle * OBJECTIVE_FACTOR + OBJECTIVE_EXTRA_MILLISECONDS,
     };
   }
 
-  #chooseInstance(): number {
-    let left = this.#draw();
-    const chosen = INSTANCE_WEIGHTS.findIndex((weight) => {
-      left -= weight;
-      return left < 0;
-    });
-    return Math.max(0, chosen);
-  }
-
   async #play(program: Program): Promise<void> {
     const size = program.tools.reduce((sum, count) => sum + 1 + count, 0);
     for (const count of program.tools) {
@@ -124,7 +110,7 @@
   async #turn(program: Program): Promise<boolean> {
     for (let attempt = 0; attempt < 3; attempt += 1) {
       if (await this.#request(program, TURN_MILLISECONDS, true)) return true;
-      await delay(100 + 300 * this.#draw());
+      await delay(100 + 300 * this.#random.fraction());
     }
     return false;
   }
@@ -139,8 +125,8 @@
   /** A refused request comes again once, at the time that it was told. */
   async #request(program: Program, milliseconds: number, isTurn: boolean): Promise<boolean> {
     for (let attempt = 0; attempt < 2; attempt += 1) {
-      const isMoved = this.#draw() < MOVED_SHARE;
-      const instance = isMoved ? this.#chooseInstance() : program.instance;
+      const isMoved = this.#random.chance(MOVED_SHARE);
+      const instance = isMoved ? this.#random.pickWeighted(INSTANCE_WEIGHTS) : program.instance;
       const elapsed = performance.now() - program.beganAtMilliseconds;
       const expectedMilliseconds = Math.max(0, program.objectiveMilliseconds - elapsed) * 0.6;
       const decision = await this.#fleet.instances[instance]!.take({
--- a/packages/gateway/tests/quotas/quotaFleet.ts
+++ b/packages/gateway/tests/quotas/quotaFleet.ts
@@ -1,4 +1,4 @@
-import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { MemoryMetrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
 import type { FleetOrganisation } from '../../src/configuration/fleetConfiguration';
 import type { QuotaPeers } from '../../src/quotas/quotaPeers';
@@ -23,7 +23,6 @@
           holding: () => ({ holders: count, rank }),
           windowSeconds: () => windowSeconds,
           hasBegun: async () => false,
-          logger: silentLogger,
           metrics: new MemoryMetrics(),
         }),
     );
--- a/packages/gateway/tests/quotas/sharedQuotas.test.ts
+++ b/packages/gateway/tests/quotas/sharedQuotas.test.ts
@@ -1,4 +1,4 @@
-import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { SeededRandom } from '@limpetnotch/stand-ins';
 import type { FleetOrganisation } from '../../src/configuration/fleetConfiguration';
 import { ProgramCallers } from './programCallers';
 import { QuotaFleet } from './quotaFleet';
@@ -24,7 +24,7 @@
   tellsBeginnings: boolean,
 ): Promise<number> => {
   const fleet = new QuotaFleet(4, organisation, WINDOW_SECONDS);
-  const random = xoroshiro128plus(seed);
+  const random = new SeededRandom(seed);
   const callers = new ProgramCallers({ fleet, organisation, random, tellsBeginnings });
   await jest.advanceTimersByTimeAsync(2 * WINDOW_SECONDS * 1_000);
   const played = callers.run(demandPerSecond, PLAYED_MILLISECONDS);
@@ -77,7 +77,7 @@
   const fleet = new QuotaFleet(4, organisation, WINDOW_SECONDS);
   fleet.silent.add(3);
   await jest.advanceTimersByTimeAsync(2 * WINDOW_SECONDS * 1_000);
-  const random = xoroshiro128plus(7);
+  const random = new SeededRandom(7);
   const callers = new ProgramCallers({ fleet, organisation, random, tellsBeginnings: true });
   const played = callers.run(15, PLAYED_MILLISECONDS);
   await jest.advanceTimersByTimeAsync(PLAYED_MILLISECONDS + 30_000);
--- a/packages/observability/tests/textMetrics.test.ts
+++ b/packages/observability/tests/textMetrics.test.ts
@@ -1,5 +1,8 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { request } from 'undici';
-import { MetricsServer } from '../src/metricsServer';
+import { createMetricsListener } from '../src/metricsListener';
 import { TextMetrics } from '../src/textMetrics';
 
 test('counters and histograms are served as text', async () => {
@@ -7,19 +10,22 @@
   metrics.increment('call.results', 2, { result: 'delivered' });
   metrics.gauge('call.under-way', 3);
   metrics.distribution('call.duration-milliseconds', 150, { result: 'delivered' });
-  const server = await MetricsServer.start({ host: '127.0.0.1', port: 0, metrics });
+  const server = createServer(createMetricsListener(metrics)).listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
   try {
-    const answer = await request(`http://127.0.0.1:${server.port}/metrics`);
+    const answer = await request(`http://127.0.0.1:${port}/metrics`);
     const text = await answer.body.text();
     expect(text).toContain('limpetnotch_call_results_total{result="delivered"} 2');
     expect(text).toContain('limpetnotch_call_under_way 3');
     expect(text).toContain(
       'limpetnotch_call_duration_milliseconds_bucket{le="200",result="delivered"} 1',
     );
-    const other = await request(`http://127.0.0.1:${server.port}/other`);
+    const other = await request(`http://127.0.0.1:${port}/other`);
     await other.body.dump();
     expect(other.statusCode).toBe(404);
   } finally {
-    await server.close();
+    server.closeAllConnections();
+    server.close();
   }
 });
--- a/packages/partitions/src/deferredLog.ts
+++ b/packages/partitions/src/deferredLog.ts
@@ -1,5 +1,5 @@
+import { parseWith } from '@limpetnotch/store';
 import { z } from 'zod';
-import { parseWith } from './util/parseWith';
 
 /**
  * Position of deferred records, sent as the first text before them: the peer channel carries
--- a/packages/partitions/src/membership.ts
+++ b/packages/partitions/src/membership.ts
@@ -6,14 +6,13 @@
   StoreListing,
   WatchEvent,
 } from '@limpetnotch/store';
-import { boundStoreCall } from '@limpetnotch/store';
+import { boundStoreCall, parseWith } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import type { Member } from './member';
 import { memberSchema } from './member';
 import type { PartitionSettings } from './partitionSettings';
 import { followPrefix } from './util/followPrefix';
-import { parseWith } from './util/parseWith';
 
 const INSTANCES_PREFIX = 'instances/';
 const RENEWALS_PER_LEASE = 3;
--- a/packages/partitions/src/ownerHints.ts
+++ b/packages/partitions/src/ownerHints.ts
@@ -1,12 +1,11 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore, StoreListing, WatchEvent } from '@limpetnotch/store';
-import { boundStoreCall } from '@limpetnotch/store';
+import { boundStoreCall, parseWith } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { z } from 'zod';
 import { memberSchema } from './member';
 import type { PartitionSettings } from './partitionSettings';
 import { followPrefix } from './util/followPrefix';
-import { parseWith } from './util/parseWith';
 
 const OWNERS_PREFIX = 'owners/';
 
--- a/packages/partitions/src/recoverJournal.ts
+++ b/packages/partitions/src/recoverJournal.ts
@@ -1,3 +1,4 @@
+import { parseWith } from '@limpetnotch/store';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
 import { z } from 'zod';
@@ -6,7 +7,6 @@
 import type { BulkReference, PartitionHead } from './partitionHead';
 import type { JsonValue } from './partitionHandler';
 import { mapConcurrently } from './util/mapConcurrently';
-import { parseWith } from './util/parseWith';
 
 const CONCURRENT_READS = 16;
 
--- a/packages/partitions/src/util/withPeerDeadline.ts
+++ b/packages/partitions/src/util/withPeerDeadline.ts
@@ -1,5 +1,4 @@
-import { Deferred } from '@limpetnotch/supervision';
-import type { Result } from 'neverthrow';
+import { settleWithin } from '@limpetnotch/supervision';
 import { err, ResultAsync } from 'neverthrow';
 import type { PeerError } from '../peerChannel';
 
@@ -7,13 +6,9 @@
 export const withPeerDeadline = <Value>(
   operation: ResultAsync<Value, PeerError>,
   milliseconds: number,
-): ResultAsync<Value, PeerError> => {
-  const timeout = new Deferred<Result<Value, PeerError>>();
-  const detail = `no answer within ${milliseconds} ms`;
-  const timer = setTimeout(
-    () => timeout.resolve(err({ kind: 'unreachable', detail })),
-    milliseconds,
+): ResultAsync<Value, PeerError> =>
+  new ResultAsync(
+    settleWithin(operation, milliseconds, () =>
+      err({ kind: 'unreachable', detail: `no answer within ${milliseconds} ms` }),
+    ),
   );
-  const settled = Promise.race([operation, timeout.promise]).finally(() => clearTimeout(timer));
-  return new ResultAsync(settled);
-};
--- a/packages/scheduling/src/carried/prefixDirectory.ts
+++ b/packages/scheduling/src/carried/prefixDirectory.ts
@@ -1,4 +1,7 @@
-/** One part of a prompt; a target can reuse it only together with all parts before it. */
+/**
+ * One part of a prompt, shared with other requests that name the same one. A target can reuse it
+ * only together with all parts before it.
+ */
 export interface PrefixPart {
   readonly id: string;
   readonly tokens: number;
--- a/packages/server/src/runInstance.ts
+++ b/packages/server/src/runInstance.ts
@@ -6,6 +6,7 @@
 } from '@limpetnotch/observability';
 import type { Metrics } from '@limpetnotch/observability';
 import { createEtcdStore } from '@limpetnotch/store';
+import { shutdownSignal } from '@limpetnotch/supervision';
 import { Instance } from './instance/instance';
 import type { Settings } from './settings';
 
@@ -23,14 +24,6 @@
   return { metrics, close: async () => metrics.close() };
 };
 
-/** Aborts on the first SIGTERM or SIGINT. */
-const shutdownSignal = (): AbortSignal => {
-  const controller = new AbortController();
-  process.once('SIGTERM', () => controller.abort());
-  process.once('SIGINT', () => controller.abort());
-  return controller.signal;
-};
-
 /** Runs one instance until it is told to stop; resolves to the exit code of the process. */
 export const runInstance = async (settings: Settings): Promise<number> => {
   const logger = createLogger({ instance: settings.instance, level: settings.logLevel });
--- a/packages/store/src/createStoreInstanceList.ts
+++ b/packages/store/src/createStoreInstanceList.ts
@@ -2,6 +2,7 @@
 import { z } from 'zod';
 import type { InstanceList, ListedInstance } from './instanceList';
 import type { KeyValueStore, StoreEntry } from './keyValueStore';
+import { parseWith } from './util/parseWith';
 
 const DEFAULT_PREFIX = 'platform/instances/';
 
@@ -20,14 +21,8 @@
 }
 
 const parseEntry = (entry: StoreEntry, prefix: string): ListedInstance | undefined => {
-  try {
-    const parsed = listedSchema.safeParse(JSON.parse(entry.value));
-    return parsed.success
-      ? { instance: entry.key.slice(prefix.length), ...parsed.data }
-      : undefined;
-  } catch {
-    return undefined;
-  }
+  const listed = parseWith(listedSchema, entry.value);
+  return listed && { instance: entry.key.slice(prefix.length), ...listed };
 };
 
 /** Creates the instance list of a platform that keeps it under a prefix of its store. */
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -20,6 +20,7 @@
 export type { StoreCallOutcome, StoreObserver } from './storeObserver';
 export { WatchError } from './watchError';
 export type { WatchErrorKind } from './watchError';
+export { parseWith } from './util/parseWith';
 export { boundStoreCall } from './util/boundStoreCall';
 export { backoffMilliseconds } from './util/backoffMilliseconds';
 export type { BackoffBounds } from './util/backoffMilliseconds';
--- a/packages/store/src/util/boundStoreCall.ts
+++ b/packages/store/src/util/boundStoreCall.ts
@@ -1,5 +1,4 @@
-import { Deferred } from '@limpetnotch/supervision';
-import type { Result } from 'neverthrow';
+import { settleWithin } from '@limpetnotch/supervision';
 import { err, ResultAsync } from 'neverthrow';
 import type { StoreError } from '../storeError';
 
@@ -7,13 +6,9 @@
 export const boundStoreCall = <Value>(
   operation: ResultAsync<Value, StoreError>,
   milliseconds: number,
-): ResultAsync<Value, StoreError> => {
-  const timeout = new Deferred<Result<Value, StoreError>>();
-  const detail = `no answer within ${milliseconds} ms`;
-  const timer = setTimeout(
-    () => timeout.resolve(err({ kind: 'unknown-outcome', detail })),
-    milliseconds,
+): ResultAsync<Value, StoreError> =>
+  new ResultAsync(
+    settleWithin(operation, milliseconds, () =>
+      err({ kind: 'unknown-outcome', detail: `no answer within ${milliseconds} ms` }),
+    ),
   );
-  const settled = Promise.race([operation, timeout.promise]).finally(() => clearTimeout(timer));
-  return new ResultAsync(settled);
-};
