Log why a request is sent again or given up, and count runs over its bound

An operator could not see from the logs that a request ran at more targets than its route allows: call.attempt-ended names the target that failed, and nothing names the bound, the targets that may have run the request, or what is known of them.

call.redispatched and call.given-up say so, one line for each decision, at most six for a request. call.target-bound-exceeded counts the dispatches by which a request got over its bound; targets that are known to have ended (refused connection, address answers as another one) don't count. DispatchHistory, which both read, replaces the list of runs; what is dispatched is unchanged.

explain tells both lines. "The target broke off, and the request must not be repeated" was its text for every outcome that is unknown, also after three runs of a request that may be repeated; it now says that it was not sent again.

The harness of callRunner.test.ts moves to support, with patience of 8 s instead of 2 s; its tests are the same.

--- a/packages/cli/src/explain/causeOf.ts
+++ b/packages/cli/src/explain/causeOf.ts
@@ -14,7 +14,7 @@
   'body-too-large': 'the body was larger than the configuration allows',
   'over-rate': "the organisation's rate was used up; see the line quota.refused",
   'budget-spent': "the program's token budget was spent; see the line budget.spent",
-  'outcome-unknown': 'the target broke off, and the request must not be repeated',
+  'outcome-unknown': 'the request may have run, and was not sent again',
   'timed-out': "the route's time or the caller's deadline was over",
 };
 
@@ -31,6 +31,10 @@
       return 'the store was out of reach, and no instance knew the program';
     case 'call.attempt-ended':
       return `target ${textOf(line, 'target')} ended the attempt: ${textOf(line, 'outcome')} ${textOf(line, 'detail')}`.trim();
+    case 'call.redispatched':
+      return `sent again to target ${textOf(line, 'target')} (${textOf(line, 'mayHaveRunAt')} may have run it, ${textOf(line, 'maximumTargets')} may)`;
+    case 'call.given-up':
+      return `given up: ${textOf(line, 'reason')}`;
     case 'call.refused':
       return REFUSAL_CAUSES[textOf(line, 'refusal')] ?? textOf(line, 'reason');
     case 'call.served':
--- a/packages/cli/tests/explainCommand.test.ts
+++ b/packages/cli/tests/explainCommand.test.ts
@@ -22,6 +22,15 @@
   })}`,
   line(4, 'call.refused', { request: 'request-1', refusal: 'over-rate', program: 'program-1' }),
   line(5, 'call.served', { request: 'request-2', program: 'program-1', target: 't', events: 8 }),
+  line(6, 'call.attempt-ended', { request: 'request-3', target: 't', outcome: 'stalled' }),
+  line(6, 'call.redispatched', {
+    request: 'request-3',
+    target: 'u',
+    mayHaveRunAt: 't',
+    maximumTargets: 2,
+  }),
+  line(7, 'call.given-up', { request: 'request-3', reason: 'silent' }),
+  line(7, 'call.refused', { request: 'request-3', refusal: 'outcome-unknown' }),
   '{"time":"2023-11-14T22:13:25.000Z","message":"call.ser',
 ];
 
@@ -44,6 +53,12 @@
   expect(stdout).not.toContain('request-2');
 });
 
+test('a request that was sent again is told with its targets', async () => {
+  const { stdout } = await runTestCli(['explain', 'request-3', file]);
+  expect(stdout).toContain('sent again to target u (t may have run it, 2 may)');
+  expect(stdout).toContain('given up: silent');
+});
+
 test('beliefs are the latest of the instance itself', async () => {
   const { stdout } = await runTestCli(['explain', 'request-1', file]);
   expect(stdout).toContain('version=8');
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -61,14 +61,21 @@
     const exchange = this.#send();
     const stopWatching = this.#watch(exchange);
     try {
-      return await this.#receive(exchange);
-    } catch (error) {
-      return this.#outcomeOf(error);
+      const outcome = await this.#outcomeOf(exchange);
+      call.history.record(target, outcome, exchange.wasSent);
+      return outcome;
     } finally {
       stopWatching();
       exchange.abort('attempt over');
       this.#parts.loads.end(target.id);
-      if (exchange.wasSent) call.ranAt.push(target.id);
+    }
+  }
+
+  async #outcomeOf(exchange: Exchange): Promise<AttemptOutcome> {
+    try {
+      return await this.#receive(exchange);
+    } catch (error) {
+      return this.#outcomeOfError(error);
     }
   }
 
@@ -205,7 +212,7 @@
     this.#parts.loads.heard(this.#options.target.id);
   }
 
-  #outcomeOf(error: unknown): AttemptOutcome {
+  #outcomeOfError(error: unknown): AttemptOutcome {
     if (this.#given) return this.#given;
     if (error instanceof AttemptEnd) return error.outcome;
     if (!(error instanceof AnswerBrokenError)) throw error;
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -5,6 +5,7 @@
   TargetService,
 } from '../configuration/fleetConfiguration';
 import type { CallEnvelope } from './callEnvelope';
+import { DispatchHistory } from './dispatchHistory';
 
 /** Parts of a {@link Call}. */
 export interface CallParts {
@@ -33,8 +34,8 @@
 
   readonly arrivedAtMilliseconds: number;
 
-  /** Targets that may have run the request, in order. */
-  readonly ranAt: string[] = [];
+  /** Targets that may have run the request. */
+  readonly history = new DispatchHistory();
 
   /** Identifier of the last event that went to the caller. */
   lastEventId: string | undefined;
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -151,9 +151,9 @@
       program: call.envelope.program?.id,
       result: result.kind,
       status: 'status' in result ? result.status : undefined,
-      target: call.ranAt.at(-1),
+      target: call.history.lastTargetId,
       placement: call.placement,
-      dispatches: call.ranAt.length,
+      dispatches: call.history.runs,
       quotaAtMilliseconds: Math.round(call.quotaAtMilliseconds),
       budgetAtMilliseconds: Math.round(call.budgetAtMilliseconds),
       answeredAtMilliseconds: Math.round(call.answeredAtMilliseconds),
@@ -190,7 +190,7 @@
     const admitted = call;
     admitted.quotaAtMilliseconds = call.ageMilliseconds;
     const result = await this.#runWithinBudget(call);
-    if (call.ranAt.length === 0) quota.giveBack();
+    if (call.history.runs === 0) quota.giveBack();
     return result;
   }
 
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '@limpetnotch/observability';
+import type { LogFields, Logger, Metrics } from '@limpetnotch/observability';
 import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { FleetState } from '../fleet/fleetState';
@@ -40,6 +40,7 @@
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   /** Instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
@@ -61,6 +62,24 @@
   }
 };
 
+/** What decides whether a request may be sent again, for the log. */
+const dispatchFields = (call: Call, last: AttemptOutcome): LogFields => {
+  const { formerTargets, runs } = call.history;
+  const ended = formerTargets.flatMap(({ target, endEvidence }) =>
+    endEvidence ? [`${target.id}=${endEvidence}`] : [],
+  );
+  return {
+    request: call.envelope.id,
+    after: last.kind,
+    mayHaveRunAt: formerTargets.map(({ target }) => target.id).join(' '),
+    ended: ended.join(' '),
+    runs,
+    maximumTargets: call.route.maximumTargets,
+    isResumed: call.lastEventId !== undefined,
+    ageMilliseconds: Math.round(call.ageMilliseconds),
+  };
+};
+
 const refused = (refusal: Refusal): CallResult => ({ kind: 'refused', refusal });
 
 /** Runs admitted calls: chooses targets, dispatches, and repeats where that is allowed. */
@@ -74,17 +93,19 @@
   /** Runs a call to its end. */
   async run(call: Call): Promise<CallResult> {
     const declined = new Set<string>();
-    for (let dispatch = 0; dispatch < MAXIMUM_DISPATCHES; dispatch += 1) {
+    let last: AttemptOutcome | undefined;
+    for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
       if (call.isCallerGone) return { kind: 'caller-gone' };
       if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
       const target = this.#choose(call, declined);
-      if (!target) return refused(this.#noTarget(call));
-      const outcome = await this.#attempt(call, target);
-      const result = this.#conclude(call, target, outcome);
+      if (!target) return this.#giveUp(call, last, this.#noTarget(call));
+      if (last) this.#logRedispatch(call, last, dispatch, target);
+      last = await this.#attempt(call, target);
+      const result = this.#conclude(call, target, last);
       if (result) return result;
-      if (outcome.kind !== 'broken') declined.add(target.id);
+      if (last.kind !== 'broken') declined.add(target.id);
     }
-    return refused(this.#noTarget(call));
+    return this.#giveUp(call, last, this.#noTarget(call));
   }
 
   async #attempt(call: Call, target: FleetTarget): Promise<AttemptOutcome> {
@@ -100,7 +121,12 @@
     });
     const beganMilliseconds = performance.now();
     const eventsBefore = call.events;
+    const openBefore = call.history.openTargets;
     const outcome = await attempt.run();
+    const { openTargets } = call.history;
+    if (openTargets > Math.max(openBefore, call.route.maximumTargets)) {
+      this.#parts.metrics.increment('call.target-bound-exceeded');
+    }
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isWhole = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isWhole && eventsBefore === 0) {
@@ -119,6 +145,20 @@
     return outcome;
   }
 
+  /** Ends a call that has no answer; one that was sent is logged, as it may have run. */
+  #giveUp(call: Call, last: AttemptOutcome | undefined, refusal: Refusal): CallResult {
+    if (last) {
+      const reason = 'reason' in refusal ? refusal.reason : refusal.kind;
+      this.#parts.logger.info('call.given-up', { ...dispatchFields(call, last), reason });
+    }
+    return refused(refusal);
+  }
+
+  #logRedispatch(call: Call, last: AttemptOutcome, dispatch: number, target: FleetTarget): void {
+    const fields = { ...dispatchFields(call, last), dispatch, target: target.id };
+    this.#parts.logger.info('call.redispatched', fields);
+  }
+
   #priorityOf({ envelope: { prompt, program }, ageMilliseconds }: Call): number | undefined {
     if (!prompt) return undefined;
     const remaining = program?.finishMilliseconds;
@@ -152,15 +192,14 @@
         return refused(this.#expired(call));
       case 'declined':
         if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target.id);
-        call.ranAt.pop();
         return undefined;
       case 'not-sent':
         if (outcome.isRefused) this.#parts.fleet.targets.markRefused(target.id);
         return undefined;
       case 'broken':
       case 'stalled':
-        if (call.isRepeatable && call.ranAt.length < MAXIMUM_RUNS) return undefined;
-        return refused({ kind: 'outcome-unknown', reason: outcome.detail });
+        if (call.isRepeatable && call.history.runs < MAXIMUM_RUNS) return undefined;
+        return this.#giveUp(call, outcome, { kind: 'outcome-unknown', reason: outcome.detail });
     }
   }
 
@@ -169,7 +208,7 @@
     const serving = fleet.targets.serving(call.service.name);
     const allowed = serving.filter(({ id }) => !declined.has(id));
     // A request that has run at as many targets as it may goes on at one of them.
-    const ran = new Set(call.ranAt);
+    const ran = new Set(call.history.formerTargets.map(({ target }) => target.id));
     const isBound = ran.size >= call.route.maximumTargets;
     const again = allowed.filter(({ id }) => ran.has(id));
     const candidates = isBound && again.length > 0 ? again : allowed;
@@ -203,12 +242,12 @@
   }
 
   #expired(call: Call): Refusal {
-    if (call.ranAt.length > 0) return { kind: 'timed-out' };
+    if (call.history.runs > 0) return { kind: 'timed-out' };
     return { kind: 'unavailable', reason: 'expired', retryAfterSeconds: FULL_RETRY_AFTER_SECONDS };
   }
 
   #noTarget(call: Call): Refusal {
-    if (call.ranAt.length > 0) return { kind: 'outcome-unknown', reason: 'no target to repeat at' };
+    if (call.history.runs > 0) return { kind: 'outcome-unknown', reason: 'no target to repeat at' };
     return {
       kind: 'unavailable',
       reason: 'no target took it',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -152,6 +152,7 @@
       fleet: this.#fleet,
       availabilityZone: settings.availabilityZone,
       logger,
+      metrics,
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -1,123 +1,20 @@
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
-import { once } from 'node:events';
-import { createServer, request as httpRequest } from 'node:http';
-import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
-import { silentLogger } from '@limpetnotch/observability';
-import { AnswerWriter } from '../../src/calls/answerWriter';
-import { Call } from '../../src/calls/call';
-import type { CallResult } from '../../src/calls/callRunner';
-import { CallRunner } from '../../src/calls/callRunner';
-import type { AnswerHead, WireCodec } from '../../src/calls/wireCodec';
+import type { RequestListener } from 'node:http';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
-import { FleetState } from '../../src/fleet/fleetState';
-import { TargetConnections } from '../../src/targets/targetConnections';
-import { TargetLoads } from '../../src/targets/targetLoads';
-import { callEnvelope } from '../support/callEnvelope';
-import { fleetRoute } from '../support/fleetRoute';
+import type { CallerView } from '../support/callHarness';
+import { CallHarness, SIGNED } from '../support/callHarness';
 
-/** Names of headers that only these tests use. */
-const codec: WireCodec = {
-  decodeRequest: () => ({ kind: 'malformed-request', detail: 'unused' }),
-  encodeDispatch: (envelope, note) => [
-    ...['x-id', envelope.id, 'x-target', note.targetId, 'x-after', note.lastEventId ?? ''],
-  ],
-  decodeAnswer: (status, rawHeaders): AnswerHead => {
-    const value = (name: string): string | undefined => {
-      const index = rawHeaders.indexOf(name);
-      return index < 0 ? undefined : rawHeaders[index + 1];
-    };
-    return {
-      status,
-      requestId: value('x-id'),
-      isSigned: value('x-signed') !== undefined,
-      isNotExecuted: value('x-not-run') !== undefined,
-      isMisdirected: status === 421,
-      hasContentEncoding: false,
-      load: undefined,
-      passedHeaders: [],
-    };
-  },
-  encodeOwnAnswer: () => [],
-};
-
-const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
-
-const servers: Server[] = [];
-const connections: TargetConnections[] = [];
-
-const listen = async (handle: RequestListener): Promise<string> => {
-  const server = createServer(handle);
-  servers.push(server);
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const address = server.address();
-  return `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
-};
+let harness = new CallHarness();
 
-afterEach(async () => {
-  await Promise.all(connections.splice(0).map((one) => one.close()));
-  servers.splice(0).forEach((server) => {
-    server.closeAllConnections();
-    server.close();
-  });
+beforeEach(() => {
+  harness = new CallHarness();
 });
 
-interface Outcome {
-  readonly result: CallResult;
-  readonly status: number;
-  readonly body: string;
-}
+afterEach(() => harness.close());
 
 /** Runs one call through a real connection of a caller, against the targets given. */
-const run = async (execution: RouteExecution, targets: RequestListener[]): Promise<Outcome> => {
-  const fleet = new FleetState();
-  for (const [index, handle] of targets.entries()) {
-    const address = await listen(handle);
-    const common = { service: 's', availabilityZone: 'a', slots: 4 };
-    fleet.targets.put({ ...common, id: `t${index}`, address, state: 'serving' });
-  }
-  const targetConnections = new TargetConnections();
-  connections.push(targetConnections);
-  const writer = new AnswerWriter({ codec, isClosing: () => false });
-  const runner = new CallRunner({
-    codec,
-    connections: targetConnections,
-    loads: new TargetLoads(),
-    prefixes: new PrefixDirectory(),
-    speeds: new TargetSpeeds(),
-    writer,
-    fleet,
-    availabilityZone: 'a',
-    logger: silentLogger,
-    instanceCount: () => 1,
-  });
-  let result: CallResult | undefined;
-  const entry = await listen((_request: IncomingMessage, response: ServerResponse) => {
-    const call = new Call({
-      envelope: callEnvelope({ patienceMilliseconds: 2_000 }),
-      route: fleetRoute({ execution }),
-      organisation: undefined,
-      service: { name: 's', connectionLimit: 8 },
-      body: Buffer.from('x'),
-      response,
-      arrivedAtMilliseconds: performance.now(),
-    });
-    void runner.run(call).then((ended) => {
-      result = ended;
-      if (ended.kind === 'refused') writer.refuse(response, undefined, ended.refusal);
-    });
-  });
-  const sent = httpRequest(`http://${entry}/`, { method: 'POST' });
-  sent.end();
-  const [answer] = (await once(sent, 'response')) as [IncomingMessage];
-  const chunks: Buffer[] = [];
-  for await (const chunk of answer) chunks.push(chunk as Buffer);
-  await new Promise(setImmediate);
-  return {
-    result: result!,
-    status: answer.statusCode ?? 0,
-    body: Buffer.concat(chunks).toString(),
-  };
+const run = async (execution: RouteExecution, targets: RequestListener[]): Promise<CallerView> => {
+  for (const [index, handle] of targets.entries()) await harness.addTarget(`t${index}`, handle);
+  return harness.run({ execution });
 };
 
 const STREAM: RouteExecution = {
@@ -213,3 +110,45 @@
   expect(status).toBe(502);
   expect(runs).toBe(3);
 });
+
+test('a request that is sent again is logged with the targets that may have run it', async () => {
+  let runs = 0;
+  const handle: RequestListener = (request, response) => {
+    runs += 1;
+    if (runs === 1) {
+      request.socket.destroy();
+      return;
+    }
+    response.writeHead(200, SIGNED);
+    response.end('done');
+  };
+  await run({ kind: 'idempotent' }, [handle]);
+  expect(harness.lines).toContainEqual([
+    'call.redispatched',
+    expect.objectContaining({
+      request: 'r1',
+      dispatch: 2,
+      target: 't0',
+      after: 'broken',
+      mayHaveRunAt: 't0',
+      ended: '',
+      maximumTargets: 2,
+      isResumed: false,
+    }),
+  ]);
+});
+
+test('a request that is given up is logged with its runs', async () => {
+  const handle: RequestListener = (request) => request.socket.destroy();
+  await run({ kind: 'at-most-once' }, [handle]);
+  expect(harness.lines).toContainEqual([
+    'call.given-up',
+    expect.objectContaining({ request: 'r1', after: 'broken', mayHaveRunAt: 't0', runs: 1 }),
+  ]);
+});
+
+test('a request that runs within its targets is not counted as over the bound', async () => {
+  const handle: RequestListener = (request) => request.socket.destroy();
+  await run({ kind: 'idempotent' }, [handle, handle, handle]);
+  expect(harness.metrics.counter('call.target-bound-exceeded')).toBe(0);
+});
--- /dev/null
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -0,0 +1,175 @@
+import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import type { LogFields, Logger } from '@limpetnotch/observability';
+import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { once } from 'node:events';
+import { createServer, request as httpRequest } from 'node:http';
+import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import { AnswerWriter } from '../../src/calls/answerWriter';
+import { Call } from '../../src/calls/call';
+import type { CallResult } from '../../src/calls/callRunner';
+import { CallRunner } from '../../src/calls/callRunner';
+import type { AnswerHead, WireCodec } from '../../src/calls/wireCodec';
+import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
+import { FleetState } from '../../src/fleet/fleetState';
+import { TargetConnections } from '../../src/targets/targetConnections';
+import { TargetLoads } from '../../src/targets/targetLoads';
+import { callEnvelope } from './callEnvelope';
+import { fleetRoute } from './fleetRoute';
+
+/** Names of headers that only these tests use. */
+const codec: WireCodec = {
+  decodeRequest: () => ({ kind: 'malformed-request', detail: 'unused' }),
+  encodeDispatch: (envelope, note) => [
+    ...['x-id', envelope.id, 'x-target', note.targetId, 'x-after', note.lastEventId ?? ''],
+  ],
+  decodeAnswer: (status, rawHeaders): AnswerHead => {
+    const value = (name: string): string | undefined => {
+      const index = rawHeaders.indexOf(name);
+      return index < 0 ? undefined : rawHeaders[index + 1];
+    };
+    return {
+      status,
+      requestId: value('x-id'),
+      isSigned: value('x-signed') !== undefined,
+      isNotExecuted: value('x-not-run') !== undefined,
+      isMisdirected: status === 421,
+      hasContentEncoding: false,
+      load: undefined,
+      passedHeaders: [],
+    };
+  },
+  encodeOwnAnswer: () => [],
+};
+
+/** Headers with which a target answers the request of these tests. */
+export const SIGNED = { 'x-id': 'r1', 'x-signed': '1' };
+
+/** Longer than any test takes, so that no call ends at its deadline. */
+const PATIENCE_MILLISECONDS = 8_000;
+
+/** A target of a test. */
+export interface StandInTarget {
+  readonly address: string;
+  readonly server: Server;
+}
+
+/** What a caller of {@link CallHarness} got, and how the call ended. */
+export interface CallerView {
+  readonly result: CallResult;
+  readonly status: number;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+  readonly milliseconds: number;
+}
+
+/** One instance that runs calls of a caller at targets of a test, over real connections. */
+export class CallHarness {
+  readonly fleet = new FleetState();
+
+  readonly metrics = new MemoryMetrics();
+
+  readonly lines: (readonly [string, LogFields | undefined])[] = [];
+
+  readonly #connections: TargetConnections;
+
+  readonly #writer = new AnswerWriter({ codec, isClosing: () => false });
+
+  readonly #servers: Server[] = [];
+
+  readonly #runner: CallRunner;
+
+  constructor(connections = new TargetConnections()) {
+    this.#connections = connections;
+    const logger: Logger = {
+      ...silentLogger,
+      info: (message, fields) => this.lines.push([message, fields]),
+    };
+    this.#runner = new CallRunner({
+      codec,
+      connections,
+      loads: new TargetLoads(),
+      prefixes: new PrefixDirectory(),
+      speeds: new TargetSpeeds(),
+      writer: this.#writer,
+      fleet: this.fleet,
+      availabilityZone: 'a',
+      logger,
+      metrics: this.metrics,
+      instanceCount: () => 1,
+    });
+  }
+
+  /** Starts a target and announces it. */
+  async addTarget(id: string, handle: RequestListener): Promise<StandInTarget> {
+    const target = await this.#listen(handle);
+    this.announce(id, target.address, 'serving');
+    return target;
+  }
+
+  /** Takes an announcement of a target. */
+  announce(id: string, address: string, state: 'serving' | 'leaving'): void {
+    const common = { service: 's', availabilityZone: 'a', slots: 4 };
+    this.fleet.targets.put({ ...common, id, address, state });
+  }
+
+  /** Runs one call through a real connection of a caller. */
+  async run(route: Partial<FleetRoute>): Promise<CallerView> {
+    let result: CallResult | undefined;
+    const { address } = await this.#listen((_request, response) => {
+      void this.#serve(route, response).then((ended) => {
+        result = ended;
+      });
+    });
+    const began = performance.now();
+    const sent = httpRequest(`http://${address}/`, { method: 'POST' });
+    sent.end();
+    const [answer] = (await once(sent, 'response')) as [IncomingMessage];
+    const chunks: Buffer[] = [];
+    answer.on('data', (chunk: Buffer) => chunks.push(chunk));
+    await once(answer, 'close');
+    const milliseconds = performance.now() - began;
+    await new Promise(setImmediate);
+    return {
+      result: result!,
+      status: answer.statusCode ?? 0,
+      body: Buffer.concat(chunks).toString(),
+      isWhole: answer.complete,
+      milliseconds,
+    };
+  }
+
+  /** Ends what the test started. */
+  async close(): Promise<void> {
+    await this.#connections.close();
+    this.#servers.forEach((server) => {
+      server.closeAllConnections();
+      server.close();
+    });
+  }
+
+  async #serve(route: Partial<FleetRoute>, response: ServerResponse): Promise<CallResult> {
+    const call = new Call({
+      envelope: callEnvelope({ patienceMilliseconds: PATIENCE_MILLISECONDS }),
+      route: fleetRoute({ timeoutMilliseconds: PATIENCE_MILLISECONDS, ...route }),
+      organisation: undefined,
+      service: { name: 's', connectionLimit: 8 },
+      body: Buffer.from('x'),
+      response,
+      arrivedAtMilliseconds: performance.now(),
+    });
+    const result = await this.#runner.run(call);
+    if (result.kind === 'refused') this.#writer.refuse(response, undefined, result.refusal);
+    return result;
+  }
+
+  async #listen(handle: RequestListener): Promise<StandInTarget> {
+    const server = createServer(handle);
+    this.#servers.push(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const address = server.address();
+    const port = typeof address === 'object' && address ? address.port : 0;
+    return { server, address: `127.0.0.1:${port}` };
+  }
+}
