Log signals, crashes and the end of a process

Logs did not tell why a process had ended: after a signal, a crash and SIGKILL the last line was the same.

ProcessReport logs each signal (signal.received: signal, state, effect, count), counts it (process.signals by signal), logs a crash with its stack (process.crashed) and the end (process.exiting: exit code, reason, uptime). Lines wait, bounded, until there is a logger; without one they go to standard error at the end. No signal is handled otherwise than before.

--- a/packages/server/src/runInstance.ts
+++ b/packages/server/src/runInstance.ts
@@ -6,7 +6,7 @@
 } from '@limpetnotch/observability';
 import type { Metrics } from '@limpetnotch/observability';
 import { createEtcdStore } from '@limpetnotch/store';
-import { shutdownSignal } from '@limpetnotch/supervision';
+import { ProcessReport, shutdownSignal } from '@limpetnotch/supervision';
 import { Instance } from './instance/instance';
 import type { Settings } from './settings';
 
@@ -28,9 +28,11 @@
 export const runInstance = async (settings: Settings): Promise<number> => {
   const logger = createLogger({ instance: settings.instance, level: settings.logLevel });
   const { metrics, close } = metricsOf(settings);
+  const report = new ProcessReport();
+  report.writeTo({ logger, metrics });
   const tracing = startTracing({ collectorUrl: settings.traces });
   const store = createEtcdStore({ endpoints: settings.store, metrics });
-  const signal = shutdownSignal();
+  const signal = shutdownSignal(report);
   try {
     const instance = new Instance({ settings, store, logger, metrics, tracing });
     await instance.start();
--- a/packages/supervision/src/index.ts
+++ b/packages/supervision/src/index.ts
@@ -1,7 +1,10 @@
 export type { ChildContext, ChildSpecification } from './childSpecification';
 export { Deferred } from './deferred';
 export { delay } from './delay';
+export { ProcessReport } from './processReport';
+export type { ReceivedSignal, ReportSinks } from './processReport';
 export { settleWithin } from './settleWithin';
 export { shutdownSignal } from './shutdownSignal';
+export { standardErrorLogger } from './standardErrorLogger';
 export { Supervisor } from './supervisor';
 export type { SupervisorOptions } from './supervisor';
