Log and count what a shutdown serves, refuses and cuts off

The lines of a shutdown said how many requests were under way at its start and its end, not which ones lost their answers or why. gateway.draining now gives connections and grace period, gateway.drain-progress reports once a second, call.cut-off names each request that loses its answer at the end, and gateway.stopped counts served, refused and cut off since the signal. The drain moves out of Gateway into GatewayDrain; what it does stays the same.

--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -52,6 +52,9 @@
   /** Age at which the first event, or the whole answer, went to the caller, in milliseconds. */
   answeredAtMilliseconds = 0;
 
+  /** Target of the last dispatch. */
+  target: string | undefined;
+
   /** Why the last target was chosen. */
   placement = '';
 
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -9,6 +9,8 @@
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
+import type { OpenCall } from './openCall';
+import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
 import type { WireCodec } from './wireCodec';
 
@@ -26,6 +28,7 @@
   readonly budgets: BudgetGate;
   readonly runner: CallRunner;
   readonly writer: AnswerWriter;
+  readonly openCalls: OpenCalls;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -38,68 +41,59 @@
 export class CallGateway {
   readonly #parts: CallGatewayParts;
 
-  #underWay = 0;
-
   constructor(parts: CallGatewayParts) {
     this.#parts = parts;
   }
 
-  /** Requests that have no final answer yet. */
-  get underWay(): number {
-    return this.#underWay;
-  }
-
   /** Serves one request to its end; never rejects. */
   async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAtMilliseconds = performance.now();
-    this.#underWay += 1;
+    const { openCalls, logger } = this.#parts;
+    const open = openCalls.begin(response);
     try {
-      await this.#serve(request, response, arrivedAtMilliseconds);
+      await this.#serve(request, open);
     } catch (error) {
       const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
-      this.#parts.logger.error('call.failed', { reason });
+      logger.error('call.failed', { reason });
       response.destroy();
     } finally {
-      this.#underWay -= 1;
+      openCalls.finish(open);
     }
   }
 
-  async #serve(
-    request: IncomingMessage,
-    response: ServerResponse,
-    arrivedAtMilliseconds: number,
-  ): Promise<void> {
+  async #serve(request: IncomingMessage, open: OpenCall): Promise<void> {
     const { codec, fleet, writer } = this.#parts;
+    const admitted = open;
+    const { response } = open;
     const envelope = codec.decodeRequest(request);
+    if (!('kind' in envelope)) admitted.id = envelope.id;
     const maximumBytes = fleet.index?.configuration.limits.bodyBytes ?? 0;
     const body = await readBody(request, maximumBytes || Infinity);
     if (body.isErr()) {
       if (body.error === 'too-large') {
+        admitted.end = 'refused';
         response.setHeader('connection', 'close');
         writer.refuse(response, undefined, { kind: 'body-too-large' });
       }
       return;
     }
     if ('kind' in envelope) {
+      admitted.end = 'refused';
       writer.refuse(response, undefined, { kind: 'malformed', detail: envelope.detail });
       return;
     }
-    const result = await this.#run(envelope, body.value, response, arrivedAtMilliseconds);
-    this.#finish(envelope, response, result, arrivedAtMilliseconds);
+    const result = await this.#run(envelope, body.value, open);
+    this.#finish(envelope, open, result);
   }
 
-  #finish(
-    envelope: CallEnvelope,
-    response: ServerResponse,
-    result: CallResult,
-    arrivedAtMilliseconds: number,
-  ): void {
+  #finish(envelope: CallEnvelope, open: OpenCall, result: CallResult): void {
     const { metrics, logger, writer } = this.#parts;
     metrics.increment('call.results', 1, {
       result: result.kind === 'refused' ? result.refusal.kind : result.kind,
     });
-    const ageMilliseconds = performance.now() - arrivedAtMilliseconds;
+    const { ageMilliseconds } = open;
     metrics.distribution('call.duration-milliseconds', ageMilliseconds, { result: result.kind });
+    const finished = open;
+    finished.end = result.kind === 'delivered' ? 'served' : result.kind;
     if (result.kind !== 'refused') return;
     const { refusal } = result;
     logger.info('call.refused', {
@@ -109,15 +103,10 @@
       program: envelope.program?.id,
       ageMilliseconds: Math.round(ageMilliseconds),
     });
-    writer.refuse(response, envelope, refusal);
+    writer.refuse(open.response, envelope, refusal);
   }
 
-  async #run(
-    envelope: CallEnvelope,
-    body: Buffer,
-    response: ServerResponse,
-    arrivedAtMilliseconds: number,
-  ): Promise<CallResult> {
+  async #run(envelope: CallEnvelope, body: Buffer, open: OpenCall): Promise<CallResult> {
     const { fleet } = this.#parts;
     const admission = admitCall(fleet, envelope);
     if (admission.kind === 'refused') return admission;
@@ -130,9 +119,11 @@
       organisation,
       service,
       body,
-      response,
-      arrivedAtMilliseconds,
+      response: open.response,
+      arrivedAtMilliseconds: open.arrivedAtMilliseconds,
     });
+    const admitted = open;
+    admitted.call = call;
     const result = await this.#runWithinRate(call);
     this.#logServed(call, result);
     return result;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -227,6 +227,7 @@
     if (!placement) return undefined;
     const placed = call;
     placed.placement = placement.reason;
+    placed.target = placement.targetId;
     return fleet.targets.get(placement.targetId);
   }
 
--- /dev/null
+++ b/packages/gateway/src/calls/openCalls.ts
@@ -0,0 +1,43 @@
+import type { ServerResponse } from 'node:http';
+import { OpenCall } from './openCall';
+import type { OpenCallEnd } from './openCall';
+
+/** Requests whose callers have no final answer yet, and how the others ended. */
+export class OpenCalls {
+  readonly #calls = new Set<OpenCall>();
+
+  readonly #ended: Record<OpenCallEnd, number> = { served: 0, refused: 0, 'caller-gone': 0 };
+
+  /** Number of requests without a final answer. */
+  get size(): number {
+    return this.#calls.size;
+  }
+
+  /** Requests without a final answer, the oldest first. */
+  get all(): readonly OpenCall[] {
+    return [...this.#calls];
+  }
+
+  /** Age of the oldest request, in milliseconds; 0 where there is none. */
+  get oldestAgeMilliseconds(): number {
+    const [oldest] = this.#calls;
+    return oldest?.ageMilliseconds ?? 0;
+  }
+
+  /** Requests that ended in one way since the start. */
+  ended(end: OpenCallEnd): number {
+    return this.#ended[end];
+  }
+
+  /** Notes a request whose head was read. */
+  begin(response: ServerResponse): OpenCall {
+    const open = new OpenCall(response);
+    this.#calls.add(open);
+    return open;
+  }
+
+  /** Notes the end of a request. */
+  finish(open: OpenCall): void {
+    if (this.#calls.delete(open)) this.#ended[open.end] += 1;
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,12 +2,13 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
-import { delay, Supervisor } from '@limpetnotch/supervision';
+import { Supervisor } from '@limpetnotch/supervision';
 import { EscrowBudgets } from './budgets/escrowBudgets';
 import { learnBegunPrograms } from './budgets/learnBegunPrograms';
 import { AnswerWriter } from './calls/answerWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
+import { OpenCalls } from './calls/openCalls';
 import type { WireCodec } from './calls/wireCodec';
 import type { FleetConfiguration } from './configuration/fleetConfiguration';
 import type { FleetCodec } from './fleet/fleetCodec';
@@ -21,6 +22,7 @@
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
 import { SharedQuotas } from './quotas/sharedQuotas';
+import { GatewayDrain } from './shutdown/gatewayDrain';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
@@ -38,8 +40,6 @@
 
 const MILLISECONDS = 1_000;
 
-const DRAIN_CHECK_MILLISECONDS = 50;
-
 /** Settings that may change while an instance runs. */
 export type ReloadableSettings = Pick<GatewaySettings, 'graceMilliseconds' | 'quotaWindowSeconds'>;
 
@@ -81,6 +81,10 @@
 
   readonly #calls: CallGateway;
 
+  readonly #openCalls = new OpenCalls();
+
+  readonly #drain: GatewayDrain;
+
   #peerListener: HttpListener | undefined;
 
   #ingress: IngressServer | undefined;
@@ -89,14 +93,24 @@
 
   #reloadable: ReloadableSettings;
 
-  #isClosing = false;
-
   constructor(parts: GatewayParts) {
     this.#parts = parts;
     this.#reloadable = parts.settings;
     const { logger, metrics, wireCodec: codec, settings } = parts;
     this.#supervisor = new Supervisor({ name: 'gateway', logger, metrics });
-    const writer = new AnswerWriter({ codec, isClosing: () => this.#isClosing });
+    this.#drain = new GatewayDrain({
+      calls: this.#openCalls,
+      ingress: () => this.#ingress,
+      times: () => ({
+        graceMilliseconds: this.#reloadable.graceMilliseconds,
+        readinessLagMilliseconds: READINESS_LAG_MILLISECONDS,
+        exitReserveMilliseconds: EXIT_RESERVE_MILLISECONDS,
+      }),
+      logger,
+      metrics,
+    });
+    const isClosing = (): boolean => this.#drain.state.kind !== 'serving';
+    const writer = new AnswerWriter({ codec, isClosing });
     this.#peers = new FleetPeers(logger, metrics);
     this.#membership = new Membership({
       store: parts.store,
@@ -162,6 +176,7 @@
       budgets: this.#budgets,
       runner,
       writer,
+      openCalls: this.#openCalls,
       logger,
       metrics,
     });
@@ -193,8 +208,8 @@
     } finally {
       stopping.abort();
       await supervised.catch(() => undefined);
+      this.#drain.close();
       await this.#stop();
-      logger.info('gateway.stopped', { underWay: this.#calls.underWay });
     }
   }
 
@@ -232,7 +247,8 @@
 
   async #answerReadiness(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const isKnown = request.url === this.#parts.settings.readinessPath;
-    const isReady = !this.#isClosing && this.#fleet.index !== undefined && !this.#budgets.isCutOff;
+    const isServing = this.#drain.state.kind === 'serving';
+    const isReady = isServing && this.#fleet.index !== undefined && !this.#budgets.isCutOff;
     response.writeHead(isKnown && isReady ? 200 : 503, { 'content-length': 0 });
     response.end();
   }
@@ -265,22 +281,11 @@
     this.#speeds.retain(isKnown);
   }
 
-  /** Fails readiness, outlasts the balancer's lag, and waits for requests under way. */
   async #drainAfter(signal: AbortSignal): Promise<void> {
     await new Promise<void>((resolve) => {
       if (signal.aborted) resolve();
       signal.addEventListener('abort', () => resolve(), { once: true });
     });
-    const { logger } = this.#parts;
-    this.#isClosing = true;
-    const began = performance.now();
-    logger.info('gateway.draining', { underWay: this.#calls.underWay });
-    await delay(READINESS_LAG_MILLISECONDS);
-    const limit = this.#reloadable.graceMilliseconds - EXIT_RESERVE_MILLISECONDS;
-    while (performance.now() - began < limit) {
-      if (this.#calls.underWay === 0) this.#ingress?.closeIdleConnections();
-      if (this.#calls.underWay === 0) return;
-      await delay(DRAIN_CHECK_MILLISECONDS);
-    }
+    await this.#drain.run();
   }
 }
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -1,4 +1,5 @@
 import 'reflect-metadata';
+import type { Socket } from 'node:net';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
@@ -29,8 +30,14 @@
 export class IngressServer {
   readonly #application: NestFastifyApplication;
 
+  readonly #connections = new Set<Socket>();
+
   private constructor(application: NestFastifyApplication) {
     this.#application = application;
+    application.getHttpServer().on('connection', (socket: Socket) => {
+      this.#connections.add(socket);
+      socket.once('close', () => this.#connections.delete(socket));
+    });
   }
 
   /** Starts to listen; rejects when the port is taken. */
@@ -51,8 +58,9 @@
     const fastify = adapter.getInstance();
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', (_request, _payload, done) => done(null));
+    const server = new IngressServer(application);
     await application.listen(port, host);
-    return new IngressServer(application);
+    return server;
   }
 
   /** TCP port on which the server listens. */
@@ -61,6 +69,11 @@
     return typeof address === 'object' && address ? address.port : 0;
   }
 
+  /** Connections of callers that are open. */
+  get connectionCount(): number {
+    return this.#connections.size;
+  }
+
   /** Puts bounds on connections in force. */
   setTimes({ headerTimeoutMilliseconds, idleTimeoutMilliseconds }: ConnectionTimes): void {
     const server = this.#application.getHttpServer();
--- /dev/null
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -0,0 +1,130 @@
+import type { Logger, Metrics } from '@limpetnotch/observability';
+import { delay } from '@limpetnotch/supervision';
+import type { OpenCalls } from '../calls/openCalls';
+import type { IngressServer } from '../ingress/ingressServer';
+import type { DrainState } from './drainState';
+import type { DrainTimes } from './drainTimes';
+
+/** How often a drain looks whether requests are under way; short against any answer. */
+const CHECK_MILLISECONDS = 50;
+
+/** A line a second stays readable over the longest grace periods. */
+const PROGRESS_MILLISECONDS = 1_000;
+
+/** Parts of a {@link GatewayDrain}. */
+export interface GatewayDrainParts {
+  readonly calls: OpenCalls;
+  /** Server of the callers; undefined until it has started. */
+  readonly ingress: () => IngressServer | undefined;
+  readonly times: () => DrainTimes;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** Ends the service of an instance: lets requests under way finish before connections close. */
+export class GatewayDrain {
+  readonly #parts: GatewayDrainParts;
+
+  #state: DrainState = { kind: 'serving' };
+
+  #servedBefore = 0;
+
+  #refusedBefore = 0;
+
+  #cutOff = 0;
+
+  constructor(parts: GatewayDrainParts) {
+    this.#parts = parts;
+  }
+
+  get state(): DrainState {
+    return this.#state;
+  }
+
+  /** Fails readiness, outlasts the balancer's lag, and waits for requests under way. */
+  async run(): Promise<void> {
+    this.#begin();
+    const progress = setInterval(() => this.#logProgress(), PROGRESS_MILLISECONDS);
+    try {
+      await this.#finishCalls();
+    } finally {
+      clearInterval(progress);
+    }
+  }
+
+  /** Reports the requests that are cut off when connections close now. */
+  close(): void {
+    const { calls, logger } = this.#parts;
+    calls.all.forEach((open) => {
+      this.#cutOff += 1;
+      logger.warn('call.cut-off', {
+        request: open.id,
+        target: open.call?.target,
+        hasAnswerBegun: open.response.headersSent,
+        ageMilliseconds: Math.round(open.ageMilliseconds),
+        sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
+      });
+    });
+    const { served, refused } = this.#counts;
+    const { metrics } = this.#parts;
+    metrics.increment('drain.calls', served, { result: 'served' });
+    metrics.increment('drain.calls', refused, { result: 'refused' });
+    metrics.increment('drain.calls', this.#cutOff, { result: 'cut-off' });
+    logger.info('gateway.stopped', {
+      underWay: calls.size,
+      served,
+      refused,
+      cutOff: this.#cutOff,
+      sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
+    });
+  }
+
+  #begin(): void {
+    const { calls, ingress, times, logger } = this.#parts;
+    this.#state = { kind: 'draining', sinceMilliseconds: performance.now() };
+    this.#servedBefore = calls.ended('served');
+    this.#refusedBefore = calls.ended('refused');
+    logger.info('gateway.draining', {
+      underWay: calls.size,
+      connections: ingress()?.connectionCount ?? 0,
+      graceMilliseconds: times().graceMilliseconds,
+    });
+  }
+
+  async #finishCalls(): Promise<void> {
+    const { calls, ingress, times } = this.#parts;
+    await delay(times().readinessLagMilliseconds);
+    const { graceMilliseconds, exitReserveMilliseconds } = times();
+    while (this.#sinceStopMilliseconds < graceMilliseconds - exitReserveMilliseconds) {
+      if (calls.size === 0) {
+        ingress()?.closeIdleConnections();
+        return;
+      }
+      await delay(CHECK_MILLISECONDS);
+    }
+  }
+
+  #logProgress(): void {
+    const { calls, ingress, times, logger } = this.#parts;
+    const { graceMilliseconds } = times();
+    logger.info('gateway.drain-progress', {
+      underWay: calls.size,
+      connections: ingress()?.connectionCount ?? 0,
+      ...this.#counts,
+      oldestMilliseconds: Math.round(calls.oldestAgeMilliseconds),
+      graceLeftMilliseconds: Math.round(graceMilliseconds - this.#sinceStopMilliseconds),
+    });
+  }
+
+  get #counts(): { readonly served: number; readonly refused: number } {
+    const { calls } = this.#parts;
+    return {
+      served: calls.ended('served') - this.#servedBefore,
+      refused: calls.ended('refused') - this.#refusedBefore,
+    };
+  }
+
+  get #sinceStopMilliseconds(): number {
+    return this.#state.kind === 'serving' ? 0 : performance.now() - this.#state.sinceMilliseconds;
+  }
+}
