--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -75,7 +75,7 @@
   },
   {
     // Scripts of the build and the start of a process run once, before anything else could wait.
-    files: ['deploy/*.{mjs,cjs}'],
+    files: ['deploy/*.{mjs,cjs}', 'packages/integration/tests/**/*.cjs'],
     rules: {
       'n/no-sync': 'off',
       // What is still open at the end, such as a question to a peer, must not hold the end up.
--- a/packages/integration/src/fleet/managedProcess.ts
+++ b/packages/integration/src/fleet/managedProcess.ts
@@ -47,8 +47,13 @@
     return this.#output;
   }
 
+  /** Name of the signal that ended the process; `null` while it runs or after it exited by itself. */
+  get signalCode(): NodeJS.Signals | null {
+    return this.#child.signalCode;
+  }
+
   /** Sends a signal. */
-  signal(signal: 'SIGTERM' | 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void {
+  signal(signal: NodeJS.Signals): void {
     this.#child.kill(signal);
   }
 
