Add failing tests of shutdowns under steady traffic

They start the drain of a gateway and limpetnotchd's entry on 127.0.0.1 and keep connections in use until the process is gone.

--- /dev/null
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -0,0 +1,268 @@
+import { once } from 'node:events';
+import type { RequestListener, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import { Deferred, delay } from '@limpetnotch/supervision';
+import type { QuotaDecision } from '../../src/quotas/quotaGate';
+import { DrainingInstance } from '../support/drainingInstance';
+import type { DrainingInstanceOptions } from '../support/drainingInstance';
+import { KeptConnection } from '../support/keptConnection';
+
+const SIGNED = { 'x-signed': '1' };
+
+/** Longer than any test, so that only the test itself ends a drain early. */
+const LONG_GRACE_MILLISECONDS = 30_000;
+
+const instances: DrainingInstance[] = [];
+const callers: KeptConnection[] = [];
+
+afterEach(async () => {
+  callers.splice(0).forEach((caller) => caller.close());
+  await Promise.all(instances.splice(0).map((instance) => instance.close()));
+});
+
+const startInstance = async (options: DrainingInstanceOptions): Promise<DrainingInstance> => {
+  const instance = await DrainingInstance.start(options);
+  instances.push(instance);
+  return instance;
+};
+
+const connectCaller = ({ port }: DrainingInstance): KeptConnection => {
+  const caller = new KeptConnection(port);
+  callers.push(caller);
+  return caller;
+};
+
+/** Answers every request at once but holds those back whose ids begin with `held`. */
+class HoldingTarget {
+  readonly #held = new Map<string, Deferred<ServerResponse>>();
+
+  readonly handle: RequestListener = (request, response) => {
+    const id = String(request.headers['x-id']);
+    response.writeHead(200, SIGNED);
+    if (id.startsWith('held')) this.#deferred(id).resolve(response);
+    else response.end('ok');
+  };
+
+  /** Resolves to the answer that is held back, once its request has come. */
+  held(id = 'held'): Promise<ServerResponse> {
+    return this.#deferred(id).promise;
+  }
+
+  #deferred(id: string): Deferred<ServerResponse> {
+    const deferred = this.#held.get(id) ?? new Deferred<ServerResponse>();
+    this.#held.set(id, deferred);
+    return deferred;
+  }
+}
+
+/** Sends events until the connection closes or the returned function is called. */
+const streamEvents = (response: ServerResponse): (() => void) => {
+  let number = 0;
+  const send = (): void => {
+    number += 1;
+    response.write(`id: ${number}\ndata: a\n\n`);
+  };
+  const timer = setInterval(send, 50);
+  const stop = (): void => clearInterval(timer);
+  response.once('close', stop);
+  send();
+  return stop;
+};
+
+const STREAM = {
+  kind: 'event-stream',
+  isResumable: true,
+  maximumGapMilliseconds: 60_000,
+} as const;
+
+test('a request that may outlast the grace period is refused at once', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({ target: target.handle });
+  const caller = connectCaller(instance);
+  await caller.send({ id: 'before' });
+  const shutDown = instance.shutDown();
+  const outcome = await caller.send({ id: 'late', patienceMilliseconds: 60_000 });
+  await shutDown;
+  expect(outcome).toMatchObject({
+    kind: 'answered',
+    status: 503,
+    headers: { connection: 'close', 'retry-after': '0' },
+  });
+  expect(instance.reached.has('late')).toBe(false);
+  const line = instance.lines.find(({ message }) => message === 'call.refused');
+  expect(line).toMatchObject({ request: 'late', reason: 'shutting down' });
+});
+
+test('a request that fits into the grace period is served', async () => {
+  const instance = await startInstance({
+    target: new HoldingTarget().handle,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+  });
+  const caller = connectCaller(instance);
+  await caller.send({ id: 'before' });
+  const shutDown = instance.shutDown();
+  const outcome = await caller.send({ id: 'late', patienceMilliseconds: 5_000 });
+  await shutDown;
+  expect(outcome).toMatchObject({ status: 200, headers: { connection: 'close' }, body: 'ok' });
+});
+
+test('an idle connection closes while another one is in use', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+  });
+  const [idle, busy] = [connectCaller(instance), connectCaller(instance)];
+  await idle.send({ id: 'before' });
+  const held = busy.send({ id: 'held' });
+  const response = await target.held();
+  const closed = once(idle.socket!, 'close').then(() => 'closed');
+  const shutDown = instance.shutDown();
+  const first = await Promise.race([closed, delay(2_000).then(() => 'open')]);
+  response.end('ok');
+  await Promise.all([held, shutDown]);
+  expect(first).toBe('closed');
+});
+
+test('new connections are refused once the balancer sends none', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+  });
+  const busy = connectCaller(instance).send({ id: 'held' });
+  const response = await target.held();
+  const shutDown = instance.shutDown();
+  const kinds: string[] = [];
+  for (let attempt = 0; attempt < 40 && kinds.at(-1) !== 'not-connected'; attempt += 1) {
+    const { kind } = await connectCaller(instance).send({ id: 'new', patienceMilliseconds: 5_000 });
+    kinds.push(kind);
+    await delay(25);
+  }
+  response.end('ok');
+  const answer = await busy;
+  await shutDown;
+  expect(kinds.at(-1)).toBe('not-connected');
+  expect(answer).toMatchObject({ kind: 'answered', status: 200 });
+});
+
+test('a connection whose stream began before the stop signal closes after its last event', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+    route: { execution: STREAM },
+  });
+  const [first, second] = [connectCaller(instance), connectCaller(instance)];
+  const outcome = first.send({ id: 'held-1' });
+  void second.send({ id: 'held-2' });
+  const [firstAnswer, secondAnswer] = [await target.held('held-1'), await target.held('held-2')];
+  const stopEvents = streamEvents(firstAnswer);
+  streamEvents(secondAnswer);
+  while (instance.openCalls.all.some(({ response }) => !response.headersSent)) await delay(5);
+  const shutDown = instance.shutDown();
+  const closed = once(first.socket!, 'close').then(() => 'closed');
+  stopEvents();
+  firstAnswer.end();
+  const seen = await Promise.race([closed, delay(2_000).then(() => 'open')]);
+  secondAnswer.end();
+  await shutDown;
+  expect(seen).toBe('closed');
+  expect(await outcome).toMatchObject({ kind: 'answered', status: 200 });
+});
+
+test('a request that may have run gets a final answer before the process ends', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    route: { execution: { kind: 'at-most-once' } },
+  });
+  const sent = connectCaller(instance).send({ id: 'held' });
+  await target.held();
+  await instance.shutDown();
+  expect(await sent).toMatchObject({ kind: 'answered', status: 502 });
+});
+
+test('a request that waits for its rate at the end is refused as not run', async () => {
+  const waiting = new Deferred();
+  const instance = await startInstance({
+    target: new HoldingTarget().handle,
+    organisations: [{ name: 'o', keys: ['k'], priority: 0, rate: { perSecond: 1, burst: 1 } }],
+    route: { isOpenToAll: false },
+    quotas: {
+      take: async () => {
+        waiting.resolve(undefined);
+        return new Deferred<QuotaDecision>().promise;
+      },
+    },
+  });
+  const sent = connectCaller(instance).send({ id: 'r', key: 'k' });
+  await waiting.promise;
+  await instance.shutDown();
+  expect(await sent).toMatchObject({ kind: 'answered', status: 503 });
+});
+
+test('a request whose body is still arriving at the end is refused as not run', async () => {
+  const instance = await startInstance({ target: new HoldingTarget().handle });
+  const socket = connect(instance.port, '127.0.0.1');
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  const closed = once(socket, 'close');
+  socket.write('POST / HTTP/1.1\r\nhost: h\r\nx-id: r\r\ncontent-length: 9\r\n\r\nhalf');
+  while (instance.openCalls.size === 0) await delay(5);
+  await instance.shutDown();
+  await closed;
+  expect(Buffer.concat(received).toString()).toMatch(/^HTTP\/1.1 503 /);
+});
+
+test('a stream that has begun is cut at the end, and does not look complete', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({ target: target.handle, route: { execution: STREAM } });
+  const sent = connectCaller(instance).send({ id: 'held' });
+  const response = await target.held();
+  streamEvents(response);
+  while (instance.openCalls.all[0]?.response.headersSent !== true) await delay(5);
+  await instance.shutDown();
+  expect(await sent).toEqual({ kind: 'cut-in-answer' });
+  const line = instance.lines.find(({ message }) => message === 'call.cut-off');
+  expect(line).toMatchObject({ request: 'held', target: 't0', hasAnswerBegun: true });
+});
+
+test('no request is taken between the last check and the close', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({ target: target.handle });
+  const late = connectCaller(instance);
+  let sent: Promise<unknown> = Promise.resolve();
+  await instance.shutDown(async () => {
+    sent = late.send({ id: 'held' });
+    // Long enough for a request to reach its target, if it is taken.
+    await delay(100);
+  });
+  await sent;
+  expect(instance.reached.has('held')).toBe(false);
+});
+
+test('a request behind another one on its connection gets an answer', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+  });
+  const socket = connect(instance.port, '127.0.0.1');
+  const received: Buffer[] = [];
+  socket.on('data', (chunk) => received.push(chunk));
+  const closed = once(socket, 'close');
+  const head = (id: string): string =>
+    `POST / HTTP/1.1\r\nhost: h\r\nx-id: ${id}\r\nx-patience: 5000\r\ncontent-length: 0\r\n\r\n`;
+  socket.write(head('held') + head('second'));
+  const response = await target.held();
+  while (!instance.reached.has('second')) await delay(5);
+  const shutDown = instance.shutDown();
+  response.end('ok');
+  await Promise.all([closed, shutDown]);
+  expect(
+    Buffer.concat(received)
+      .toString()
+      .match(/HTTP\/1.1 200/g),
+  ).toHaveLength(2);
+});
--- /dev/null
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -0,0 +1,189 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { RequestListener, Server } from 'node:http';
+import { MemoryMetrics } from '@limpetnotch/observability';
+import type { LogFields, Logger, LogMessageId } from '@limpetnotch/observability';
+import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { AnswerWriter } from '../../src/calls/answerWriter';
+import { CallGateway } from '../../src/calls/callGateway';
+import { CallRunner } from '../../src/calls/callRunner';
+import { OpenCalls } from '../../src/calls/openCalls';
+import type { FleetOrganisation, FleetRoute } from '../../src/configuration/fleetConfiguration';
+import { FleetState } from '../../src/fleet/fleetState';
+import { IngressServer } from '../../src/ingress/ingressServer';
+import type { QuotaGate } from '../../src/quotas/quotaGate';
+import type { DrainTimes } from '../../src/shutdown/drainTimes';
+import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
+import { TargetConnections } from '../../src/targets/targetConnections';
+import { TargetLoads } from '../../src/targets/targetLoads';
+import { fleetRoute } from './fleetRoute';
+import { testWireCodec } from './testWireCodec';
+
+/** What a test changes of an instance. */
+export interface DrainingInstanceOptions {
+  readonly target: RequestListener;
+  readonly times?: Partial<DrainTimes>;
+  readonly route?: Partial<FleetRoute>;
+  readonly organisations?: readonly FleetOrganisation[];
+  readonly quotas?: QuotaGate;
+}
+
+/** One log line. */
+export interface LogLine extends LogFields {
+  readonly message: LogMessageId;
+}
+
+/** Everything of an instance that a shutdown concerns, with one target, on 127.0.0.1. */
+export class DrainingInstance {
+  readonly openCalls = new OpenCalls();
+
+  readonly metrics = new MemoryMetrics();
+
+  readonly lines: LogLine[] = [];
+
+  /** Identifiers of the requests that reached the target. */
+  readonly reached = new Set<string>();
+
+  readonly #options: DrainingInstanceOptions;
+
+  readonly #connections = new TargetConnections();
+
+  readonly #drain: GatewayDrain;
+
+  #target: Server | undefined;
+
+  #ingress: IngressServer | undefined;
+
+  #shutdown: Promise<void> | undefined;
+
+  private constructor(options: DrainingInstanceOptions) {
+    this.#options = options;
+    this.#drain = new GatewayDrain({
+      calls: this.openCalls,
+      ingress: () => this.#ingress,
+      times: () => ({
+        graceMilliseconds: 1_200,
+        readinessLagMilliseconds: 100,
+        exitReserveMilliseconds: 200,
+        ...options.times,
+      }),
+      logger: this.#logger,
+      metrics: this.metrics,
+    });
+  }
+
+  static async start(options: DrainingInstanceOptions): Promise<DrainingInstance> {
+    const instance = new DrainingInstance(options);
+    await instance.#start();
+    return instance;
+  }
+
+  get port(): number {
+    return this.#ingress?.port ?? 0;
+  }
+
+  /** Shuts down as a gateway does: drains, ends its other tasks, and closes what is left. */
+  async shutDown(endTasks: () => Promise<void> = async () => undefined): Promise<void> {
+    this.#shutdown ??= this.#shutDown(endTasks);
+    await this.#shutdown;
+  }
+
+  async close(): Promise<void> {
+    await this.#ingress?.stop();
+    await this.#connections.close();
+    this.#target?.closeAllConnections();
+    this.#target?.close();
+  }
+
+  async #shutDown(endTasks: () => Promise<void>): Promise<void> {
+    await this.#drain.run();
+    await endTasks();
+    this.#drain.close();
+    await this.#ingress?.stop();
+  }
+
+  async #start(): Promise<void> {
+    const fleet = new FleetState();
+    fleet.targets.put({
+      id: 't0',
+      address: await this.#listenAsTarget(),
+      service: 's',
+      availabilityZone: 'a',
+      slots: 64,
+      state: 'serving',
+    });
+    const { route, organisations } = this.#options;
+    const limits = {
+      headerBytes: 8_192,
+      bodyBytes: 8_192,
+      headerTimeoutMilliseconds: 60_000,
+      idleTimeoutMilliseconds: 60_000,
+    };
+    fleet.apply({
+      version: 1,
+      routes: [fleetRoute({ timeoutMilliseconds: 60_000, ...route })],
+      services: [{ name: 's', connectionLimit: 256 }],
+      limits,
+      ...(organisations && { organisations: [...organisations] }),
+    });
+    const calls = this.#callGateway(fleet);
+    this.#ingress = await IngressServer.start({
+      host: '127.0.0.1',
+      port: 0,
+      handle: (request, response) => calls.serve(request, response),
+    });
+    this.#ingress.setTimes(limits);
+  }
+
+  #callGateway(fleet: FleetState): CallGateway {
+    const isClosing = (): boolean => this.#drain.state.kind !== 'serving';
+    const writer = new AnswerWriter({ codec: testWireCodec, isClosing });
+    const runner = new CallRunner({
+      codec: testWireCodec,
+      connections: this.#connections,
+      loads: new TargetLoads(),
+      prefixes: new PrefixDirectory(),
+      speeds: new TargetSpeeds(),
+      writer,
+      fleet,
+      availabilityZone: 'a',
+      logger: this.#logger,
+      metrics: this.metrics,
+      instanceCount: () => 1,
+    });
+    return new CallGateway({
+      codec: testWireCodec,
+      fleet,
+      quotas: this.#options.quotas ?? {
+        take: async () => ({ kind: 'taken', giveBack: () => undefined }),
+      },
+      budgets: {
+        reserve: async () => ({ kind: 'reserved', settle: () => undefined }),
+        hasBegun: async () => false,
+      },
+      runner,
+      writer,
+      openCalls: this.openCalls,
+      logger: this.#logger,
+      metrics: this.metrics,
+    });
+  }
+
+  async #listenAsTarget(): Promise<string> {
+    this.#target = createServer((request, response) => {
+      this.reached.add(String(request.headers['x-id']));
+      this.#options.target(request, response);
+    });
+    this.#target.listen(0, '127.0.0.1');
+    await once(this.#target, 'listening');
+    const address = this.#target.address();
+    return `127.0.0.1:${typeof address === 'object' && address ? address.port : 0}`;
+  }
+
+  get #logger(): Logger {
+    const note = (message: LogMessageId, fields?: LogFields): void => {
+      this.lines.push({ ...fields, message });
+    };
+    return { debug: note, info: note, warn: note, error: note };
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/support/keptConnection.ts
@@ -0,0 +1,107 @@
+import { once } from 'node:events';
+import { Agent, request as httpRequest } from 'node:http';
+import type { ClientRequest, IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** What a caller saw of one request. */
+export type CallerOutcome =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: IncomingMessage['headers'];
+      readonly body: string;
+    }
+  /** The head came, and the connection ended before the rest. */
+  | { readonly kind: 'cut-in-answer' }
+  /** The connection could not be opened. */
+  | { readonly kind: 'not-connected' }
+  /** The connection ended without an answer. */
+  | { readonly kind: 'no-answer' };
+
+/** What a test changes of a request. */
+export interface KeptRequest {
+  readonly id: string;
+  readonly patienceMilliseconds?: number;
+  readonly method?: string;
+  readonly body?: string;
+  readonly key?: string;
+}
+
+/** One connection of a caller, which is kept for many requests and opened again where it closed. */
+export class KeptConnection {
+  readonly #port: number;
+
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+
+  #socket: Socket | undefined;
+
+  constructor(port: number) {
+    this.#port = port;
+  }
+
+  /** Socket of the last request. */
+  get socket(): Socket | undefined {
+    return this.#socket;
+  }
+
+  /** Sends the head and the body; the answer is left to the test. */
+  begin({
+    id,
+    patienceMilliseconds,
+    method = 'POST',
+    body = 'x',
+    key,
+  }: KeptRequest): ClientRequest {
+    const request = httpRequest({
+      host: '127.0.0.1',
+      port: this.#port,
+      agent: this.#agent,
+      method,
+      headers: {
+        host: 'h',
+        'x-id': id,
+        ...(key !== undefined && { 'x-key': key }),
+        ...(patienceMilliseconds !== undefined && { 'x-patience': String(patienceMilliseconds) }),
+      },
+    });
+    request.on('error', () => undefined);
+    request.once('socket', (socket) => {
+      this.#socket = socket;
+    });
+    request.end(body);
+    return request;
+  }
+
+  /** Sends one request and reads its answer. */
+  async send(options: KeptRequest): Promise<CallerOutcome> {
+    return KeptConnection.outcomeOf(this.begin(options));
+  }
+
+  close(): void {
+    this.#agent.destroy();
+  }
+
+  /** Reads the answer to a request. */
+  static async outcomeOf(request: ClientRequest): Promise<CallerOutcome> {
+    let answer: IncomingMessage;
+    try {
+      [answer] = (await once(request, 'response')) as [IncomingMessage];
+    } catch (error) {
+      const isRefused = (error as NodeJS.ErrnoException).code === 'ECONNREFUSED';
+      return { kind: isRefused ? 'not-connected' : 'no-answer' };
+    }
+    const chunks: Buffer[] = [];
+    try {
+      for await (const chunk of answer) chunks.push(chunk as Buffer);
+    } catch {
+      return { kind: 'cut-in-answer' };
+    }
+    const { statusCode = 0, headers } = answer;
+    return {
+      kind: 'answered',
+      status: statusCode,
+      headers,
+      body: Buffer.concat(chunks).toString(),
+    };
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -0,0 +1,37 @@
+import type { IncomingMessage } from 'node:http';
+import type { AnswerHead, WireCodec } from '../../src/calls/wireCodec';
+import { callEnvelope } from './callEnvelope';
+
+const textOf = (request: IncomingMessage, name: string): string | undefined => {
+  const value = request.headers[name];
+  return typeof value === 'string' ? value : undefined;
+};
+
+/** Speaks headers that only tests use: `x-id`, `x-key`, `x-patience` and, of targets, `x-signed`. */
+export const testWireCodec: WireCodec = {
+  decodeRequest: (request) => {
+    const id = textOf(request, 'x-id');
+    if (id === undefined) return { kind: 'malformed-request', detail: 'no id' };
+    const patience = textOf(request, 'x-patience');
+    return callEnvelope({
+      id,
+      method: request.method ?? 'GET',
+      pathAndQuery: request.url ?? '/',
+      key: textOf(request, 'x-key'),
+      patienceMilliseconds: patience === undefined ? undefined : Number(patience),
+    });
+  },
+  encodeDispatch: (envelope, note) => ['x-id', envelope.id, 'x-target', note.targetId],
+  decodeAnswer: (status, rawHeaders): AnswerHead => ({
+    status,
+    requestId: undefined,
+    isSigned: rawHeaders.includes('x-signed'),
+    isNotExecuted: rawHeaders.includes('x-not-run'),
+    isMisdirected: status === 421,
+    hasContentEncoding: false,
+    load: undefined,
+    passedHeaders: [],
+  }),
+  encodeOwnAnswer: (_envelope, retryAfterSeconds) =>
+    retryAfterSeconds === undefined ? [] : ['retry-after', String(retryAfterSeconds)],
+};
--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -50,6 +50,12 @@
     return new EntryServer(application);
   }
 
+  /** TCP port on which the server listens. */
+  get port(): number {
+    const address = this.#application.getHttpServer().address();
+    return typeof address === 'object' && address ? address.port : 0;
+  }
+
   /** Stops listening and resolves when every request under way has its answer. */
   async stop(): Promise<void> {
     const server = this.#application.getHttpServer();
--- /dev/null
+++ b/packages/server/tests/http/entryServer.test.ts
@@ -0,0 +1,113 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { Deferred, delay } from '@limpetnotch/supervision';
+import type { CallDesk } from '../../src/entry/callDesk';
+import type { CallerRequest } from '../../src/entry/callerRequest';
+import { EntryServer } from '../../src/http/entryServer';
+import type { EntryServerOptions } from '../../src/http/entryServer';
+
+const sockets: Socket[] = [];
+
+afterEach(() => {
+  sockets.splice(0).forEach((socket) => socket.destroy());
+});
+
+const answerAtOnce = async (response: ServerResponse): Promise<void> => {
+  response.end('ok');
+};
+
+/** Serves every call by a function of the test. */
+const startServer = async (
+  serve: (response: ServerResponse) => Promise<void>,
+): Promise<EntryServer> => {
+  const calls = { serve: ({ response }: CallerRequest) => serve(response) };
+  return EntryServer.start({
+    host: '127.0.0.1',
+    port: 0,
+    maximumBodyBytes: 1_024,
+    calls: calls as unknown as CallDesk,
+  } as unknown as EntryServerOptions);
+};
+
+interface Caller {
+  readonly socket: Socket;
+  readonly received: () => string;
+}
+
+const connectCaller = async (port: number): Promise<Caller> => {
+  const socket = connect(port, '127.0.0.1');
+  sockets.push(socket);
+  const chunks: Buffer[] = [];
+  socket.on('data', (chunk) => chunks.push(chunk));
+  socket.on('error', () => undefined);
+  await once(socket, 'connect');
+  return { socket, received: () => Buffer.concat(chunks).toString() };
+};
+
+const REQUEST = 'POST /call HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n';
+
+test('stopping ends although a connection stays silent', async () => {
+  const server = await startServer(answerAtOnce);
+  const silent = await connectCaller(server.port);
+  const closed = once(silent.socket, 'close');
+  const first = await Promise.race([
+    server.stop().then(() => 'stopped'),
+    delay(4_000).then(() => 'waiting'),
+  ]);
+  silent.socket.destroy();
+  await closed;
+  expect(first).toBe('stopped');
+});
+
+test('stopping ends although a request never arrives whole', async () => {
+  const server = await startServer(answerAtOnce);
+  const { socket } = await connectCaller(server.port);
+  socket.write('POST /call HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nhalf');
+  await delay(20);
+  const first = await Promise.race([
+    server.stop().then(() => 'stopped'),
+    delay(4_000).then(() => 'waiting'),
+  ]);
+  socket.destroy();
+  expect(first).toBe('stopped');
+});
+
+test('stopping waits for the answer to a call under way', async () => {
+  const held = new Deferred<ServerResponse>();
+  const server = await startServer(async (response) => held.resolve(response));
+  const caller = await connectCaller(server.port);
+  const closed = once(caller.socket, 'close');
+  caller.socket.write(REQUEST);
+  const response = await held.promise;
+  let isStopped = false;
+  const stopped = server.stop().then(() => {
+    isStopped = true;
+  });
+  await delay(100);
+  expect(isStopped).toBe(false);
+  response.end('whole');
+  await Promise.all([stopped, closed]);
+  expect(caller.received()).toContain('whole');
+});
+
+test('a late call on an open connection is served, and its connection closes', async () => {
+  const held: ServerResponse[] = [];
+  const server = await startServer(async (response) => {
+    if (held.length === 0) held.push(response);
+    else response.end('late');
+  });
+  const [busy, late] = [await connectCaller(server.port), await connectCaller(server.port)];
+  const closed = once(late.socket, 'close');
+  busy.socket.write(REQUEST);
+  while (held.length === 0) await delay(5);
+  // A connection that waits for its first request is not idle for the runtime.
+  const stopped = server.stop();
+  late.socket.write(REQUEST);
+  await closed;
+  held[0]!.end('ok');
+  await stopped;
+  expect(late.received()).toContain('late');
+  expect(late.received().toLowerCase()).toContain('connection: close');
+});
