Close connections in the same turn as the last check of a drain

Callers lost requests that came 2.5 s after SIGTERM: the drain ended with nothing under way, the gateway then waited for its supervised tasks, and only after that closed its connections. A request that came in between was passed on to a target, and its connection was closed without an answer. What the drain counted was late as well: a request counted from its handler on, some ticks after it had been read.

The process logged underWay 1 at gateway.stopped, 2.5 s after gateway.draining. The test 'no request is taken between the last check and the close' failed before: the request had reached the target.

Now the server counts requests from their heads until their answers are written whole, and the drain closes the listener and all connections in the turn in which it finds none.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -208,7 +208,6 @@
     } finally {
       stopping.abort();
       await supervised.catch(() => undefined);
-      this.#drain.close();
       await this.#stop();
     }
   }
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -1,9 +1,11 @@
 import 'reflect-metadata';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import { IngressModule } from './ingressModule';
+import { OpenConnections } from './openConnections';
 import type { RequestHandler } from './requestHandler';
 
 /** Bound of the parser; the configuration's own bound on headers lies below. */
@@ -30,14 +32,16 @@
 export class IngressServer {
   readonly #application: NestFastifyApplication;
 
-  readonly #connections = new Set<Socket>();
+  readonly #connections = new OpenConnections();
 
   private constructor(application: NestFastifyApplication) {
     this.#application = application;
-    application.getHttpServer().on('connection', (socket: Socket) => {
-      this.#connections.add(socket);
-      socket.once('close', () => this.#connections.delete(socket));
-    });
+    const server = application.getHttpServer();
+    server.on('connection', (socket: Socket) => this.#connections.add(socket));
+    // Before the framework's own listener, which hands the request on some ticks later.
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) =>
+      this.#connections.begin(request, response),
+    );
   }
 
   /** Starts to listen; rejects when the port is taken. */
@@ -74,6 +78,11 @@
     return this.#connections.size;
   }
 
+  /** Requests whose answers have not left this process whole. */
+  get openRequests(): number {
+    return this.#connections.openRequests;
+  }
+
   /** Puts bounds on connections in force. */
   setTimes({ headerTimeoutMilliseconds, idleTimeoutMilliseconds }: ConnectionTimes): void {
     const server = this.#application.getHttpServer();
@@ -86,10 +95,16 @@
     this.#application.getHttpServer().closeIdleConnections();
   }
 
-  /** Stops listening and closes all connections. */
-  async stop(): Promise<void> {
+  /** Stops listening and closes all connections, within this turn of the event loop. */
+  closeNow(): void {
     const server = this.#application.getHttpServer();
+    server.close();
     server.closeAllConnections();
+  }
+
+  /** Stops listening and closes all connections; resolves when the server has ended. */
+  async stop(): Promise<void> {
+    this.closeNow();
     await this.#application.close();
   }
 }
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -41,7 +41,7 @@
     return this.#state;
   }
 
-  /** Fails readiness, outlasts the balancer's lag, and waits for requests under way. */
+  /** Fails readiness, outlasts the balancer's lag, waits for requests under way, and closes. */
   async run(): Promise<void> {
     this.#begin();
     const progress = setInterval(() => this.#logProgress(), PROGRESS_MILLISECONDS);
@@ -50,10 +50,18 @@
     } finally {
       clearInterval(progress);
     }
+    this.#close();
   }
 
-  /** Reports the requests that are cut off when connections close now. */
-  close(): void {
+  /** Closes in the same turn as the last check, so that no request is taken in between. */
+  #close(): void {
+    const { ingress } = this.#parts;
+    this.#state = { kind: 'closed', sinceMilliseconds: this.#stopMilliseconds };
+    this.#logEnd();
+    ingress()?.closeNow();
+  }
+
+  #logEnd(): void {
     const { calls, logger } = this.#parts;
     calls.all.forEach((open) => {
       this.#cutOff += 1;
@@ -92,14 +100,11 @@
   }
 
   async #finishCalls(): Promise<void> {
-    const { calls, ingress, times } = this.#parts;
+    const { ingress, times } = this.#parts;
     await delay(times().readinessLagMilliseconds);
     const { graceMilliseconds, exitReserveMilliseconds } = times();
     while (this.#sinceStopMilliseconds < graceMilliseconds - exitReserveMilliseconds) {
-      if (calls.size === 0) {
-        ingress()?.closeIdleConnections();
-        return;
-      }
+      if ((ingress()?.openRequests ?? 0) === 0) return;
       await delay(CHECK_MILLISECONDS);
     }
   }
@@ -125,6 +130,11 @@
   }
 
   get #sinceStopMilliseconds(): number {
-    return this.#state.kind === 'serving' ? 0 : performance.now() - this.#state.sinceMilliseconds;
+    return performance.now() - this.#stopMilliseconds;
+  }
+
+  /** When the stop signal came; now, where it has not come yet. */
+  get #stopMilliseconds(): number {
+    return this.#state.kind === 'serving' ? performance.now() : this.#state.sinceMilliseconds;
   }
 }
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -98,7 +98,6 @@
   async #shutDown(endTasks: () => Promise<void>): Promise<void> {
     await this.#drain.run();
     await endTasks();
-    this.#drain.close();
     await this.#ingress?.stop();
   }
 
