Close the listener and idle connections once the balancer sends no more

An instance that was told to stop went on accepting connections and kept idle ones until not a single request was under way. Under steady traffic, or with one slow target, that moment never came: callers kept sending on open and new connections until the grace period cut them off.

Now the listener closes after the balancer's lag, so that the kernel refuses new connections and callers go elsewhere at once, and idle connections are swept every 50 ms from then on; that covers the connections of long streams, whose heads carry no Connection: close. A connection that was accepted just before has 250 ms for its first request. Ruled out as a cause: answers to requests that come after the signal; they carried Connection: close before.

--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -90,16 +90,21 @@
     server.keepAliveTimeout = idleTimeoutMilliseconds;
   }
 
-  /** Closes connections that wait for a request. */
+  /** Stops listening, so that new connections are refused; open ones stay. */
+  stopAccepting(): void {
+    const server = this.#application.getHttpServer();
+    if (server.listening) server.close();
+  }
+
+  /** Closes connections that have served a request and wait for the next one. */
   closeIdleConnections(): void {
     this.#application.getHttpServer().closeIdleConnections();
   }
 
   /** Stops listening and closes all connections, within this turn of the event loop. */
   closeNow(): void {
-    const server = this.#application.getHttpServer();
-    server.close();
-    server.closeAllConnections();
+    this.stopAccepting();
+    this.#application.getHttpServer().closeAllConnections();
   }
 
   /** Stops listening and closes all connections; resolves when the server has ended. */
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -8,6 +8,9 @@
 /** How often a drain looks whether requests are under way; short against any answer. */
 const CHECK_MILLISECONDS = 50;
 
+/** A request follows the handshake of its connection within a round trip between zones. */
+const FIRST_REQUEST_MILLISECONDS = 250;
+
 /** A line a second stays readable over the longest grace periods. */
 const PROGRESS_MILLISECONDS = 1_000;
 
@@ -102,13 +105,23 @@
   async #finishCalls(): Promise<void> {
     const { ingress, times } = this.#parts;
     await delay(times().readinessLagMilliseconds);
+    ingress()?.stopAccepting();
+    const stoppedAccepting = performance.now();
     const { graceMilliseconds, exitReserveMilliseconds } = times();
     while (this.#sinceStopMilliseconds < graceMilliseconds - exitReserveMilliseconds) {
-      if ((ingress()?.openRequests ?? 0) === 0) return;
+      ingress()?.closeIdleConnections();
+      if (this.#isQuiet(performance.now() - stoppedAccepting)) return;
       await delay(CHECK_MILLISECONDS);
     }
   }
 
+  /** Whether no request is under way and none can be on its way on a new connection. */
+  #isQuiet(sinceAcceptingMilliseconds: number): boolean {
+    const { openRequests = 0, connectionCount = 0 } = this.#parts.ingress() ?? {};
+    if (openRequests > 0) return false;
+    return connectionCount === 0 || sinceAcceptingMilliseconds >= FIRST_REQUEST_MILLISECONDS;
+  }
+
   #logProgress(): void {
     const { calls, ingress, times, logger } = this.#parts;
     const { graceMilliseconds } = times();
