Refuse requests that may outlast the grace period of a shutdown

A draining instance sent every request on to a target, also one that came seconds after the stop signal and might take longer than what was left of the grace period. Its caller waited, lost its connection in mid-answer, and couldn't know whether the request had run.

The test 'a request that may outlast the grace period is refused at once' failed before: status 200 instead of 503, the target had been reached.

Now a pure function decides by the time since the signal, the grace period less the reserve for last answers, and the longest time that caller and route leave the request. What surely fits is served, the rest is answered 503 at once, as not run and to be retried at once elsewhere. The balancer sends for about 2.5 s after the signal; with a grace period of 8 s and a timeout of 4 s requests are taken for 3 s.

--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -12,6 +12,7 @@
 import type { OpenCall } from './openCall';
 import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
+import type { Refusal } from './refusal';
 import type { WireCodec } from './wireCodec';
 
 /** Programs are allowed about this many times less than their objective on idle targets. */
@@ -20,6 +21,13 @@
 /** Objective of a program whose caller names none. */
 const UNKNOWN_OBJECTIVE_MILLISECONDS = 4_000;
 
+/** Other instances can take the request at once. */
+const SHUTTING_DOWN: Refusal = {
+  kind: 'unavailable',
+  reason: 'shutting down',
+  retryAfterSeconds: 0,
+};
+
 /** Parts of a {@link CallGateway}. */
 export interface CallGatewayParts {
   readonly codec: WireCodec;
@@ -29,6 +37,8 @@
   readonly runner: CallRunner;
   readonly writer: AnswerWriter;
   readonly openCalls: OpenCalls;
+  /** Whether a request is taken that may need a time in milliseconds, as during a shutdown. */
+  readonly mayTake: (remainingMilliseconds: number) => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -124,6 +134,9 @@
     });
     const admitted = open;
     admitted.call = call;
+    if (!this.#parts.mayTake(call.remainingMilliseconds)) {
+      return { kind: 'refused', refusal: SHUTTING_DOWN };
+    }
     const result = await this.#runWithinRate(call);
     this.#logServed(call, result);
     return result;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,9 @@
 /** The balancer stops sending after two missed questions, one a second. */
 const READINESS_LAG_MILLISECONDS = 2_500;
 
+/** Part of the grace period that is kept for last answers to reach their callers, and for the end. */
+const ANSWER_RESERVE_MILLISECONDS = 1_000;
+
 /** Part of the grace period that is kept for the end of the process itself. */
 const EXIT_RESERVE_MILLISECONDS = 700;
 
@@ -104,6 +107,7 @@
       times: () => ({
         graceMilliseconds: this.#reloadable.graceMilliseconds,
         readinessLagMilliseconds: READINESS_LAG_MILLISECONDS,
+        answerReserveMilliseconds: ANSWER_RESERVE_MILLISECONDS,
         exitReserveMilliseconds: EXIT_RESERVE_MILLISECONDS,
       }),
       logger,
@@ -177,6 +181,7 @@
       runner,
       writer,
       openCalls: this.#openCalls,
+      mayTake: (remainingMilliseconds) => this.#drain.mayTake(remainingMilliseconds),
       logger,
       metrics,
     });
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -4,6 +4,7 @@
 import type { IngressServer } from '../ingress/ingressServer';
 import type { DrainState } from './drainState';
 import type { DrainTimes } from './drainTimes';
+import { mayTakeRequest } from './mayTakeRequest';
 
 /** How often a drain looks whether requests are under way; short against any answer. */
 const CHECK_MILLISECONDS = 50;
@@ -44,6 +45,13 @@
     return this.#state;
   }
 
+  /** Whether a request that arrives now is taken, by the longest time until its answer. */
+  mayTake(remainingMilliseconds: number): boolean {
+    const nowMilliseconds = performance.now();
+    const request = { nowMilliseconds, remainingMilliseconds };
+    return mayTakeRequest(this.#state, this.#parts.times(), request);
+  }
+
   /** Fails readiness, outlasts the balancer's lag, waits for requests under way, and closes. */
   async run(): Promise<void> {
     this.#begin();
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -64,6 +64,7 @@
       times: () => ({
         graceMilliseconds: 1_200,
         readinessLagMilliseconds: 100,
+        answerReserveMilliseconds: 400,
         exitReserveMilliseconds: 200,
         ...options.times,
       }),
@@ -163,6 +164,7 @@
       runner,
       writer,
       openCalls: this.openCalls,
+      mayTake: (remainingMilliseconds) => this.#drain.mayTake(remainingMilliseconds),
       logger: this.#logger,
       metrics: this.metrics,
     });
