Give requests their final answers before a shutdown ends

At the end of its grace period an instance closed the connections of every request that was still under way: those at slow or hanging targets, those that waited for their rate or budget, and those whose bodies were still arriving. Their callers got no answer and could not tell what had run.

Ruled out: that admission alone is enough; a request that was taken before the signal, or whose body is slow, is under way at the end all the same.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -105,6 +105,8 @@
       if (!call.response.writableFinished) abort({ kind: 'caller-gone' });
     };
     call.response.once('close', onClose);
+    const onEnding = (): void => abort({ kind: 'shutting-down' });
+    call.ending?.addEventListener('abort', onEnding);
     const deadline = setTimeout(
       () => abort({ kind: 'timed-out', wasSent: exchange.wasSent }),
       Math.max(0, call.remainingMilliseconds),
@@ -114,6 +116,7 @@
     }, SILENCE_CHECK_MILLISECONDS);
     return () => {
       call.response.removeListener('close', onClose);
+      call.ending?.removeEventListener('abort', onEnding);
       clearTimeout(deadline);
       clearInterval(silence);
     };
--- a/packages/gateway/src/calls/attemptOutcome.ts
+++ b/packages/gateway/src/calls/attemptOutcome.ts
@@ -12,5 +12,7 @@
   | { readonly kind: 'stalled'; readonly detail: string }
   /** The caller closed its connection. */
   | { readonly kind: 'caller-gone' }
+  /** The instance ends its last calls. */
+  | { readonly kind: 'shutting-down' }
   /** The time for the answer is over. */
   | { readonly kind: 'timed-out'; readonly wasSent: boolean };
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -16,6 +16,8 @@
   readonly body: Buffer;
   readonly response: ServerResponse;
   readonly arrivedAtMilliseconds: number;
+  /** Aborts when the call must end with its final answer. */
+  readonly ending?: AbortSignal;
 }
 
 /** An admitted request of a caller, with what has been sent back so far. */
@@ -34,6 +36,8 @@
 
   readonly arrivedAtMilliseconds: number;
 
+  readonly ending: AbortSignal | undefined;
+
   /** Targets that may have run the request. */
   readonly history = new DispatchHistory();
 
@@ -66,6 +70,7 @@
     this.body = parts.body;
     this.response = parts.response;
     this.arrivedAtMilliseconds = parts.arrivedAtMilliseconds;
+    this.ending = parts.ending;
   }
 
   /** Time since the request arrived, in milliseconds. */
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
+import { Deferred } from '@limpetnotch/supervision';
 import type { BudgetGate } from '../budgets/budgetGate';
 import type { FleetState } from '../fleet/fleetState';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
@@ -12,7 +13,7 @@
 import type { OpenCall } from './openCall';
 import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
-import type { Refusal } from './refusal';
+import { SHUTTING_DOWN } from './shuttingDown';
 import type { WireCodec } from './wireCodec';
 
 /** Programs are allowed about this many times less than their objective on idle targets. */
@@ -21,13 +22,6 @@
 /** Objective of a program whose caller names none. */
 const UNKNOWN_OBJECTIVE_MILLISECONDS = 4_000;
 
-/** Other instances can take the request at once. */
-const SHUTTING_DOWN: Refusal = {
-  kind: 'unavailable',
-  reason: 'shutting down',
-  retryAfterSeconds: 0,
-};
-
 /** Parts of a {@link CallGateway}. */
 export interface CallGatewayParts {
   readonly codec: WireCodec;
@@ -77,7 +71,12 @@
     const envelope = codec.decodeRequest(request);
     if (!('kind' in envelope)) admitted.id = envelope.id;
     const maximumBytes = fleet.index?.configuration.limits.bodyBytes ?? 0;
-    const body = await readBody(request, maximumBytes || Infinity);
+    const ended = this.#endUndispatched(open);
+    const body = await Promise.race([readBody(request, maximumBytes || Infinity), ended]);
+    if ('kind' in body) {
+      this.#finish('kind' in envelope ? undefined : envelope, open, body);
+      return;
+    }
     if (body.isErr()) {
       if (body.error === 'too-large') {
         admitted.end = 'refused';
@@ -91,11 +90,22 @@
       writer.refuse(response, undefined, { kind: 'malformed', detail: envelope.detail });
       return;
     }
-    const result = await this.#run(envelope, body.value, open);
+    const result = await Promise.race([this.#run(envelope, body.value, open), ended]);
     this.#finish(envelope, open, result);
   }
 
-  #finish(envelope: CallEnvelope, open: OpenCall, result: CallResult): void {
+  /** Resolves to a refusal when the instance ends its last calls and this one was not dispatched. */
+  async #endUndispatched(open: OpenCall): Promise<CallResult> {
+    const ended = new Deferred<CallResult>();
+    const end = (): void => {
+      if (!open.wasDispatched) ended.resolve({ kind: 'refused', refusal: SHUTTING_DOWN });
+    };
+    if (open.ending.aborted) end();
+    open.ending.addEventListener('abort', end);
+    return ended.promise;
+  }
+
+  #finish(envelope: CallEnvelope | undefined, open: OpenCall, result: CallResult): void {
     const { metrics, logger, writer } = this.#parts;
     metrics.increment('call.results', 1, {
       result: result.kind === 'refused' ? result.refusal.kind : result.kind,
@@ -107,10 +117,10 @@
     if (result.kind !== 'refused') return;
     const { refusal } = result;
     logger.info('call.refused', {
-      request: envelope.id,
+      request: open.id,
       refusal: refusal.kind,
       reason: 'reason' in refusal ? refusal.reason : undefined,
-      program: envelope.program?.id,
+      program: envelope?.program?.id,
       ageMilliseconds: Math.round(ageMilliseconds),
     });
     writer.refuse(open.response, envelope, refusal);
@@ -131,6 +141,7 @@
       body,
       response: open.response,
       arrivedAtMilliseconds: open.arrivedAtMilliseconds,
+      ending: open.ending,
     });
     const admitted = open;
     admitted.call = call;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -8,6 +8,7 @@
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import type { Refusal } from './refusal';
+import { SHUTTING_DOWN } from './shuttingDown';
 
 /** Dispatches that a request gets at most, declined ones included. */
 const MAXIMUM_DISPATCHES = 6;
@@ -58,6 +59,7 @@
     case 'caller-gone':
     case 'declined':
     case 'not-sent':
+    case 'shutting-down':
       return false;
   }
 };
@@ -97,6 +99,7 @@
     for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
       if (call.isCallerGone) return { kind: 'caller-gone' };
       if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
+      if (call.ending?.aborted) return this.#giveUp(call, last, this.#shuttingDown(call));
       const target = this.#choose(call, declined);
       if (!target) return this.#giveUp(call, last, this.#noTarget(call));
       if (last) this.#logRedispatch(call, last, dispatch, target);
@@ -190,6 +193,8 @@
         return outcome;
       case 'timed-out':
         return refused(this.#expired(call));
+      case 'shutting-down':
+        return this.#giveUp(call, outcome, this.#shuttingDown(call));
       case 'declined':
         if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target.id);
         return undefined;
@@ -247,6 +252,11 @@
     return { kind: 'unavailable', reason: 'expired', retryAfterSeconds: FULL_RETRY_AFTER_SECONDS };
   }
 
+  #shuttingDown(call: Call): Refusal {
+    if (call.history.runs === 0) return SHUTTING_DOWN;
+    return { kind: 'outcome-unknown', reason: SHUTTING_DOWN.reason };
+  }
+
   #noTarget(call: Call): Refusal {
     if (call.history.runs > 0) return { kind: 'outcome-unknown', reason: 'no target to repeat at' };
     return {
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -22,6 +22,7 @@
     case 'broken':
     case 'stalled':
     case 'caller-gone':
+    case 'shutting-down':
     case 'timed-out':
       return undefined;
   }
--- a/packages/gateway/src/calls/openCall.ts
+++ b/packages/gateway/src/calls/openCall.ts
@@ -18,10 +18,27 @@
 
   end: OpenCallEnd = 'caller-gone';
 
+  readonly #ending = new AbortController();
+
   constructor(response: ServerResponse) {
     this.response = response;
   }
 
+  /** Aborts when the request must have its final answer now, whatever it waits for. */
+  get ending(): AbortSignal {
+    return this.#ending.signal;
+  }
+
+  /** Whether a target may have the request, or may have had it. */
+  get wasDispatched(): boolean {
+    return this.call?.target !== undefined;
+  }
+
+  /** Asks for the final answer. */
+  endNow(): void {
+    this.#ending.abort();
+  }
+
   /** Time since the request arrived, in milliseconds. */
   get ageMilliseconds(): number {
     return performance.now() - this.arrivedAtMilliseconds;
--- a/packages/gateway/src/calls/openCalls.ts
+++ b/packages/gateway/src/calls/openCalls.ts
@@ -8,6 +8,8 @@
 
   readonly #ended: Record<OpenCallEnd, number> = { served: 0, refused: 0, 'caller-gone': 0 };
 
+  #isEnding = false;
+
   /** Number of requests without a final answer. */
   get size(): number {
     return this.#calls.size;
@@ -29,10 +31,17 @@
     return this.#ended[end];
   }
 
+  /** Has every request end with its final answer, those that begin later too. */
+  endNow(): void {
+    this.#isEnding = true;
+    this.all.forEach((open) => open.endNow());
+  }
+
   /** Notes a request whose head was read. */
   begin(response: ServerResponse): OpenCall {
     const open = new OpenCall(response);
     this.#calls.add(open);
+    if (this.#isEnding) open.endNow();
     return open;
   }
 
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -1,5 +1,6 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
+import type { OpenCall } from '../calls/openCall';
 import type { OpenCalls } from '../calls/openCalls';
 import type { IngressServer } from '../ingress/ingressServer';
 import type { DrainState } from './drainState';
@@ -35,7 +36,7 @@
 
   #refusedBefore = 0;
 
-  #cutOff = 0;
+  #cutOffCount = 0;
 
   constructor(parts: GatewayDrainParts) {
     this.#parts = parts;
@@ -66,34 +67,36 @@
 
   /** Closes in the same turn as the last check, so that no request is taken in between. */
   #close(): void {
-    const { ingress } = this.#parts;
+    const { calls, ingress } = this.#parts;
     this.#state = { kind: 'closed', sinceMilliseconds: this.#stopMilliseconds };
+    calls.all.forEach((open) => this.#cutOff(open));
     this.#logEnd();
     ingress()?.closeNow();
   }
 
+  #cutOff({ id, call, response, ageMilliseconds }: OpenCall): void {
+    this.#cutOffCount += 1;
+    this.#parts.logger.warn('call.cut-off', {
+      request: id,
+      target: call?.target,
+      hasAnswerBegun: response.headersSent,
+      ageMilliseconds: Math.round(ageMilliseconds),
+      sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
+    });
+  }
+
   #logEnd(): void {
     const { calls, logger } = this.#parts;
-    calls.all.forEach((open) => {
-      this.#cutOff += 1;
-      logger.warn('call.cut-off', {
-        request: open.id,
-        target: open.call?.target,
-        hasAnswerBegun: open.response.headersSent,
-        ageMilliseconds: Math.round(open.ageMilliseconds),
-        sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
-      });
-    });
     const { served, refused } = this.#counts;
     const { metrics } = this.#parts;
     metrics.increment('drain.calls', served, { result: 'served' });
     metrics.increment('drain.calls', refused, { result: 'refused' });
-    metrics.increment('drain.calls', this.#cutOff, { result: 'cut-off' });
+    metrics.increment('drain.calls', this.#cutOffCount, { result: 'cut-off' });
     logger.info('gateway.stopped', {
       underWay: calls.size,
       served,
       refused,
-      cutOff: this.#cutOff,
+      cutOff: this.#cutOffCount,
       sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
     });
   }
@@ -114,13 +117,29 @@
     const { ingress, times } = this.#parts;
     await delay(times().readinessLagMilliseconds);
     ingress()?.stopAccepting();
-    const stoppedAccepting = performance.now();
-    const { graceMilliseconds, exitReserveMilliseconds } = times();
-    while (this.#sinceStopMilliseconds < graceMilliseconds - exitReserveMilliseconds) {
+    const { graceMilliseconds, answerReserveMilliseconds, exitReserveMilliseconds } = times();
+    if (await this.#waitUntilQuiet(graceMilliseconds - answerReserveMilliseconds)) return;
+    this.#endCalls();
+    await this.#waitUntilQuiet(graceMilliseconds - exitReserveMilliseconds);
+  }
+
+  /** Sweeps idle connections until none is in use; returns false where that takes too long. */
+  async #waitUntilQuiet(untilMilliseconds: number): Promise<boolean> {
+    const { ingress } = this.#parts;
+    const began = performance.now();
+    while (this.#sinceStopMilliseconds < untilMilliseconds) {
       ingress()?.closeIdleConnections();
-      if (this.#isQuiet(performance.now() - stoppedAccepting)) return;
+      if (this.#isQuiet(performance.now() - began)) return true;
       await delay(CHECK_MILLISECONDS);
     }
+    return false;
+  }
+
+  /** Ends every call with a final answer; a stream that has begun can only be cut off. */
+  #endCalls(): void {
+    const { calls } = this.#parts;
+    calls.all.filter(({ response }) => response.headersSent).forEach((open) => this.#cutOff(open));
+    calls.endNow();
   }
 
   /** Whether no request is under way and none can be on its way on a new connection. */
