Answer all requests of a connection before a drain closes it

Where a caller had sent a second request behind the first on one connection, a draining instance put Connection: close on the first answer. The runtime closes the connection after it, so that the second request, which was at a target by then, lost its answer. The test 'a request behind another one on its connection gets an answer' failed before: one answer instead of two.

Now the server knows the requests on each connection. The last of them closes it, and a request that was sent behind an announced last answer is not handed on any more, so that it can't run unseen. Callers in the field were not seen to do this.

--- a/packages/gateway/src/calls/answerWriter.ts
+++ b/packages/gateway/src/calls/answerWriter.ts
@@ -7,8 +7,8 @@
 /** Options of {@link AnswerWriter}. */
 export interface AnswerWriterOptions {
   readonly codec: WireCodec;
-  /** Whether callers are asked to open new connections, as before a shutdown. */
-  readonly isClosing: () => boolean;
+  /** Whether an answer is the last of its connection, as during a shutdown. */
+  readonly isLast: (response: ServerResponse) => boolean;
 }
 
 const retryAfterOf = (refusal: Refusal): number | undefined =>
@@ -24,7 +24,7 @@
 
   /** Writes the head of an answer whose body follows. */
   head(response: ServerResponse, status: number, headers: readonly string[]): void {
-    response.writeHead(status, [...headers, ...this.#connectionHeaders()]);
+    response.writeHead(status, [...headers, ...this.#connectionHeaders(response)]);
   }
 
   /** Writes a whole answer of a target. */
@@ -44,7 +44,7 @@
     this.whole(response, statusOf(refusal), [...headers, 'content-type', 'application/json'], body);
   }
 
-  #connectionHeaders(): readonly string[] {
-    return this.#options.isClosing() ? ['connection', 'close'] : [];
+  #connectionHeaders(response: ServerResponse): readonly string[] {
+    return this.#options.isLast(response) ? ['connection', 'close'] : [];
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -113,8 +113,8 @@
       logger,
       metrics,
     });
-    const isClosing = (): boolean => this.#drain.state.kind !== 'serving';
-    const writer = new AnswerWriter({ codec, isClosing });
+    const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
+    const writer = new AnswerWriter({ codec, isLast });
     this.#peers = new FleetPeers(logger, metrics);
     this.#membership = new Membership({
       store: parts.store,
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -32,10 +32,11 @@
 export class IngressServer {
   readonly #application: NestFastifyApplication;
 
-  readonly #connections = new OpenConnections();
+  readonly #connections: OpenConnections;
 
-  private constructor(application: NestFastifyApplication) {
+  private constructor(application: NestFastifyApplication, connections: OpenConnections) {
     this.#application = application;
+    this.#connections = connections;
     const server = application.getHttpServer();
     server.on('connection', (socket: Socket) => this.#connections.add(socket));
     // Before the framework's own listener, which hands the request on some ticks later.
@@ -54,15 +55,19 @@
       return503OnClosing: false,
       http: { maxHeaderSize: MAXIMUM_HEADER_BYTES },
     });
+    const connections = new OpenConnections();
+    const handleOpen: RequestHandler = async (request, response) => {
+      if (connections.isOpen(response)) await handle(request, response);
+    };
     const application = await NestFactory.create<NestFastifyApplication>(
-      IngressModule.with(handle),
+      IngressModule.with(handleOpen),
       adapter,
       { bodyParser: false, logger: false, abortOnError: false },
     );
     const fastify = adapter.getInstance();
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', (_request, _payload, done) => done(null));
-    const server = new IngressServer(application);
+    const server = new IngressServer(application, connections);
     await application.listen(port, host);
     return server;
   }
@@ -83,6 +88,11 @@
     return this.#connections.openRequests;
   }
 
+  /** Makes an answer the last of its connection; returns false where others wait behind it. */
+  closeAfter(response: ServerResponse): boolean {
+    return this.#connections.closeAfter(response);
+  }
+
   /** Puts bounds on connections in force. */
   setTimes({ headerTimeoutMilliseconds, idleTimeoutMilliseconds }: ConnectionTimes): void {
     const server = this.#application.getHttpServer();
--- a/packages/gateway/src/ingress/openConnections.ts
+++ b/packages/gateway/src/ingress/openConnections.ts
@@ -5,6 +5,9 @@
 export class OpenConnections {
   readonly #requests = new Map<Socket, Set<ServerResponse>>();
 
+  /** Connections whose next answer is their last. */
+  readonly #closing = new WeakSet<Socket>();
+
   /** Number of open connections. */
   get size(): number {
     return this.#requests.size;
@@ -21,10 +24,27 @@
     socket.once('close', () => this.#requests.delete(socket));
   }
 
-  /** Notes a request from its head until its answer is written whole. */
+  /**
+   * Notes a request from its head until its answer is written whole. One that was sent behind the
+   * last answer of its connection is left out: it can't be answered any more.
+   */
   begin({ socket }: IncomingMessage, response: ServerResponse): void {
     const requests = this.#requests.get(socket);
-    requests?.add(response);
-    response.once('close', () => requests?.delete(response));
+    if (!requests || this.#closing.has(socket)) return;
+    requests.add(response);
+    response.once('close', () => requests.delete(response));
+  }
+
+  /** Whether a request waits for its answer and can get it. */
+  isOpen(response: ServerResponse): boolean {
+    return this.#requests.get(response.req.socket)?.has(response) ?? false;
+  }
+
+  /** Makes an answer the last of its connection; returns false where others wait behind it. */
+  closeAfter({ req: { socket } }: ServerResponse): boolean {
+    const { size } = this.#requests.get(socket) ?? new Set();
+    if (size > 1) return false;
+    this.#closing.add(socket);
+    return true;
   }
 }
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -1,3 +1,4 @@
+import type { ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
 import type { OpenCall } from '../calls/openCall';
@@ -53,6 +54,12 @@
     return mayTakeRequest(this.#state, this.#parts.times(), request);
   }
 
+  /** Makes an answer the last of its connection during a drain; returns whether it is. */
+  closeAfter(response: ServerResponse): boolean {
+    if (this.#state.kind === 'serving') return false;
+    return this.#parts.ingress()?.closeAfter(response) ?? true;
+  }
+
   /** Fails readiness, outlasts the balancer's lag, waits for requests under way, and closes. */
   async run(): Promise<void> {
     this.#begin();
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -73,7 +73,7 @@
 
   readonly #connections: TargetConnections;
 
-  readonly #writer = new AnswerWriter({ codec, isClosing: () => false });
+  readonly #writer = new AnswerWriter({ codec, isLast: () => false });
 
   readonly #servers: Server[] = [];
 
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -1,6 +1,6 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import type { RequestListener, Server } from 'node:http';
+import type { RequestListener, Server, ServerResponse } from 'node:http';
 import { MemoryMetrics } from '@limpetnotch/observability';
 import type { LogFields, Logger, LogMessageId } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
@@ -136,8 +136,8 @@
   }
 
   #callGateway(fleet: FleetState): CallGateway {
-    const isClosing = (): boolean => this.#drain.state.kind !== 'serving';
-    const writer = new AnswerWriter({ codec: testWireCodec, isClosing });
+    const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
+    const writer = new AnswerWriter({ codec: testWireCodec, isLast });
     const runner = new CallRunner({
       codec: testWireCodec,
       connections: this.#connections,
