Keep a silent target's place under the bound of a request

Callers saw requests run at two targets though their route allows one: a stream whose target sent nothing on any connection for 700 ms was dispatched to another target at once.

Cause: a stalled target was treated like one that had declined and was left out. No target that had run the request was then left among the candidates, and the bound was applied only where one was.

Evidence: five tests of targetBound.test.ts, which failed with two targets asked instead of one (three instead of two) and with status 200 instead of 502 where the target stays silent.

decideDispatch, which does no input or output, now decides where a request goes next, from what is known of the targets that may have run it. A target keeps its place until it is known to have ended. A request whose places are taken goes on there over a connection of its own, as an open one may be lost for good while new ones work; after a second silence it gets its final answer at once (502, or a stream that has begun is cut off), so that its caller can send a new one, which has a bound of its own.

Tried and not kept: to give up at the first silence.

The stand-in connections of the tests now fail both ways of sending, and their caller takes an answer that is cut off.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -25,12 +25,18 @@
   readonly writer: AnswerWriter;
 }
 
+/** Connection on which an attempt sends its request. */
+export type AttemptConnection =
+  /** One that is kept open, within those that this instance may hold to the target. */
+  | { readonly kind: 'shared'; readonly connectionLimit: number }
+  /** A new one that serves this attempt alone. */
+  | { readonly kind: 'own' };
+
 /** Options of one {@link Attempt}. */
 export interface AttemptOptions {
   readonly call: Call;
   readonly target: FleetTarget;
-  /** Connections that this instance may hold to the target. */
-  readonly connectionLimit: number;
+  readonly connection: AttemptConnection;
   readonly priority: number | undefined;
   /** Silence of the target, on all connections, after which the attempt is given up. */
   readonly silenceMilliseconds: number;
@@ -80,7 +86,7 @@
   }
 
   #send(): Exchange {
-    const { call, target, connectionLimit, priority } = this.#options;
+    const { call, target, connection, priority } = this.#options;
     const { envelope } = call;
     const headers = this.#parts.codec.encodeDispatch(envelope, {
       targetId: target.id,
@@ -91,7 +97,13 @@
     });
     const { method, pathAndQuery } = envelope;
     const request = { method, pathAndQuery, headers, body: call.body };
-    return this.#parts.connections.send(target, connectionLimit, request);
+    const { connections } = this.#parts;
+    switch (connection.kind) {
+      case 'shared':
+        return connections.send(target, connection.connectionLimit, request);
+      case 'own':
+        return connections.sendAlone(target, request);
+    }
   }
 
   /** Aborts the exchange when the caller leaves, the time is over or the target falls silent. */
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -3,10 +3,12 @@
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { FleetState } from '../fleet/fleetState';
 import type { FleetTarget } from '../targets/fleetTarget';
-import type { AttemptParts } from './attempt';
+import type { AttemptConnection, AttemptParts } from './attempt';
 import { Attempt } from './attempt';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
+import { decideDispatch } from './redispatch';
+import type { GiveUpReason } from './redispatch';
 import type { Refusal } from './refusal';
 import { SHUTTING_DOWN } from './shuttingDown';
 
@@ -46,6 +48,15 @@
   readonly instanceCount: () => number;
 }
 
+/** Where a call goes next. */
+type TargetChoice =
+  | {
+      readonly kind: 'target';
+      readonly target: FleetTarget;
+      readonly connection: AttemptConnection;
+    }
+  | { readonly kind: 'none'; readonly reason: GiveUpReason };
+
 /** Whether an attempt ended in a way that speaks against its target. */
 const isTargetFailure = (outcome: AttemptOutcome): boolean => {
   switch (outcome.kind) {
@@ -67,8 +78,8 @@
 /** What decides whether a request may be sent again, for the log. */
 const dispatchFields = (call: Call, last: AttemptOutcome): LogFields => {
   const { formerTargets, runs } = call.history;
-  const ended = formerTargets.flatMap(({ target, endEvidence }) =>
-    endEvidence ? [`${target.id}=${endEvidence}`] : [],
+  const ended = formerTargets.flatMap(({ target, state }) =>
+    state.kind === 'ended' ? [`${target.id}=${state.evidence}`] : [],
   );
   return {
     request: call.envelope.id,
@@ -94,29 +105,33 @@
 
   /** Runs a call to its end. */
   async run(call: Call): Promise<CallResult> {
-    const declined = new Set<string>();
+    let repeats = 0;
     let last: AttemptOutcome | undefined;
     for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
       if (call.isCallerGone) return { kind: 'caller-gone' };
       if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
       if (call.ending?.aborted) return this.#giveUp(call, last, this.#shuttingDown(call));
-      const target = this.#choose(call, declined);
-      if (!target) return this.#giveUp(call, last, this.#noTarget(call));
+      const choice = this.#choose(call, repeats);
+      if (choice.kind === 'none') return this.#giveUp(call, last, this.#noTarget(call, choice));
+      const { target, connection } = choice;
       if (last) this.#logRedispatch(call, last, dispatch, target);
-      last = await this.#attempt(call, target);
+      if (connection.kind === 'own') repeats += 1;
+      last = await this.#attempt(call, target, connection);
       const result = this.#conclude(call, target, last);
       if (result) return result;
-      if (last.kind !== 'broken') declined.add(target.id);
     }
-    return this.#giveUp(call, last, this.#noTarget(call));
+    return this.#giveUp(call, last, this.#noTarget(call, { reason: 'no-target' }));
   }
 
-  async #attempt(call: Call, target: FleetTarget): Promise<AttemptOutcome> {
-    const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
+  async #attempt(
+    call: Call,
+    target: FleetTarget,
+    connection: AttemptConnection,
+  ): Promise<AttemptOutcome> {
     const attempt = new Attempt(this.#parts, {
       call,
       target,
-      connectionLimit: Math.max(1, Math.floor(share)),
+      connection,
       priority: this.#priorityOf(call),
       // A plain service that answers nobody may just be at work; an engine makes a step in milliseconds.
       silenceMilliseconds:
@@ -208,15 +223,28 @@
     }
   }
 
-  #choose(call: Call, declined: ReadonlySet<string>): FleetTarget | undefined {
+  #choose(call: Call, repeats: number): TargetChoice {
+    const { formerTargets, silences, passedOverIds } = call.history;
+    const decision = decideDispatch({
+      maximumTargets: call.route.maximumTargets,
+      formerTargets,
+      silences,
+      repeats,
+      serving: this.#parts.fleet.targets.serving(call.service.name),
+      passedOverIds,
+    });
+    switch (decision.kind) {
+      case 'dispatch':
+        return this.#place(call, decision.candidates);
+      case 'repeat':
+        return { kind: 'target', target: decision.target, connection: { kind: 'own' } };
+      case 'give-up':
+        return { kind: 'none', reason: decision.reason };
+    }
+  }
+
+  #place(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
     const { fleet, availabilityZone } = this.#parts;
-    const serving = fleet.targets.serving(call.service.name);
-    const allowed = serving.filter(({ id }) => !declined.has(id));
-    // A request that has run at as many targets as it may goes on at one of them.
-    const ran = new Set(call.history.formerTargets.map(({ target }) => target.id));
-    const isBound = ran.size >= call.route.maximumTargets;
-    const again = allowed.filter(({ id }) => ran.has(id));
-    const candidates = isBound && again.length > 0 ? again : allowed;
     const parts = call.envelope.prompt?.parts ?? [];
     const placement = placeRequest(
       { availabilityZone, work: this.#workOf(call) },
@@ -229,11 +257,14 @@
         cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
       })),
     );
-    if (!placement) return undefined;
+    const target = placement && fleet.targets.get(placement.targetId);
+    if (!target) return { kind: 'none', reason: 'no-target' };
     const placed = call;
     placed.placement = placement.reason;
-    placed.target = placement.targetId;
-    return fleet.targets.get(placement.targetId);
+    placed.target = target.id;
+    const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
+    const connectionLimit = Math.max(1, Math.floor(share));
+    return { kind: 'target', target, connection: { kind: 'shared', connectionLimit } };
   }
 
   #workOf({ envelope: { prompt, program }, route }: Call): PlacementWork {
@@ -257,8 +288,8 @@
     return { kind: 'outcome-unknown', reason: SHUTTING_DOWN.reason };
   }
 
-  #noTarget(call: Call): Refusal {
-    if (call.history.runs > 0) return { kind: 'outcome-unknown', reason: 'no target to repeat at' };
+  #noTarget(call: Call, { reason }: { readonly reason: GiveUpReason }): Refusal {
+    if (call.history.runs > 0) return { kind: 'outcome-unknown', reason };
     return {
       kind: 'unavailable',
       reason: 'no target took it',
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -4,27 +4,40 @@
 /** How an instance learns for certain that a target has ended. */
 export type EndEvidence = 'connection-refused' | 'answered-as-another';
 
-/** A target to which a request was sent and that may have run it. */
+/** What is known of a target that may have run a request. */
+export type FormerTargetState =
+  /** It took the request, and nothing speaks against another connection. */
+  | { readonly kind: 'reached' }
+  /** It took the request and fell silent. */
+  | { readonly kind: 'silent' }
+  /** It did not take the request again. */
+  | { readonly kind: 'unavailable' }
+  | { readonly kind: 'ended'; readonly evidence: EndEvidence };
+
+/** A target that may have run a request. */
 export interface FormerTarget {
   readonly target: FleetTarget;
-  /** How it is known that the target has ended; undefined where that is not known. */
-  readonly endEvidence: EndEvidence | undefined;
+  readonly state: FormerTargetState;
 }
 
-/** Returns the evidence of an attempt that its target has ended. */
-const endEvidenceOf = (outcome: AttemptOutcome): EndEvidence | undefined => {
+const stateAfter = (outcome: AttemptOutcome): FormerTargetState => {
   switch (outcome.kind) {
     case 'declined':
-      return outcome.reason === 'misdirected' ? 'answered-as-another' : undefined;
+      return outcome.reason === 'misdirected'
+        ? { kind: 'ended', evidence: 'answered-as-another' }
+        : { kind: 'unavailable' };
     case 'not-sent':
-      return outcome.isRefused ? 'connection-refused' : undefined;
+      return outcome.isRefused
+        ? { kind: 'ended', evidence: 'connection-refused' }
+        : { kind: 'unavailable' };
+    case 'stalled':
+      return { kind: 'silent' };
     case 'delivered':
     case 'broken':
-    case 'stalled':
     case 'caller-gone':
     case 'shutting-down':
     case 'timed-out':
-      return undefined;
+      return { kind: 'reached' };
   }
 };
 
@@ -34,6 +47,10 @@
 
   readonly #formerTargets = new Map<string, FormerTarget>();
 
+  readonly #passedOverIds = new Set<string>();
+
+  #silences = 0;
+
   /** Dispatches after which the request may have run. */
   get runs(): number {
     return this.#runs.length;
@@ -44,23 +61,36 @@
     return this.#runs.at(-1);
   }
 
-  /** Targets that may have run the request, in the order in which it was sent to them. */
+  /** Times that a target fell silent. */
+  get silences(): number {
+    return this.#silences;
+  }
+
+  /** Targets that did not take the request and have not run it. */
+  get passedOverIds(): ReadonlySet<string> {
+    return this.#passedOverIds;
+  }
+
+  /** Targets that may have run the request, in the order of their last dispatch. */
   get formerTargets(): readonly FormerTarget[] {
     return [...this.#formerTargets.values()];
   }
 
   /** Targets that may have run the request and are not known to have ended since. */
   get openTargets(): number {
-    return this.formerTargets.filter(({ endEvidence }) => endEvidence === undefined).length;
+    return this.formerTargets.filter(({ state }) => state.kind !== 'ended').length;
   }
 
   /** Takes the outcome of a dispatch, with whether any of the request may have reached the target. */
   record(target: FleetTarget, outcome: AttemptOutcome, wasSent: boolean): void {
-    const known = this.#formerTargets.get(target.id);
     const mayHaveRun = wasSent && outcome.kind !== 'declined';
     if (mayHaveRun) this.#runs.push(target.id);
-    if (!known && !mayHaveRun) return;
-    const endEvidence = endEvidenceOf(outcome);
-    this.#formerTargets.set(target.id, { target, endEvidence });
+    if (outcome.kind === 'stalled') this.#silences += 1;
+    if (!mayHaveRun && !this.#formerTargets.has(target.id)) {
+      this.#passedOverIds.add(target.id);
+      return;
+    }
+    this.#formerTargets.delete(target.id);
+    this.#formerTargets.set(target.id, { target, state: stateAfter(outcome) });
   }
 }
--- a/packages/gateway/src/targets/targetConnections.ts
+++ b/packages/gateway/src/targets/targetConnections.ts
@@ -1,4 +1,5 @@
-import { Pool } from 'undici';
+import { Client, Pool } from 'undici';
+import type { Dispatcher } from 'undici';
 import { Exchange } from './exchange';
 import type { FleetTarget } from './fleetTarget';
 
@@ -17,22 +18,42 @@
   readonly body: Buffer;
 }
 
+const CLIENT_OPTIONS: Client.Options = {
+  pipelining: 1,
+  connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
+  keepAliveTimeout: IDLE_MILLISECONDS,
+  headersTimeout: 0,
+  bodyTimeout: 0,
+};
+
+const dispatchOptionsOf = (request: TargetRequest): Dispatcher.DispatchOptions => ({
+  method: request.method,
+  path: request.pathAndQuery,
+  headers: request.headers,
+  body: request.body.length > 0 ? request.body : null,
+});
+
 /** Connections to targets, a pool for each start of a target. */
 export class TargetConnections {
   readonly #pools = new Map<string, Pool>();
 
+  /** Connections for one request each. */
+  readonly #singles = new Set<Client>();
+
   /** Sends a request at once; the connections of a target are bounded by the limit given. */
   send(target: FleetTarget, connectionLimit: number, request: TargetRequest): Exchange {
     const exchange = new Exchange();
-    this.#poolOf(target, connectionLimit).dispatch(
-      {
-        method: request.method,
-        path: request.pathAndQuery,
-        headers: request.headers,
-        body: request.body.length > 0 ? request.body : null,
-      },
-      exchange,
-    );
+    this.#poolOf(target, connectionLimit).dispatch(dispatchOptionsOf(request), exchange);
+    return exchange;
+  }
+
+  /** Sends a request over a connection of its own, as those that are open may be lost. */
+  sendAlone(target: FleetTarget, request: TargetRequest): Exchange {
+    const exchange = new Exchange();
+    const client = new Client(`http://${target.address}`, CLIENT_OPTIONS);
+    this.#singles.add(client);
+    client.dispatch(dispatchOptionsOf(request), exchange);
+    void client.close().finally(() => this.#singles.delete(client));
     return exchange;
   }
 
@@ -47,21 +68,17 @@
 
   /** Closes all connections; what is under way fails. */
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
+    const clients = [...this.#pools.values(), ...this.#singles];
     this.#pools.clear();
-    await Promise.allSettled(pools.map((pool) => pool.destroy()));
+    await Promise.allSettled(clients.map((client) => client.destroy()));
   }
 
   #poolOf(target: FleetTarget, connectionLimit: number): Pool {
     const known = this.#pools.get(target.id);
     if (known) return known;
     const pool = new Pool(`http://${target.address}`, {
+      ...CLIENT_OPTIONS,
       connections: connectionLimit,
-      pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
-      keepAliveTimeout: IDLE_MILLISECONDS,
-      headersTimeout: 0,
-      bodyTimeout: 0,
     });
     this.#pools.set(target.id, pool);
     return pool;
--- a/packages/gateway/tests/calls/targetBound.test.ts
+++ b/packages/gateway/tests/calls/targetBound.test.ts
@@ -29,8 +29,16 @@
   }
 
   override send(target: FleetTarget, limit: number, request: TargetRequest): Exchange {
+    return this.#fail() ?? super.send(target, limit, request);
+  }
+
+  override sendAlone(target: FleetTarget, request: TargetRequest): Exchange {
+    return this.#fail() ?? super.sendAlone(target, request);
+  }
+
+  #fail(): Exchange | undefined {
     this.#dispatches += 1;
-    if (this.#dispatches === 1) return super.send(target, limit, request);
+    if (this.#dispatches === 1) return undefined;
     const exchange = new Exchange();
     const error = Object.assign(new Error('no connection'), { code: this.#code });
     exchange.onResponseError({} as Dispatcher.DispatchController, error);
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -127,7 +127,11 @@
     const [answer] = (await once(sent, 'response')) as [IncomingMessage];
     const chunks: Buffer[] = [];
     answer.on('data', (chunk: Buffer) => chunks.push(chunk));
-    await once(answer, 'close');
+    // An answer that is cut off ends with an error, which the caller's view tells.
+    answer.on('error', () => undefined);
+    await new Promise<void>((resolve) => {
+      answer.once('close', resolve);
+    });
     const milliseconds = performance.now() - began;
     await new Promise(setImmediate);
     return {
