Take only a refused connection as a sign that a target has ended

A target that resets a new connection got no requests until it announced itself again, and it gave its place under the bound of a request away.

Cause: a reset before a request was sent was taken for a refused connection. A target at its limit of connections resets the next one and works on.

Evidence: "a target that resets a new connection gets new requests still" failed (no target was left to serve).

A request that meets such a reset still goes to another target at once, as it has not been sent.

--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -14,7 +14,11 @@
   readonly body: AsyncIterable<Buffer>;
 }
 
-const REFUSED_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+/**
+ * Nobody listens at the address. A reset says less: a target at its limit of connections resets
+ * the next one.
+ */
+const REFUSED_CODE = 'ECONNREFUSED';
 
 const codeOf = (error: Error): string => ('code' in error ? String(error.code) : error.name);
 
@@ -93,7 +97,7 @@
     this.#fail(
       this.wasSent
         ? { kind: 'broken', detail }
-        : { kind: 'not-sent', detail, isRefused: REFUSED_CODES.has(codeOf(error)) },
+        : { kind: 'not-sent', detail, isRefused: codeOf(error) === REFUSED_CODE },
     );
   }
 
--- a/packages/gateway/src/targets/exchangeError.ts
+++ b/packages/gateway/src/targets/exchangeError.ts
@@ -1,6 +1,6 @@
 /** Why a target gave no usable answer. */
 export type ExchangeError =
-  /** No byte of the request left this instance. */
+  /** No byte of the request left this instance; refused where nobody listens at the address. */
   | { readonly kind: 'not-sent'; readonly detail: string; readonly isRefused: boolean }
   /** The request may have run: the connection broke, or the answer was no answer to it. */
   | { readonly kind: 'broken'; readonly detail: string }
