Keep the place of a target that can't be connected to

A request ran at one target more than its route allows when the target that had broken it off could not be connected to afterwards.

Cause: any dispatch that was not sent gave the target's place away. A timeout, a reset or an unreachable host says nothing of its end: it may be full of connections, or cut off from this instance alone.

The request is given up at once with 502, or its stream is cut off.

--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -10,8 +10,10 @@
   | { readonly kind: 'reached' }
   /** It took the request and fell silent. */
   | { readonly kind: 'silent' }
-  /** It did not take the request again. */
-  | { readonly kind: 'unavailable' }
+  /** It took the request, and no connection to it could be opened later. */
+  | { readonly kind: 'unreachable' }
+  /** It took the request, and declined it later. */
+  | { readonly kind: 'full' }
   | { readonly kind: 'ended'; readonly evidence: EndEvidence };
 
 /** A target that may have run a request. */
@@ -25,11 +27,11 @@
     case 'declined':
       return outcome.reason === 'misdirected'
         ? { kind: 'ended', evidence: 'answered-as-another' }
-        : { kind: 'unavailable' };
+        : { kind: 'full' };
     case 'not-sent':
       return outcome.isRefused
         ? { kind: 'ended', evidence: 'connection-refused' }
-        : { kind: 'unavailable' };
+        : { kind: 'unreachable' };
     case 'stalled':
       return { kind: 'silent' };
     case 'delivered':
--- a/packages/gateway/src/calls/redispatch.ts
+++ b/packages/gateway/src/calls/redispatch.ts
@@ -24,7 +24,7 @@
 }
 
 /** Why a request is not sent again. */
-export type GiveUpReason = 'no-target' | 'repeated' | 'silent';
+export type GiveUpReason = 'no-target' | 'repeated' | 'silent' | 'unreachable';
 
 /** Where a request goes next. */
 export type DispatchDecision =
@@ -43,7 +43,9 @@
       return { kind: 'repeat', target };
     case 'silent':
       return silences < MAXIMUM_SILENCES ? { kind: 'repeat', target } : giveUp('silent');
-    case 'unavailable':
+    case 'unreachable':
+      return giveUp('unreachable');
+    case 'full':
     case 'ended':
       return giveUp('no-target');
   }
@@ -69,7 +71,8 @@
 
 /**
  * Decides where a request goes next. Its route bounds the targets that may run it. A target that
- * hangs keeps its place under that bound, as it may be at work still. A request whose places are
+ * hangs, or that can't be connected to, keeps its place under that bound, as it may be at work
+ * still. A request whose places are
  * taken is repeated at those targets a few times, and then given up, so that its caller can send a
  * new one at once instead of waiting for the deadline.
  */
@@ -78,7 +81,7 @@
   const servingIds = new Set(serving.map(({ id }) => id));
   const counted = formerTargets.filter(
     ({ target, state }) =>
-      servingIds.has(target.id) && (state.kind === 'reached' || state.kind === 'silent'),
+      servingIds.has(target.id) && state.kind !== 'full' && state.kind !== 'ended',
   );
   const avoidedIds = new Set(
     formerTargets.filter(({ state }) => state.kind !== 'reached').map(({ target }) => target.id),
--- a/packages/gateway/tests/calls/redispatch.test.ts
+++ b/packages/gateway/tests/calls/redispatch.test.ts
@@ -3,7 +3,7 @@
 import { decideDispatch } from '../../src/calls/redispatch';
 import { fleetTarget } from '../support/fleetTarget';
 
-const former = (id: string, kind: 'reached' | 'silent'): FormerTarget => {
+const former = (id: string, kind: 'reached' | 'silent' | 'unreachable'): FormerTarget => {
   const state: FormerTargetState = { kind };
   return { target: fleetTarget({ id }), state };
 };
@@ -52,3 +52,9 @@
   const decision = decideDispatch(situation({ formerTargets, silences: 1, maximumTargets: 2 }));
   expect(decision).toMatchObject({ kind: 'repeat', target: { id: '1' } });
 });
+
+test('a target that can not be connected to keeps its place', () => {
+  const formerTargets = [former('1', 'unreachable')];
+  const decision = decideDispatch(situation({ formerTargets, repeats: 1 }));
+  expect(decision).toEqual({ kind: 'give-up', reason: 'unreachable' });
+});
