Keep the place of a target that leaves

A request ran at one target more than its route allows when the target that had broken it off was leaving, or its announcement had lapsed, by then.

Cause: the bound was applied only to targets that take new requests. A leaving target goes on serving for two seconds or more after its announcement, and a lapsed announcement says nothing of the target, which may only be cut off from the store.

For one second after it has stopped to take new requests a target gets those again that it has had, well within the two for which it serves. Most often it then answers, or refuses the connection, which shows that it has ended and gives its place away. After that second the request is given up.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -232,6 +232,7 @@
       repeats,
       serving: this.#parts.fleet.targets.serving(call.service.name),
       passedOverIds,
+      mayRepeat: (targetId) => this.#parts.fleet.targets.mayRepeat(targetId),
     });
     switch (decision.kind) {
       case 'dispatch':
--- a/packages/gateway/src/calls/redispatch.ts
+++ b/packages/gateway/src/calls/redispatch.ts
@@ -21,10 +21,12 @@
   readonly serving: readonly FleetTarget[];
   /** Targets that did not take the request. */
   readonly passedOverIds: ReadonlySet<string>;
+  /** Whether a target may get a request that it has had before. */
+  readonly mayRepeat: (targetId: string) => boolean;
 }
 
 /** Why a request is not sent again. */
-export type GiveUpReason = 'no-target' | 'repeated' | 'silent' | 'unreachable';
+export type GiveUpReason = 'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed';
 
 /** Where a request goes next. */
 export type DispatchDecision =
@@ -37,7 +39,11 @@
 
 const giveUp = (reason: GiveUpReason): RepeatDecision => ({ kind: 'give-up', reason });
 
-const repeatAt = ({ target, state }: FormerTarget, silences: number): RepeatDecision => {
+const repeatAt = (
+  { target, state }: FormerTarget,
+  { mayRepeat, silences }: DispatchSituation,
+): RepeatDecision => {
+  if (!mayRepeat(target.id)) return giveUp('departed');
   switch (state.kind) {
     case 'reached':
       return { kind: 'repeat', target };
@@ -59,29 +65,24 @@
 };
 
 /** Chooses the target at which a request whose places are taken goes on. */
-const repeat = (
-  counted: readonly FormerTarget[],
-  { repeats, silences }: DispatchSituation,
-): RepeatDecision => {
-  if (repeats >= MAXIMUM_REPEATS) return giveUp('repeated');
-  const decisions = byPreference(counted).map((former) => repeatAt(former, silences));
+const repeat = (counted: readonly FormerTarget[], situation: DispatchSituation): RepeatDecision => {
+  if (situation.repeats >= MAXIMUM_REPEATS) return giveUp('repeated');
+  const decisions = byPreference(counted).map((former) => repeatAt(former, situation));
   const allowed = decisions.find(({ kind }) => kind === 'repeat');
   return allowed ?? decisions[0] ?? giveUp('no-target');
 };
 
 /**
  * Decides where a request goes next. Its route bounds the targets that may run it. A target that
- * hangs, or that can't be connected to, keeps its place under that bound, as it may be at work
- * still. A request whose places are
+ * hangs, that can't be connected to or that leaves keeps its place under that bound, as it may be
+ * at work still. A request whose places are
  * taken is repeated at those targets a few times, and then given up, so that its caller can send a
  * new one at once instead of waiting for the deadline.
  */
 export const decideDispatch = (situation: DispatchSituation): DispatchDecision => {
   const { formerTargets, maximumTargets, passedOverIds, serving } = situation;
-  const servingIds = new Set(serving.map(({ id }) => id));
   const counted = formerTargets.filter(
-    ({ target, state }) =>
-      servingIds.has(target.id) && state.kind !== 'full' && state.kind !== 'ended',
+    ({ state }) => state.kind !== 'full' && state.kind !== 'ended',
   );
   const avoidedIds = new Set(
     formerTargets.filter(({ state }) => state.kind !== 'reached').map(({ target }) => target.id),
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -1,5 +1,11 @@
 import type { FleetTarget } from './fleetTarget';
 
+/**
+ * A leaving target serves for two seconds after the store has its announcement, with or without
+ * it; the announcement's way here and the request's way there take up to one.
+ */
+const DEPARTURE_MILLISECONDS = 1_000;
+
 /**
  * Targets that may get new work. Announcements that lapsed while the store was away come back
  * shortly after its return, so a removal seen then is applied only after a grace period.
@@ -13,6 +19,9 @@
   /** Targets that said at a dispatch that they are gone, until they announce themselves again. */
   readonly #refused = new Set<string>();
 
+  /** Targets that have stopped to take new requests, by the time at which that was learnt. */
+  readonly #departures = new Map<string, number>();
+
   #graceUntilMilliseconds = 0;
 
   #byService = new Map<string, readonly FleetTarget[]>();
@@ -21,6 +30,8 @@
   put(target: FleetTarget): void {
     this.#lapsed.delete(target.id);
     this.#refused.delete(target.id);
+    if (target.state === 'leaving') this.#noteDeparture(target.id);
+    else this.#departures.delete(target.id);
     this.#targets.set(target.id, target);
     this.#byService.clear();
   }
@@ -65,6 +76,14 @@
     return serving;
   }
 
+  /** Whether a target may get a request that it has had before, as it does while it leaves. */
+  mayRepeat(id: string): boolean {
+    this.#expireLapsed();
+    if (this.#targets.get(id)?.state === 'serving') return true;
+    const departedAt = this.#departures.get(id) ?? -Infinity;
+    return performance.now() - departedAt < DEPARTURE_MILLISECONDS;
+  }
+
   get(id: string): FleetTarget | undefined {
     this.#expireLapsed();
     return this.#targets.get(id);
@@ -79,7 +98,18 @@
   #drop(id: string): void {
     this.#lapsed.delete(id);
     this.#refused.delete(id);
+    this.#noteDeparture(id);
     this.#targets.delete(id);
     this.#byService.clear();
   }
+
+  /** Notes that a target that served until now has stopped to take new requests. */
+  #noteDeparture(id: string): void {
+    if (this.#targets.get(id)?.state !== 'serving') return;
+    const now = performance.now();
+    const isOver = ([, at]: readonly [string, number]): boolean =>
+      now - at >= DEPARTURE_MILLISECONDS;
+    [...this.#departures].filter(isOver).forEach(([known]) => this.#departures.delete(known));
+    this.#departures.set(id, now);
+  }
 }
--- a/packages/gateway/tests/calls/redispatch.test.ts
+++ b/packages/gateway/tests/calls/redispatch.test.ts
@@ -15,6 +15,7 @@
   repeats: 0,
   serving: [fleetTarget({ id: '1' }), fleetTarget({ id: '2' })],
   passedOverIds: new Set(),
+  mayRepeat: () => true,
   ...change,
 });
 
@@ -58,3 +59,15 @@
   const decision = decideDispatch(situation({ formerTargets, repeats: 1 }));
   expect(decision).toEqual({ kind: 'give-up', reason: 'unreachable' });
 });
+
+test('a target that left a moment ago is asked again', () => {
+  const formerTargets = [former('gone', 'reached')];
+  const decision = decideDispatch(situation({ formerTargets }));
+  expect(decision).toMatchObject({ kind: 'repeat', target: { id: 'gone' } });
+});
+
+test('a target that left long ago keeps its place', () => {
+  const formerTargets = [former('gone', 'reached')];
+  const decision = decideDispatch(situation({ formerTargets, mayRepeat: () => false }));
+  expect(decision).toEqual({ kind: 'give-up', reason: 'departed' });
+});
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -56,3 +56,30 @@
   directory.put(target('1'));
   expect(servingIds(directory)).toEqual(['1']);
 });
+
+test.each([
+  ['leaving', (directory: TargetDirectory) => directory.put(target('1', 'leaving'))],
+  ['lapsed', (directory: TargetDirectory) => directory.remove('1')],
+])('a %s target may get requests again that it has had for a second', (_name, depart) => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  depart(directory);
+  jest.advanceTimersByTime(900);
+  directory.remove('1');
+  expect(directory.mayRepeat('1')).toBe(true);
+  jest.advanceTimersByTime(200);
+  expect(directory.mayRepeat('1')).toBe(false);
+});
+
+test('a target that serves again may get requests again', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.remove('1');
+  jest.advanceTimersByTime(2_000);
+  directory.put(target('1'));
+  expect(directory.mayRepeat('1')).toBe(true);
+});
+
+test('a target that was never announced gets nothing', () => {
+  expect(new TargetDirectory().mayRepeat('1')).toBe(false);
+});
