Keep the place of a target that is full at the repeat

A request ran at one target more than its route allows when the target that had broken it off declined the repeat.

Cause: a target that declines was left out, and with it the bound. What it declines is the repeat: the first run may be under way still.

The target is asked again after a pause in which it frees a slot, within the two repeats that a request has, and not where the pause outlasts the deadline.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,6 +1,7 @@
 import type { LogFields, Logger, Metrics } from '@limpetnotch/observability';
 import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { delay } from '@limpetnotch/supervision';
 import type { FleetState } from '../fleet/fleetState';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { AttemptConnection, AttemptParts } from './attempt';
@@ -54,6 +55,7 @@
       readonly kind: 'target';
       readonly target: FleetTarget;
       readonly connection: AttemptConnection;
+      readonly pauseMilliseconds: number;
     }
   | { readonly kind: 'none'; readonly reason: GiveUpReason };
 
@@ -108,12 +110,14 @@
     let repeats = 0;
     let last: AttemptOutcome | undefined;
     for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
-      if (call.isCallerGone) return { kind: 'caller-gone' };
-      if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
-      if (call.ending?.aborted) return this.#giveUp(call, last, this.#shuttingDown(call));
       const choice = this.#choose(call, repeats);
-      if (choice.kind === 'none') return this.#giveUp(call, last, this.#noTarget(call, choice));
-      const { target, connection } = choice;
+      if (choice.kind === 'none') {
+        return this.#overOf(call, last) ?? this.#giveUp(call, last, this.#noTarget(call, choice));
+      }
+      const { target, connection, pauseMilliseconds } = choice;
+      if (pauseMilliseconds > 0) await delay(pauseMilliseconds);
+      const over = this.#overOf(call, last);
+      if (over) return over;
       if (last) this.#logRedispatch(call, last, dispatch, target);
       if (connection.kind === 'own') repeats += 1;
       last = await this.#attempt(call, target, connection);
@@ -123,6 +127,14 @@
     return this.#giveUp(call, last, this.#noTarget(call, { reason: 'no-target' }));
   }
 
+  /** Returns how a call ends that must not go on: nobody waits for it, or its instance stops. */
+  #overOf(call: Call, last: AttemptOutcome | undefined): CallResult | undefined {
+    if (call.isCallerGone) return { kind: 'caller-gone' };
+    if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
+    if (!call.ending?.aborted) return undefined;
+    return this.#giveUp(call, last, this.#shuttingDown(call));
+  }
+
   async #attempt(
     call: Call,
     target: FleetTarget,
@@ -227,6 +239,7 @@
     const { formerTargets, silences, passedOverIds } = call.history;
     const decision = decideDispatch({
       maximumTargets: call.route.maximumTargets,
+      remainingMilliseconds: call.remainingMilliseconds,
       formerTargets,
       silences,
       repeats,
@@ -238,7 +251,7 @@
       case 'dispatch':
         return this.#place(call, decision.candidates);
       case 'repeat':
-        return { kind: 'target', target: decision.target, connection: { kind: 'own' } };
+        return { ...decision, kind: 'target', connection: { kind: 'own' } };
       case 'give-up':
         return { kind: 'none', reason: decision.reason };
     }
@@ -265,7 +278,8 @@
     placed.target = target.id;
     const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
     const connectionLimit = Math.max(1, Math.floor(share));
-    return { kind: 'target', target, connection: { kind: 'shared', connectionLimit } };
+    const connection = { kind: 'shared', connectionLimit } as const;
+    return { kind: 'target', target, connection, pauseMilliseconds: 0 };
   }
 
   #workOf({ envelope: { prompt, program }, route }: Call): PlacementWork {
--- a/packages/gateway/src/calls/redispatch.ts
+++ b/packages/gateway/src/calls/redispatch.ts
@@ -7,10 +7,15 @@
 /** Silences in one request: a lost connection explains the first, only a lost target the second. */
 const MAXIMUM_SILENCES = 2;
 
+/** A full target frees a slot in about the time of one turn. */
+const FULL_PAUSE_MILLISECONDS = 250;
+
 /** What decides where a request goes next. */
 export interface DispatchSituation {
   /** Targets at which the route lets one request run. */
   readonly maximumTargets: number;
+  /** Time left for the answer. */
+  readonly remainingMilliseconds: number;
   /** Targets that may have run the request, in the order of their last dispatch. */
   readonly formerTargets: readonly FormerTarget[];
   /** Times that a target fell silent. */
@@ -26,32 +31,42 @@
 }
 
 /** Why a request is not sent again. */
-export type GiveUpReason = 'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed';
+export type GiveUpReason =
+  'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed' | 'full';
 
 /** Where a request goes next. */
 export type DispatchDecision =
   | { readonly kind: 'dispatch'; readonly candidates: readonly FleetTarget[] }
   /** To a target that may have run the request, over a new connection. */
-  | { readonly kind: 'repeat'; readonly target: FleetTarget }
+  | { readonly kind: 'repeat'; readonly target: FleetTarget; readonly pauseMilliseconds: number }
   | { readonly kind: 'give-up'; readonly reason: GiveUpReason };
 
 type RepeatDecision = Exclude<DispatchDecision, { kind: 'dispatch' }>;
 
+const repeatAfter = (pauseMilliseconds: number, target: FleetTarget): RepeatDecision => ({
+  kind: 'repeat',
+  target,
+  pauseMilliseconds,
+});
+
 const giveUp = (reason: GiveUpReason): RepeatDecision => ({ kind: 'give-up', reason });
 
 const repeatAt = (
   { target, state }: FormerTarget,
-  { mayRepeat, silences }: DispatchSituation,
+  { mayRepeat, remainingMilliseconds, silences }: DispatchSituation,
 ): RepeatDecision => {
   if (!mayRepeat(target.id)) return giveUp('departed');
   switch (state.kind) {
     case 'reached':
-      return { kind: 'repeat', target };
+      return repeatAfter(0, target);
     case 'silent':
-      return silences < MAXIMUM_SILENCES ? { kind: 'repeat', target } : giveUp('silent');
+      return silences < MAXIMUM_SILENCES ? repeatAfter(0, target) : giveUp('silent');
     case 'unreachable':
       return giveUp('unreachable');
     case 'full':
+      return remainingMilliseconds > FULL_PAUSE_MILLISECONDS
+        ? repeatAfter(FULL_PAUSE_MILLISECONDS, target)
+        : giveUp('full');
     case 'ended':
       return giveUp('no-target');
   }
@@ -74,16 +89,14 @@
 
 /**
  * Decides where a request goes next. Its route bounds the targets that may run it. A target that
- * hangs, that can't be connected to or that leaves keeps its place under that bound, as it may be
- * at work still. A request whose places are
- * taken is repeated at those targets a few times, and then given up, so that its caller can send a
- * new one at once instead of waiting for the deadline.
+ * hangs, resets new connections, is full or leaves keeps its place, as it may be at work still; only
+ * one that is known to have ended gives its place away. A request whose places are taken is repeated
+ * at those targets a few times and then given up, so that its caller can send a new one at once
+ * instead of waiting for the deadline.
  */
 export const decideDispatch = (situation: DispatchSituation): DispatchDecision => {
   const { formerTargets, maximumTargets, passedOverIds, serving } = situation;
-  const counted = formerTargets.filter(
-    ({ state }) => state.kind !== 'full' && state.kind !== 'ended',
-  );
+  const counted = formerTargets.filter(({ state }) => state.kind !== 'ended');
   const avoidedIds = new Set(
     formerTargets.filter(({ state }) => state.kind !== 'reached').map(({ target }) => target.id),
   );
--- a/packages/gateway/tests/calls/redispatch.test.ts
+++ b/packages/gateway/tests/calls/redispatch.test.ts
@@ -1,15 +1,21 @@
+import fc from 'fast-check';
+import type { AttemptOutcome } from '../../src/calls/attemptOutcome';
+import { DispatchHistory } from '../../src/calls/dispatchHistory';
 import type { FormerTarget, FormerTargetState } from '../../src/calls/dispatchHistory';
 import type { DispatchSituation } from '../../src/calls/redispatch';
 import { decideDispatch } from '../../src/calls/redispatch';
 import { fleetTarget } from '../support/fleetTarget';
 
-const former = (id: string, kind: 'reached' | 'silent' | 'unreachable'): FormerTarget => {
+type FormerKind = Exclude<FormerTargetState['kind'], 'ended'>;
+
+const former = (id: string, kind: FormerKind): FormerTarget => {
   const state: FormerTargetState = { kind };
   return { target: fleetTarget({ id }), state };
 };
 
 const situation = (change: Partial<DispatchSituation>): DispatchSituation => ({
   maximumTargets: 1,
+  remainingMilliseconds: 4_000,
   formerTargets: [],
   silences: 0,
   repeats: 0,
@@ -71,3 +77,58 @@
   const decision = decideDispatch(situation({ formerTargets, mayRepeat: () => false }));
   expect(decision).toEqual({ kind: 'give-up', reason: 'departed' });
 });
+
+test('a full target keeps its place and is asked again after a pause', () => {
+  const formerTargets = [former('1', 'full')];
+  const decision = decideDispatch(situation({ formerTargets, repeats: 1 }));
+  expect(decision).toMatchObject({ kind: 'repeat', target: { id: '1' }, pauseMilliseconds: 250 });
+});
+
+test('a pause that outlasts the deadline is not begun', () => {
+  const formerTargets = [former('1', 'full')];
+  const decision = decideDispatch(situation({ formerTargets, remainingMilliseconds: 200 }));
+  expect(decision).toEqual({ kind: 'give-up', reason: 'full' });
+});
+
+test('a target that has ended gives its place away', () => {
+  const ended: FormerTarget = {
+    target: fleetTarget({ id: '1' }),
+    state: { kind: 'ended', evidence: 'connection-refused' },
+  };
+  const decision = decideDispatch(situation({ formerTargets: [ended] }));
+  expect(decision).toEqual({ kind: 'dispatch', candidates: [fleetTarget({ id: '2' })] });
+});
+
+const OUTCOMES: readonly AttemptOutcome[] = [
+  { kind: 'broken', detail: '' },
+  { kind: 'stalled', detail: '' },
+  { kind: 'declined', reason: 'full' },
+  { kind: 'declined', reason: 'misdirected' },
+  { kind: 'not-sent', detail: '', isRefused: false },
+  { kind: 'not-sent', detail: '', isRefused: true },
+];
+
+test('no series of faults takes a request to more targets than its route allows', () => {
+  const serving = ['1', '2', '3', '4'].map((id) => fleetTarget({ id }));
+  const step = fc.record({ outcome: fc.constantFrom(...OUTCOMES), draw: fc.nat(3) });
+  const series = fc.array(step, { minLength: 1, maxLength: 8 });
+  const property = fc.property(fc.integer({ min: 1, max: 3 }), series, (maximumTargets, steps) => {
+    const history = new DispatchHistory();
+    let repeats = 0;
+    for (const { outcome, draw } of steps) {
+      const { formerTargets, silences, passedOverIds } = history;
+      const known = { maximumTargets, formerTargets, silences, passedOverIds, repeats, serving };
+      const decision = decideDispatch(situation(known));
+      if (decision.kind === 'give-up') return;
+      if (decision.kind === 'repeat') repeats += 1;
+      const target =
+        decision.kind === 'repeat'
+          ? decision.target
+          : decision.candidates[draw % decision.candidates.length]!;
+      history.record(target, outcome, outcome.kind !== 'not-sent');
+      expect(history.openTargets).toBeLessThanOrEqual(maximumTargets);
+      expect(repeats).toBeLessThanOrEqual(2);
+    }
+  });
+  fc.assert(property, { seed: 17, numRuns: 2_000 });
+});
