Accept connections while a drain goes on, and tell late callers when to return

Closing the listener 2.5 s after the signal cost callers more than it saved where all instances restart at once: the balancer then goes on sending to instances that drain, and callers used up their attempts on refused connections.

Now the listener closes when no request is under way, or when the last answers are due. A request that can't be served any more after the balancer's lag is told to return after half a second, because no instance took its connection in time; before that, at once.

--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -4,6 +4,7 @@
 import type { BudgetGate } from '../budgets/budgetGate';
 import type { FleetState } from '../fleet/fleetState';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
+import type { DrainAdmission } from '../shutdown/admitDuringDrain';
 import { admitCall } from './admitCall';
 import type { AnswerWriter } from './answerWriter';
 import { Call } from './call';
@@ -31,8 +32,8 @@
   readonly runner: CallRunner;
   readonly writer: AnswerWriter;
   readonly openCalls: OpenCalls;
-  /** Whether a request is taken that may need a time in milliseconds, as during a shutdown. */
-  readonly mayTake: (remainingMilliseconds: number) => boolean;
+  /** Decides on a request that may need a time in milliseconds, as during a shutdown. */
+  readonly admitDuringDrain: (remainingMilliseconds: number) => DrainAdmission;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -145,8 +146,10 @@
     });
     const admitted = open;
     admitted.call = call;
-    if (!this.#parts.mayTake(call.remainingMilliseconds)) {
-      return { kind: 'refused', refusal: SHUTTING_DOWN };
+    const drain = this.#parts.admitDuringDrain(call.remainingMilliseconds);
+    if (drain.kind === 'refused') {
+      const { retryAfterSeconds } = drain;
+      return { kind: 'refused', refusal: { ...SHUTTING_DOWN, retryAfterSeconds } };
     }
     const result = await this.#runWithinRate(call);
     this.#logServed(call, result);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -181,7 +181,7 @@
       runner,
       writer,
       openCalls: this.#openCalls,
-      mayTake: (remainingMilliseconds) => this.#drain.mayTake(remainingMilliseconds),
+      admitDuringDrain: (remainingMilliseconds) => this.#drain.admit(remainingMilliseconds),
       logger,
       metrics,
     });
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -4,9 +4,10 @@
 import type { OpenCall } from '../calls/openCall';
 import type { OpenCalls } from '../calls/openCalls';
 import type { IngressServer } from '../ingress/ingressServer';
+import { admitDuringDrain } from './admitDuringDrain';
+import type { DrainAdmission } from './admitDuringDrain';
 import type { DrainState } from './drainState';
 import type { DrainTimes } from './drainTimes';
-import { mayTakeRequest } from './mayTakeRequest';
 
 /** How often a drain looks whether requests are under way; short against any answer. */
 const CHECK_MILLISECONDS = 50;
@@ -47,11 +48,13 @@
     return this.#state;
   }
 
-  /** Whether a request that arrives now is taken, by the longest time until its answer. */
-  mayTake(remainingMilliseconds: number): boolean {
+  /** Decides on a request that arrives now, by the longest time until its answer. */
+  admit(remainingMilliseconds: number): DrainAdmission {
     const nowMilliseconds = performance.now();
-    const request = { nowMilliseconds, remainingMilliseconds };
-    return mayTakeRequest(this.#state, this.#parts.times(), request);
+    return admitDuringDrain(this.#state, this.#parts.times(), {
+      nowMilliseconds,
+      remainingMilliseconds,
+    });
   }
 
   /** Makes an answer the last of its connection during a drain; returns whether it is. */
@@ -120,26 +123,43 @@
     });
   }
 
+  /**
+   * Goes on accepting connections while requests are under way: after its lag the balancer sends new
+   * ones only where it has no better instance, as when all restart at once.
+   */
   async #finishCalls(): Promise<void> {
     const { ingress, times } = this.#parts;
     await delay(times().readinessLagMilliseconds);
-    ingress()?.stopAccepting();
     const { graceMilliseconds, answerReserveMilliseconds, exitReserveMilliseconds } = times();
-    if (await this.#waitUntilQuiet(graceMilliseconds - answerReserveMilliseconds)) return;
+    const lastAnswersMilliseconds = graceMilliseconds - answerReserveMilliseconds;
+    await this.#waitUntil(lastAnswersMilliseconds, () => this.#openRequests === 0);
+    ingress()?.stopAccepting();
+    const stoppedAccepting = performance.now();
+    await this.#waitUntil(lastAnswersMilliseconds, () => this.#isQuiet(stoppedAccepting));
     this.#endCalls();
-    await this.#waitUntilQuiet(graceMilliseconds - exitReserveMilliseconds);
+    const closeMilliseconds = graceMilliseconds - exitReserveMilliseconds;
+    await this.#waitUntil(closeMilliseconds, () => this.#openRequests === 0);
   }
 
-  /** Sweeps idle connections until none is in use; returns false where that takes too long. */
-  async #waitUntilQuiet(untilMilliseconds: number): Promise<boolean> {
+  /** Sweeps idle connections until a condition holds, up to a time since the stop signal. */
+  async #waitUntil(limitMilliseconds: number, isReached: () => boolean): Promise<void> {
     const { ingress } = this.#parts;
-    const began = performance.now();
-    while (this.#sinceStopMilliseconds < untilMilliseconds) {
+    while (this.#sinceStopMilliseconds < limitMilliseconds) {
       ingress()?.closeIdleConnections();
-      if (this.#isQuiet(performance.now() - began)) return true;
+      if (isReached()) return;
       await delay(CHECK_MILLISECONDS);
     }
-    return false;
+  }
+
+  /** Whether no request is under way and none can be on its way on a connection just accepted. */
+  #isQuiet(stoppedAcceptingMilliseconds: number): boolean {
+    if (this.#openRequests > 0) return false;
+    if ((this.#parts.ingress()?.connectionCount ?? 0) === 0) return true;
+    return performance.now() - stoppedAcceptingMilliseconds >= FIRST_REQUEST_MILLISECONDS;
+  }
+
+  get #openRequests(): number {
+    return this.#parts.ingress()?.openRequests ?? 0;
   }
 
   /** Ends every call with a final answer; a stream that has begun can only be cut off. */
@@ -149,13 +169,6 @@
     calls.endNow();
   }
 
-  /** Whether no request is under way and none can be on its way on a new connection. */
-  #isQuiet(sinceAcceptingMilliseconds: number): boolean {
-    const { openRequests = 0, connectionCount = 0 } = this.#parts.ingress() ?? {};
-    if (openRequests > 0) return false;
-    return connectionCount === 0 || sinceAcceptingMilliseconds >= FIRST_REQUEST_MILLISECONDS;
-  }
-
   #logProgress(): void {
     const { calls, ingress, times, logger } = this.#parts;
     const { graceMilliseconds } = times();
