Bound the shutdown of limpetnotchd's entry where a request never arrives whole

A graceful shutdown never ended while one connection stayed silent or one request's body stopped half way. The runtime's timeouts for headers and requests end with the listener, and the close of the server waits for every connection. Two tests failed before: stop() was still waiting 4 s later.

Calls that have arrived keep the deadlines of their routes. Ruled out, by tests that passed before: late calls on open connections are served and their connections closed, and the stop waits for the answer to a call under way.

--- /dev/null
+++ b/packages/server/src/http/refuseArriving.ts
@@ -0,0 +1,22 @@
+import type { ServerResponse } from 'node:http';
+import type { Problem } from '../problems/problem';
+import { problemDocument } from '../problems/problem';
+
+const SHUTTING_DOWN: Problem = {
+  problem: 'not-ready',
+  executed: 'no',
+  detail: 'the instance shuts down and the request has not arrived whole',
+  retryAfterMilliseconds: 0,
+};
+
+/** Answers a request whose body has not arrived whole, and closes its connection. */
+export const refuseArriving = (response: ServerResponse): void => {
+  if (response.headersSent) return;
+  const document = problemDocument(SHUTTING_DOWN);
+  response.writeHead(document.status, {
+    connection: 'close',
+    'content-type': 'application/problem+json',
+    'retry-after': '0',
+  });
+  response.end(JSON.stringify(document));
+};
--- a/packages/server/tests/http/entryServer.test.ts
+++ b/packages/server/tests/http/entryServer.test.ts
@@ -2,7 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import { Deferred, delay } from '@limpetnotch/supervision';
+import { Deferred, delay, settleWithin } from '@limpetnotch/supervision';
 import type { CallDesk } from '../../src/entry/callDesk';
 import type { CallerRequest } from '../../src/entry/callerRequest';
 import { EntryServer } from '../../src/http/entryServer';
@@ -52,10 +52,8 @@
   const server = await startServer(answerAtOnce);
   const silent = await connectCaller(server.port);
   const closed = once(silent.socket, 'close');
-  const first = await Promise.race([
-    server.stop().then(() => 'stopped'),
-    delay(4_000).then(() => 'waiting'),
-  ]);
+  const stopped = server.stop().then(() => 'stopped');
+  const first = await settleWithin(stopped, 4_000, () => 'waiting');
   silent.socket.destroy();
   await closed;
   expect(first).toBe('stopped');
@@ -63,15 +61,16 @@
 
 test('stopping ends although a request never arrives whole', async () => {
   const server = await startServer(answerAtOnce);
-  const { socket } = await connectCaller(server.port);
+  const { socket, received } = await connectCaller(server.port);
+  const closed = once(socket, 'close');
   socket.write('POST /call HTTP/1.1\r\nhost: h\r\ncontent-length: 9\r\n\r\nhalf');
   await delay(20);
-  const first = await Promise.race([
-    server.stop().then(() => 'stopped'),
-    delay(4_000).then(() => 'waiting'),
-  ]);
-  socket.destroy();
+  const stopped = server.stop().then(() => 'stopped');
+  const first = await settleWithin(stopped, 4_000, () => 'waiting');
+  if (first === 'waiting') socket.destroy();
+  await closed;
   expect(first).toBe('stopped');
+  expect(received()).toMatch(/^HTTP\/1.1 503 /);
 });
 
 test('stopping waits for the answer to a call under way', async () => {
