Listen to stop signals and hangups for the whole life of a process

Seen: a process that drains is ended by a second SIGTERM (exit by signal 15), with the requests that are under way; SIGHUP ends limpetnotchd and the stand-ins in any state, and an entry that has drained and is about to exit.

Cause: process.once takes its listener away with the first signal, and followSettings took its own away before the store and the metrics were closed; without a listener the default action ends the process. limpetnotchd and the stand-ins had none for SIGHUP.

ProcessSignals listens from its installation on and never stops. What a signal causes follows from its meaning and the state of the process (signalEffect): the first stop signal aborts, further ones are logged and change nothing; a hangup after the stop has no effect; one before the settings are followed is kept. The programs end by process.exit: while the runtime winds down after an empty event loop it closes its signal handles, and a signal in those milliseconds had ended storage, limpetnotchd and the stand-ins as well.

--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -28,7 +28,8 @@
 module.exports = { script, ...bundle.exports };
 
 if (require.main === module) {
-  bundle.exports.runCli(process.argv.slice(2)).then((code) => {
+  const signals = bundle.exports.ProcessSignals.install({ isReloadable: true });
+  bundle.exports.runCli(process.argv.slice(2), signals).then((code) => {
     process.exit(code);
   });
 }
--- a/packages/integration/tests/signalSeries.test.ts
+++ b/packages/integration/tests/signalSeries.test.ts
@@ -13,7 +13,14 @@
 const PROGRAMS = Object.keys(PROGRAM_STATES) as readonly ProgramName[];
 const SEED = 17;
 const SIGNAL_COUNT = 200;
-const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 10\r\n\r\n';
+const HEAD = [
+  'POST /a HTTP/1.1',
+  'host: a',
+  'request-id: 0011223344556677',
+  'finish-milliseconds: 20000',
+  'content-length: 10',
+  '\r\n',
+].join('\r\n');
 
 let target = '';
 let staged: StagedProgram;
@@ -67,6 +74,8 @@
     await delay(10);
   }
   socket.write('56789');
-  expect(await answer).toMatch(/^HTTP\/1\.1 503 [^]*\r\n\r\n/);
+  const [head = '', body = ''] = (await answer).split('\r\n\r\n');
+  expect(head).toMatch(/^HTTP\/1\.1 503 /);
+  expect(head.toLowerCase()).toContain(`content-length: ${body.length}`);
   await expectOrderlyEnd();
 });
--- a/packages/server/src/commands/serveCommand.ts
+++ b/packages/server/src/commands/serveCommand.ts
@@ -1,3 +1,5 @@
+import type { ProcessSignals } from '@limpetnotch/supervision';
+import type { BaseContext } from 'clipanion';
 import { Command, Option } from 'clipanion';
 import { parseSettings } from '../parseSettings';
 import { runInstance } from '../runInstance';
@@ -7,8 +9,13 @@
 const setting = (flag: string, variable: string, description: string): string | undefined =>
   Option.String(flag, { env: variable, description });
 
+/** What a command is given of the process that it runs in. */
+export interface ServerContext extends BaseContext {
+  readonly signals: ProcessSignals;
+}
+
 /** Runs one instance until it is told to stop. */
-export class ServeCommand extends Command {
+export class ServeCommand extends Command<ServerContext> {
   static override paths = [Command.Default, ['serve']];
 
   static override usage = Command.Usage({
@@ -86,7 +93,7 @@
       settings.error.forEach((line) => this.context.stderr.write(`limpetnotchd: ${line}\n`));
       return EXIT_WRONG_USAGE;
     }
-    return runInstance(settings.value);
+    return runInstance(settings.value, this.context.signals);
   }
 
   #given(): Readonly<Record<string, string>> {
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -1,14 +1,10 @@
-import 'reflect-metadata';
-import { Builtins, Cli } from 'clipanion';
-import { ServeCommand } from './commands/serveCommand';
+import { ProcessSignals } from '@limpetnotch/supervision';
+import { runCli } from './runCli';
 
-const cli = new Cli({
-  binaryLabel: 'limpetnotchd',
-  binaryName: 'limpetnotchd',
-  binaryVersion: '0.1.0',
-});
-cli.register(ServeCommand);
-cli.register(Builtins.HelpCommand);
-cli.register(Builtins.VersionCommand);
+const signals = ProcessSignals.install();
 
-void cli.runExit(process.argv.slice(2));
+void runCli(process.argv.slice(2), signals).then((exitCode) => {
+  // Listeners of signals go while the runtime winds down after an empty event loop, not here.
+  // eslint-disable-next-line n/no-process-exit -- a signal in those milliseconds ends the process
+  process.exit(exitCode);
+});
--- a/packages/server/src/runInstance.ts
+++ b/packages/server/src/runInstance.ts
@@ -6,7 +6,7 @@
 } from '@limpetnotch/observability';
 import type { Metrics } from '@limpetnotch/observability';
 import { createEtcdStore } from '@limpetnotch/store';
-import { ProcessReport, shutdownSignal } from '@limpetnotch/supervision';
+import type { ProcessSignals } from '@limpetnotch/supervision';
 import { Instance } from './instance/instance';
 import type { Settings } from './settings';
 
@@ -25,24 +25,24 @@
 };
 
 /** Runs one instance until it is told to stop; resolves to the exit code of the process. */
-export const runInstance = async (settings: Settings): Promise<number> => {
+export const runInstance = async (settings: Settings, signals: ProcessSignals): Promise<number> => {
   const logger = createLogger({ instance: settings.instance, level: settings.logLevel });
   const { metrics, close } = metricsOf(settings);
-  const report = new ProcessReport();
-  report.writeTo({ logger, metrics });
+  signals.report.writeTo({ logger, metrics });
   const tracing = startTracing({ collectorUrl: settings.traces });
   const store = createEtcdStore({ endpoints: settings.store, metrics });
-  const signal = shutdownSignal(report);
   try {
     const instance = new Instance({ settings, store, logger, metrics, tracing });
     await instance.start();
-    await instance.run(signal);
+    signals.markServing();
+    await instance.run(signals.stopping);
     return 0;
   } catch (error) {
     const reason = error instanceof Error ? error.message : String(error);
     logger.error('instance.failed', { reason });
     return EXIT_FAILURE;
   } finally {
+    signals.markEnded();
     await Promise.allSettled([store.close(), tracing.stop(), close()]);
   }
 };
--- a/packages/stand-ins/src/commands/standInCommand.ts
+++ b/packages/stand-ins/src/commands/standInCommand.ts
@@ -1,3 +1,6 @@
+import type { ProcessSignals } from '@limpetnotch/supervision';
+import { untilAborted } from '@limpetnotch/supervision';
+import type { BaseContext } from 'clipanion';
 import { Command, Option } from 'clipanion';
 import type { StandInServer } from '../util/standInServer';
 
@@ -8,11 +11,10 @@
   stop(): Promise<void>;
 }
 
-const untilSignal = (): Promise<void> =>
-  new Promise((resolve) => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
-  });
+/** What a command is given of the process that it runs in. */
+export interface StandInContext extends BaseContext {
+  readonly signals: ProcessSignals;
+}
 
 const parsePort = (flag: string, text: string): number => {
   const port = Number(text);
@@ -21,7 +23,7 @@
 };
 
 /** Starts a stand-in, prints one JSON line with its port, and stops it on SIGTERM or SIGINT. */
-export abstract class StandInCommand extends Command {
+export abstract class StandInCommand extends Command<StandInContext> {
   port = Option.String('--port', '0', { description: 'Port of 127.0.0.1; 0 for any free one' });
 
   controlPort = Option.String('--control-port', '0', {
@@ -29,14 +31,17 @@
   });
 
   async execute(): Promise<void> {
+    const { signals } = this.context;
     const standIn = this.create();
     const port = await standIn.start(parsePort('--port', this.port));
     const controlPort = await standIn.server.startControl(
       parsePort('--control-port', this.controlPort),
     );
     this.context.stdout.write(`${JSON.stringify({ ready: true, port, controlPort })}\n`);
-    await untilSignal();
+    signals.markServing();
+    await untilAborted(signals.stopping);
     await standIn.stop();
+    signals.markEnded();
   }
 
   protected abstract create(): RunningStandIn;
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,12 +1,11 @@
-import { Builtins, Cli } from 'clipanion';
-import { CollectorCommand } from './commands/collectorCommand';
-import { EngineCommand } from './commands/engineCommand';
-import { StoreCommand } from './commands/storeCommand';
-import { ToolsCommand } from './commands/toolsCommand';
+import { ProcessSignals, standardErrorLogger } from '@limpetnotch/supervision';
+import { runCli } from './runCli';
 
-/** Entry point of the stand-ins as processes. */
-const cli = new Cli({ binaryLabel: 'limpetnotch stand-ins', binaryName: 'stand-ins' });
-[Builtins.HelpCommand, CollectorCommand, EngineCommand, StoreCommand, ToolsCommand].forEach(
-  (command) => cli.register(command),
-);
-void cli.runExit(process.argv.slice(2));
+const signals = ProcessSignals.install();
+signals.report.writeTo({ logger: standardErrorLogger });
+
+void runCli(process.argv.slice(2), signals).then((exitCode) => {
+  // Listeners of signals go while the runtime winds down after an empty event loop, not here.
+  // eslint-disable-next-line n/no-process-exit -- a signal in those milliseconds ends the process
+  process.exit(exitCode);
+});
--- /dev/null
+++ b/packages/supervision/src/processSignals.ts
@@ -0,0 +1,95 @@
+import { ProcessReport } from './processReport';
+import type { ProcessState, SignalEffect, SignalMeaning } from './signalEffect';
+import { signalEffect } from './signalEffect';
+
+const STOP_SIGNALS = ['SIGTERM', 'SIGINT'] as const satisfies readonly NodeJS.Signals[];
+
+/** Options of {@link ProcessSignals.install}. */
+export interface ProcessSignalsOptions {
+  /** Whether SIGHUP asks for the settings to be read anew; it has no effect by default. */
+  readonly isReloadable?: boolean;
+  /** What emits the signals; this process by default. */
+  readonly events?: NodeJS.EventEmitter;
+}
+
+/** Reads the settings anew; resolves when that is done. */
+export type Reload = () => Promise<void>;
+
+/**
+ * Handles the signals of a long-running process from its first statement to its end: without a
+ * listener the default action would end it, in whatever state it is.
+ */
+export class ProcessSignals {
+  readonly report: ProcessReport;
+
+  readonly #stopping = new AbortController();
+
+  #state: ProcessState = 'starting';
+
+  #reload: Reload | undefined;
+
+  #isReloadWanted = false;
+
+  private constructor({ isReloadable = false, events = process }: ProcessSignalsOptions) {
+    this.report = new ProcessReport(events);
+    const listen = (signal: NodeJS.Signals, meaning: SignalMeaning): void => {
+      events.on(signal, () => this.#onSignal(signal, meaning));
+    };
+    STOP_SIGNALS.forEach((signal) => listen(signal, 'stop'));
+    listen('SIGHUP', isReloadable ? 'reload' : 'none');
+  }
+
+  /** Listens to the signals of the process for the rest of its life. */
+  static install(options: ProcessSignalsOptions = {}): ProcessSignals {
+    return new ProcessSignals(options);
+  }
+
+  /** Aborts when the first stop signal arrives. */
+  get stopping(): AbortSignal {
+    return this.#stopping.signal;
+  }
+
+  /** State of the process. */
+  get state(): ProcessState {
+    return this.#state;
+  }
+
+  /** Tells that the process serves; settings that changed while it started are read anew. */
+  markServing(reload?: Reload): void {
+    if (this.#state !== 'starting') return;
+    this.#state = 'serving';
+    this.#reload = reload;
+    if (this.#isReloadWanted) void this.#reload?.();
+  }
+
+  /** Tells that the work of the process is over. */
+  markEnded(): void {
+    this.#state = 'ended';
+  }
+
+  #onSignal(signal: NodeJS.Signals, meaning: SignalMeaning): void {
+    const effect = signalEffect(meaning, this.#state);
+    this.report.signalReceived({ signal, state: this.#state, effect: effect.kind });
+    this.#apply(effect, signal);
+  }
+
+  #apply(effect: SignalEffect, signal: NodeJS.Signals): void {
+    switch (effect.kind) {
+      case 'stop':
+        this.#state = 'draining';
+        this.report.stoppedBy(signal);
+        this.#stopping.abort();
+        return;
+      case 'reload':
+        void this.#reload?.();
+        return;
+      case 'reload-after-start':
+        this.#isReloadWanted = true;
+        return;
+      case 'none':
+        return;
+      default:
+        effect satisfies never;
+    }
+  }
+}
--- /dev/null
+++ b/packages/supervision/tests/processSignals.test.ts
@@ -0,0 +1,85 @@
+import { EventEmitter } from 'node:events';
+import type { LogFields } from '@limpetnotch/observability';
+import { silentLogger } from '@limpetnotch/observability';
+import { ProcessSignals } from '../src/processSignals';
+import type { ProcessState } from '../src/signalEffect';
+
+const STATES = ['starting', 'serving', 'draining', 'ended'] as const;
+
+const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
+
+const PAIRS = STATES.flatMap((state) => SIGNALS.map((signal) => ({ state, signal })));
+
+let events: EventEmitter;
+let signals: ProcessSignals;
+let reloads: number;
+let received: (LogFields | undefined)[];
+
+const reload = async (): Promise<void> => {
+  reloads += 1;
+};
+
+const turn = (): Promise<void> => new Promise(setImmediate);
+
+beforeEach(() => {
+  events = new EventEmitter();
+  signals = ProcessSignals.install({ events, isReloadable: true });
+  reloads = 0;
+  received = [];
+  signals.report.writeTo({
+    logger: { ...silentLogger, info: (_message, fields) => received.push(fields) },
+  });
+});
+
+const reach = (state: ProcessState): void => {
+  if (state !== 'starting') signals.markServing(reload);
+  if (state === 'draining' || state === 'ended') events.emit('SIGTERM');
+  if (state === 'ended') signals.markEnded();
+  expect(signals.state).toBe(state);
+};
+
+test.each(PAIRS)('$signal while $state is heard and logged', ({ state, signal }) => {
+  reach(state);
+  expect(events.listenerCount(signal)).toBe(1);
+  events.emit(signal);
+  expect(events.listenerCount(signal)).toBe(1);
+  expect(received.at(-1)).toMatchObject({ signal, state });
+  const isStopped = signal !== 'SIGHUP' || state === 'draining' || state === 'ended';
+  expect(signals.stopping.aborted).toBe(isStopped);
+});
+
+test.each(SIGNALS)('%s is counted each time', (signal) => {
+  events.emit(signal);
+  events.emit(signal);
+  expect(received.at(-1)).toMatchObject({ signal, count: 2 });
+});
+
+test('a hangup before the process serves is met once it does', async () => {
+  events.emit('SIGHUP');
+  events.emit('SIGHUP');
+  signals.markServing(reload);
+  await turn();
+  expect(reloads).toBe(1);
+});
+
+test('a process that was stopped before it served does not serve', () => {
+  events.emit('SIGTERM');
+  signals.markServing(reload);
+  expect(signals.state).toBe('draining');
+});
+
+test('a hangup after a stop has no effect', async () => {
+  reach('draining');
+  events.emit('SIGHUP');
+  await turn();
+  expect(reloads).toBe(0);
+});
+
+test('a hangup has no effect where nothing can be reloaded', async () => {
+  events = new EventEmitter();
+  signals = ProcessSignals.install({ events });
+  signals.markServing(reload);
+  events.emit('SIGHUP');
+  await turn();
+  expect(reloads).toBe(0);
+});
--- /dev/null
+++ b/packages/supervision/tests/signalEffect.test.ts
@@ -0,0 +1,23 @@
+import type { ProcessState, SignalEffect, SignalMeaning } from '../src/signalEffect';
+import { signalEffect } from '../src/signalEffect';
+
+type Kind = SignalEffect['kind'];
+
+const TABLE: readonly [SignalMeaning, ProcessState, Kind][] = [
+  ['stop', 'starting', 'stop'],
+  ['stop', 'serving', 'stop'],
+  ['stop', 'draining', 'none'],
+  ['stop', 'ended', 'none'],
+  ['reload', 'starting', 'reload-after-start'],
+  ['reload', 'serving', 'reload'],
+  ['reload', 'draining', 'none'],
+  ['reload', 'ended', 'none'],
+  ['none', 'starting', 'none'],
+  ['none', 'serving', 'none'],
+  ['none', 'draining', 'none'],
+  ['none', 'ended', 'none'],
+];
+
+test.each(TABLE)('%s while %s causes %s', (meaning, state, kind) => {
+  expect(signalEffect(meaning, state).kind).toBe(kind);
+});
