Listen to signals before a program loads its modules

Seen: a signal that arrives while a program loads its modules ends it (SIGHUP and stop signals at entry, limpetnotchd and stand-in).

Cause: the listeners were installed by the code that was being loaded. What arrives meanwhile is kept: a hangup is met once the settings are followed. A program that is only required, as by writeCodeCache.cjs, installs nothing.

Evidence (tests that hold a program in its loading by a named pipe): SIGHUP while loading ended entry, limpetnotchd and stand-in by SIGHUP before, all three pass now.

Ruled out: a list of received signals in the launcher, which would repeat the list of signals and the order in which they count.

--- a/deploy/bundle.mjs
+++ b/deploy/bundle.mjs
@@ -28,7 +28,11 @@
 
 rmSync('target/bundle.cache', { force: true });
 await build({
-  entryPoints: { bundle: 'platform/src/bundleEntry.ts', storage: 'platform/src/storageMain.ts' },
+  entryPoints: {
+    bundle: 'platform/src/bundleEntry.ts',
+    signals: 'platform/src/signalsEntry.ts',
+    storage: 'platform/src/storageMain.ts',
+  },
   outdir: 'target',
   bundle: true,
   platform: 'node',
--- a/deploy/launch.cjs
+++ b/deploy/launch.cjs
@@ -1,6 +1,14 @@
+const { join } = require('node:path');
+
+const isProgram = require.main === module;
+
+/** The bundle takes longer to load than a signal may be left without a listener. */
+const signals = isProgram
+  ? require(join(__dirname, 'signals.js')).ProcessSignals.install({ isReloadable: true })
+  : undefined;
+
 const { readFileSync } = require('node:fs');
 const { createRequire } = require('node:module');
-const { join } = require('node:path');
 const { Script } = require('node:vm');
 
 const BUNDLE = join(__dirname, 'bundle.js');
@@ -27,8 +35,7 @@
 
 module.exports = { script, ...bundle.exports };
 
-if (require.main === module) {
-  const signals = bundle.exports.ProcessSignals.install({ isReloadable: true });
+if (isProgram) {
   bundle.exports.runCli(process.argv.slice(2), signals).then((code) => {
     process.exit(code);
   });
--- a/packages/server/src/main.ts
+++ b/packages/server/src/main.ts
@@ -1,9 +1,7 @@
-import { ProcessSignals } from '@limpetnotch/supervision';
+import { programSignals } from './programSignals';
 import { runCli } from './runCli';
 
-const signals = ProcessSignals.install();
-
-void runCli(process.argv.slice(2), signals).then((exitCode) => {
+void runCli(process.argv.slice(2), programSignals).then((exitCode) => {
   // Listeners of signals go while the runtime winds down after an empty event loop, not here.
   // eslint-disable-next-line n/no-process-exit -- a signal in those milliseconds ends the process
   process.exit(exitCode);
