Add stand-ins of the platform's store, targets and callers

The soak of the platform's entry program needs them beside real processes: a store with leases, watches and transactions, targets with fault modes that record each run, and a caller that keeps its connection.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -21,6 +21,17 @@
 export { ProgramRunner } from './load/programRunner';
 export type { ConversationMessage, FinishedStep, ProgramRunnerOptions } from './load/programRunner';
 export type { PlannedProgram, ProgramStep } from './load/programShape';
+export { CallerConnection } from './platform/callerConnection';
+export type { CallerOutcome, CallerRecord, CallerRequest } from './platform/callerRecord';
+export { eventText } from './platform/eventText';
+export { platformConfiguration } from './platform/platformConfiguration';
+export type { StandInRoute } from './platform/platformConfiguration';
+export { PLATFORM_PORTS, platformSettings } from './platform/platformSettings';
+export type { PlatformSettingsOptions } from './platform/platformSettings';
+export { PlatformStoreStandIn } from './platform/platformStoreStandIn';
+export { PlatformTargetStandIn } from './platform/platformTargetStandIn';
+export type { TargetMode } from './platform/platformTargetStandIn';
+export type { TargetRun } from './platform/targetRun';
 export { StoreStandIn } from './store/storeStandIn';
 export type { HeldTransaction, StoreStandInOptions } from './store/storeStandIn';
 export type { StoreFaults, StoreFaultsChange } from './store/storeFaults';
--- /dev/null
+++ b/packages/stand-ins/src/platform/platformConfiguration.ts
@@ -0,0 +1,64 @@
+/** A route of the soak's callers, in the words of this project. */
+export interface StandInRoute {
+  readonly name: string;
+  readonly kind: 'safe' | 'unsafe' | 'stream';
+  readonly service: string;
+  readonly isResumable: boolean;
+  readonly maximumTargets: number;
+  readonly timeoutMilliseconds: number;
+}
+
+/** Options of {@link platformConfiguration}. */
+export interface PlatformConfigurationOptions {
+  readonly version: number;
+  readonly host: string;
+  readonly routes: readonly StandInRoute[];
+  /** Services, with what an engine behind one has. */
+  readonly services: readonly { readonly name: string; readonly engineSlots?: number }[];
+  readonly organisation: { readonly name: string; readonly key: string };
+}
+
+/** Far above the traffic of a soak, so that the rate is shared but refuses nothing. */
+const GENEROUS_RATE_PER_SECOND = 2_000;
+
+/** Connections that a target accepts; far above its slots. */
+const CONNECTION_LIMIT = 200;
+
+/** Returns a configuration as the operator writes it. */
+export const platformConfiguration = (options: PlatformConfigurationOptions): object => ({
+  version: options.version,
+  routes: options.routes.map((route) => ({
+    name: route.name,
+    host: options.host,
+    pathPrefix: `/${route.name}/`,
+    kind: route.kind,
+    service: route.service,
+    timeoutMs: route.timeoutMilliseconds,
+    targetLatencyMs: 300,
+    gapTargetMs: 300,
+    attempts: route.maximumTargets,
+    allowResume: route.isResumable,
+    stickySessions: route.kind === 'stream',
+  })),
+  services: options.services.map(({ name, engineSlots }) => ({
+    name,
+    connectionLimit: CONNECTION_LIMIT,
+    ...(engineSlots === undefined
+      ? {}
+      : { engine: { slots: engineSlots, kvCacheTokens: 100_000, tokensPerEvent: 4 } }),
+  })),
+  limits: {
+    headerBytes: 16_384,
+    bodyBytes: 65_536,
+    headerTimeoutMs: 5_000,
+    idleTimeoutMs: 5_000,
+  },
+  tenants: [
+    {
+      name: options.organisation.name,
+      apiKeys: [options.organisation.key],
+      ratePerS: GENEROUS_RATE_PER_SECOND,
+      burst: GENEROUS_RATE_PER_SECOND,
+    },
+  ],
+});
--- /dev/null
+++ b/packages/stand-ins/src/platform/platformSettings.ts
@@ -0,0 +1,32 @@
+/** Where an instance listens, by the platform's usual ports. */
+export const PLATFORM_PORTS = { entry: 8_368, readiness: 8_369, peer: 7_780 } as const;
+
+/** Options of {@link platformSettings}. */
+export interface PlatformSettingsOptions {
+  readonly instance: string;
+  readonly host: string;
+  readonly availabilityZone: string;
+  readonly graceSeconds: number;
+  readonly quotaWindowSeconds: number;
+  readonly isFirstStart: boolean;
+  readonly storePort: number;
+}
+
+/** Returns the text of an instance's settings file. */
+export const platformSettings = (options: PlatformSettingsOptions): string =>
+  [
+    `nodeName = "${options.instance}"`,
+    `ipAddress = "${options.host}"`,
+    `zone = "${options.availabilityZone}"`,
+    `bootstrap = ${options.isFirstStart}`,
+    `internalPorts = [${PLATFORM_PORTS.peer}, ${PLATFORM_PORTS.peer + 15}]`,
+    '[listen]',
+    `frontend = "${options.host}:${PLATFORM_PORTS.entry}"`,
+    `readiness = "${options.host}:${PLATFORM_PORTS.readiness}"`,
+    '[bounds]',
+    `graceS = ${options.graceSeconds}`,
+    `quotaWindowS = ${options.quotaWindowSeconds}`,
+    '[platform]',
+    `address = "127.0.0.1:${options.storePort}"`,
+    '',
+  ].join('\n');
--- /dev/null
+++ b/packages/stand-ins/tests/platformTargetStandIn.test.ts
@@ -0,0 +1,105 @@
+import type { CallerRecord, TargetRun } from '../src';
+import { CallerConnection, eventText, PlatformTargetStandIn } from '../src';
+
+const TARGET = 'target-1';
+
+let target: PlatformTargetStandIn;
+let runs: TargetRun[];
+let opened: CallerConnection[];
+
+const start = async (isStreaming: boolean): Promise<void> => {
+  target = await PlatformTargetStandIn.start({
+    id: TARGET,
+    slots: 1,
+    isStreaming,
+    port: 0,
+    record: (run) => runs.push(run),
+  });
+};
+
+const send = async (
+  path: string,
+  headers: Record<string, string> = {},
+  leaveAfterMilliseconds?: number,
+): Promise<CallerRecord> => {
+  const connection = await CallerConnection.open('127.0.0.1', target.port);
+  opened.push(connection!);
+  return connection!.send({
+    id: 'r1',
+    method: 'POST',
+    path,
+    headers: { 'request-id': 'r1', ...headers },
+    body: 'body',
+    leaveAfterMilliseconds,
+    giveUpAfterMilliseconds: 5_000,
+  });
+};
+
+beforeEach(() => {
+  runs = [];
+  opened = [];
+});
+
+afterEach(async () => {
+  opened.forEach((connection) => connection.close());
+  await target.end();
+});
+
+test('a plain answer carries the signature of its run', async () => {
+  await start(false);
+  const { outcome } = await send('/1x5', { 'expected-instance': TARGET });
+  const [run] = runs;
+  expect(outcome).toMatchObject({
+    kind: 'answered',
+    status: 200,
+    headers: { 'request-id': 'r1', 'response-signature': run!.signature },
+  });
+  expect(run!.end).toMatchObject({ kind: 'answered', body: 'body' in outcome && outcome.body });
+});
+
+test('another target is not run', async () => {
+  await start(false);
+  const { outcome } = await send('/1x5', { 'expected-instance': 'target-2' });
+  expect(outcome).toMatchObject({ status: 421, headers: { 'not-executed': '1' } });
+  expect(runs).toEqual([]);
+});
+
+test('a full target declines', async () => {
+  await start(false);
+  const first = send('/1x100');
+  while (runs.length === 0) await send('/1x100').catch(() => undefined);
+  const { outcome } = await send('/1x100');
+  expect(outcome).toMatchObject({ status: 503, headers: { 'not-executed': '1' } });
+  await first;
+});
+
+test('a stream goes on after the last event that is named', async () => {
+  await start(true);
+  const { outcome } = await send('/4x1', { 'last-event-id': '2' });
+  expect(outcome).toMatchObject({ kind: 'answered', body: eventText('r1', 3, 4) });
+  expect(runs[0]!.firstEvent).toBe(3);
+});
+
+test('a reset breaks the answer off', async () => {
+  await start(true);
+  target.mode = 'reset';
+  expect((await send('/4x1')).outcome).toMatchObject({ kind: 'broken', status: undefined });
+  expect(runs[0]!.end).toEqual({ kind: 'broken', cause: 'reset' });
+});
+
+test('a run that hangs ends with its caller', async () => {
+  await start(false);
+  target.mode = 'hang';
+  expect((await send('/1x1', {}, 60)).outcome.kind).toBe('left');
+  while (!runs[0]!.end) await send('/1x1', {}, 5);
+  expect(runs[0]).toMatchObject({ wasSilent: true, end: { kind: 'cancelled' } });
+});
+
+test('a crash cuts off what runs', async () => {
+  await start(false);
+  const cut = send('/1x500');
+  while (runs.length === 0) await send('/1x500', {}, 5);
+  await target.end();
+  expect((await cut).outcome.kind).toBe('broken');
+  expect(runs[0]!.end).toEqual({ kind: 'broken', cause: 'crashed' });
+});
