Add a soak that signals real processes of the platform's entry program

Starts the bundle as instances in three availability zones beside stand-ins of the store, targets and callers, draws signals, restarts, settings and target faults from a seed, and checks the promises from what callers and targets saw.

--- a/packages/integration/src/fleet/managedProcess.ts
+++ b/packages/integration/src/fleet/managedProcess.ts
@@ -9,8 +9,12 @@
   readonly script: string;
   readonly arguments: readonly string[];
   readonly environment?: Readonly<Record<string, string>>;
+  /** How much of the end of its output is kept. */
+  readonly keptCharacters?: number;
 }
 
+const USUAL_KEPT_CHARACTERS = 20_000;
+
 /** A process of a fleet, started by this one, with the last lines that it printed. */
 export class ManagedProcess {
   readonly name: string;
@@ -19,10 +23,13 @@
 
   readonly #exited: Promise<unknown>;
 
+  readonly #keptCharacters: number;
+
   #output = '';
 
   constructor(options: ManagedProcessOptions) {
     this.name = options.name;
+    this.#keptCharacters = options.keptCharacters ?? USUAL_KEPT_CHARACTERS;
     this.#child = spawn(process.execPath, [options.script, ...options.arguments], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, ...options.environment },
@@ -37,6 +44,16 @@
     return this.#child.exitCode;
   }
 
+  /** Signal that ended the process; `null` while it runs or after it ended by itself. */
+  get endSignal(): NodeJS.Signals | null {
+    return this.#child.signalCode;
+  }
+
+  /** Identifier of the process; 0 where it could not be started. */
+  get pid(): number {
+    return this.#child.pid ?? 0;
+  }
+
   /** Whether the process has ended. */
   get hasExited(): boolean {
     return this.#child.exitCode !== null || this.#child.signalCode !== null;
@@ -76,7 +93,6 @@
   }
 
   #keep(bytes: Buffer): void {
-    const KEPT_CHARACTERS = 20_000;
-    this.#output = (this.#output + bytes.toString('utf8')).slice(-KEPT_CHARACTERS);
+    this.#output = (this.#output + bytes.toString('utf8')).slice(-this.#keptCharacters);
   }
 }
--- /dev/null
+++ b/packages/integration/src/signal-soak/checkLifetime.ts
@@ -0,0 +1,36 @@
+import type { Lifetime } from './lifetime';
+import type { Violation } from './violation';
+
+/** Two questions of the balancer without a 200 take an instance out within this time. */
+const READY_AFTER_STOP_MILLISECONDS = 4_000;
+
+const checkEnd = (lifetime: Lifetime): string | undefined => {
+  if (lifetime.wasKilled || lifetime.end === undefined) return undefined;
+  if (typeof lifetime.end === 'string') return `ended by ${lifetime.end}`;
+  if (lifetime.end !== 0) return `ended with code ${lifetime.end}`;
+  return lifetime.stoppedAt === undefined ? 'ended without being told to' : undefined;
+};
+
+const checkReadiness = ({ stoppedAt, lastReadyAt, wasPaused }: Lifetime): string | undefined => {
+  if (stoppedAt === undefined || lastReadyAt === undefined || wasPaused) return undefined;
+  const late = lastReadyAt - stoppedAt;
+  if (late <= READY_AFTER_STOP_MILLISECONDS) return undefined;
+  return `still ready ${Math.round(late)} ms after it was told to stop`;
+};
+
+/** Checks how a process ended. */
+export const checkLifetime = (lifetime: Lifetime): readonly Violation[] => {
+  const found = {
+    exit: checkEnd(lifetime),
+    grace: lifetime.hasOverrun ? 'still there when its grace period was over' : undefined,
+    readiness: checkReadiness(lifetime),
+  };
+  const moment = lifetime.endedAt ?? performance.now();
+  const age = Math.round(moment - lifetime.spawnedAt);
+  const signals = lifetime.describeSignals(moment);
+  return Object.entries(found).flatMap(([check, text]) =>
+    text === undefined
+      ? []
+      : [{ check, lifetime: lifetime.name, text: `${text}, ${age} ms old; ${signals}` }],
+  );
+};
--- /dev/null
+++ b/packages/integration/src/signal-soak/lifetime.ts
@@ -0,0 +1,76 @@
+import type { SoakSignal } from './soakFault';
+
+/** What a process was doing when a signal came. */
+export type ProcessState = 'starting' | 'serving' | 'draining';
+
+/** A signal as it was sent. */
+export interface SentSignal {
+  readonly signal: SoakSignal;
+  readonly at: number;
+  readonly state: ProcessState;
+}
+
+/** One process of an instance, from its start to its end. */
+export class Lifetime {
+  readonly name: string;
+
+  readonly spawnedAt = performance.now();
+
+  readonly signals: SentSignal[] = [];
+
+  /** When its readiness first answered 200. */
+  readyAt: number | undefined;
+
+  /** When its readiness last answered 200. */
+  lastReadyAt: number | undefined;
+
+  endedAt: number | undefined;
+
+  /** Exit code, or the signal that ended the process. */
+  end: number | string | undefined;
+
+  /** Whether it had to be killed when its grace period was over. */
+  hasOverrun = false;
+
+  constructor(name: string) {
+    this.name = name;
+  }
+
+  /** When the process was first told to stop. */
+  get stoppedAt(): number | undefined {
+    return this.signals.find(({ signal }) => signal === 'SIGTERM' || signal === 'SIGINT')?.at;
+  }
+
+  get state(): ProcessState {
+    if (this.stoppedAt !== undefined) return 'draining';
+    return this.readyAt === undefined ? 'starting' : 'serving';
+  }
+
+  get wasKilled(): boolean {
+    return this.signals.some(({ signal }) => signal === 'SIGKILL');
+  }
+
+  get wasPaused(): boolean {
+    return this.signals.some(({ signal }) => signal === 'SIGSTOP');
+  }
+
+  /** Whether the process was killed or paused at some moment of a span. */
+  isDisturbed(from: number, to: number): boolean {
+    return this.signals.some(({ signal, at }, index) => {
+      if (signal === 'SIGKILL') return at >= from && at <= to;
+      if (signal !== 'SIGSTOP') return false;
+      const rest = this.signals.slice(index + 1);
+      const resumed = rest.find((later) => later.signal === 'SIGCONT')?.at ?? Infinity;
+      return at <= to && resumed >= from;
+    });
+  }
+
+  /** Names the signals, each with its time before a moment. */
+  describeSignals(moment: number): string {
+    const before = this.signals.filter(({ at }) => at <= moment);
+    const ages = before.map(
+      ({ signal, at, state }) => `${signal} (${state}) ${Math.round(moment - at)} ms before`,
+    );
+    return ages.length === 0 ? 'no signal' : ages.slice(-6).join(', ');
+  }
+}
--- /dev/null
+++ b/packages/integration/src/signal-soak/soakCaller.ts
@@ -0,0 +1,148 @@
+import type { CallerRequest } from '@limpetnotch/stand-ins';
+import {
+  CallerConnection,
+  PLATFORM_PORTS,
+  platformRequestHeaders,
+  SeededRandom,
+} from '@limpetnotch/stand-ins';
+import { delay } from '@limpetnotch/supervision';
+import type { Balancer } from './balancer';
+import type { Lifetime } from './lifetime';
+import type { SoakExchange } from './soakExchange';
+import type { SoakRoute } from './soakRoutes';
+import { drawWork } from './soakRoutes';
+
+const MEAN_PAUSE_MILLISECONDS = 120;
+/** Four fifths of the connections' idle time, up to which callers use them again. */
+const LONGEST_PAUSE_MILLISECONDS = 4_000;
+const LONG_PAUSE_PROBABILITY = 0.02;
+const LEAVE_PROBABILITY = 0.06;
+const SHORT_DEADLINE_PROBABILITY = 0.1;
+const SHORTEST_DEADLINE_MILLISECONDS = 500;
+/** Callers wait this much longer than the route's time, to see whether an answer comes late. */
+const WAIT_BEYOND_MILLISECONDS = 2_000;
+const RECONNECT_MILLISECONDS = 30;
+const PROMPT_TOKENS = 500;
+const TOKENS_PER_EVENT = 4;
+const PROGRAM_TURNS = 6;
+
+/** Options of {@link SoakCaller}. */
+export interface SoakCallerOptions {
+  readonly name: string;
+  readonly seed: number;
+  readonly balancer: Balancer;
+  readonly host: string;
+  readonly keys: readonly string[];
+  readonly routes: () => readonly SoakRoute[];
+  /** Called before a request is sent, and gets it when it has ended. */
+  readonly record: (exchange: SoakExchange) => void;
+  readonly isOver: () => boolean;
+}
+
+interface DrawnRequest {
+  readonly request: CallerRequest;
+  readonly route: SoakRoute;
+  readonly steps: number;
+  readonly deadlineMilliseconds: number;
+}
+
+interface OpenConnection {
+  readonly connection: CallerConnection;
+  readonly lifetime: Lifetime;
+}
+
+/** Sends one request after another, on one connection as long as that is open. */
+export class SoakCaller {
+  readonly #options: SoakCallerOptions;
+
+  readonly #random: SeededRandom;
+
+  #open: OpenConnection | undefined;
+
+  #sent = 0;
+
+  constructor(options: SoakCallerOptions) {
+    this.#options = options;
+    this.#random = new SeededRandom(options.seed);
+  }
+
+  async run(): Promise<void> {
+    while (!this.#options.isOver()) {
+      await delay(this.#drawPause());
+      const open = await this.#connect();
+      if (open) await this.#send(open);
+      else await delay(RECONNECT_MILLISECONDS);
+    }
+    this.#open?.connection.close();
+  }
+
+  #drawPause(): number {
+    if (this.#random.chance(LONG_PAUSE_PROBABILITY)) {
+      return this.#random.integer(MEAN_PAUSE_MILLISECONDS, LONGEST_PAUSE_MILLISECONDS);
+    }
+    return Math.min(this.#random.exponential(MEAN_PAUSE_MILLISECONDS), LONGEST_PAUSE_MILLISECONDS);
+  }
+
+  /** Returns the open connection, or a new one to an instance that gets new connections. */
+  async #connect(): Promise<OpenConnection | undefined> {
+    if (this.#open?.connection.isOpen) return this.#open;
+    const { inRotation } = this.#options.balancer;
+    if (inRotation.length === 0) return undefined;
+    const instance = this.#random.pick(inRotation);
+    const lifetime = instance.newest;
+    const connection = await CallerConnection.open(instance.host, PLATFORM_PORTS.entry);
+    if (!connection) return undefined;
+    if (lifetime !== instance.newest) {
+      connection.close();
+      return undefined;
+    }
+    this.#open = { connection, lifetime };
+    return this.#open;
+  }
+
+  async #send({ connection, lifetime }: OpenConnection): Promise<void> {
+    const { request, ...drawn } = this.#draw();
+    const record = await connection.send(request);
+    this.#options.record({ ...drawn, record, lifetime, runs: [] });
+  }
+
+  #draw(): DrawnRequest {
+    const random = this.#random;
+    this.#sent += 1;
+    const id = `${this.#options.name}-${this.#sent}`;
+    const route = random.pick(this.#options.routes());
+    const work = drawWork(random, route);
+    const steps = Number(work.split('x', 1)[0]);
+    const { timeoutMilliseconds } = route;
+    const deadlineMilliseconds = random.chance(SHORT_DEADLINE_PROBABILITY)
+      ? random.integer(SHORTEST_DEADLINE_MILLISECONDS, timeoutMilliseconds)
+      : timeoutMilliseconds + WAIT_BEYOND_MILLISECONDS;
+    const isLeaving = random.chance(LEAVE_PROBABILITY);
+    const leaveAfterMilliseconds = isLeaving ? random.integer(20, 800) : undefined;
+    const request: CallerRequest = {
+      id,
+      method: route.kind === 'safe' ? 'GET' : 'POST',
+      path: `/${route.name}/${work}`,
+      headers: platformRequestHeaders({
+        id,
+        host: this.#options.host,
+        key: random.pick(this.#options.keys),
+        deadlineMilliseconds,
+        ...(route.kind === 'stream' && { prompt: this.#promptOf(steps) }),
+        ...(route.isTurn && { program: this.#program }),
+      }),
+      body: route.kind === 'safe' ? '' : `body of ${id}`,
+      leaveAfterMilliseconds,
+      giveUpAfterMilliseconds: timeoutMilliseconds + WAIT_BEYOND_MILLISECONDS,
+    };
+    return { request, route, steps, deadlineMilliseconds };
+  }
+
+  get #program(): string {
+    return `${this.#options.name}-p${Math.floor(this.#sent / PROGRAM_TURNS)}`;
+  }
+
+  #promptOf(steps: number) {
+    return { part: this.#program, tokens: PROMPT_TOKENS, answerTokens: steps * TOKENS_PER_EVENT };
+  }
+}
--- /dev/null
+++ b/packages/integration/src/signal-soak/soakFleet.ts
@@ -0,0 +1,182 @@
+import type { TargetRun } from '@limpetnotch/stand-ins';
+import { platformConfiguration, PlatformStoreStandIn } from '@limpetnotch/stand-ins';
+import { delay } from '@limpetnotch/supervision';
+import { waitUntil } from '../fleet/waitUntil';
+import { Balancer } from './balancer';
+import type { Lifetime } from './lifetime';
+import type { SoakFault } from './soakFault';
+import { SoakInstance } from './soakInstance';
+import type { SoakRoute } from './soakRoutes';
+import { addedRoute, ENGINE_SERVICE, PLAIN_SERVICE, SOAK_ROUTES } from './soakRoutes';
+import { SoakTarget } from './soakTarget';
+
+const HOST = 'soak.example';
+/** One organisation has a rate, which the instances share, and one has none. */
+const ORGANISATIONS = [
+  { name: 'rated', key: 'key-rated', isRated: true },
+  { name: 'unlimited', key: 'key-unlimited', isRated: false },
+];
+const ZONES = ['zone-a', 'zone-b', 'zone-c'];
+const TARGETS_PER_SERVICE = 4;
+const PLAIN_SLOTS = 6;
+const ENGINE_SLOTS = 8;
+/** The platform's bound for a configuration to be in force. */
+const APPLY_MILLISECONDS = 2_000;
+const START_MILLISECONDS = 20_000;
+
+/** Options of {@link SoakFleet.start}. */
+export interface SoakFleetOptions {
+  readonly instances: number;
+  readonly graceSeconds: number;
+  /** Script of the entry program. */
+  readonly program: string;
+  /** Folder of the settings files. */
+  readonly folder: string;
+  readonly record: (run: TargetRun) => void;
+}
+
+const zoneOf = (index: number): string => ZONES[index % ZONES.length] ?? '';
+
+/** Loopback addresses of this process alone, so that soaks side by side don't meet. */
+const hostOf = (index: number): string =>
+  `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}.${index + 1}`;
+
+/** Real instances beside stand-ins of their store and targets. */
+export class SoakFleet {
+  /** What callers need to be let in. */
+  readonly access = { host: HOST, keys: ORGANISATIONS.map(({ key }) => key) };
+
+  readonly instances: readonly SoakInstance[];
+
+  readonly targets: readonly SoakTarget[];
+
+  readonly balancer: Balancer;
+
+  readonly #store: PlatformStoreStandIn;
+
+  #routes: readonly SoakRoute[] = SOAK_ROUTES;
+
+  #routesInForce: readonly SoakRoute[] = SOAK_ROUTES;
+
+  #version = 0;
+
+  #isStopped = false;
+
+  private constructor(options: SoakFleetOptions, store: PlatformStoreStandIn) {
+    this.#store = store;
+    this.instances = Array.from({ length: options.instances }, (_, index) => {
+      const place = { host: hostOf(index), availabilityZone: zoneOf(index) };
+      const storePort = store.server.port;
+      return new SoakInstance({ ...options, ...place, name: `instance-${index}`, storePort });
+    });
+    this.targets = [PLAIN_SERVICE, ENGINE_SERVICE].flatMap((service) =>
+      Array.from({ length: TARGETS_PER_SERVICE }, (_, index) => {
+        const isStreaming = service === ENGINE_SERVICE;
+        const slots = isStreaming ? ENGINE_SLOTS : PLAIN_SLOTS;
+        const availabilityZone = zoneOf(index);
+        const name = `${service}-${index}`;
+        const { record } = options;
+        return new SoakTarget({
+          name,
+          service,
+          slots,
+          isStreaming,
+          availabilityZone,
+          store,
+          record,
+        });
+      }),
+    );
+    this.balancer = new Balancer(this.instances);
+  }
+
+  /** Starts everything; resolves when every instance takes connections. */
+  static async start(options: SoakFleetOptions): Promise<SoakFleet> {
+    const store = new PlatformStoreStandIn();
+    await store.server.start();
+    const fleet = new SoakFleet(options, store);
+    fleet.#configure();
+    await Promise.all(fleet.targets.map((target) => target.start()));
+    await Promise.all(fleet.instances.map((instance) => instance.start()));
+    fleet.balancer.start();
+    await waitUntil(
+      'every instance is ready',
+      START_MILLISECONDS,
+      async () => fleet.balancer.inRotation.length === fleet.instances.length,
+    );
+    return fleet;
+  }
+
+  /** Routes that callers use. */
+  get routes(): readonly SoakRoute[] {
+    return this.#routesInForce;
+  }
+
+  /** Returns when a target's life ended; undefined while it lasts. */
+  targetEndedAt(id: string): number | undefined {
+    return this.targets.map(({ lives }) => lives.get(id)).find(Boolean)?.endedAt;
+  }
+
+  /** What a process printed. */
+  outputOf(lifetime: Lifetime): string {
+    return this.instances.map((instance) => instance.outputOf(lifetime)).join('');
+  }
+
+  /** Carries out a fault; resolves when it is over. */
+  async apply(fault: SoakFault): Promise<void> {
+    switch (fault.kind) {
+      case 'signal':
+        await this.instances[fault.instance]?.signal(fault.signal);
+        return;
+      case 'signal-at-start':
+        await this.instances[fault.instance]?.signalAtStart(
+          fault.signal,
+          fault.processorMilliseconds,
+        );
+        return;
+      case 'settings':
+        await this.instances[fault.instance]?.changeSettings();
+        return;
+      case 'target-mode':
+        this.targets[fault.target]?.setMode(fault.mode);
+        return;
+      case 'target-crash':
+        await this.targets[fault.target]?.crash(fault.awayMilliseconds, fault.keepsAddress);
+        return;
+      case 'target-leave':
+        await this.targets[fault.target]?.leave(fault.awayMilliseconds, fault.keepsAddress);
+        return;
+      case 'configuration':
+        this.#routes = [...this.#routes, addedRoute(this.#version + 1)];
+        this.#configure();
+        await delay(APPLY_MILLISECONDS);
+        this.#routesInForce = this.#routes;
+        return;
+      default:
+        fault satisfies never;
+    }
+  }
+
+  /** Stops the instances as the platform does, then everything else. */
+  async stop(): Promise<void> {
+    if (this.#isStopped) return;
+    this.#isStopped = true;
+    this.balancer.stop();
+    await Promise.all(this.instances.map((instance) => instance.stop()));
+    await Promise.all(this.targets.map((target) => target.stop()));
+    await this.#store.server.stop();
+  }
+
+  /** Puts a new version in force that holds all routes so far. */
+  #configure(): void {
+    this.#version += 1;
+    const configuration = platformConfiguration({
+      version: this.#version,
+      host: HOST,
+      routes: this.#routes,
+      services: [{ name: PLAIN_SERVICE }, { name: ENGINE_SERVICE, engineSlots: ENGINE_SLOTS }],
+      organisations: ORGANISATIONS,
+    });
+    this.#store.configure(configuration);
+  }
+}
--- /dev/null
+++ b/packages/integration/src/signal-soak/soakTarget.ts
@@ -0,0 +1,94 @@
+import type { PlatformStoreStandIn, TargetMode, TargetRun } from '@limpetnotch/stand-ins';
+import { PlatformTargetStandIn } from '@limpetnotch/stand-ins';
+import { delay } from '@limpetnotch/supervision';
+
+/** The platform removes an entry after three check-in intervals of silence. */
+const SILENT_ENTRY_MILLISECONDS = 3_600;
+/** Time for which a target that leaves still serves; the platform's example names 2 s. */
+const LEAVING_MILLISECONDS = 2_000;
+
+/** Options of {@link SoakTarget.start}. */
+export interface SoakTargetOptions {
+  readonly name: string;
+  readonly service: string;
+  readonly slots: number;
+  readonly isStreaming: boolean;
+  readonly availabilityZone: string;
+  readonly store: PlatformStoreStandIn;
+  readonly record: (run: TargetRun) => void;
+}
+
+/** A target that ends and comes back, each time as a new life that announces itself. */
+export class SoakTarget {
+  /** All its lives, by their identifiers. */
+  readonly lives = new Map<string, PlatformTargetStandIn>();
+
+  readonly #options: SoakTargetOptions;
+
+  #current: PlatformTargetStandIn | undefined;
+
+  #isAway = false;
+
+  constructor(options: SoakTargetOptions) {
+    this.#options = options;
+  }
+
+  async start(port = 0): Promise<void> {
+    const { name, slots, isStreaming, record } = this.#options;
+    const id = `${name}-${this.lives.size + 1}`;
+    const target = await PlatformTargetStandIn.start({ id, slots, isStreaming, port, record });
+    this.#current = target;
+    this.lives.set(id, target);
+    this.#announce(target, false);
+  }
+
+  setMode(mode: TargetMode): void {
+    if (this.#current) this.#current.mode = mode;
+  }
+
+  /** Ends without a word; its entry stays until the platform misses it. */
+  async crash(awayMilliseconds: number, keepsAddress: boolean): Promise<void> {
+    const { store } = this.#options;
+    await this.#restart(awayMilliseconds, keepsAddress, async (target) => {
+      await target.end();
+      setTimeout(() => store.withdrawTarget(target.id), SILENT_ENTRY_MILLISECONDS);
+    });
+  }
+
+  /** Announces its end, goes on for a while, and ends. */
+  async leave(awayMilliseconds: number, keepsAddress: boolean): Promise<void> {
+    const { store } = this.#options;
+    await this.#restart(awayMilliseconds, keepsAddress, async (target) => {
+      const leaving = target;
+      leaving.isLeaving = true;
+      this.#announce(target, true);
+      await delay(LEAVING_MILLISECONDS);
+      await target.end();
+      store.withdrawTarget(target.id);
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.#isAway = true;
+    await this.#current?.end();
+  }
+
+  async #restart(
+    awayMilliseconds: number,
+    keepsAddress: boolean,
+    end: (target: PlatformTargetStandIn) => Promise<void>,
+  ): Promise<void> {
+    const target = this.#current;
+    if (!target || this.#isAway) return;
+    this.#isAway = true;
+    const { port } = target;
+    await end(target);
+    await delay(awayMilliseconds);
+    await this.start(keepsAddress ? port : 0);
+    this.#isAway = false;
+  }
+
+  #announce({ id, port }: PlatformTargetStandIn, isLeaving: boolean): void {
+    this.#options.store.announceTarget({ ...this.#options, id, port, isLeaving });
+  }
+}
--- /dev/null
+++ b/packages/integration/src/signal-soak/writeTraces.ts
@@ -0,0 +1,19 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import type { SoakResult } from './soakResult';
+
+/** Writes what shows the violations of a soak: the faults, the requests, and the processes' logs. */
+export const writeTraces = async (result: SoakResult, folder: string): Promise<void> => {
+  const { seed, faults, violations, lifetimes, exchanges, outputOf } = result;
+  const path = join(folder, `seed-${seed}`);
+  await mkdir(path, { recursive: true });
+  const requestIds = new Set(violations.map(({ requestId }) => requestId));
+  const requests = exchanges.filter(({ record }) => requestIds.has(record.request.id));
+  const trace = { seed, violations, faults, lifetimes, requests };
+  await writeFile(join(path, 'trace.json'), JSON.stringify(trace, undefined, 1));
+  const names = new Set(violations.map(({ lifetime }) => lifetime));
+  const violated = lifetimes.filter(({ name }) => names.has(name));
+  await Promise.all(
+    violated.map((lifetime) => writeFile(join(path, `${lifetime.name}.log`), outputOf(lifetime))),
+  );
+};
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -26,7 +26,8 @@
 export { eventText } from './platform/eventText';
 export { platformConfiguration } from './platform/platformConfiguration';
 export type { StandInRoute } from './platform/platformConfiguration';
-export { PLATFORM_PORTS, platformSettings } from './platform/platformSettings';
+export { platformRequestHeaders } from './platform/platformRequestHeaders';
+export { PLATFORM_PORTS, platformSettings, READINESS_PATH } from './platform/platformSettings';
 export type { PlatformSettingsOptions } from './platform/platformSettings';
 export { PlatformStoreStandIn } from './platform/platformStoreStandIn';
 export { PlatformTargetStandIn } from './platform/platformTargetStandIn';
--- a/packages/stand-ins/src/platform/callerConnection.ts
+++ b/packages/stand-ins/src/platform/callerConnection.ts
@@ -80,7 +80,8 @@
         response.once('error', fail);
         response.once('end', () => {
           if (!response.complete) return;
-          finish({ kind: 'answered', status: status ?? 0, headers, body });
+          const signature = headers['response-signature']?.toString();
+          finish({ kind: 'answered', status: status ?? 0, signature, body });
         });
       };
       const { method, path, headers } = request;
--- a/packages/stand-ins/src/platform/callerRecord.ts
+++ b/packages/stand-ins/src/platform/callerRecord.ts
@@ -1,5 +1,3 @@
-import type { IncomingHttpHeaders } from 'node:http';
-
 /** One request of a caller. */
 export interface CallerRequest {
   readonly id: string;
@@ -18,7 +16,8 @@
   | {
       readonly kind: 'answered';
       readonly status: number;
-      readonly headers: IncomingHttpHeaders;
+      /** Signature of the target; missing where the instance answered by itself. */
+      readonly signature: string | undefined;
       readonly body: string;
     }
   /** The connection ended before the answer did; the status is missing where no head came. */
--- a/packages/stand-ins/src/platform/platformConfiguration.ts
+++ b/packages/stand-ins/src/platform/platformConfiguration.ts
@@ -15,7 +15,11 @@
   readonly routes: readonly StandInRoute[];
   /** Services, with what an engine behind one has. */
   readonly services: readonly { readonly name: string; readonly engineSlots?: number }[];
-  readonly organisation: { readonly name: string; readonly key: string };
+  readonly organisations: readonly {
+    readonly name: string;
+    readonly key: string;
+    readonly isRated: boolean;
+  }[];
 }
 
 /** Far above the traffic of a soak, so that the rate is shared but refuses nothing. */
@@ -53,12 +57,9 @@
     headerTimeoutMs: 5_000,
     idleTimeoutMs: 5_000,
   },
-  tenants: [
-    {
-      name: options.organisation.name,
-      apiKeys: [options.organisation.key],
-      ratePerS: GENEROUS_RATE_PER_SECOND,
-      burst: GENEROUS_RATE_PER_SECOND,
-    },
-  ],
+  tenants: options.organisations.map(({ name, key, isRated }) => ({
+    name,
+    apiKeys: [key],
+    ...(isRated && { ratePerS: GENEROUS_RATE_PER_SECOND, burst: GENEROUS_RATE_PER_SECOND }),
+  })),
 });
--- a/packages/stand-ins/src/platform/platformSettings.ts
+++ b/packages/stand-ins/src/platform/platformSettings.ts
@@ -1,6 +1,9 @@
 /** Where an instance listens, by the platform's usual ports. */
 export const PLATFORM_PORTS = { entry: 8_368, readiness: 8_369, peer: 7_780 } as const;
 
+/** Path at which an instance tells whether it takes new connections. */
+export const READINESS_PATH = '/limpetnotch/readiness';
+
 /** Options of {@link platformSettings}. */
 export interface PlatformSettingsOptions {
   readonly instance: string;
--- a/packages/stand-ins/src/platform/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platform/platformStoreStandIn.ts
@@ -11,7 +11,8 @@
 const PAGE_ITEMS = 500;
 
 /** Keys that only operators and targets write. */
-const FOREIGN_PREFIXES = ['op/', 'servers/'];
+const TARGET_PREFIX = 'servers/';
+const FOREIGN_PREFIXES = ['op/', TARGET_PREFIX];
 
 const keyQuerySchema = z.object({ key: z.string() });
 const rangeQuerySchema = z.object({ pathPrefix: z.string(), after: z.string().default('') });
@@ -30,6 +31,16 @@
 const leaseSchema = z.object({ ttlMs: z.number().positive() });
 const leaseParametersSchema = z.object({ lease: z.coerce.number().int() });
 
+/** What the entry of a target says. */
+export interface AnnouncedTarget {
+  readonly id: string;
+  readonly service: string;
+  readonly port: number;
+  readonly slots: number;
+  readonly availabilityZone: string;
+  readonly isLeaving: boolean;
+}
+
 /** The platform's store, in memory and without faults: reads, watches, transactions and leases. */
 export class PlatformStoreStandIn {
   readonly server = new StandInServer();
@@ -62,9 +73,29 @@
     return this.state.write([{ key, value: text, lease: 0 }], []);
   }
 
-  /** Removes a key as the platform would. */
-  remove(key: string): void {
-    this.state.write([], [key]);
+  /** Puts a configuration in force, as the operator does. */
+  configure(configuration: object): void {
+    this.put('op/config', configuration);
+  }
+
+  /** Writes what a target says of itself. */
+  announceTarget(target: AnnouncedTarget): void {
+    const { id, service, port, slots, availabilityZone, isLeaving } = target;
+    this.put(`${TARGET_PREFIX}${id}`, {
+      service,
+      address: `127.0.0.1:${port}`,
+      zone: availabilityZone,
+      version: 1,
+      slots,
+      state: isLeaving ? 'draining' : 'ready',
+      coldRemainingMs: 0,
+      seq: 1,
+    });
+  }
+
+  /** Removes a target's entry, as the platform does when it has left or is missed. */
+  withdrawTarget(id: string): void {
+    this.state.write([], [`${TARGET_PREFIX}${id}`]);
   }
 
   async #read(request: FastifyRequest, reply: FastifyReply): Promise<unknown> {
--- a/packages/stand-ins/tests/platformStoreStandIn.test.ts
+++ b/packages/stand-ins/tests/platformStoreStandIn.test.ts
@@ -38,9 +38,10 @@
 });
 
 test('a range shows the keys of a prefix', async () => {
-  store.put('servers/b', { slots: 1 });
-  store.put('servers/a', { slots: 1 });
-  store.put('other', {});
+  const target = { service: 's', port: 1, slots: 1, availabilityZone: 'a', isLeaving: false };
+  ['b', 'a', 'gone'].forEach((id) => store.announceTarget({ ...target, id }));
+  store.withdrawTarget('gone');
+  store.configure({ version: 1 });
   const { body } = await call('GET', 'kv-range?pathPrefix=servers/');
   expect(body).toMatchObject({
     items: [{ key: 'servers/a' }, { key: 'servers/b' }],
@@ -54,7 +55,7 @@
   store.put('b', {});
   const revision = store.put('a', {});
   expect((await watching).body).toMatchObject({ events: [{ key: 'a', revision }], at: revision });
-  store.remove('a');
+  store.state.write([], ['a']);
   const removed = await call('GET', `kv-watch?pathPrefix=a&after=${revision}&waitMs=0`);
   expect(removed.body).toMatchObject({ events: [{ key: 'a', deleted: true }] });
   const quiet = await call('GET', `kv-watch?pathPrefix=c&after=${revision}&waitMs=1`);
--- a/packages/stand-ins/tests/platformTargetStandIn.test.ts
+++ b/packages/stand-ins/tests/platformTargetStandIn.test.ts
@@ -52,7 +52,7 @@
   expect(outcome).toMatchObject({
     kind: 'answered',
     status: 200,
-    headers: { 'request-id': 'r1', 'response-signature': run!.signature },
+    signature: run!.signature,
   });
   expect(run!.end).toMatchObject({ kind: 'answered', body: 'body' in outcome && outcome.body });
 });
@@ -60,7 +60,7 @@
 test('another target is not run', async () => {
   await start(false);
   const { outcome } = await send('/1x5', { 'expected-instance': 'target-2' });
-  expect(outcome).toMatchObject({ status: 421, headers: { 'not-executed': '1' } });
+  expect(outcome).toMatchObject({ kind: 'answered', status: 421, signature: undefined });
   expect(runs).toEqual([]);
 });
 
@@ -69,7 +69,7 @@
   const first = send('/1x100');
   while (runs.length === 0) await send('/1x100').catch(() => undefined);
   const { outcome } = await send('/1x100');
-  expect(outcome).toMatchObject({ status: 503, headers: { 'not-executed': '1' } });
+  expect(outcome).toMatchObject({ kind: 'answered', status: 503, signature: undefined });
   await first;
 });
 
