Drain a gateway also where one of its tasks has failed

Where a task under the supervisor failed too often, run() closed all connections at once: requests under way lost their answers without any signal having come.

Two tests of a whole gateway failed before. 'a gateway whose tasks fail gives the requests under way their answers': connection closed, no answer; 'a gateway that is told to stop before it starts takes no request': requests were answered.

Now run() waits for the signal or the failure, drains in both cases, and only then stops its tasks and ends, with the error where there was one.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
@@ -200,6 +201,8 @@
       startMilliseconds: Math.round(process.uptime() * MILLISECONDS),
       isFirstStart: settings.isFirstStart,
     });
+    if (signal.aborted) return;
+    const stopped = once(signal, 'abort');
     await this.#start();
     logger.info('gateway.started', {
       availabilityZone: settings.availabilityZone,
@@ -207,10 +210,11 @@
     });
     const stopping = new AbortController();
     const supervised = this.#supervisor.run(stopping.signal);
-    const drained = this.#drainAfter(signal).finally(() => stopping.abort());
     try {
-      await Promise.race([supervised, drained]);
+      await Promise.race([supervised, stopped]);
     } finally {
+      // Callers get their answers also where a task of the gateway has failed.
+      await this.#drain.run();
       stopping.abort();
       await supervised.catch(() => undefined);
       await this.#stop();
@@ -284,12 +288,4 @@
     this.#loads.retain(isKnown);
     this.#speeds.retain(isKnown);
   }
-
-  async #drainAfter(signal: AbortSignal): Promise<void> {
-    await new Promise<void>((resolve) => {
-      if (signal.aborted) resolve();
-      signal.addEventListener('abort', () => resolve(), { once: true });
-    });
-    await this.#drain.run();
-  }
 }
