Let final answers get out where a shutdown is behind its time

Where the process had paused past the moment for final answers and for the close, both fell into one turn: every call was told to end and its connection was closed before the answer had been written.

'final answers get out where the process is behind its time' replays it without load, with no time between the two moments: it failed before (no answer instead of 502). Now the time for the answers counts from the moment at which they were asked for.

--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -92,7 +92,11 @@
     const stoppedAccepting = performance.now();
     await this.#waitUntil(lastAnswersMilliseconds, () => this.#isQuiet(stoppedAccepting));
     this.#endCalls(report);
-    const closeMilliseconds = graceMilliseconds - exitReserveMilliseconds;
+    if (this.#openRequests === 0) return;
+    // From now on, not from the signal: the answers need their time also after a pause of the process.
+    const answersMilliseconds = answerReserveMilliseconds - exitReserveMilliseconds;
+    const closeMilliseconds = this.#sinceStopMilliseconds + answersMilliseconds;
+    await delay(CHECK_MILLISECONDS);
     await this.#waitUntil(closeMilliseconds, () => this.#openRequests === 0);
   }
 
