Keep a grace period that is shorter than the balancer's lag

A drain waited for the balancer's lag of 2.5 s whatever the grace period was, so that with a shorter one the platform would end the process with its requests unanswered. The test 'a grace period that is shorter than the lag of the balancer is kept' failed before: still waiting after 5 s.

--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -45,7 +45,7 @@
   /** Decides on a request that arrives now, by the longest time until its answer. */
   admit(remainingMilliseconds: number): DrainAdmission {
     const nowMilliseconds = performance.now();
-    return admitDuringDrain(this.#state, this.#parts.times(), {
+    return admitDuringDrain(this.#state, this.#times, {
       nowMilliseconds,
       remainingMilliseconds,
     });
@@ -59,14 +59,16 @@
 
   /** Fails readiness, outlasts the balancer's lag, waits for requests under way, and closes. */
   async run(): Promise<void> {
-    const { calls, logger, metrics, times } = this.#parts;
+    const { calls, logger, metrics } = this.#parts;
     const connections = (): number => this.#ingress?.connectionCount ?? 0;
-    const { graceMilliseconds } = times();
-    const report = new DrainReport({ calls, connections, logger, metrics }, graceMilliseconds);
+    const report = new DrainReport(
+      { calls, connections, logger, metrics },
+      this.#times.graceMilliseconds,
+    );
     const sinceMilliseconds = performance.now();
     this.#state = { kind: 'draining', sinceMilliseconds };
     const progress = setInterval(
-      () => report.progress(times().graceMilliseconds),
+      () => report.progress(this.#times.graceMilliseconds),
       PROGRESS_MILLISECONDS,
     );
     await this.#finishCalls(report);
@@ -83,10 +85,10 @@
    * ones only where it has no better instance, as when all restart at once.
    */
   async #finishCalls(report: DrainReport): Promise<void> {
-    const { times } = this.#parts;
-    await delay(times().readinessLagMilliseconds);
-    const { graceMilliseconds, answerReserveMilliseconds, exitReserveMilliseconds } = times();
-    const lastAnswersMilliseconds = graceMilliseconds - answerReserveMilliseconds;
+    const { readinessLagMilliseconds } = this.#times;
+    await delay(Math.min(readinessLagMilliseconds, this.#lastAnswersMilliseconds));
+    const { answerReserveMilliseconds, exitReserveMilliseconds } = this.#times;
+    const lastAnswersMilliseconds = this.#lastAnswersMilliseconds;
     await this.#waitUntil(lastAnswersMilliseconds, () => this.#openRequests === 0);
     this.#ingress?.stopAccepting();
     const stoppedAccepting = performance.now();
@@ -116,6 +118,16 @@
     return performance.now() - stoppedAcceptingMilliseconds >= FIRST_REQUEST_MILLISECONDS;
   }
 
+  get #times(): DrainTimes {
+    return this.#parts.times();
+  }
+
+  /** When calls under way get their last answers, from the stop signal on. */
+  get #lastAnswersMilliseconds(): number {
+    const { graceMilliseconds, answerReserveMilliseconds } = this.#times;
+    return Math.max(0, graceMilliseconds - answerReserveMilliseconds);
+  }
+
   get #ingress(): IngressServer | undefined {
     return this.#parts.ingress();
   }
--- a/packages/gateway/tests/shutdown/gatewayDrain.test.ts
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -200,6 +200,19 @@
   expect(await sent).toMatchObject({ kind: 'answered', status: 502 });
 });
 
+test('a grace period that is shorter than the lag of the balancer is kept', async () => {
+  const target = new HoldingTarget();
+  const instance = await startInstance({
+    target: target.handle,
+    times: { graceMilliseconds: 800, readinessLagMilliseconds: 60_000 },
+    route: { execution: { kind: 'at-most-once' } },
+  });
+  const sent = connectCaller(instance).send({ id: 'held' });
+  await target.held();
+  await instance.shutDown();
+  expect(await sent).toMatchObject({ kind: 'answered', status: 502 });
+});
+
 test('a request that waits for its rate at the end is refused as not run', async () => {
   const waiting = new Deferred();
   const instance = await startInstance({
