--- a/packages/cli/src/explain/causeOf.ts
+++ b/packages/cli/src/explain/causeOf.ts
@@ -18,8 +18,19 @@
   'timed-out': "the route's time or the caller's deadline was over",
 };
 
+const SHUTTING_DOWN = 'shutting down';
+
 const textOf = (line: LogLine, field: string): string => String(line[field] ?? '');
 
+const causeOfRefusal = (line: LogLine): string => {
+  const refusal = textOf(line, 'refusal');
+  const reason = textOf(line, 'reason');
+  if (reason !== SHUTTING_DOWN) return REFUSAL_CAUSES[refusal] ?? reason;
+  return refusal === 'outcome-unknown'
+    ? 'the instance shut down before the target had answered'
+    : 'the instance shut down, and the request might not have ended in time';
+};
+
 /** Says in one sentence what a line did to a request; undefined where it decided nothing. */
 export const causeOf = (line: LogLine): string | undefined => {
   switch (line.message) {
@@ -36,7 +47,9 @@
     case 'call.given-up':
       return `given up: ${textOf(line, 'reason')}`;
     case 'call.refused':
-      return REFUSAL_CAUSES[textOf(line, 'refusal')] ?? textOf(line, 'reason');
+      return causeOfRefusal(line);
+    case 'call.cut-off':
+      return `cut off by a shutdown ${textOf(line, 'sinceStopMilliseconds')} ms after its signal, at an age of ${textOf(line, 'ageMilliseconds')} ms`;
     case 'call.served':
       return `served by target ${textOf(line, 'target')} in ${textOf(line, 'endedAtMilliseconds')} ms`;
     default:
--- a/packages/cli/tests/explainCommand.test.ts
+++ b/packages/cli/tests/explainCommand.test.ts
@@ -31,6 +31,17 @@
   }),
   line(7, 'call.given-up', { request: 'request-3', reason: 'silent' }),
   line(7, 'call.refused', { request: 'request-3', refusal: 'outcome-unknown' }),
+  line(6, 'call.refused', {
+    request: 'request-5',
+    refusal: 'outcome-unknown',
+    reason: 'shutting down',
+  }),
+  line(6, 'call.cut-off', {
+    request: 'request-4',
+    hasAnswerBegun: true,
+    ageMilliseconds: 5_100,
+    sinceStopMilliseconds: 7_000,
+  }),
   '{"time":"2023-11-14T22:13:25.000Z","message":"call.ser',
 ];
 
@@ -59,6 +70,13 @@
   expect(stdout).toContain('given up: silent');
 });
 
+test('a request that a shutdown ended is told apart from a failed target', async () => {
+  const refused = await runTestCli(['explain', 'request-5', file]);
+  expect(refused.stdout).toContain('the instance shut down before the target had answered');
+  const cutOff = await runTestCli(['explain', 'request-4', file]);
+  expect(cutOff.stdout).toContain('cut off by a shutdown 7000 ms after its signal');
+});
+
 test('beliefs are the latest of the instance itself', async () => {
   const { stdout } = await runTestCli(['explain', 'request-1', file]);
   expect(stdout).toContain('version=8');
