End a program that is stopped while it starts, before it serves

Seen: limpetnotchd that is stopped while its store is silent does not end at all; entry and stand-in served first and drained then.

Cause: nothing looked at the signal between the parts of a start; the children of a supervisor were started one after the other, each waiting for its store. Supervisor.startChildren ends the start when the signal aborts, and the usual stop then ends what was begun. The entry ends before it builds its gateway. The stand-ins let the event loop receive what came while their modules were loaded.

Open: an entry that is stopped within Gateway.run before its servers listen still opens them and drains for its usual time.

--- a/packages/integration/src/fleet/localFleet.ts
+++ b/packages/integration/src/fleet/localFleet.ts
@@ -160,8 +160,9 @@
     const tracing = startTracing({ exporter: this.spans });
     const store = createEtcdStore({ endpoints: settings.store });
     const instance = new Instance({ settings, store, logger, metrics, tracing });
-    await instance.start();
-    const stop = LocalFleet.#stopOnce(instance, store, tracing, logger);
+    const shutdown = new AbortController();
+    await instance.start(shutdown.signal);
+    const stop = LocalFleet.#stopOnce(instance, store, tracing, logger, shutdown);
     const address = `http://127.0.0.1:${settings.entryPort}`;
     this.instances.push({ name, address, metrics, lines, stop });
   }
@@ -172,8 +173,8 @@
     store: KeyValueStore,
     tracing: Tracing,
     logger: Logger,
+    shutdown: AbortController,
   ): () => Promise<void> {
-    const shutdown = new AbortController();
     const running = instance
       .run(shutdown.signal)
       .catch((error: unknown) => logger.error('instance.failed', { reason: String(error) }))
--- a/packages/partitions/src/partitionManager.ts
+++ b/packages/partitions/src/partitionManager.ts
@@ -185,7 +185,7 @@
   async run({ signal, ready }: ChildContext): Promise<void> {
     const { logger, metrics } = this.#options;
     const supervisor = new Supervisor({ name: 'partitions', logger, metrics });
-    for (const child of this.#children()) await supervisor.startChild(child);
+    await supervisor.startChildren(this.#children(), signal);
     ready();
     try {
       await supervisor.run(signal);
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -151,9 +151,10 @@
     this.#follower.onChange((next) => this.#applyConfiguration(next));
   }
 
-  /** Starts all parts in order; resolves when the instance serves. */
-  async start(): Promise<void> {
-    for (const child of this.#children()) await this.#supervisor.startChild(child);
+  /** Starts all parts in order; resolves when the instance serves, or when the signal aborts. */
+  async start(signal: AbortSignal): Promise<void> {
+    await this.#supervisor.startChildren(this.#children(), signal);
+    if (signal.aborted) return;
     this.#readiness.markStarted();
     this.#options.logger.info('instance.started', {
       entryPort: this.#options.settings.entryPort,
--- a/packages/server/src/runInstance.ts
+++ b/packages/server/src/runInstance.ts
@@ -33,7 +33,7 @@
   const store = createEtcdStore({ endpoints: settings.store, metrics });
   try {
     const instance = new Instance({ settings, store, logger, metrics, tracing });
-    await instance.start();
+    await instance.start(signals.stopping);
     signals.markServing();
     await instance.run(signals.stopping);
     return 0;
--- a/packages/stand-ins/src/commands/standInCommand.ts
+++ b/packages/stand-ins/src/commands/standInCommand.ts
@@ -32,6 +32,8 @@
 
   async execute(): Promise<void> {
     const { signals } = this.context;
+    await signals.receiveWaiting();
+    if (signals.stopping.aborted) return;
     const standIn = this.create();
     const port = await standIn.start(parsePort('--port', this.port));
     const controlPort = await standIn.server.startControl(
--- a/packages/supervision/src/processSignals.ts
+++ b/packages/supervision/src/processSignals.ts
@@ -54,6 +54,13 @@
     return this.#state;
   }
 
+  /** Resolves when signals that came while the process was busy are received. */
+  receiveWaiting(): Promise<void> {
+    return new Promise((resolve) => {
+      setImmediate(resolve);
+    });
+  }
+
   /** Tells that the process serves; settings that changed while it started are read anew. */
   markServing(reload?: Reload): void {
     if (this.#state !== 'starting') return;
--- a/packages/supervision/src/supervisor.ts
+++ b/packages/supervision/src/supervisor.ts
@@ -2,6 +2,7 @@
 import type { ChildContext, ChildSpecification } from './childSpecification';
 import { Deferred } from './deferred';
 import { delay } from './delay';
+import { untilAborted } from './untilAborted';
 
 const DEFAULT_MAXIMUM_RESTARTS = 8;
 const DEFAULT_WINDOW_MILLISECONDS = 30_000;
@@ -52,6 +53,18 @@
     await Promise.race([ready.promise, finished, this.#failed.promise]);
   }
 
+  /** Starts children in order, each when the one before is ready, until the signal aborts. */
+  async startChildren(
+    specifications: readonly ChildSpecification[],
+    signal: AbortSignal,
+  ): Promise<void> {
+    const aborted = untilAborted(signal);
+    for (const specification of specifications) {
+      if (signal.aborted) return;
+      await Promise.race([this.startChild(specification), aborted]);
+    }
+  }
+
   /** Stops one child and forgets it; does nothing if there is none of that name. */
   async stopChild(name: string): Promise<void> {
     const index = this.#children.findIndex((child) => child.specification.name === name);
--- a/packages/supervision/tests/supervisor.test.ts
+++ b/packages/supervision/tests/supervisor.test.ts
@@ -1,5 +1,5 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
-import { Supervisor } from '../src';
+import { Supervisor, untilAborted } from '../src';
 import type { ChildSpecification } from '../src';
 
 const supervisorWith = (maximumRestarts: number): Supervisor =>
@@ -68,3 +68,22 @@
   await jest.advanceTimersByTimeAsync(10_000);
   await failure;
 });
+
+test('children are started until the signal aborts', async () => {
+  const stopping = new AbortController();
+  const started: string[] = [];
+  const child = (name: string): ChildSpecification => ({
+    name,
+    restart: 'never',
+    run: async ({ signal }) => {
+      started.push(name);
+      await untilAborted(signal);
+    },
+  });
+  const supervisor = supervisorWith(3);
+  const starting = supervisor.startChildren([child('first'), child('second')], stopping.signal);
+  stopping.abort();
+  await starting;
+  await supervisor.run(stopping.signal);
+  expect(started).toEqual(['first']);
+});
