Read the settings once at a time

Seen: with two SIGHUPs close together two reads of the settings file are under way at once, and the older content may be applied last and stay in force until the next check that finds a change.

Cause: each signal and each check by the timer began a read of its own.

A reload is now a state of the process: hangups during it cause exactly one more after it (the file is read after that, so it has their change), a stop drops that one.

Unit tests of every (state, signal) cover the new state.

Ruled out: dropping hangups during a reload, whose read may have begun before the change.

--- a/packages/supervision/src/processSignals.ts
+++ b/packages/supervision/src/processSignals.ts
@@ -66,7 +66,7 @@
     if (this.#state !== 'starting') return;
     this.#state = 'serving';
     this.#reload = reload;
-    if (this.#isReloadWanted) void this.#reload?.();
+    if (this.#isReloadWanted) void this.#runReloads();
   }
 
   /** Tells that the work of the process is over. */
@@ -88,9 +88,10 @@
         this.#stopping.abort();
         return;
       case 'reload':
-        void this.#reload?.();
+        void this.#runReloads();
         return;
       case 'reload-after-start':
+      case 'reload-again':
         this.#isReloadWanted = true;
         return;
       case 'none':
@@ -99,4 +100,14 @@
         effect satisfies never;
     }
   }
+
+  /** One read at a time, so that an older file is never applied after a newer one. */
+  async #runReloads(): Promise<void> {
+    this.#state = 'reloading';
+    do {
+      this.#isReloadWanted = false;
+      await this.#reload?.();
+    } while (this.#isReloadWanted && !this.stopping.aborted);
+    if (this.state === 'reloading') this.#state = 'serving';
+  }
 }
--- a/packages/supervision/src/signalEffect.ts
+++ b/packages/supervision/src/signalEffect.ts
@@ -2,7 +2,7 @@
  * State of a long-running process; `ended`: its work is over, and it closes what it holds before it
  * exits.
  */
-export type ProcessState = 'starting' | 'serving' | 'draining' | 'ended';
+export type ProcessState = 'starting' | 'serving' | 'reloading' | 'draining' | 'ended';
 
 /** What a signal means to a program. */
 export type SignalMeaning = 'stop' | 'reload' | 'none';
@@ -13,6 +13,8 @@
   | { readonly kind: 'reload' }
   /** The settings are read anew once the process serves. */
   | { readonly kind: 'reload-after-start' }
+  /** The settings are read once more after the read that is under way. */
+  | { readonly kind: 'reload-again' }
   | { readonly kind: 'none' };
 
 const reloadEffect = (state: ProcessState): SignalEffect => {
@@ -21,6 +23,8 @@
       return { kind: 'reload-after-start' };
     case 'serving':
       return { kind: 'reload' };
+    case 'reloading':
+      return { kind: 'reload-again' };
     case 'draining':
     case 'ended':
       return { kind: 'none' };
@@ -33,6 +37,7 @@
   switch (state) {
     case 'starting':
     case 'serving':
+    case 'reloading':
       return { kind: 'stop' };
     case 'draining':
     case 'ended':
--- a/packages/supervision/tests/processSignals.test.ts
+++ b/packages/supervision/tests/processSignals.test.ts
@@ -1,10 +1,11 @@
 import { EventEmitter } from 'node:events';
 import type { LogFields } from '@limpetnotch/observability';
 import { silentLogger } from '@limpetnotch/observability';
+import { Deferred } from '../src/deferred';
 import { ProcessSignals } from '../src/processSignals';
 import type { ProcessState } from '../src/signalEffect';
 
-const STATES = ['starting', 'serving', 'draining', 'ended'] as const;
+const STATES = ['starting', 'serving', 'reloading', 'draining', 'ended'] as const;
 
 const SIGNALS = ['SIGTERM', 'SIGINT', 'SIGHUP'] as const;
 
@@ -13,10 +14,12 @@
 let events: EventEmitter;
 let signals: ProcessSignals;
 let reloads: number;
+let reloading: Deferred;
 let received: (LogFields | undefined)[];
 
-const reload = async (): Promise<void> => {
+const reload = (): Promise<void> => {
   reloads += 1;
+  return reloading.promise;
 };
 
 const turn = (): Promise<void> => new Promise(setImmediate);
@@ -25,6 +28,7 @@
   events = new EventEmitter();
   signals = ProcessSignals.install({ events, isReloadable: true });
   reloads = 0;
+  reloading = new Deferred();
   received = [];
   signals.report.writeTo({
     logger: { ...silentLogger, info: (_message, fields) => received.push(fields) },
@@ -33,6 +37,7 @@
 
 const reach = (state: ProcessState): void => {
   if (state !== 'starting') signals.markServing(reload);
+  if (state === 'reloading') events.emit('SIGHUP');
   if (state === 'draining' || state === 'ended') events.emit('SIGTERM');
   if (state === 'ended') signals.markEnded();
   expect(signals.state).toBe(state);
@@ -54,6 +59,28 @@
   expect(received.at(-1)).toMatchObject({ signal, count: 2 });
 });
 
+test('hangups during a reload cause one more after it', async () => {
+  reach('reloading');
+  events.emit('SIGHUP');
+  events.emit('SIGHUP');
+  await turn();
+  expect(reloads).toBe(1);
+  reloading.resolve(undefined);
+  await turn();
+  expect(reloads).toBe(2);
+  expect(signals.state).toBe('serving');
+});
+
+test('a stop during a reload drops the one that would follow', async () => {
+  reach('reloading');
+  events.emit('SIGHUP');
+  events.emit('SIGTERM');
+  reloading.resolve(undefined);
+  await turn();
+  expect(reloads).toBe(1);
+  expect(signals.state).toBe('draining');
+});
+
 test('a hangup before the process serves is met once it does', async () => {
   events.emit('SIGHUP');
   events.emit('SIGHUP');
