Show by tests that a crash is logged with the end of the process

An uncaught exception and an unhandled rejection, caused in the entry and in limpetnotchd by a preloaded script, must leave process.crashed and process.exiting in the log, through its buffer, and exit code 1.

--- a/packages/integration/tests/signals/stagedProgram.ts
+++ b/packages/integration/tests/signals/stagedProgram.ts
@@ -59,6 +59,9 @@
   return true;
 };
 
+/** Variables added to the environment of a process. */
+type Environment = Readonly<Record<string, string>>;
+
 /** A program as a process that can be brought to a state and held there. */
 export class StagedProgram {
   readonly #program: ProgramName;
@@ -77,16 +80,28 @@
 
   #pipe: { readonly pipe: NamedPipe; readonly content: string } | undefined;
 
-  private constructor(program: ProgramName, target: string, folder: string) {
+  readonly #environment: Environment;
+
+  private constructor(
+    program: ProgramName,
+    target: string,
+    folder: string,
+    environment: Environment,
+  ) {
     this.#program = program;
     this.#target = target;
     this.#folder = folder;
+    this.#environment = environment;
   }
 
   /** `target` is the folder of the bundled programs. */
-  static async create(program: ProgramName, target: string): Promise<StagedProgram> {
+  static async create(
+    program: ProgramName,
+    target: string,
+    environment: Environment = {},
+  ): Promise<StagedProgram> {
     const folder = await mkdtemp(join(tmpdir(), 'signals-'));
-    return new StagedProgram(program, target, folder);
+    return new StagedProgram(program, target, folder, environment);
   }
 
   get process(): ManagedProcess {
@@ -264,23 +279,19 @@
     return script;
   }
 
-  async #heldLoading(state: ProgramState): Promise<Readonly<Record<string, string>>> {
+  async #heldLoading(state: ProgramState): Promise<Environment> {
     if (state !== 'loading') return {};
     const path = join(this.#folder, 'loading');
     this.#pipe = { pipe: await NamedPipe.create(path), content: '' };
     return { NODE_OPTIONS: `--require ${HOLD_LOADING}`, HOLD_LOADING: path };
   }
 
-  #run(
-    script: string,
-    words: readonly string[],
-    environment: Readonly<Record<string, string>> = {},
-  ): void {
+  #run(script: string, words: readonly string[], environment: Environment = {}): void {
     this.#process = new ManagedProcess({
       name: this.#program,
       script,
       arguments: words,
-      environment,
+      environment: { ...this.#environment, ...environment },
     });
   }
 
