Let a stream that has begun wait for its silent target

Callers lost streams around a restart whose target had fallen silent for 0.7 s: a stream that may not be sent again, or whose one repeat was silent too, was cut off at once, although its target may go on. Silence of a target is no reason to end an answer, and the caller gains nothing by the cut that it could not do itself.

Now an attempt gives a silent target up only where the request goes on by it: at another target, over a new connection, or by its caller, who has no answer yet. The test 'a stream whose target stays silent is cut off before its deadline' held the instance to the opposite; in its place one requires that the stream stays open until its deadline, two that a late event is delivered.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -38,8 +38,10 @@
   readonly target: FleetTarget;
   readonly connection: AttemptConnection;
   readonly priority: number | undefined;
-  /** Silence of the target, on all connections, after which the attempt is given up. */
+  /** Silence of the target, on all connections, after which the attempt may be given up. */
   readonly silenceMilliseconds: number;
+  /** Whether giving a silent target up now leaves the caller better off than waiting on. */
+  readonly mayGiveUpSilent: () => boolean;
 }
 
 const isSuccess = ({ status }: AnswerHead): boolean => status >= 200 && status < 300;
@@ -135,11 +137,12 @@
   }
 
   #isSilent(): boolean {
-    const { target, silenceMilliseconds } = this.#options;
+    const { target, silenceMilliseconds, mayGiveUpSilent } = this.#options;
     const ownSilence = performance.now() - this.#lastProgressMilliseconds;
     return (
       ownSilence > silenceMilliseconds &&
-      this.#parts.loads.silenceMilliseconds(target.id) > silenceMilliseconds
+      this.#parts.loads.silenceMilliseconds(target.id) > silenceMilliseconds &&
+      mayGiveUpSilent()
     );
   }
 
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -9,7 +9,7 @@
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import { decideDispatch } from './redispatch';
-import type { GiveUpReason } from './redispatch';
+import type { DispatchSituation, GiveUpReason } from './redispatch';
 import type { Refusal } from './refusal';
 import { SHUTTING_DOWN } from './shuttingDown';
 
@@ -120,7 +120,7 @@
       if (over) return over;
       if (last) this.#logRedispatch(call, last, dispatch, target);
       if (connection.kind === 'own') repeats += 1;
-      last = await this.#attempt(call, target, connection);
+      last = await this.#attempt(call, target, connection, repeats);
       const result = this.#conclude(call, target, last);
       if (result) return result;
     }
@@ -139,6 +139,7 @@
     call: Call,
     target: FleetTarget,
     connection: AttemptConnection,
+    repeats: number,
   ): Promise<AttemptOutcome> {
     const attempt = new Attempt(this.#parts, {
       call,
@@ -148,6 +149,7 @@
       // A plain service that answers nobody may just be at work; an engine makes a step in milliseconds.
       silenceMilliseconds:
         call.route.execution.kind === 'event-stream' ? SILENCE_MILLISECONDS : Infinity,
+      mayGiveUpSilent: () => this.#mayGiveUpSilent(call, target, repeats),
     });
     const beganMilliseconds = performance.now();
     const eventsBefore = call.events;
@@ -235,18 +237,42 @@
     }
   }
 
-  #choose(call: Call, repeats: number): TargetChoice {
-    const { formerTargets, silences, passedOverIds } = call.history;
+  /**
+   * A target that is silent may go on later. It is given up where the request goes on elsewhere or
+   * over another connection, or where a caller that has no answer yet can send a new request.
+   */
+  #mayGiveUpSilent(call: Call, target: FleetTarget, repeats: number): boolean {
+    if (!call.isRepeatable) return false;
+    if (!call.response.headersSent) return true;
+    if (call.history.runs + 1 >= MAXIMUM_RUNS) return false;
+    const { history } = call;
+    const others = history.formerTargets.filter((former) => former.target.id !== target.id);
+    const situation = this.#situationOf(call, repeats);
     const decision = decideDispatch({
+      ...situation,
+      formerTargets: [...others, { target, state: { kind: 'silent' } }],
+      silences: situation.silences + 1,
+    });
+    return decision.kind !== 'give-up';
+  }
+
+  #situationOf(call: Call, repeats: number): DispatchSituation {
+    const { formerTargets, silences, passedOverIds } = call.history;
+    const { targets } = this.#parts.fleet;
+    return {
       maximumTargets: call.route.maximumTargets,
       remainingMilliseconds: call.remainingMilliseconds,
       formerTargets,
       silences,
       repeats,
-      serving: this.#parts.fleet.targets.serving(call.service.name),
+      serving: targets.serving(call.service.name),
       passedOverIds,
-      mayRepeat: (targetId) => this.#parts.fleet.targets.mayRepeat(targetId),
-    });
+      mayRepeat: (targetId) => targets.mayRepeat(targetId),
+    };
+  }
+
+  #choose(call: Call, repeats: number): TargetChoice {
+    const decision = decideDispatch(this.#situationOf(call, repeats));
     switch (decision.kind) {
       case 'dispatch':
         return this.#place(call, decision.candidates);
--- a/packages/gateway/tests/calls/targetBound.test.ts
+++ b/packages/gateway/tests/calls/targetBound.test.ts
@@ -17,6 +17,9 @@
 /** Well under the deadline of a call, and over twice the silence after which a target is lost. */
 const EARLY_MILLISECONDS = 3_000;
 
+/** Over twice the silence after which a target may be given up. */
+const LONG_SILENCE_MILLISECONDS = 1_600;
+
 /** Connections of which those of the second dispatch and later ones can't be opened. */
 class UnreachableConnections extends TargetConnections {
   #dispatches = 0;
@@ -130,17 +133,42 @@
   expect([new Set(asked).size, excess()]).toEqual([1, 0]);
 });
 
-test('a stream whose target stays silent is cut off before its deadline', async () => {
+test('a stream that has begun waits for its silent target until its deadline', async () => {
   const asked = await addTargets(3, [oneEventThenSilent, stayingSilent]);
   const { body, isWhole, milliseconds } = await harness.run({
     execution: STREAM,
     maximumTargets: 1,
+    timeoutMilliseconds: EARLY_MILLISECONDS,
   });
   expect([body, isWhole]).toEqual(['id: 1\ndata: 1\n\n', false]);
-  expect(milliseconds).toBeLessThan(EARLY_MILLISECONDS);
+  expect(milliseconds).toBeGreaterThan(EARLY_MILLISECONDS - 100);
+  expect([new Set(asked).size, excess()]).toEqual([1, 0]);
+});
+
+test('a stream that has begun goes on after a long silence at the repeat', async () => {
+  const servingLate: Step = (context) => {
+    setTimeout(() => serve(context), LONG_SILENCE_MILLISECONDS);
+  };
+  const asked = await addTargets(3, [oneEventThenSilent, servingLate]);
+  const { body, isWhole } = await harness.run({ execution: STREAM, maximumTargets: 1 });
+  expect([body, isWhole]).toEqual(['id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n', true]);
   expect([new Set(asked).size, excess()]).toEqual([1, 0]);
 });
 
+test('a stream that may not be sent again waits for its silent target', async () => {
+  const oneEventThenLate: Step = (context) => {
+    oneEventThenSilent(context);
+    setTimeout(() => context.response.end('id: 2\ndata: 2\n\n'), LONG_SILENCE_MILLISECONDS);
+  };
+  const asked = await addTargets(2, [oneEventThenLate]);
+  const { body, isWhole } = await harness.run({
+    execution: { ...STREAM, isResumable: false },
+    maximumTargets: 1,
+  });
+  expect([body, isWhole]).toEqual(['id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n', true]);
+  expect([asked.length, excess()]).toEqual([1, 0]);
+});
+
 test('two targets that fall silent are all that a bound of two allows', async () => {
   const asked: string[] = [];
   for (const id of ['t0', 't1', 't2']) await harness.addTarget(id, () => asked.push(id));
