--- a/packages/integration/src/signal-soak/regressionSeries.ts
+++ b/packages/integration/src/signal-soak/regressionSeries.ts
@@ -115,4 +115,12 @@
       ...signals(1, [2_600, 'SIGTERM']),
     ],
   },
+  {
+    name: 'paused instance',
+    cause: 'after a pause, the answer that waited in the socket was taken for a silent target',
+    seed: 1,
+    seconds: 6,
+    routes: ['stream', 'turn'],
+    faults: signals(0, [2_000, 'SIGSTOP'], [3_400, 'SIGCONT']),
+  },
 ];
