Don't take an instance's own pause for the silence of a target

After a pause of its process (SIGSTOP, a freeze, a stalled event loop) an instance gave targets up as silent that had answered meanwhile: its timers run before the bytes that wait are read. The request went on at a second target of one allowed.

The new test failed before: 2 runs and status 502 instead of 1 and 200.

Now a check of the silence that comes late counts as a pause, and the silence is counted from its end.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -17,6 +17,9 @@
 /** How often the silence of a target is checked. */
 const SILENCE_CHECK_MILLISECONDS = 100;
 
+/** Time between two checks from which on the process itself stood still: two checks were missed. */
+const PAUSE_MILLISECONDS = 3 * SILENCE_CHECK_MILLISECONDS;
+
 /** What an attempt needs of the instance. */
 export interface AttemptParts {
   readonly codec: WireCodec;
@@ -57,6 +60,8 @@
 
   #lastProgressMilliseconds = performance.now();
 
+  #lastCheckMilliseconds = performance.now();
+
   constructor(parts: AttemptParts, options: AttemptOptions) {
     this.#parts = parts;
     this.#options = options;
@@ -125,9 +130,7 @@
       () => abort({ kind: 'timed-out', wasSent: exchange.wasSent }),
       Math.max(0, call.remainingMilliseconds),
     );
-    const silence = setInterval(() => {
-      if (this.#isSilent()) abort({ kind: 'stalled', detail: 'no byte from the target' });
-    }, SILENCE_CHECK_MILLISECONDS);
+    const silence = setInterval(() => this.#checkSilence(abort), SILENCE_CHECK_MILLISECONDS);
     return () => {
       call.response.removeListener('close', onClose);
       call.ending?.removeEventListener('abort', onEnding);
@@ -136,6 +139,15 @@
     };
   }
 
+  /** Bytes that came while the process stood still are read after this check. */
+  #checkSilence(abort: (outcome: AttemptOutcome) => void): void {
+    const nowMilliseconds = performance.now();
+    const wasPaused = nowMilliseconds - this.#lastCheckMilliseconds > PAUSE_MILLISECONDS;
+    this.#lastCheckMilliseconds = nowMilliseconds;
+    if (wasPaused) this.#lastProgressMilliseconds = nowMilliseconds;
+    if (this.#isSilent()) abort({ kind: 'stalled', detail: 'no byte from the target' });
+  }
+
   #isSilent(): boolean {
     const { target, silenceMilliseconds, mayGiveUpSilent } = this.#options;
     const ownSilence = performance.now() - this.#lastProgressMilliseconds;
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -152,3 +152,16 @@
   await run({ kind: 'idempotent' }, [handle, handle, handle]);
   expect(harness.metrics.counter('call.target-bound-exceeded')).toBe(0);
 });
+
+test('a target that answered while the instance stood still is not silent', async () => {
+  let runs = 0;
+  const handle: RequestListener = (_request, response) => {
+    runs += 1;
+    response.writeHead(200, SIGNED);
+    response.end('id: 1\ndata: a\n\n');
+    const until = performance.now() + 1_500;
+    while (performance.now() < until);
+  };
+  const { status, body } = await run(STREAM, [handle, handle]);
+  expect([status, body, runs]).toEqual([200, 'id: 1\ndata: a\n\n', 1]);
+});
