End the pause before a repeat when the last answers are due

A request that waited 250 ms for a full target while its instance drained got no answer: the pause went on past the moment at which calls get their last answers, and the connection closed. The pause now ends with the call.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -115,7 +115,7 @@
         return this.#overOf(call, last) ?? this.#giveUp(call, last, this.#noTarget(call, choice));
       }
       const { target, connection, pauseMilliseconds } = choice;
-      if (pauseMilliseconds > 0) await delay(pauseMilliseconds);
+      if (pauseMilliseconds > 0) await delay(pauseMilliseconds, call.ending);
       const over = this.#overOf(call, last);
       if (over) return over;
       if (last) this.#logRedispatch(call, last, dispatch, target);
--- a/packages/gateway/tests/shutdown/gatewayDrain.test.ts
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -296,3 +296,27 @@
       .match(/HTTP\/1.1 200/g),
   ).toHaveLength(2);
 });
+
+test('a request in its pause before a repeat gets its last answer', async () => {
+  let asked = 0;
+  let stoppedAtMilliseconds = Infinity;
+  const breakWhenDue = (response: ServerResponse): void => {
+    // The pause then lasts beyond the time between the last answers and the close.
+    if (performance.now() - stoppedAtMilliseconds > 970) response.socket?.destroy();
+    else setTimeout(() => breakWhenDue(response), 5);
+  };
+  const instance = await startInstance({
+    target: (_request, response) => {
+      asked += 1;
+      if (asked === 1) breakWhenDue(response);
+      else response.writeHead(503, { 'x-not-run': '1' }).end();
+    },
+    times: { graceMilliseconds: 1_400 },
+    route: { execution: { kind: 'idempotent' }, maximumTargets: 1 },
+  });
+  const sent = connectCaller(instance).send({ id: 'r' });
+  while (!instance.reached.has('r')) await delay(5);
+  stoppedAtMilliseconds = performance.now();
+  await instance.shutDown();
+  expect(await sent).toMatchObject({ kind: 'answered', status: 502 });
+});
