Keep the place of a target that only refuses new connections

A target that closes its listener first and then finishes its work refused the repeat of a request, counted as ended for that and gave its place under the bound away: the request ran at 2 of 1 targets at once, and callers got 200 from the second one.

A refusal now counts as an end only where the target's own exchange of the request broke off last, as a process that is gone takes its connections with it, and where the target has not announced that it leaves, at a dispatch or since. One that fell silent, was full, was unreachable or is leaving keeps its place; its request ends with 502 and the reason `unreachable`. The directory remembers an announced leave for two seconds, longer than any repeat after it takes.

The test of a target that refuses after it broke off states the same as before and has that in its name now.

An exchange that this instance gives up because of what came on it (answer to another request, no signature) still counts as broken off.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,5 +1,6 @@
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { Exchange, OpenAnswer } from '../targets/exchange';
+import type { FleetState } from '../fleet/fleetState';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetConnections } from '../targets/targetConnections';
 import type { TargetLoads } from '../targets/targetLoads';
@@ -22,6 +23,7 @@
 
 /** What an attempt needs of the instance. */
 export interface AttemptParts {
+  readonly fleet: FleetState;
   readonly codec: WireCodec;
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
@@ -75,7 +77,8 @@
     const stopWatching = this.#watch(exchange);
     try {
       const outcome = await this.#outcomeOf(exchange);
-      call.history.record(target, outcome, exchange.wasSent);
+      const announced = this.#parts.fleet.targets.asAnnounced(target);
+      call.history.record(announced, outcome, exchange.wasSent);
       return outcome;
     } finally {
       stopWatching();
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -2,7 +2,6 @@
 import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
-import type { FleetState } from '../fleet/fleetState';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { AttemptConnection, AttemptParts } from './attempt';
 import { Attempt } from './attempt';
@@ -39,7 +38,6 @@
 
 /** What a runner of calls needs of the instance. */
 export interface CallRunnerParts extends AttemptParts {
-  readonly fleet: FleetState;
   readonly availabilityZone: string;
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -10,7 +10,7 @@
   | { readonly kind: 'reached' }
   /** It took the request and fell silent. */
   | { readonly kind: 'silent' }
-  /** It took the request, and no connection to it could be opened later. */
+  /** It took the request, may be at work still, and no connection to it could be opened later. */
   | { readonly kind: 'unreachable' }
   /** It took the request, and declined it later. */
   | { readonly kind: 'full' }
@@ -22,15 +22,39 @@
   readonly state: FormerTargetState;
 }
 
-const stateAfter = (outcome: AttemptOutcome): FormerTargetState => {
+/**
+ * A process that is gone takes its connections with it and then refuses new ones. One that only
+ * closed its listener, as a leaving target does, refuses them too, and may be at work still.
+ */
+const stateAfterRefusal = (previous: FormerTarget, target: FleetTarget): FormerTargetState => {
+  const isLeaving = previous.target.state === 'leaving' || target.state === 'leaving';
+  switch (previous.state.kind) {
+    case 'ended':
+      return previous.state;
+    case 'reached':
+      return isLeaving
+        ? { kind: 'unreachable' }
+        : { kind: 'ended', evidence: 'connection-refused' };
+    case 'silent':
+    case 'unreachable':
+    case 'full':
+      return { kind: 'unreachable' };
+  }
+};
+
+const stateAfter = (
+  previous: FormerTarget | undefined,
+  target: FleetTarget,
+  outcome: AttemptOutcome,
+): FormerTargetState => {
   switch (outcome.kind) {
     case 'declined':
       return outcome.reason === 'misdirected'
         ? { kind: 'ended', evidence: 'answered-as-another' }
         : { kind: 'full' };
     case 'not-sent':
-      return outcome.isRefused
-        ? { kind: 'ended', evidence: 'connection-refused' }
+      return outcome.isRefused && previous
+        ? stateAfterRefusal(previous, target)
         : { kind: 'unreachable' };
     case 'stalled':
       return { kind: 'silent' };
@@ -83,16 +107,20 @@
     return this.formerTargets.filter(({ state }) => state.kind !== 'ended').length;
   }
 
-  /** Takes the outcome of a dispatch, with whether any of the request may have reached the target. */
+  /**
+   * Takes the outcome of a dispatch to a target, as announced by then, with whether any of the
+   * request may have reached it.
+   */
   record(target: FleetTarget, outcome: AttemptOutcome, wasSent: boolean): void {
     const mayHaveRun = wasSent && outcome.kind !== 'declined';
     if (mayHaveRun) this.#runs.push(target.id);
     if (outcome.kind === 'stalled') this.#silences += 1;
-    if (!mayHaveRun && !this.#formerTargets.has(target.id)) {
+    const previous = this.#formerTargets.get(target.id);
+    if (!mayHaveRun && !previous) {
       this.#passedOverIds.add(target.id);
       return;
     }
     this.#formerTargets.delete(target.id);
-    this.#formerTargets.set(target.id, { target, state: stateAfter(outcome) });
+    this.#formerTargets.set(target.id, { target, state: stateAfter(previous, target, outcome) });
   }
 }
--- a/packages/gateway/src/calls/redispatch.ts
+++ b/packages/gateway/src/calls/redispatch.ts
@@ -89,8 +89,8 @@
 
 /**
  * Decides where a request goes next. Its route bounds the targets that may run it. A target that
- * hangs, resets new connections, is full or leaves keeps its place, as it may be at work still; only
- * one that is known to have ended gives its place away. A request whose places are taken is repeated
+ * hangs, takes no new connections, is full or leaves keeps its place, as it may be at work still;
+ * only one that is known to have ended gives its place away. A request whose places are taken is repeated
  * at those targets a few times and then given up, so that its caller can send a new one at once
  * instead of waiting for the deadline.
  */
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -6,6 +6,18 @@
  */
 const DEPARTURE_MILLISECONDS = 1_000;
 
+/**
+ * A departure is known for as long as requests may be repeated after it, and while the last of
+ * these repeats pauses and connects, which takes under a second.
+ */
+const DEPARTURE_MEMORY_MILLISECONDS = 2 * DEPARTURE_MILLISECONDS;
+
+/** When a target stopped to take new requests, and whether it said so itself. */
+interface Departure {
+  readonly atMilliseconds: number;
+  readonly isAnnounced: boolean;
+}
+
 /**
  * Targets that may get new work. Announcements that lapsed while the store was away come back
  * shortly after its return, so a removal seen then is applied only after a grace period.
@@ -19,8 +31,8 @@
   /** Targets that said at a dispatch that they are gone, until they announce themselves again. */
   readonly #refused = new Set<string>();
 
-  /** Targets that have stopped to take new requests, by the time at which that was learnt. */
-  readonly #departures = new Map<string, number>();
+  /** Targets that have stopped to take new requests. */
+  readonly #departures = new Map<string, Departure>();
 
   #graceUntilMilliseconds = 0;
 
@@ -30,7 +42,7 @@
   put(target: FleetTarget): void {
     this.#lapsed.delete(target.id);
     this.#refused.delete(target.id);
-    if (target.state === 'leaving') this.#noteDeparture(target.id);
+    if (target.state === 'leaving') this.#noteDeparture(target.id, true);
     else this.#departures.delete(target.id);
     this.#targets.set(target.id, target);
     this.#byService.clear();
@@ -80,8 +92,17 @@
   mayRepeat(id: string): boolean {
     this.#expireLapsed();
     if (this.#targets.get(id)?.state === 'serving') return true;
-    const departedAt = this.#departures.get(id) ?? -Infinity;
-    return performance.now() - departedAt < DEPARTURE_MILLISECONDS;
+    const departure = this.#departures.get(id);
+    if (!departure) return false;
+    return performance.now() - departure.atMilliseconds < DEPARTURE_MILLISECONDS;
+  }
+
+  /** Returns a target of a dispatch as leaving if it has announced that since. */
+  asAnnounced(target: FleetTarget): FleetTarget {
+    const isLeaving =
+      this.#targets.get(target.id)?.state === 'leaving' ||
+      this.#departures.get(target.id)?.isAnnounced === true;
+    return isLeaving ? { ...target, state: 'leaving' } : target;
   }
 
   get(id: string): FleetTarget | undefined {
@@ -98,18 +119,18 @@
   #drop(id: string): void {
     this.#lapsed.delete(id);
     this.#refused.delete(id);
-    this.#noteDeparture(id);
+    this.#noteDeparture(id, false);
     this.#targets.delete(id);
     this.#byService.clear();
   }
 
   /** Notes that a target that served until now has stopped to take new requests. */
-  #noteDeparture(id: string): void {
+  #noteDeparture(id: string, isAnnounced: boolean): void {
     if (this.#targets.get(id)?.state !== 'serving') return;
     const now = performance.now();
-    const isOver = ([, at]: readonly [string, number]): boolean =>
-      now - at >= DEPARTURE_MILLISECONDS;
+    const isOver = ([, { atMilliseconds }]: readonly [string, Departure]): boolean =>
+      now - atMilliseconds >= DEPARTURE_MEMORY_MILLISECONDS;
     [...this.#departures].filter(isOver).forEach(([known]) => this.#departures.delete(known));
-    this.#departures.set(id, now);
+    this.#departures.set(id, { atMilliseconds: now, isAnnounced });
   }
 }
--- a/packages/gateway/tests/calls/dispatchHistory.test.ts
+++ b/packages/gateway/tests/calls/dispatchHistory.test.ts
@@ -1,3 +1,4 @@
+import type { AttemptOutcome } from '../../src/calls/attemptOutcome';
 import { DispatchHistory } from '../../src/calls/dispatchHistory';
 import { fleetTarget } from '../support/fleetTarget';
 
@@ -32,6 +33,44 @@
   expect([history.runs, history.openTargets]).toEqual([2, 1]);
 });
 
+const REFUSED: AttemptOutcome = { kind: 'not-sent', detail: '', isRefused: true };
+
+test.each<readonly [string, readonly AttemptOutcome[]]>([
+  ['fell silent', [{ kind: 'stalled', detail: '' }]],
+  [
+    'broke off and was full later',
+    [
+      { kind: 'broken', detail: '' },
+      { kind: 'declined', reason: 'full' },
+    ],
+  ],
+  [
+    'broke off and could not be reached later',
+    [
+      { kind: 'broken', detail: '' },
+      { kind: 'not-sent', detail: '', isRefused: false },
+    ],
+  ],
+])('a target that %s is open though it refuses connections', (_name, outcomes) => {
+  const history = new DispatchHistory();
+  const target = fleetTarget({ id: '1' });
+  outcomes.forEach((outcome) => history.record(target, outcome, outcome.kind !== 'not-sent'));
+  history.record(target, REFUSED, false);
+  history.record(target, REFUSED, false);
+  expect(history.openTargets).toBe(1);
+});
+
+test.each([
+  ['at its dispatch', 'leaving', 'serving'],
+  ['since', 'serving', 'leaving'],
+] as const)('a target that was leaving %s is open though it refuses', (_name, before, after) => {
+  const history = new DispatchHistory();
+  const broken: AttemptOutcome = { kind: 'broken', detail: '' };
+  history.record(fleetTarget({ id: '1', state: before }), broken, true);
+  history.record(fleetTarget({ id: '1', state: after }), REFUSED, false);
+  expect(history.openTargets).toBe(1);
+});
+
 test('targets that may have run a request are open until they are known to have ended', () => {
   const history = new DispatchHistory();
   history.record(fleetTarget({ id: '1' }), { kind: 'stalled', detail: '' }, true);
--- a/packages/gateway/tests/calls/targetBound.test.ts
+++ b/packages/gateway/tests/calls/targetBound.test.ts
@@ -201,12 +201,29 @@
   expect(harness.fleet.targets.serving('s')).toHaveLength(1);
 });
 
-test('a target that refuses connections does not count any more', async () => {
+test('a target that broke off and refuses connections does not count any more', async () => {
   const asked = await addTargets(2, [ending]);
   const { status } = await harness.run({ execution: { kind: 'idempotent' }, maximumTargets: 1 });
   expect([status, new Set(asked).size, excess()]).toEqual([200, 2, 0]);
 });
 
+test('a leaving target that broke off and has closed its listener keeps its place', async () => {
+  const leavingAndClosing: Step = (context) => {
+    harness.announce(context.id, context.target.address, 'leaving');
+    ending(context);
+  };
+  const asked = await addTargets(2, [leavingAndClosing]);
+  const { status } = await harness.run({ execution: { kind: 'idempotent' }, maximumTargets: 1 });
+  expect([status, asked.length, excess()]).toEqual([502, 1, 0]);
+});
+
+test('a silent target that has closed its listener keeps its place', async () => {
+  const closing: Step = ({ target }) => target.server.close();
+  const asked = await addTargets(2, [closing]);
+  const { status } = await harness.run({ execution: STREAM, maximumTargets: 1 });
+  expect([status, asked.length, excess()]).toEqual([502, 1, 0]);
+});
+
 test('a target whose address answers as another one does not count any more', async () => {
   const misdirecting: Step = ({ response }) => {
     response.writeHead(421);
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -80,6 +80,22 @@
   expect(directory.mayRepeat('1')).toBe(true);
 });
 
+test('a target that announced its leave is known as leaving when it is gone', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.put(target('1', 'leaving'));
+  expect(directory.asAnnounced(target('1')).state).toBe('leaving');
+  directory.remove('1');
+  expect(directory.asAnnounced(target('1')).state).toBe('leaving');
+});
+
+test('a target whose announcement lapsed is not known as leaving', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.remove('1');
+  expect(directory.asAnnounced(target('1')).state).toBe('serving');
+});
+
 test('a target that was never announced gets nothing', () => {
   expect(new TargetDirectory().mayRepeat('1')).toBe(false);
 });
