Reach a target that starts again under its id at a new address

The connections to a target were kept by its id alone, so after a start at a new address requests still went to the address before; that refused them, and the refusal took the target out of the directory until its next announcement. Callers got 503.

A pool now belongs to an id and an address, and the one of the address before closes when its last exchange has ended. A refusal, or an answer as another target, only counts if the directory still lists the target at that address. Pools on their way to close are closed with all others at the end; until now they were forgotten.

On the code before, the call of callRunner.test.ts got 503 and three tests of targetConnections.test.ts failed. targetDirectory.test.ts: markRefused takes the target instead of its id; its new test states the check of the address. The server of targetConnections.test.ts became a list, as the new tests start two.

Not changed: a request that waits in the pool of the address before when the target moves does not go to that target again.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -223,10 +223,10 @@
       case 'shutting-down':
         return this.#giveUp(call, outcome, this.#shuttingDown(call));
       case 'declined':
-        if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target.id);
+        if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target);
         return undefined;
       case 'not-sent':
-        if (outcome.isRefused) this.#parts.fleet.targets.markRefused(target.id);
+        if (outcome.isRefused) this.#parts.fleet.targets.markRefused(target);
         return undefined;
       case 'broken':
       case 'stalled':
--- a/packages/gateway/src/targets/targetConnections.ts
+++ b/packages/gateway/src/targets/targetConnections.ts
@@ -33,12 +33,18 @@
   body: request.body.length > 0 ? request.body : null,
 });
 
-/** Connections to targets, a pool for each start of a target. */
+/** Connections that are kept open to a target at one address. */
+interface TargetPool {
+  readonly address: string;
+  readonly pool: Pool;
+}
+
+/** Connections to targets, a pool for each target at the address it announced last. */
 export class TargetConnections {
-  readonly #pools = new Map<string, Pool>();
+  readonly #pools = new Map<string, TargetPool>();
 
-  /** Connections for one request each. */
-  readonly #singles = new Set<Client>();
+  /** Connections that close when the last exchange on them has ended. */
+  readonly #closing = new Set<Client | Pool>();
 
   /** Sends a request at once; the connections of a target are bounded by the limit given. */
   send(target: FleetTarget, connectionLimit: number, request: TargetRequest): Exchange {
@@ -51,36 +57,42 @@
   sendAlone(target: FleetTarget, request: TargetRequest): Exchange {
     const exchange = new Exchange();
     const client = new Client(`http://${target.address}`, CLIENT_OPTIONS);
-    this.#singles.add(client);
     client.dispatch(dispatchOptionsOf(request), exchange);
-    void client.close().finally(() => this.#singles.delete(client));
+    this.#closeAfterUse(client);
     return exchange;
   }
 
   /** Closes the connections of targets that are gone, when the last exchange on them has ended. */
   retain(isKnown: (targetId: string) => boolean): void {
-    [...this.#pools].forEach(([id, pool]) => {
+    [...this.#pools].forEach(([id, { pool }]) => {
       if (isKnown(id)) return;
       this.#pools.delete(id);
-      void pool.close();
+      this.#closeAfterUse(pool);
     });
   }
 
   /** Closes all connections; what is under way fails. */
   async close(): Promise<void> {
-    const clients = [...this.#pools.values(), ...this.#singles];
+    const pools = [...this.#pools.values()].map(({ pool }) => pool);
+    const clients = [...pools, ...this.#closing];
     this.#pools.clear();
     await Promise.allSettled(clients.map((client) => client.destroy()));
   }
 
   #poolOf(target: FleetTarget, connectionLimit: number): Pool {
     const known = this.#pools.get(target.id);
-    if (known) return known;
+    if (known?.address === target.address) return known.pool;
+    if (known) this.#closeAfterUse(known.pool);
     const pool = new Pool(`http://${target.address}`, {
       ...CLIENT_OPTIONS,
       connections: connectionLimit,
     });
-    this.#pools.set(target.id, pool);
+    this.#pools.set(target.id, { address: target.address, pool });
     return pool;
   }
+
+  #closeAfterUse(connections: Client | Pool): void {
+    this.#closing.add(connections);
+    void connections.close().finally(() => this.#closing.delete(connections));
+  }
 }
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -70,7 +70,8 @@
   }
 
   /** Notes that a target's address answered as another one, or refused a connection. */
-  markRefused(id: string): void {
+  markRefused({ id, address }: FleetTarget): void {
+    if (this.#targets.get(id)?.address !== address) return;
     this.#refused.add(id);
     this.#byService.clear();
   }
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import type { RequestListener } from 'node:http';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
 import type { CallerView } from '../support/callHarness';
@@ -138,6 +139,21 @@
   ]);
 });
 
+test('a target that starts again under its id at a new address gets requests there', async () => {
+  const serving: RequestListener = (_request, response) => {
+    response.writeHead(200, SIGNED);
+    response.end('done');
+  };
+  const first = await harness.addTarget('t1', serving);
+  expect((await harness.run({})).status).toBe(200);
+  first.server.closeAllConnections();
+  const closed = once(first.server, 'close');
+  first.server.close();
+  await closed;
+  await harness.addTarget('t1', serving);
+  expect((await harness.run({})).status).toBe(200);
+});
+
 test('a request that is given up is logged with its runs', async () => {
   const handle: RequestListener = (request) => request.socket.destroy();
   await run({ kind: 'at-most-once' }, [handle]);
--- a/packages/gateway/tests/targets/targetConnections.test.ts
+++ b/packages/gateway/tests/targets/targetConnections.test.ts
@@ -16,10 +16,11 @@
 
 const connections = new TargetConnections();
 const sockets: Socket[] = [];
-let server: Server | undefined;
+const servers: Server[] = [];
 
 const listen = async (handle: RequestListener): Promise<string> => {
-  server = createServer(handle);
+  const server = createServer(handle);
+  servers.push(server);
   server.on('connection', (socket: Socket) => sockets.push(socket));
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -36,8 +37,11 @@
 
 afterEach(async () => {
   await connections.close();
-  server?.closeAllConnections();
-  server?.close();
+  servers.forEach((server) => {
+    server.closeAllConnections();
+    server.close();
+  });
+  servers.length = 0;
   sockets.length = 0;
 });
 
@@ -52,6 +56,44 @@
   expect(kept?.destroyed).toBe(false);
 });
 
+test('a target that announces a new address gets requests there', async () => {
+  const first = await listen((_request, response) => response.end('first'));
+  const second = await listen((_request, response) => response.end('second'));
+  expect(await bodyOf(connections.send(fleetTarget({ address: first }), 1, REQUEST))).toBe('first');
+  const moved = fleetTarget({ address: second });
+  expect(await bodyOf(connections.send(moved, 1, REQUEST))).toBe('second');
+});
+
+test('an answer from the address before goes on when a target announces a new one', async () => {
+  let finish = (): void => undefined;
+  const first = await listen((_request, response) => {
+    response.write('fi');
+    finish = () => response.end('rst');
+  });
+  const second = await listen((_request, response) => response.end('second'));
+  const begun = connections.send(fleetTarget({ address: first }), 1, REQUEST);
+  await begun.head;
+  expect(await bodyOf(connections.send(fleetTarget({ address: second }), 1, REQUEST))).toBe(
+    'second',
+  );
+  finish();
+  expect(await bodyOf(begun)).toBe('first');
+});
+
+test('a request at an address that its target has left fails when all are closed', async () => {
+  let isAsked = (): void => undefined;
+  const asked = new Promise<void>((resolve) => {
+    isAsked = resolve;
+  });
+  const first = await listen(() => isAsked());
+  const second = await listen((_request, response) => response.end('second'));
+  const begun = connections.send(fleetTarget({ address: first }), 1, REQUEST);
+  await asked;
+  await bodyOf(connections.send(fleetTarget({ address: second }), 1, REQUEST));
+  await connections.close();
+  expect((await begun.head).isErr()).toBe(true);
+});
+
 test('a request that was sent alone fails when all connections are closed', async () => {
   let isAsked = (): void => undefined;
   const asked = new Promise<void>((resolve) => {
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -51,12 +51,20 @@
 test('a target that declined as another one waits for its next announcement', () => {
   const directory = new TargetDirectory();
   directory.put(target('1'));
-  directory.markRefused('1');
+  directory.markRefused(target('1'));
   expect(servingIds(directory)).toEqual([]);
   directory.put(target('1'));
   expect(servingIds(directory)).toEqual(['1']);
 });
 
+test('what an address did that a target has left does not speak against the target', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.put({ ...target('1'), address: '127.0.0.1:9001' });
+  directory.markRefused(target('1'));
+  expect(servingIds(directory)).toEqual(['1']);
+});
+
 test.each([
   ['leaving', (directory: TargetDirectory) => directory.put(target('1', 'leaving'))],
   ['lapsed', (directory: TargetDirectory) => directory.remove('1')],
