Count a host as unreachable before the send only while connecting

EHOSTUNREACH and ENETUNREACH counted as "not sent" whatever reported them, though Linux reports them on the read of an open connection too. A call that may run at most once could run twice, and a compare-and-swap of unknown outcome was called unavailable.

The same list in packages/store (gateway/storeErrors.ts) is not changed here.

--- a/packages/server/src/targets/attemptError.ts
+++ b/packages/server/src/targets/attemptError.ts
@@ -8,13 +8,10 @@
   | { readonly kind: 'silent'; readonly detail: string }
   | { readonly kind: 'cancelled'; readonly detail: string };
 
-const CONNECT_FAILURES = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'ENOTFOUND',
-  'UND_ERR_CONNECT_TIMEOUT',
-]);
+const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
+
+/** Linux reports these on a connection that is open, too. */
+const UNREACHABLE_CODES = new Set(['EHOSTUNREACH', 'ENETUNREACH']);
 
 const SILENCES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
 
@@ -23,12 +20,24 @@
   return 'code' in error && typeof error.code === 'string' ? error.code : '';
 };
 
+/** Whether an error came before a connection was open; of several addresses, at each of them. */
+const isOfConnecting = (error: unknown): boolean => {
+  if (typeof error !== 'object' || error === null) return false;
+  if ('errors' in error && Array.isArray(error.errors) && error.errors.length > 0) {
+    return error.errors.every(isOfConnecting);
+  }
+  return 'syscall' in error && error.syscall === 'connect';
+};
+
+const isNotSent = (error: unknown, code: string): boolean =>
+  CONNECT_FAILURES.has(code) || (UNREACHABLE_CODES.has(code) && isOfConnecting(error));
+
 /** Turns an error of undici into an attempt error. */
 export const attemptErrorOf = (error: unknown, cancelled: boolean): AttemptError => {
   const code = codeOf(error);
   const detail = code || (error instanceof Error ? error.message : 'unknown failure');
   if (cancelled) return { kind: 'cancelled', detail };
-  if (CONNECT_FAILURES.has(code)) return { kind: 'not-sent', detail };
+  if (isNotSent(error, code)) return { kind: 'not-sent', detail };
   if (SILENCES.has(code)) return { kind: 'silent', detail };
   return { kind: 'broken', detail };
 };
