Refuse a stream that never got a connection as not sent

A stream that waited for a connection of the pool until the silence limit ended as `stalled`, like one whose target fell silent: one that may run only once was answered with 502 and outcome unknown, though no byte had left the instance.

An attempt that falls silent before its request was sent now ends as not sent: another target gets the request, and without one the caller gets 503. The exchange is given up before that, and its pool aborts it before the first byte. On the code before, both new tests of callRunner.test.ts got 502.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -51,6 +51,12 @@
 
 const isSuccess = ({ status }: AnswerHead): boolean => status >= 200 && status < 300;
 
+/** A request that waited for its connection all the time says nothing of its target's silence. */
+const withoutUnsentSilence = (outcome: AttemptOutcome, wasSent: boolean): AttemptOutcome =>
+  outcome.kind === 'stalled' && !wasSent
+    ? { kind: 'not-sent', detail: outcome.detail, isRefused: false }
+    : outcome;
+
 /** One dispatch of a call to one target, and the relay of its answer to the caller. */
 export class Attempt {
   readonly #parts: AttemptParts;
@@ -91,7 +97,7 @@
     try {
       return await this.#receive(exchange);
     } catch (error) {
-      return this.#outcomeOfError(error);
+      return withoutUnsentSilence(this.#outcomeOfError(error), exchange.wasSent);
     }
   }
 
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -1,9 +1,28 @@
 import { once } from 'node:events';
 import type { RequestListener } from 'node:http';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
+import { Exchange } from '../../src/targets/exchange';
+import type { FleetTarget } from '../../src/targets/fleetTarget';
+import type { TargetRequest } from '../../src/targets/targetConnections';
+import { TargetConnections } from '../../src/targets/targetConnections';
 import type { CallerView } from '../support/callHarness';
 import { CallHarness, SIGNED } from '../support/callHarness';
 
+/** Connections of which the first requests get none: they wait until they are given up. */
+class WaitingConnections extends TargetConnections {
+  #waiting: number;
+
+  constructor(waiting: number) {
+    super();
+    this.#waiting = waiting;
+  }
+
+  override send(target: FleetTarget, limit: number, request: TargetRequest): Exchange {
+    this.#waiting -= 1;
+    return this.#waiting >= 0 ? new Exchange() : super.send(target, limit, request);
+  }
+}
+
 let harness = new CallHarness();
 
 beforeEach(() => {
@@ -154,6 +173,28 @@
   expect((await harness.run({})).status).toBe(200);
 });
 
+const UNSAFE_STREAM: RouteExecution = { ...STREAM, isResumable: false };
+
+const oneEvent: RequestListener = (_request, response) => {
+  response.writeHead(200, SIGNED);
+  response.end('id: 1\ndata: a\n\n');
+};
+
+test('a stream that waited for a connection in vain is refused as not sent', async () => {
+  await harness.close();
+  harness = new CallHarness(new WaitingConnections(Infinity));
+  const { status, result } = await run(UNSAFE_STREAM, [oneEvent]);
+  expect(status).toBe(503);
+  expect(result).toMatchObject({ kind: 'refused', refusal: { kind: 'unavailable' } });
+});
+
+test('a stream that waited for a connection in vain goes to another target', async () => {
+  await harness.close();
+  harness = new CallHarness(new WaitingConnections(1));
+  const { status, body } = await run(UNSAFE_STREAM, [oneEvent, oneEvent]);
+  expect([status, body]).toEqual([200, 'id: 1\ndata: a\n\n']);
+});
+
 test('a request that is given up is logged with its runs', async () => {
   const handle: RequestListener = (request) => request.socket.destroy();
   await run({ kind: 'at-most-once' }, [handle]);
