Repeat no events of a stream that came without identifiers

A resumable stream that broke off was sent again after the last event with an identifier that its caller had. Where its events had none it was sent again from its start, and the caller got the same events twice.

A stream is repeated only while no data without an identifier went to its caller since the last event with one; otherwise it is cut, as a stream that may not be resumed is. An empty identifier counts as none. Comments and `retry` lines do not count, as their repetition does no harm.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -242,8 +242,7 @@
       this.#parts.writer.head(call.response, head.status, head.passedHeaders);
     }
     call.response.write(event.bytes);
-    call.events += 1;
-    if (event.id !== undefined) call.lastEventId = event.id;
+    call.noteEvent(event);
   }
 
   #heard(): void {
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -5,6 +5,7 @@
   TargetService,
 } from '../configuration/fleetConfiguration';
 import type { CallEnvelope } from './callEnvelope';
+import type { StreamEvent } from './eventStreamReader';
 import { DispatchHistory } from './dispatchHistory';
 
 /** Parts of a {@link Call}. */
@@ -41,11 +42,11 @@
   /** Targets that may have run the request. */
   readonly history = new DispatchHistory();
 
-  /** Identifier of the last event that went to the caller. */
-  lastEventId: string | undefined;
+  #lastEventId: string | undefined;
 
-  /** Events that went to the caller. */
-  events = 0;
+  #hasUnidentifiedData = false;
+
+  #events = 0;
 
   /** Age at which the request was admitted within its rate, in milliseconds. */
   quotaAtMilliseconds = 0;
@@ -73,6 +74,27 @@
     this.ending = parts.ending;
   }
 
+  /** Identifier of the last event with one that went to the caller. */
+  get lastEventId(): string | undefined {
+    return this.#lastEventId;
+  }
+
+  /** Events that went to the caller. */
+  get events(): number {
+    return this.#events;
+  }
+
+  /** Takes an event that went to the caller. */
+  noteEvent({ id, hasData }: StreamEvent): void {
+    this.#events += 1;
+    if (id) {
+      this.#lastEventId = id;
+      this.#hasUnidentifiedData = false;
+      return;
+    }
+    this.#hasUnidentifiedData ||= hasData;
+  }
+
   /** Time since the request arrived, in milliseconds. */
   get ageMilliseconds(): number {
     return performance.now() - this.arrivedAtMilliseconds;
@@ -92,7 +114,10 @@
     return this.response.destroyed || this.response.closed;
   }
 
-  /** Whether another dispatch is allowed although the request may have run. */
+  /**
+   * Whether another dispatch is allowed although the request may have run. A stream goes on after
+   * the last event with an identifier; data that came after it without one would come twice.
+   */
   get isRepeatable(): boolean {
     const { execution } = this.route;
     switch (execution.kind) {
@@ -101,7 +126,7 @@
       case 'at-most-once':
         return false;
       case 'event-stream':
-        return execution.isResumable;
+        return execution.isResumable && !this.#hasUnidentifiedData;
     }
   }
 }
--- a/packages/gateway/src/calls/eventStreamReader.ts
+++ b/packages/gateway/src/calls/eventStreamReader.ts
@@ -4,9 +4,12 @@
   readonly bytes: Buffer;
   /** Undefined where the event names none. */
   readonly id: string | undefined;
+  /** Whether it carries data, unlike a comment that keeps its connection open. */
+  readonly hasData: boolean;
 }
 
 const ID_LINE = /^id:[ ]?(.*)$/m;
+const DATA_LINE = /^data(?::|\r?$)/m;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
@@ -21,6 +24,11 @@
   return -1;
 };
 
+const eventOf = (bytes: Buffer): StreamEvent => {
+  const text = bytes.toString('utf8');
+  return { bytes, id: ID_LINE.exec(text)?.[1]?.trim(), hasData: DATA_LINE.test(text) };
+};
+
 /** Cuts the bytes of an event stream into whole events. */
 export class EventStreamReader {
   #rest: Buffer = Buffer.alloc(0);
@@ -31,8 +39,7 @@
     const events: StreamEvent[] = [];
     let start = 0;
     for (let end = endOfEvent(bytes, start); end >= 0; end = endOfEvent(bytes, start)) {
-      const event = bytes.subarray(start, end);
-      events.push({ bytes: event, id: ID_LINE.exec(event.toString('utf8'))?.[1]?.trim() });
+      events.push(eventOf(bytes.subarray(start, end)));
       start = end;
     }
     this.#rest = bytes.subarray(start);
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -61,6 +61,40 @@
   expect(body).toBe('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
 });
 
+/** Writes the text at its first run and breaks off; at later ones the rest of the stream. */
+const breakingAfter = (text: string): RequestListener => {
+  let runs = 0;
+  return (_request, response) => {
+    runs += 1;
+    response.writeHead(200, SIGNED);
+    if (runs > 1) {
+      response.end('id: 2\ndata: b\n\n');
+      return;
+    }
+    response.write(text);
+    setTimeout(() => response.destroy(), 20);
+  };
+};
+
+test.each([
+  'data: a\n\n',
+  'id:\ndata: a\n\n',
+  'id: 1\ndata: a\n\ndata: b\n\n',
+  'id: 1\ndata: a\n\ndata: b\n\n: still here\n\n',
+])('a stream that breaks after %j is not sent again', async (text) => {
+  const { body, isWhole } = await run(STREAM, [breakingAfter(text)]);
+  expect([body, isWhole]).toEqual([text, false]);
+});
+
+test.each([
+  'data: 0\n\nid: 1\ndata: a\n\n',
+  'id: 1\ndata: a\n\n: still here\n\n',
+  ': still here\n\n',
+])('a stream that breaks after %j goes on', async (text) => {
+  const { body, isWhole } = await run(STREAM, [breakingAfter(text)]);
+  expect([body, isWhole]).toEqual([`${text}id: 2\ndata: b\n\n`, true]);
+});
+
 test('a request that may have run is not sent again', async () => {
   let runs = 0;
   const handle: RequestListener = (request) => {
--- a/packages/gateway/tests/calls/eventStreamReader.test.ts
+++ b/packages/gateway/tests/calls/eventStreamReader.test.ts
@@ -14,6 +14,16 @@
   }
 });
 
+test.each([
+  ['data: a\n\n', true],
+  ['id: 1\r\ndata\r\n\r\n', true],
+  [': data: a\n\n', false],
+  ['retry: 100\n\n', false],
+  ['database: a\n\n', false],
+])('of %j it is told whether it carries data', (text, hasData) => {
+  expect(new EventStreamReader().push(Buffer.from(text))).toMatchObject([{ hasData }]);
+});
+
 test('a torn event is noticed and not handed on', () => {
   const reader = new EventStreamReader();
   expect(reader.push(Buffer.from('id: 1\ndata: a\n\nid: 2\nda'))).toHaveLength(1);
