--- a/packages/gateway/src/calls/openCalls.ts
+++ b/packages/gateway/src/calls/openCalls.ts
@@ -6,6 +6,9 @@
 export class OpenCalls {
   readonly #calls = new Set<OpenCall>();
 
+  /** Requests whose final answers have not left this process whole. */
+  readonly #leaving = new Set<OpenCall>();
+
   readonly #ended: Record<OpenCallEnd, number> = { served: 0, refused: 0, 'caller-gone': 0 };
 
   #isEnding = false;
@@ -20,6 +23,11 @@
     return [...this.#calls];
   }
 
+  /** Requests that have a final answer which has not left this process whole. */
+  get leaving(): readonly OpenCall[] {
+    return [...this.#leaving];
+  }
+
   /** Age of the oldest request, in milliseconds; 0 where there is none. */
   get oldestAgeMilliseconds(): number {
     const [oldest] = this.#calls;
@@ -47,6 +55,11 @@
 
   /** Notes the end of a request. */
   finish(open: OpenCall): void {
-    if (this.#calls.delete(open)) this.#ended[open.end] += 1;
+    if (!this.#calls.delete(open)) return;
+    this.#ended[open.end] += 1;
+    const { response } = open;
+    if (response.destroyed) return;
+    this.#leaving.add(open);
+    response.once('close', () => this.#leaving.delete(open));
   }
 }
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -43,6 +43,9 @@
     server.prependListener('request', (request: IncomingMessage, response: ServerResponse) =>
       this.#connections.begin(request, response),
     );
+    // The runtime's own sweep, which its close() runs too, takes a connection for idle as soon as
+    // its answer is written, though bytes of it may wait in this process for a slow reader.
+    server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /** Starts to listen; rejects when the port is taken. */
@@ -108,7 +111,7 @@
 
   /** Closes connections that have served a request and wait for the next one. */
   closeIdleConnections(): void {
-    this.#application.getHttpServer().closeIdleConnections();
+    this.#connections.closeIdle();
   }
 
   /** Stops listening and closes all connections, within this turn of the event loop. */
--- a/packages/gateway/src/shutdown/drainReport.ts
+++ b/packages/gateway/src/shutdown/drainReport.ts
@@ -1,5 +1,5 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import type { OpenCall } from '../calls/openCall';
+import type { OpenCall, OpenCallEnd } from '../calls/openCall';
 import type { OpenCalls } from '../calls/openCalls';
 
 /** What a {@link DrainReport} is made of. */
@@ -21,13 +21,13 @@
 
   readonly #refusedBefore: number;
 
-  #cutOff = 0;
+  readonly #cutOff = new Set<OpenCall>();
 
   constructor(parts: DrainReportParts, graceMilliseconds: number) {
     const { calls, connections, logger } = parts;
     this.#parts = parts;
-    this.#servedBefore = calls.ended('served');
-    this.#refusedBefore = calls.ended('refused');
+    this.#servedBefore = DrainReport.#answeredBefore(calls, 'served');
+    this.#refusedBefore = DrainReport.#answeredBefore(calls, 'refused');
     logger.info('gateway.draining', {
       underWay: calls.size,
       connections: connections(),
@@ -49,8 +49,10 @@
   }
 
   /** Logs a request whose caller loses its answer. */
-  cutOff({ id, call, response, ageMilliseconds }: OpenCall): void {
-    this.#cutOff += 1;
+  cutOff(open: OpenCall): void {
+    if (this.#cutOff.has(open)) return;
+    this.#cutOff.add(open);
+    const { id, call, response, ageMilliseconds } = open;
     this.#parts.logger.warn('call.cut-off', {
       request: id,
       target: call?.target,
@@ -65,25 +67,36 @@
     const { calls, logger, metrics } = this.#parts;
     metrics.increment('drain.calls', this.#served, { result: 'served' });
     metrics.increment('drain.calls', this.#refused, { result: 'refused' });
-    metrics.increment('drain.calls', this.#cutOff, { result: 'cut-off' });
+    metrics.increment('drain.calls', this.#cutOff.size, { result: 'cut-off' });
     logger.info('gateway.stopped', {
       underWay: calls.size,
       served: this.#served,
       refused: this.#refused,
-      cutOff: this.#cutOff,
+      cutOff: this.#cutOff.size,
       sinceStopMilliseconds: Math.round(this.#sinceStopMilliseconds),
     });
   }
 
   get #served(): number {
-    return this.#parts.calls.ended('served') - this.#servedBefore;
+    return this.#ended('served') - this.#servedBefore;
   }
 
   get #refused(): number {
-    return this.#parts.calls.ended('refused') - this.#refusedBefore;
+    return this.#ended('refused') - this.#refusedBefore;
+  }
+
+  /** Requests that ended in one way and whose answers were not cut off after that. */
+  #ended(end: OpenCallEnd): number {
+    const lost = [...this.#cutOff].filter((open) => open.end === end);
+    return this.#parts.calls.ended(end) - lost.length;
   }
 
   get #sinceStopMilliseconds(): number {
     return performance.now() - this.#beganMilliseconds;
   }
+
+  /** Requests whose answers had left this process whole at the stop signal. */
+  static #answeredBefore(calls: OpenCalls, end: OpenCallEnd): number {
+    return calls.ended(end) - calls.leaving.filter((open) => open.end === end).length;
+  }
 }
--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -75,7 +75,7 @@
     clearInterval(progress);
     // In the turn of the last check, so that no request is taken in between.
     this.#state = { kind: 'closed', sinceMilliseconds };
-    calls.all.forEach((open) => report.cutOff(open));
+    [...calls.all, ...calls.leaving].forEach((open) => report.cutOff(open));
     report.end();
     this.#ingress?.closeNow();
   }
--- /dev/null
+++ b/packages/gateway/tests/ingress/ingressServer.test.ts
@@ -0,0 +1,134 @@
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { Deferred, delay } from '@limpetnotch/supervision';
+import { IngressServer } from '../../src/ingress/ingressServer';
+import type { RequestHandler } from '../../src/ingress/requestHandler';
+
+/** More than the buffers of both sockets in the kernel take. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+
+/** Sweeps follow each other at this distance in a drain. */
+const SWEEP_MILLISECONDS = 50;
+
+const POST_HEAD = 'POST / HTTP/1.1\r\nhost: h\r\ncontent-length: ';
+
+let server: IngressServer;
+let socket: Socket;
+let received = '';
+let receivedBytes = 0;
+
+const connectTo = async (handle: RequestHandler): Promise<void> => {
+  server = await IngressServer.start({ host: '127.0.0.1', port: 0, handle });
+  socket = connect(server.port, '127.0.0.1');
+  received = '';
+  receivedBytes = 0;
+  socket.on('error', () => undefined);
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+    if (receivedBytes < LARGE_BYTES) received += chunk.toString('latin1');
+  });
+  await once(socket, 'connect');
+};
+
+const until = async (isReached: () => boolean): Promise<void> => {
+  while (!isReached()) await delay(5);
+};
+
+const countOf = (part: string): number => received.split(part).length - 1;
+
+/** Reads the body and answers. */
+const answerWhole: RequestHandler = async (request, response) => {
+  request.resume();
+  await once(request, 'end');
+  response.end('ok');
+};
+
+const sweepSometimes = async (): Promise<void> => {
+  server.stopAccepting();
+  for (let sweeps = 0; sweeps < 3; sweeps += 1) {
+    server.closeIdleConnections();
+    await delay(SWEEP_MILLISECONDS);
+  }
+};
+
+afterEach(async () => {
+  socket.destroy();
+  await server.stop();
+});
+
+test('a sweep leaves an answer that a slow reader has not taken whole', async () => {
+  const answered = new Deferred<ServerResponse>();
+  await connectTo(async (_request, response) => {
+    response.end(Buffer.alloc(LARGE_BYTES, 'a'));
+    answered.resolve(response);
+  });
+  socket.pause();
+  const closed = once(socket, 'close');
+  socket.write(`${POST_HEAD}0\r\n\r\n`);
+  const { writableEnded, writableFinished } = await answered.promise;
+  expect({ writableEnded, writableFinished }).toEqual({
+    writableEnded: true,
+    writableFinished: false,
+  });
+  await sweepSometimes();
+  expect(server.openRequests).toBe(1);
+  socket.resume();
+  await until(() => receivedBytes >= LARGE_BYTES || socket.destroyed);
+  await until(() => server.openRequests === 0);
+  server.closeIdleConnections();
+  await closed;
+  expect(receivedBytes).toBeGreaterThan(LARGE_BYTES);
+});
+
+test('a sweep leaves a connection on which part of the next head has come', async () => {
+  const reading = new Deferred<Socket>();
+  await connectTo(async (request, response) => {
+    reading.resolve(request.socket);
+    await answerWhole(request, response);
+  });
+  socket.write(`${POST_HEAD}0\r\n\r\n`);
+  const serverSide = await reading.promise;
+  await until(() => countOf('\r\n\r\nok') === 1 && server.openRequests === 0);
+  const { bytesRead } = serverSide;
+  socket.write(POST_HEAD);
+  await until(() => serverSide.bytesRead > bytesRead);
+  await sweepSometimes();
+  socket.write('0\r\n\r\n');
+  await until(() => countOf('\r\n\r\nok') === 2 || socket.destroyed);
+  expect(countOf('\r\n\r\nok')).toBe(2);
+});
+
+test('a sweep leaves a request that was answered before its body had come', async () => {
+  await connectTo(async (_request, response) => {
+    response.end('early');
+  });
+  socket.write(`${POST_HEAD}4\r\n\r\nab`);
+  await until(() => countOf('early') === 1 && server.openRequests === 0);
+  await sweepSometimes();
+  expect(server.connectionCount).toBe(1);
+  socket.write(`cd${POST_HEAD}0\r\n\r\n`);
+  await until(() => countOf('early') === 2 || socket.destroyed);
+  expect(countOf('early')).toBe(2);
+});
+
+test('a sweep leaves a connection that has sent nothing', async () => {
+  await connectTo(answerWhole);
+  await until(() => server.connectionCount === 1);
+  await sweepSometimes();
+  expect(server.connectionCount).toBe(1);
+});
+
+test('a sweep closes a connection that waits for its next request', async () => {
+  await connectTo(answerWhole);
+  const closed = once(socket, 'close');
+  for (const count of [1, 2]) {
+    socket.write(`${POST_HEAD}2\r\n\r\nab`);
+    await until(() => countOf('\r\n\r\nok') === count);
+  }
+  await until(() => server.openRequests === 0);
+  await sweepSometimes();
+  await closed;
+  expect(server.connectionCount).toBe(0);
+});
--- a/packages/gateway/tests/shutdown/gatewayDrain.test.ts
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import type { RequestListener, ServerResponse } from 'node:http';
 import { connect } from 'node:net';
+import type { Socket } from 'node:net';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import type { QuotaDecision } from '../../src/quotas/quotaGate';
 import { DrainingInstance } from '../support/drainingInstance';
@@ -12,6 +13,9 @@
 /** Longer than any test, so that only the test itself ends a drain early. */
 const LONG_GRACE_MILLISECONDS = 30_000;
 
+/** More than the sockets' buffers in the kernel take, and less than an answer of a target may have. */
+const LARGE_BYTES = 12 * 1024 * 1024;
+
 const instances: DrainingInstance[] = [];
 const callers: KeptConnection[] = [];
 
@@ -320,3 +324,51 @@
   await instance.shutDown();
   expect(await sent).toMatchObject({ kind: 'answered', status: 502 });
 });
+
+/** Sends one request, and reads nothing of its answer, which is written whole by then. */
+const callWithoutReading = async (instance: DrainingInstance): Promise<Socket> => {
+  const socket = connect(instance.port, '127.0.0.1');
+  socket.on('error', () => undefined);
+  socket.pause();
+  socket.write('POST / HTTP/1.1\r\nhost: h\r\nx-id: slow\r\ncontent-length: 0\r\n\r\n');
+  while (instance.openCalls.leaving.length === 0) await delay(5);
+  return socket;
+};
+
+const answerLarge: RequestListener = (_request, response) => {
+  response.writeHead(200, SIGNED);
+  response.end(Buffer.alloc(LARGE_BYTES, 'a'));
+};
+
+test('a drain does not cut an answer that a slow reader has not taken whole', async () => {
+  const instance = await startInstance({
+    target: answerLarge,
+    times: { graceMilliseconds: LONG_GRACE_MILLISECONDS },
+  });
+  const socket = await callWithoutReading(instance);
+  let receivedBytes = 0;
+  socket.on('data', (chunk: Buffer) => {
+    receivedBytes += chunk.length;
+  });
+  const closed = new Promise((resolve) => {
+    socket.once('close', resolve);
+  });
+  const shutDown = instance.shutDown();
+  // The drain sweeps several times in that.
+  await delay(500);
+  socket.resume();
+  await Promise.all([closed, shutDown]);
+  expect(receivedBytes).toBeGreaterThan(LARGE_BYTES);
+  expect(instance.lines.at(-1)).toMatchObject({ message: 'gateway.stopped', served: 1, cutOff: 0 });
+});
+
+test('an answer that is cut while it leaves the process is logged and counted as cut off', async () => {
+  const instance = await startInstance({ target: answerLarge });
+  const socket = await callWithoutReading(instance);
+  await instance.shutDown();
+  socket.destroy();
+  const cutOff = instance.lines.filter(({ message }) => message === 'call.cut-off');
+  expect(cutOff).toMatchObject([{ request: 'slow', target: 't0', hasAnswerBegun: true }]);
+  expect(instance.lines.at(-1)).toMatchObject({ message: 'gateway.stopped', served: 0, cutOff: 1 });
+  expect(instance.metrics.counter('drain.calls', { result: 'cut-off' })).toBe(1);
+});
