--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -139,7 +139,11 @@
       () => abort({ kind: 'timed-out', wasSent: exchange.wasSent }),
       Math.max(0, call.remainingMilliseconds),
     );
-    const silence = setInterval(() => this.#checkSilence(abort), SILENCE_CHECK_MILLISECONDS);
+    const silence = setInterval(() => {
+      if (this.#checkSilence(exchange)) {
+        abort({ kind: 'stalled', detail: 'no byte from the target' });
+      }
+    }, SILENCE_CHECK_MILLISECONDS);
     return () => {
       call.response.removeListener('close', onClose);
       call.ending?.removeEventListener('abort', onEnding);
@@ -148,22 +152,24 @@
     };
   }
 
-  /** Bytes that came while the process stood still are read after this check. */
-  #checkSilence(abort: (outcome: AttemptOutcome) => void): void {
+  /**
+   * Returns whether to give the target up as silent. Bytes that came while the process stood still
+   * are read only after this check.
+   */
+  #checkSilence({ wasSent }: Exchange): boolean {
     const nowMilliseconds = performance.now();
     const wasPaused = nowMilliseconds - this.#lastCheckMilliseconds > PAUSE_MILLISECONDS;
     this.#lastCheckMilliseconds = nowMilliseconds;
     if (wasPaused) this.#lastProgressMilliseconds = nowMilliseconds;
-    if (this.#isSilent()) abort({ kind: 'stalled', detail: 'no byte from the target' });
+    return this.#isSilent && (!wasSent || this.#options.mayGiveUpSilent());
   }
 
-  #isSilent(): boolean {
-    const { target, silenceMilliseconds, mayGiveUpSilent } = this.#options;
+  get #isSilent(): boolean {
+    const { target, silenceMilliseconds } = this.#options;
     const ownSilence = performance.now() - this.#lastProgressMilliseconds;
     return (
       ownSilence > silenceMilliseconds &&
-      this.#parts.loads.silenceMilliseconds(target.id) > silenceMilliseconds &&
-      mayGiveUpSilent()
+      this.#parts.loads.silenceMilliseconds(target.id) > silenceMilliseconds
     );
   }
 
