Keep less of a short grace period back for last answers

Streams under way at a stop with a grace period of 5 s were cut off 1 s before its end, which is more than a sixth of it. The soak's series "silent engine within a drain" (5 s) failed by that: a stream sent 0.48 s before SIGTERM, cut 4.0 s after it. The reserve is an eighth of the grace period now, up to the second that it was; at 8 s nothing changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,19 +23,11 @@
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
 import { SharedQuotas } from './quotas/sharedQuotas';
+import { drainTimesOf } from './shutdown/drainTimesOf';
 import { GatewayDrain } from './shutdown/gatewayDrain';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
-/** The balancer stops sending after two missed questions, one a second. */
-const READINESS_LAG_MILLISECONDS = 2_500;
-
-/** Part of the grace period that is kept for last answers to reach their callers, and for the end. */
-const ANSWER_RESERVE_MILLISECONDS = 1_000;
-
-/** Part of the grace period that is kept for the end of the process itself. */
-const EXIT_RESERVE_MILLISECONDS = 700;
-
 /** Programs may return within a minute of their last turn. */
 const PROGRAM_RETENTION_MILLISECONDS = 90_000;
 
@@ -105,12 +97,7 @@
     this.#drain = new GatewayDrain({
       calls: this.#openCalls,
       ingress: () => this.#ingress,
-      times: () => ({
-        graceMilliseconds: this.#reloadable.graceMilliseconds,
-        readinessLagMilliseconds: READINESS_LAG_MILLISECONDS,
-        answerReserveMilliseconds: ANSWER_RESERVE_MILLISECONDS,
-        exitReserveMilliseconds: EXIT_RESERVE_MILLISECONDS,
-      }),
+      times: () => drainTimesOf(this.#reloadable.graceMilliseconds),
       logger,
       metrics,
     });
