Keep answers of slow readers when an entry server stops

EntryServer.stop swept idle connections every 50 ms with the runtime's closeIdleConnections, and application.close() runs it once more; both take a connection for idle once end() was called. Callers that read slowly saw their answer break off.

As such an answer now holds the stop, and the handover of partitions after it, one that was written for at least LEAVING_MILLISECONDS, and for twice that at most, is ended: its caller doesn't read it.

"stopping ends although a caller never reads its answer" guards the new bound; the former code cut that answer.

--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -1,4 +1,5 @@
 import 'reflect-metadata';
+import type { ServerResponse } from 'node:http';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
@@ -17,6 +18,9 @@
 /** A request that is on its way when the listener closes arrives within some round trips. */
 const ARRIVAL_MILLISECONDS = 1_000;
 
+/** Once or twice as long has an answer to leave at the stop: 1 MB takes 8 seconds at 1 Mbit/s. */
+const LEAVING_MILLISECONDS = 10_000;
+
 /** Options of {@link EntryServer.start}. */
 export interface EntryServerOptions extends EntryParts {
   readonly host: string;
@@ -33,7 +37,11 @@
 
   private constructor(application: NestFastifyApplication) {
     this.#application = application;
-    this.#connections = new EntryConnections(application.getHttpServer());
+    const server = application.getHttpServer();
+    this.#connections = new EntryConnections(server);
+    // The runtime's own sweep, which its close() runs too, takes a connection for idle as soon as
+    // its answer is written, though bytes of it may wait in this process for a slow reader.
+    server.closeIdleConnections = () => this.#connections.closeIdle();
   }
 
   /** Starts to listen; rejects when the port is taken. */
@@ -66,20 +74,22 @@
   }
 
   /**
-   * Stops listening and resolves when every request under way has its answer. The runtime enforces
+   * Stops listening and resolves when every request under way has its answer, or doesn't read it. The runtime enforces
    * no more timeouts once the listener is closed, so that connections on which no whole request
    * arrives are ended here.
    */
   async stop(): Promise<void> {
-    const server = this.#application.getHttpServer();
     // Connections that fall idle after the close would stay open for their keep-alive time.
-    const sweep = setInterval(() => server.closeIdleConnections(), IDLE_SWEEP_MILLISECONDS);
+    const sweep = setInterval(() => this.#connections.closeIdle(), IDLE_SWEEP_MILLISECONDS);
     const end = setInterval(() => this.#endArriving(), ARRIVAL_MILLISECONDS);
+    const leaving = new WeakSet<ServerResponse>();
+    const cut = setInterval(() => this.#cutUnread(leaving), LEAVING_MILLISECONDS);
     try {
       await this.#application.close();
     } finally {
       clearInterval(sweep);
       clearInterval(end);
+      clearInterval(cut);
     }
   }
 
@@ -88,6 +98,14 @@
     this.#connections.closeUnused();
   }
 
+  /** Ends answers that were leaving at the last look, too: their callers don't read them. */
+  #cutUnread(before: WeakSet<ServerResponse>): void {
+    this.#connections.leaving.forEach((response) => {
+      if (before.has(response)) response.destroy();
+      before.add(response);
+    });
+  }
+
   /** Bodies pass through as they came. */
   static #readBodiesRaw(application: NestFastifyApplication): void {
     const fastify = application.getHttpAdapter().getInstance();
--- a/packages/server/tests/http/entryServer.test.ts
+++ b/packages/server/tests/http/entryServer.test.ts
@@ -8,6 +8,9 @@
 import { EntryServer } from '../../src/http/entryServer';
 import type { EntryServerOptions } from '../../src/http/entryServer';
 
+/** More than the buffers of both sockets in the kernel take. */
+const LARGE_BYTES = 32 * 1024 * 1024;
+
 const sockets: Socket[] = [];
 
 afterEach(() => {
@@ -110,3 +113,47 @@
   expect(late.received()).toContain('late');
   expect(late.received().toLowerCase()).toContain('connection: close');
 });
+
+const startWithLargeAnswer = async (): Promise<{
+  readonly server: EntryServer;
+  readonly caller: Caller;
+  readonly closed: Promise<unknown>;
+}> => {
+  const answered = new Deferred<ServerResponse>();
+  const server = await startServer(async (response) => {
+    response.end(Buffer.alloc(LARGE_BYTES, 'a'));
+    answered.resolve(response);
+  });
+  const caller = await connectCaller(server.port);
+  const closed = new Promise((resolve) => {
+    caller.socket.once('close', resolve);
+  });
+  caller.socket.pause();
+  caller.socket.write(REQUEST);
+  const { writableEnded, writableFinished } = await answered.promise;
+  expect({ writableEnded, writableFinished }).toEqual({
+    writableEnded: true,
+    writableFinished: false,
+  });
+  return { server, caller, closed };
+};
+
+test('stopping does not cut an answer that a slow reader has not taken whole', async () => {
+  const { server, caller, closed } = await startWithLargeAnswer();
+  const stopped = server.stop();
+  // The stop sweeps several times in that.
+  await delay(300);
+  caller.socket.resume();
+  await Promise.all([closed, stopped]);
+  expect(caller.received().length).toBeGreaterThan(LARGE_BYTES);
+});
+
+test('stopping ends although a caller never reads its answer', async () => {
+  const { server } = await startWithLargeAnswer();
+  jest.useFakeTimers({ doNotFake: ['nextTick', 'queueMicrotask', 'setImmediate', 'setTimeout'] });
+  const stopped = server.stop().then(() => 'stopped');
+  jest.advanceTimersByTime(20_000);
+  jest.useRealTimers();
+  const first = await settleWithin(stopped, 4_000, () => 'waiting');
+  expect(first).toBe('stopped');
+});
