Tell a target the time that is left when its request is sent

The headers of a request were encoded when it was handed to the pool of its target, so after a wait for a connection the target was told more time than was left.

The pool of a target now keeps the requests that wait, and hands one to undici with its headers as of then when a connection is free; one that was given up while it waited is dropped. A pool that closes hands the waiting ones over first, with their headers as of that moment. The time in which a new connection opens, 400 ms at most, is still not taken off.

With a pool that hands requests over at once, as before, two of the new tests of targetConnections.test.ts failed: three requests on one connection were encoded after 0, 0 and 0 answers instead of 0, 1 and 2, and one that was given up while it waited said that it may have been sent. Headers in tests are functions now, and TargetRequest has its own file.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -104,13 +104,14 @@
   #send(): Exchange {
     const { call, target, connection, priority } = this.#options;
     const { envelope } = call;
-    const headers = this.#parts.codec.encodeDispatch(envelope, {
-      targetId: target.id,
-      remainingMilliseconds: call.remainingMilliseconds,
-      organisation: call.organisation?.name,
-      lastEventId: call.lastEventId,
-      priority,
-    });
+    const headers = (): string[] =>
+      this.#parts.codec.encodeDispatch(envelope, {
+        targetId: target.id,
+        remainingMilliseconds: call.remainingMilliseconds,
+        organisation: call.organisation?.name,
+        lastEventId: call.lastEventId,
+        priority,
+      });
     const { method, pathAndQuery } = envelope;
     const request = { method, pathAndQuery, headers, body: call.body };
     const { connections } = this.#parts;
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -29,6 +29,8 @@
 
 /** One request on one connection to a target, from its dispatch to the end of the answer. */
 export class Exchange implements Dispatcher.DispatchHandler {
+  readonly #onRelease: () => void;
+
   readonly #head = new Deferred<Result<OpenAnswer, ExchangeError>>();
 
   #chunks: Buffer[] = [];
@@ -43,6 +45,16 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
+  /** Takes what is called once when the exchange needs its connection no more. */
+  constructor(onRelease: () => void = () => undefined) {
+    this.#onRelease = onRelease;
+  }
+
+  /** Whether the answer is complete, or can't be any more. */
+  get isOver(): boolean {
+    return this.#state === 'complete' || this.#state === 'failed';
+  }
+
   /** Resolves when the head of the answer is there, or can't come any more. */
   get head(): Promise<Result<OpenAnswer, ExchangeError>> {
     return this.#head.promise;
@@ -55,7 +67,7 @@
 
   /** Gives the exchange up and closes its connection, so that the target stops work. */
   abort(detail: string): void {
-    if (this.#state === 'complete' || this.#state === 'failed') return;
+    if (this.isOver) return;
     this.#abortDetail = detail;
     this.#controller?.abort(new Error(detail));
     this.#fail({ kind: 'aborted', detail });
@@ -87,12 +99,14 @@
   }
 
   onResponseEnd(): void {
+    this.#onRelease();
     if (this.#state === 'failed') return;
     this.#state = 'complete';
     this.#wakeReader?.();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#onRelease();
     const detail = `${codeOf(error)} ${error.message}`;
     this.#fail(
       this.wasSent
@@ -102,7 +116,7 @@
   }
 
   #fail(failure: ExchangeError): void {
-    if (this.#state === 'complete' || this.#state === 'failed') return;
+    if (this.isOver) return;
     this.#state = 'failed';
     this.#failure = failure;
     this.#head.resolve(err(failure));
--- a/packages/gateway/tests/calls/callRunner.test.ts
+++ b/packages/gateway/tests/calls/callRunner.test.ts
@@ -3,7 +3,7 @@
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
 import { Exchange } from '../../src/targets/exchange';
 import type { FleetTarget } from '../../src/targets/fleetTarget';
-import type { TargetRequest } from '../../src/targets/targetConnections';
+import type { TargetRequest } from '../../src/targets/targetRequest';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import type { CallerView } from '../support/callHarness';
 import { CallHarness, SIGNED } from '../support/callHarness';
--- a/packages/gateway/tests/targets/targetConnections.test.ts
+++ b/packages/gateway/tests/targets/targetConnections.test.ts
@@ -3,14 +3,14 @@
 import type { RequestListener, Server } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Exchange } from '../../src/targets/exchange';
-import type { TargetRequest } from '../../src/targets/targetConnections';
+import type { TargetRequest } from '../../src/targets/targetRequest';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { fleetTarget } from '../support/fleetTarget';
 
 const REQUEST: TargetRequest = {
   method: 'POST',
   pathAndQuery: '/',
-  headers: [],
+  headers: () => [],
   body: Buffer.from('x'),
 };
 
@@ -94,6 +94,93 @@
   expect((await begun.head).isErr()).toBe(true);
 });
 
+test('a request that waits for a connection is sent with the time left by then', async () => {
+  const encodedAfter: number[] = [];
+  let finished = 0;
+  const address = await listen((request, response) => {
+    encodedAfter.push(Number(request.headers['x-finished']));
+    setTimeout(() => {
+      finished += 1;
+      response.end('done');
+    }, 50);
+  });
+  const request = { ...REQUEST, headers: () => ['x-finished', String(finished)] };
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, request);
+  const exchanges = [send(), send(), send()];
+  expect(await Promise.all(exchanges.map(bodyOf))).toEqual(['done', 'done', 'done']);
+  expect([encodedAfter, sockets.length]).toEqual([[0, 1, 2], 1]);
+});
+
+test('a request that is given up while it waits is not sent, and the next one is', async () => {
+  let asked = 0;
+  const address = await listen((_request, response) => {
+    asked += 1;
+    setTimeout(() => response.end('done'), 50);
+  });
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, REQUEST);
+  const [first, second, third] = [send(), send(), send()];
+  second.abort('given up');
+  expect(await Promise.all([first, third].map(bodyOf))).toEqual(['done', 'done']);
+  expect([asked, second.wasSent]).toEqual([2, false]);
+});
+
+test('a request that is given up while it connects leaves its place to the next one', async () => {
+  let asked = 0;
+  const address = await listen((_request, response) => {
+    asked += 1;
+    response.end('done');
+  });
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, REQUEST);
+  const [given, next] = [send(), send()];
+  given.abort('given up');
+  expect(await bodyOf(next)).toBe('done');
+  expect(asked).toBe(1);
+});
+
+test('a request that is given up at the target leaves its connection to the next one', async () => {
+  let asked = 0;
+  let isAsked = (): void => undefined;
+  const first = new Promise<void>((resolve) => {
+    isAsked = resolve;
+  });
+  const address = await listen((_request, response) => {
+    asked += 1;
+    if (asked === 1) isAsked();
+    else response.end('done');
+  });
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, REQUEST);
+  const [given, next] = [send(), send()];
+  await first;
+  given.abort('given up');
+  expect(await bodyOf(next)).toBe('done');
+});
+
+test('requests that wait for a connection that can not be opened all fail as not sent', async () => {
+  const target = fleetTarget({ address: '127.0.0.1:1' });
+  const exchanges = [1, 2, 3].map(() => connections.send(target, 1, REQUEST));
+  const heads = await Promise.all(exchanges.map(({ head }) => head));
+  expect(heads.map((head) => head._unsafeUnwrapErr().kind)).toEqual(Array(3).fill('not-sent'));
+});
+
+test('a request that waits when its target leaves is sent still', async () => {
+  const address = await listen((_request, response) => {
+    setTimeout(() => response.end('done'), 50);
+  });
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, REQUEST);
+  const exchanges = [send(), send()];
+  connections.retain(() => false);
+  expect(await Promise.all(exchanges.map(bodyOf))).toEqual(['done', 'done']);
+});
+
+test('a request that waits for a connection fails when all connections are closed', async () => {
+  const address = await listen(() => undefined);
+  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, REQUEST);
+  const exchanges = [send(), send()];
+  await connections.close();
+  const heads = await Promise.all(exchanges.map(({ head }) => head));
+  expect(heads.every((head) => head.isErr())).toBe(true);
+});
+
 test('a request that was sent alone fails when all connections are closed', async () => {
   let isAsked = (): void => undefined;
   const asked = new Promise<void>((resolve) => {
