Keep the end of a drain where a reload changes the grace period

New requests were decided on by the grace period of the moment, the end of the drain by the one after the balancer's lag: a reload in between moved the end, past the SIGKILL where it grew. The new test failed before (still draining after 4 s of a grace period of 1.2 s). The times are taken at the stop signal now. A test that shows that a task which fails during the drain cuts nothing goes with it; it held before.

--- a/packages/gateway/src/shutdown/gatewayDrain.ts
+++ b/packages/gateway/src/shutdown/gatewayDrain.ts
@@ -34,6 +34,9 @@
 
   #state: DrainState = { kind: 'serving' };
 
+  /** Times in force at the stop signal, from which on the end of the process is counted. */
+  #timesAtStop: DrainTimes | undefined;
+
   constructor(parts: GatewayDrainParts) {
     this.#parts = parts;
   }
@@ -60,6 +63,7 @@
   /** Fails readiness, outlasts the balancer's lag, waits for requests under way, and closes. */
   async run(): Promise<void> {
     const { calls, logger, metrics } = this.#parts;
+    this.#timesAtStop = this.#parts.times();
     const connections = (): number => this.#ingress?.connectionCount ?? 0;
     const report = new DrainReport(
       { calls, connections, logger, metrics },
@@ -119,7 +123,7 @@
   }
 
   get #times(): DrainTimes {
-    return this.#parts.times();
+    return this.#timesAtStop ?? this.#parts.times();
   }
 
   /** When calls under way get their last answers, from the stop signal on. */
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:http';
 import type { Server, ServerResponse } from 'node:http';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import type { Logger, LogMessageId } from '@limpetnotch/observability';
 import type { KeyValueStore, StoreEntry } from '@limpetnotch/store';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import { errAsync, okAsync } from 'neverthrow';
@@ -9,6 +10,7 @@
 import { Gateway } from '../src/gateway';
 import { fleetRoute } from './support/fleetRoute';
 import { KeptConnection } from './support/keptConnection';
+import type { CallerOutcome } from './support/keptConnection';
 import { testWireCodec } from './support/testWireCodec';
 
 const servers: Server[] = [];
@@ -97,7 +99,7 @@
 }
 
 /** Builds a gateway whose only target holds every request back. */
-const createGateway = async (): Promise<StartedGateway> => {
+const createGateway = async (logger: Logger = silentLogger): Promise<StartedGateway> => {
   const held = new Deferred<ServerResponse>();
   const target = createServer((_request, response) => held.resolve(response));
   servers.push(target);
@@ -119,25 +121,33 @@
     store: createStore(),
     wireCodec: testWireCodec,
     fleetCodec: createFleetCodec(targetPort),
-    logger: silentLogger,
+    logger,
     metrics: new MemoryMetrics(),
   });
   return { gateway, port, held: held.promise };
 };
 
-test('a gateway whose tasks fail gives the requests under way their answers', async () => {
-  const { gateway, port, held } = await createGateway();
-  const ended = gateway.run(new AbortController().signal).catch((error: unknown) => error);
+/** Sends requests until the gateway listens and knows its configuration, and the target holds one. */
+const sendHeld = async (
+  port: number,
+  held: Promise<ServerResponse>,
+): Promise<{ readonly sent: Promise<CallerOutcome> }> => {
   const caller = new KeptConnection(port);
   callers.push(caller);
   let sent = caller.send({ id: 'held' });
-  // Until the gateway listens and knows its configuration.
   const isEarly = (): Promise<boolean> =>
     Promise.race([held.then(() => false), sent.then(() => true)]);
   while (await isEarly()) {
     await delay(20);
     sent = caller.send({ id: 'held' });
   }
+  return { sent };
+};
+
+test('a gateway whose tasks fail gives the requests under way their answers', async () => {
+  const { gateway, port, held } = await createGateway();
+  const ended = gateway.run(new AbortController().signal).catch((error: unknown) => error);
+  const { sent } = await sendHeld(port, held);
   const response = await held;
   // Beyond the failure of the task that reads the budgets, 3 s after the start.
   await Promise.race([delay(4_000), ended]);
@@ -147,6 +157,24 @@
   expect(outcome).toMatchObject({ kind: 'answered', status: 200, body: 'ok' });
 }, 20_000);
 
+test('a gateway whose tasks fail while it drains gives the requests under way their answers', async () => {
+  const escalated = new Deferred();
+  const error = (message: LogMessageId): void => {
+    if (message === 'supervisor.escalated') escalated.resolve(undefined);
+  };
+  const { gateway, port, held } = await createGateway({ ...silentLogger, error });
+  const stop = new AbortController();
+  const ended = gateway.run(stop.signal);
+  const { sent } = await sendHeld(port, held);
+  stop.abort();
+  await escalated.promise;
+  // Several checks of the drain.
+  await delay(200);
+  (await held).writeHead(200, { 'x-signed': '1' }).end('ok');
+  expect(await sent).toMatchObject({ kind: 'answered', status: 200, body: 'ok' });
+  await ended;
+}, 20_000);
+
 test('a gateway that is told to stop before it starts takes no request', async () => {
   const { gateway, port } = await createGateway();
   const stop = new AbortController();
--- a/packages/gateway/tests/shutdown/gatewayDrain.test.ts
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -372,3 +372,22 @@
   expect(instance.lines.at(-1)).toMatchObject({ message: 'gateway.stopped', served: 0, cutOff: 1 });
   expect(instance.metrics.counter('drain.calls', { result: 'cut-off' })).toBe(1);
 });
+
+test('a grace period that changes during a drain does not move its end', async () => {
+  const target = new HoldingTarget();
+  let graceMilliseconds = 1_200;
+  const instance = await startInstance({
+    target: target.handle,
+    times: {
+      get graceMilliseconds() {
+        return graceMilliseconds;
+      },
+    },
+  });
+  const sent = connectCaller(instance).send({ id: 'held' });
+  await target.held();
+  const shutDown = instance.shutDown().then(() => 'ended');
+  graceMilliseconds = LONG_GRACE_MILLISECONDS;
+  expect(await Promise.race([shutDown, delay(4_000).then(() => 'draining')])).toBe('ended');
+  expect(await sent).toMatchObject({ kind: 'answered' });
+});
