Let a program outlive the readers of its output

Storage, limpetnotchd and the stand-ins ended with exit code 1 at the next log line after the reader of their output was gone (EPIPE), which a harmless SIGHUP writes. The streams have a listener now, from the installation of the signals on; the entry's log has had its own.

--- a/packages/supervision/src/processSignals.ts
+++ b/packages/supervision/src/processSignals.ts
@@ -29,6 +29,11 @@
 /** Reads the settings anew; resolves when that is done. */
 export type Reload = () => Promise<void>;
 
+/** A broken pipe of the output ends a process that has no listener; nobody is left to tell of it. */
+const outliveReadersOfOutput = (): void => {
+  [process.stdout, process.stderr].forEach((stream) => stream.on('error', () => undefined));
+};
+
 /**
  * Handles the signals of a long-running process from its first statement to its end: without a
  * listener the default action would end it, in whatever state it is.
@@ -56,6 +61,7 @@
 
   /** Listens to the signals of the process for the rest of its life. */
   static install(options: ProcessSignalsOptions = {}): ProcessSignals {
+    if (options.events === undefined) outliveReadersOfOutput();
     return new ProcessSignals(options);
   }
 
