Give the test of a broken output its own file

In the file of the signal series its afterEach closed the process of the test before once more, and the whole run failed on the folder that was gone; alone it passed, which is all that had been run. The test itself is the same.

--- /dev/null
+++ b/packages/integration/tests/brokenOutput.test.ts
@@ -0,0 +1,30 @@
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { join } from 'node:path';
+import { delay } from '@limpetnotch/supervision';
+import { buildPrograms } from './signals/buildPrograms';
+
+const BUILD_MILLISECONDS = 120_000;
+
+let target = '';
+
+beforeAll(async () => {
+  target = await buildPrograms();
+}, BUILD_MILLISECONDS);
+
+test('a program whose output nobody reads any more goes on', async () => {
+  const child = spawn(process.execPath, [join(target, 'storage.js')], {
+    stdio: ['ignore', 'ignore', 'pipe'],
+  });
+  const ended = once(child, 'exit');
+  await once(child.stderr, 'data');
+  child.stderr.destroy();
+  // Each is logged.
+  for (let sent = 0; sent < 5; sent += 1) {
+    child.kill('SIGHUP');
+    await delay(50);
+  }
+  expect(child.exitCode).toBeNull();
+  child.kill('SIGTERM');
+  expect(await ended).toEqual([0, null]);
+});
--- a/packages/integration/tests/signalSeries.test.ts
+++ b/packages/integration/tests/signalSeries.test.ts
@@ -1,7 +1,5 @@
-import { spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { connect } from 'node:net';
-import { join } from 'node:path';
 import { text } from 'node:stream/consumers';
 import { SeededRandom } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
@@ -31,7 +29,7 @@
   target = await buildPrograms();
 });
 
-afterEach(async () => staged?.close());
+afterEach(async () => staged.close());
 
 const stage = async (program: ProgramName): Promise<void> => {
   staged = await StagedProgram.create(program, target);
@@ -81,20 +79,3 @@
   expect(head.toLowerCase()).toContain(`content-length: ${body.length}`);
   await expectOrderlyEnd();
 });
-
-test('a program whose output nobody reads any more goes on', async () => {
-  const child = spawn(process.execPath, [join(target, 'storage.js')], {
-    stdio: ['ignore', 'ignore', 'pipe'],
-  });
-  const ended = once(child, 'exit');
-  await once(child.stderr, 'data');
-  child.stderr.destroy();
-  // Each is logged.
-  for (let sent = 0; sent < 5; sent += 1) {
-    child.kill('SIGHUP');
-    await delay(50);
-  }
-  expect(child.exitCode).toBeNull();
-  child.kill('SIGTERM');
-  expect(await ended).toEqual([0, null]);
-});
