--- a/packages/integration/src/fleet/managedProcess.ts
+++ b/packages/integration/src/fleet/managedProcess.ts
@@ -44,11 +44,6 @@
     return this.#child.exitCode;
   }
 
-  /** Signal that ended the process; `null` while it runs or after it ended by itself. */
-  get endSignal(): NodeJS.Signals | null {
-    return this.#child.signalCode;
-  }
-
   /** Identifier of the process; 0 where it could not be started. */
   get pid(): number {
     return this.#child.pid ?? 0;
--- a/packages/integration/src/signal-soak/soakInstance.ts
+++ b/packages/integration/src/signal-soak/soakInstance.ts
@@ -156,7 +156,7 @@
     await managed.exited();
     Object.assign(lifetime, {
       endedAt: performance.now(),
-      end: managed.endSignal ?? managed.exitCode ?? undefined,
+      end: managed.signalCode ?? managed.exitCode ?? undefined,
     });
     await delay(RESTART_MILLISECONDS);
     if (!this.#isClosed) await this.start();
