Tell an unreachable store before the send from one on an open connection

Cause: the store's client took EHOSTUNREACH and ENETUNREACH for failures before the first byte, whatever system call they came from. Linux reports both on an open connection too, so a write that may have taken effect was called not sent. Ruled out: the platform's store and the targets, which told the two apart already, each with its own copy of the rule.

--- a/packages/server/src/targets/attemptError.ts
+++ b/packages/server/src/targets/attemptError.ts
@@ -1,3 +1,5 @@
+import { isOfConnecting } from '@limpetnotch/store';
+
 /** Why an attempt at a target gave no whole answer. */
 export type AttemptError =
   /** No connection was made: the request certainly never left. */
@@ -10,7 +12,6 @@
 
 const CONNECT_FAILURES = new Set(['ECONNREFUSED', 'ENOTFOUND', 'UND_ERR_CONNECT_TIMEOUT']);
 
-/** Linux reports these on a connection that is open, too. */
 const UNREACHABLE_CODES = new Set(['EHOSTUNREACH', 'ENETUNREACH']);
 
 const SILENCES = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT']);
@@ -20,15 +21,6 @@
   return 'code' in error && typeof error.code === 'string' ? error.code : '';
 };
 
-/** Whether an error came before a connection was open; of several addresses, at each of them. */
-const isOfConnecting = (error: unknown): boolean => {
-  if (typeof error !== 'object' || error === null) return false;
-  if ('errors' in error && Array.isArray(error.errors) && error.errors.length > 0) {
-    return error.errors.every(isOfConnecting);
-  }
-  return 'syscall' in error && error.syscall === 'connect';
-};
-
 const isNotSent = (error: unknown, code: string): boolean =>
   CONNECT_FAILURES.has(code) || (UNREACHABLE_CODES.has(code) && isOfConnecting(error));
 
--- a/packages/store/src/gateway/storeErrors.ts
+++ b/packages/store/src/gateway/storeErrors.ts
@@ -3,17 +3,19 @@
 import { errorAnswerSchema } from './answerSchemas';
 import type { StoreCallKind } from './storeCallKind';
 import { isWrite } from './storeCallKind';
+import { isOfConnecting } from '../util/isOfConnecting';
 
 /** Codes of failures that come before the first byte of a request is sent. */
 const CODES_BEFORE_SEND = new Set([
   'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
   'ENOTFOUND',
   'EAI_AGAIN',
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Codes of failures that come before the first byte only while the connection is opened. */
+const UNREACHABLE_CODES = new Set(['EHOSTUNREACH', 'ENETUNREACH']);
+
 const STATUS_NOT_FOUND = 404;
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_SERVICE_UNAVAILABLE = 503;
@@ -44,6 +46,12 @@
   return parsed.success ? parsed.data.message : String(failure);
 };
 
+const isBeforeSend = (code: string | undefined, failure: unknown): boolean => {
+  if (code === undefined) return false;
+  if (CODES_BEFORE_SEND.has(code)) return true;
+  return UNREACHABLE_CODES.has(code) && isOfConnecting(failure);
+};
+
 /** Error of a call whose answer is missing or can't be trusted. */
 export const uncertainError = (kind: StoreCallKind, detail: string): StoreError =>
   isWrite(kind) ? { kind: 'unknown-outcome', detail } : { kind: 'unavailable', detail };
@@ -52,7 +60,7 @@
 export const errorOfFailure = (kind: StoreCallKind, failure: unknown): StoreError => {
   const code = codeOf(failure);
   const detail = `${kind}: ${describe(failure)}`;
-  if (code !== undefined && CODES_BEFORE_SEND.has(code)) return { kind: 'unavailable', detail };
+  if (isBeforeSend(code, failure)) return { kind: 'unavailable', detail };
   return uncertainError(kind, detail);
 };
 
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -21,6 +21,7 @@
 export { WatchError } from './watchError';
 export type { WatchErrorKind } from './watchError';
 export { parseWith } from './util/parseWith';
+export { isOfConnecting } from './util/isOfConnecting';
 export { boundStoreCall } from './util/boundStoreCall';
 export { backoffMilliseconds } from './util/backoffMilliseconds';
 export type { BackoffBounds } from './util/backoffMilliseconds';
