Give a target that says that it leaves nothing new

Cause: a target's word in its answers was not decoded, so that an instance out of touch with the store went on sending to it. Ruled out: keeping the word by the target's id alone, as a target may start again under the id that it had; taking it from an answer of another target at the address, or to another request. The directory of targets takes the word beside the store's, for that start only.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@limpetnotch/observability';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { Exchange, OpenAnswer } from '../targets/exchange';
 import type { FleetState } from '../fleet/fleetState';
@@ -28,6 +29,7 @@
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
   readonly writer: AnswerWriter;
+  readonly logger: Logger;
 }
 
 /** Connection on which an attempt sends its request. */
@@ -198,6 +200,7 @@
     if (head.isMisdirected) {
       throw new AttemptEnd({ kind: 'declined', reason: 'misdirected' });
     }
+    if (head.isLeaving) this.#noteLeaving();
     if (head.isNotExecuted) {
       throw new AttemptEnd({ kind: 'declined', reason: 'full' });
     }
@@ -205,6 +208,16 @@
     if (head.hasContentEncoding) throw broken('encoded body');
   }
 
+  #noteLeaving(): void {
+    const { call, target } = this.#options;
+    if (!this.#parts.fleet.targets.markLeaving(target)) return;
+    this.#parts.logger.info('targets.leaving', {
+      target: target.id,
+      request: call.envelope.id,
+      bornMilliseconds: target.bornMilliseconds,
+    });
+  }
+
   async #relayWhole(head: AnswerHead, answer: OpenAnswer): Promise<AttemptOutcome> {
     const { call } = this.#options;
     const chunks: Buffer[] = [];
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,4 +1,4 @@
-import type { LogFields, Logger, Metrics } from '@limpetnotch/observability';
+import type { LogFields, Metrics } from '@limpetnotch/observability';
 import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
@@ -41,7 +41,6 @@
   readonly availabilityZone: string;
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
-  readonly logger: Logger;
   readonly metrics: Metrics;
   /** Instances that share the connections of a target. */
   readonly instanceCount: () => number;
--- a/packages/gateway/src/calls/wireCodec.ts
+++ b/packages/gateway/src/calls/wireCodec.ts
@@ -32,6 +32,8 @@
   readonly isNotExecuted: boolean;
   /** Whether another target has the address now. */
   readonly isMisdirected: boolean;
+  /** Whether the target says that it leaves, and is to get nothing new. */
+  readonly isLeaving: boolean;
   readonly hasContentEncoding: boolean;
   readonly load: ReportedLoad | undefined;
   /** Names and values by turns, of the headers that pass through to the caller unchanged. */
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -12,6 +12,12 @@
  */
 const DEPARTURE_MEMORY_MILLISECONDS = 2 * DEPARTURE_MILLISECONDS;
 
+/** Starts that are kept in mind as leaving; more than leave in the time that a leave takes. */
+const MAXIMUM_LEAVING_STARTS = 1_000;
+
+const isSameStart = (one: FleetTarget, other: FleetTarget): boolean =>
+  one.address === other.address && one.bornMilliseconds === other.bornMilliseconds;
+
 /** When a target stopped to take new requests, and whether it said so itself. */
 interface Departure {
   readonly atMilliseconds: number;
@@ -34,12 +40,16 @@
   /** Targets that have stopped to take new requests. */
   readonly #departures = new Map<string, Departure>();
 
+  /** Starts that said in an answer that they leave, by the id of their target. */
+  readonly #leavingStarts = new Map<string, FleetTarget>();
+
   #graceUntilMilliseconds = 0;
 
   #byService = new Map<string, readonly FleetTarget[]>();
 
   /** Adds or changes a target. */
-  put(target: FleetTarget): void {
+  put(announced: FleetTarget): void {
+    const target = this.#withOwnWord(announced);
     this.#lapsed.delete(target.id);
     this.#refused.delete(target.id);
     if (target.state === 'leaving') this.#noteDeparture(target.id, true);
@@ -76,6 +86,18 @@
     this.#byService.clear();
   }
 
+  /**
+   * Notes that a target said in an answer that it leaves, which holds for this start of it, whatever
+   * the store says later. Returns whether that is news.
+   */
+  markLeaving(target: FleetTarget): boolean {
+    const known = this.#targets.get(target.id);
+    if (known && (known.state === 'leaving' || !isSameStart(known, target))) return false;
+    this.#keepLeavingStart(target);
+    if (known) this.put(known);
+    return known !== undefined;
+  }
+
   /** Returns the targets of a service that may get new work. */
   serving(service: string): readonly FleetTarget[] {
     this.#expireLapsed();
@@ -121,10 +143,29 @@
     this.#lapsed.delete(id);
     this.#refused.delete(id);
     this.#noteDeparture(id, false);
+    // Without a time of start, what is announced from now on can't be told from another start.
+    if (this.#leavingStarts.get(id)?.bornMilliseconds === undefined) this.#leavingStarts.delete(id);
     this.#targets.delete(id);
     this.#byService.clear();
   }
 
+  /** Returns an announcement as of a leaving target where this start of it has said so. */
+  #withOwnWord(announced: FleetTarget): FleetTarget {
+    const leaving = this.#leavingStarts.get(announced.id);
+    if (!leaving) return announced;
+    if (isSameStart(leaving, announced)) return { ...announced, state: 'leaving' };
+    this.#leavingStarts.delete(announced.id);
+    return announced;
+  }
+
+  #keepLeavingStart(target: FleetTarget): void {
+    this.#leavingStarts.delete(target.id);
+    this.#leavingStarts.set(target.id, target);
+    if (this.#leavingStarts.size <= MAXIMUM_LEAVING_STARTS) return;
+    const [oldest] = this.#leavingStarts.keys();
+    if (oldest !== undefined) this.#leavingStarts.delete(oldest);
+  }
+
   /** Notes that a target that served until now has stopped to take new requests. */
   #noteDeparture(id: string, isAnnounced: boolean): void {
     if (this.#targets.get(id)?.state !== 'serving') return;
--- /dev/null
+++ b/packages/gateway/tests/calls/leavingTarget.test.ts
@@ -0,0 +1,85 @@
+import type { RequestListener } from 'node:http';
+import { CallHarness, SIGNED } from '../support/callHarness';
+
+const LEAVING = { 'x-leaving': '1' };
+
+let harness = new CallHarness();
+
+beforeEach(() => {
+  harness = new CallHarness();
+});
+
+afterEach(() => harness.close());
+
+/** Answers with a status and headers, and counts the requests. */
+const countingTarget = (status: number, headers: Record<string, string>) => {
+  const counted = { requests: 0 };
+  const handle: RequestListener = (_request, response) => {
+    counted.requests += 1;
+    response.writeHead(status, headers);
+    response.end('done');
+  };
+  return { counted, handle };
+};
+
+const servingIds = (): string[] => harness.fleet.targets.serving('s').map(({ id }) => id);
+
+test('a target that says in an answer that it leaves gets nothing new', async () => {
+  const leaving = countingTarget(200, { ...SIGNED, ...LEAVING });
+  await harness.addTarget('t0', leaving.handle);
+  expect((await harness.run({})).status).toBe(200);
+  const other = countingTarget(200, SIGNED);
+  await harness.addTarget('t1', other.handle);
+  for (let request = 0; request < 6; request += 1) await harness.run({});
+  expect([leaving.counted.requests, other.counted.requests]).toEqual([1, 6]);
+});
+
+test.each([
+  ['a failure', 500, { 'x-id': 'r1' }],
+  ['a decline', 503, { 'x-not-run': '1' }],
+])('%s says that its target leaves, too', async (_name, status, headers) => {
+  const leaving = countingTarget(status, { ...headers, ...LEAVING });
+  await harness.addTarget('t0', leaving.handle);
+  await harness.run({ execution: { kind: 'at-most-once' } });
+  expect(servingIds()).toEqual([]);
+});
+
+test('a stream says that its target leaves before it ends', async () => {
+  let finish = (): void => undefined;
+  await harness.addTarget('t0', (_request, response) => {
+    response.writeHead(200, { ...SIGNED, ...LEAVING });
+    response.write('id: 1\ndata: a\n\n');
+    finish = () => response.end('id: 2\ndata: b\n\n');
+  });
+  const running = harness.run({
+    execution: { kind: 'event-stream', isResumable: true, maximumGapMilliseconds: 200 },
+  });
+  while (servingIds().length > 0) await new Promise(setImmediate);
+  finish();
+  expect((await running).body).toBe('id: 1\ndata: a\n\nid: 2\ndata: b\n\n');
+});
+
+test('what another target at the address says does not speak of the one that was meant', async () => {
+  const other = countingTarget(421, LEAVING);
+  const { address } = await harness.addTarget('t0', other.handle);
+  await harness.run({ execution: { kind: 'at-most-once' } });
+  harness.announce('t0', address, 'serving');
+  expect(servingIds()).toEqual(['t0']);
+});
+
+test('a late answer to another request does not say that the target leaves', async () => {
+  const late = countingTarget(200, { ...SIGNED, ...LEAVING, 'x-id': 'other' });
+  await harness.addTarget('t0', late.handle);
+  await harness.run({ execution: { kind: 'at-most-once' } });
+  expect(servingIds()).toEqual(['t0']);
+});
+
+test('that a target leaves is logged once, with the request that told it', async () => {
+  const leaving = countingTarget(200, { ...SIGNED, ...LEAVING });
+  await harness.addTarget('t0', leaving.handle);
+  await Promise.all([harness.run({}), harness.run({})]);
+  const lines = harness.lines.filter(([message]) => message === 'targets.leaving');
+  expect(lines).toEqual([
+    ['targets.leaving', expect.objectContaining({ target: 't0', request: 'r1' })],
+  ]);
+});
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -33,6 +33,7 @@
       isSigned: value('x-signed') !== undefined,
       isNotExecuted: value('x-not-run') !== undefined,
       isMisdirected: status === 421,
+      isLeaving: value('x-leaving') !== undefined,
       hasContentEncoding: false,
       load: undefined,
       passedHeaders: [],
--- a/packages/gateway/tests/support/testWireCodec.ts
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -28,6 +28,7 @@
     isSigned: rawHeaders.includes('x-signed'),
     isNotExecuted: rawHeaders.includes('x-not-run'),
     isMisdirected: status === 421,
+    isLeaving: false,
     hasContentEncoding: false,
     load: undefined,
     passedHeaders: [],
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -107,3 +107,70 @@
 test('a target that was never announced gets nothing', () => {
   expect(new TargetDirectory().mayRepeat('1')).toBe(false);
 });
+
+test('a target that says that it leaves does so for its whole life', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  expect(directory.markLeaving(target('1'))).toBe(true);
+  expect(directory.markLeaving(target('1'))).toBe(false);
+  directory.put(target('1'));
+  expect(servingIds(directory)).toEqual([]);
+  expect(directory.asAnnounced(target('1')).state).toBe('leaving');
+});
+
+test('a target that said that it leaves may get requests again that it has had', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.markLeaving(target('1'));
+  expect(directory.mayRepeat('1')).toBe(true);
+  jest.advanceTimersByTime(1_100);
+  expect(directory.mayRepeat('1')).toBe(false);
+});
+
+test.each([
+  ['after another start', { bornMilliseconds: 2 }],
+  ['at another address', { address: '127.0.0.1:9001' }],
+])('a target %s under its id does not leave', (_name, change) => {
+  const directory = new TargetDirectory();
+  const first = { ...target('1'), bornMilliseconds: 1 };
+  directory.put(first);
+  directory.markLeaving(first);
+  directory.put({ ...first, ...change });
+  expect(servingIds(directory)).toEqual(['1']);
+});
+
+test('an answer of an earlier start does not say that the present one leaves', () => {
+  const directory = new TargetDirectory();
+  directory.put({ ...target('1'), bornMilliseconds: 2 });
+  expect(directory.markLeaving({ ...target('1'), bornMilliseconds: 1 })).toBe(false);
+  expect(servingIds(directory)).toEqual(['1']);
+});
+
+test('a leaving target that lapses and announces the same start leaves still', () => {
+  const directory = new TargetDirectory();
+  const leaving = { ...target('1'), bornMilliseconds: 1 };
+  directory.put(leaving);
+  directory.markLeaving(leaving);
+  directory.remove('1');
+  directory.put(leaving);
+  expect(servingIds(directory)).toEqual([]);
+});
+
+test('a target without a time of start that was removed and comes back does not leave', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1'));
+  directory.markLeaving(target('1'));
+  directory.remove('1');
+  directory.put(target('1'));
+  expect(servingIds(directory)).toEqual(['1']);
+});
+
+test('an answer of a target that is removed tells that its start leaves', () => {
+  const directory = new TargetDirectory();
+  const leaving = { ...target('1'), bornMilliseconds: 1 };
+  directory.put(leaving);
+  directory.remove('1');
+  directory.markLeaving(leaving);
+  directory.put(leaving);
+  expect(servingIds(directory)).toEqual([]);
+});
