Show callers of HTTP/1.0 that an answer was cut

Cause: a stream to such a caller has no length and ends with its connection, and an instance that cut it closed the connection in order, so that the rest was not missed. The same at the close of a server. Ruled out: a reset for all callers, which would take events along that are on their way where chunks show the end.

--- a/packages/gateway/src/calls/answerWriter.ts
+++ b/packages/gateway/src/calls/answerWriter.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http';
+import { cutConnection } from '../ingress/cutConnection';
 import type { CallEnvelope } from './callEnvelope';
 import type { Refusal } from './refusal';
 import { statusOf } from './refusal';
@@ -36,7 +37,7 @@
   /** Answers for the gateway itself; cuts an answer off that has begun. */
   refuse(response: ServerResponse, envelope: CallEnvelope | undefined, refusal: Refusal): void {
     if (response.headersSent) {
-      response.destroy();
+      cutConnection(response);
       return;
     }
     const headers = this.#options.codec.encodeOwnAnswer(envelope, retryAfterOf(refusal));
--- a/packages/gateway/src/ingress/openConnections.ts
+++ b/packages/gateway/src/ingress/openConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { cutConnection } from './cutConnection';
 
 /** What is known of one connection. */
 interface OpenConnection {
@@ -72,4 +73,8 @@
       if (responses.size === 0 && wholeAtBytes === socket.bytesRead) socket.destroy();
     });
   }
+  /** Cuts off the answers that have not left this process whole. */
+  cutAnswers(): void {
+    this.#connections.forEach(({ responses }) => responses.forEach(cutConnection));
+  }
 }
