Bound what a target may send, and hold streams for callers of HTTP/1.0

Ruled out: headers, header bodies, trailers and bytes that are no HTTP (ended by the client library in under 100 ms); the library's own pool, which doesn't tell on which connection a request runs; the private field of the runtime's socket that would reset at once. Change: an exchange knows its connection, and one on which 1 MB comes that is no part of an answer is given up; an event takes 1 MB, a plain answer 16 MB, all plain answers of an instance 32 MB, 17 informational answers end the exchange; a target's stream waits for a caller that does not read. A stream for a caller of HTTP/1.0 is sent when it is whole, with its length. A success must name its request.

--- a/packages/gateway/src/calls/answerWriter.ts
+++ b/packages/gateway/src/calls/answerWriter.ts
@@ -1,5 +1,4 @@
 import type { ServerResponse } from 'node:http';
-import { cutConnection } from '../ingress/cutConnection';
 import type { CallEnvelope } from './callEnvelope';
 import type { Refusal } from './refusal';
 import { statusOf } from './refusal';
@@ -28,21 +27,36 @@
     response.writeHead(status, [...headers, ...this.#connectionHeaders(response)]);
   }
 
-  /** Writes a whole answer of a target. */
-  whole(response: ServerResponse, status: number, headers: readonly string[], body: Buffer): void {
-    this.head(response, status, [...headers, 'content-length', String(body.length)]);
-    response.end(body);
+  /** Writes a whole answer. */
+  whole(
+    response: ServerResponse,
+    status: number,
+    headers: readonly string[],
+    body: readonly Buffer[],
+  ): void {
+    const bytes = body.reduce((sum, { length }) => sum + length, 0);
+    // One packet takes the head and a short body.
+    response.cork();
+    this.head(response, status, [...headers, 'content-length', String(bytes)]);
+    body.forEach((chunk) => response.write(chunk));
+    response.end();
+    response.uncork();
   }
 
   /** Answers for the gateway itself; cuts an answer off that has begun. */
   refuse(response: ServerResponse, envelope: CallEnvelope | undefined, refusal: Refusal): void {
     if (response.headersSent) {
-      cutConnection(response);
+      response.destroy();
       return;
     }
     const headers = this.#options.codec.encodeOwnAnswer(envelope, retryAfterOf(refusal));
     const body = Buffer.from(`${JSON.stringify({ error: refusal.kind })}\n`);
-    this.whole(response, statusOf(refusal), [...headers, 'content-type', 'application/json'], body);
+    this.whole(
+      response,
+      statusOf(refusal),
+      [...headers, 'content-type', 'application/json'],
+      [body],
+    );
   }
 
   #connectionHeaders(response: ServerResponse): readonly string[] {
--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -9,18 +9,30 @@
 import { AttemptEnd } from './attemptEnd';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
+import { CallerStream } from './callerStream';
 import { EventStreamReader } from './eventStreamReader';
 import type { StreamEvent } from './eventStreamReader';
+import type { HeldBytes } from './heldBytes';
+import { WholeBody } from './wholeBody';
 import type { AnswerHead, WireCodec } from './wireCodec';
 
 /** Bodies of plain answers are held whole before they are sent; larger ones count as broken. */
 const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
 
-/** How often the silence of a target is checked. */
-const SILENCE_CHECK_MILLISECONDS = 100;
+/** Bytes of one event of a stream; a larger one counts as no event. */
+const MAXIMUM_EVENT_BYTES = 1024 * 1024;
+
+/** Bytes that come without being part of an answer, beyond which none is expected any more. */
+const MAXIMUM_UNUSED_BYTES = 1024 * 1024;
+
+/** Bytes that wait for a caller to read them, beyond which its stream waits, too. */
+const MAXIMUM_UNREAD_BYTES = 256 * 1024;
+
+/** How often the progress of an answer is checked. */
+const PROGRESS_CHECK_MILLISECONDS = 100;
 
 /** Time between two checks from which on the process itself stood still: two checks were missed. */
-const PAUSE_MILLISECONDS = 3 * SILENCE_CHECK_MILLISECONDS;
+const PAUSE_MILLISECONDS = 3 * PROGRESS_CHECK_MILLISECONDS;
 
 /** What an attempt needs of the instance. */
 export interface AttemptParts {
@@ -29,6 +41,7 @@
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
   readonly writer: AnswerWriter;
+  readonly heldBytes: HeldBytes;
   readonly logger: Logger;
 }
 
@@ -51,6 +64,8 @@
   readonly mayGiveUpSilent: () => boolean;
 }
 
+const broken = (detail: string): AttemptEnd => new AttemptEnd({ kind: 'broken', detail });
+
 const isSuccess = ({ status }: AnswerHead): boolean => status >= 200 && status < 300;
 
 /** A request that waited for its connection all the time says nothing of its target's silence. */
@@ -72,6 +87,9 @@
 
   #lastCheckMilliseconds = performance.now();
 
+  /** Whether the target's answer waits for the caller to read on. */
+  #isWaitingForCaller = false;
+
   constructor(parts: AttemptParts, options: AttemptOptions) {
     this.#parts = parts;
     this.#options = options;
@@ -142,16 +160,18 @@
       () => abort({ kind: 'timed-out', wasSent: exchange.wasSent }),
       Math.max(0, call.remainingMilliseconds),
     );
-    const silence = setInterval(() => {
-      if (this.#checkSilence(exchange)) {
-        abort({ kind: 'stalled', detail: 'no byte from the target' });
+    const progress = setInterval(() => {
+      if (exchange.unusedBytes > MAXIMUM_UNUSED_BYTES) {
+        abort({ kind: 'broken', detail: 'bytes that are no answer' });
+      } else if (this.#checkSilence(exchange)) {
+        abort({ kind: 'stalled', detail: 'no progress at the target' });
       }
-    }, SILENCE_CHECK_MILLISECONDS);
+    }, PROGRESS_CHECK_MILLISECONDS);
     return () => {
       call.response.removeListener('close', onClose);
       call.ending?.removeEventListener('abort', onEnding);
       clearTimeout(deadline);
-      clearInterval(silence);
+      clearInterval(progress);
     };
   }
 
@@ -163,7 +183,7 @@
     const nowMilliseconds = performance.now();
     const wasPaused = nowMilliseconds - this.#lastCheckMilliseconds > PAUSE_MILLISECONDS;
     this.#lastCheckMilliseconds = nowMilliseconds;
-    if (wasPaused) this.#lastProgressMilliseconds = nowMilliseconds;
+    if (wasPaused || this.#isWaitingForCaller) this.#lastProgressMilliseconds = nowMilliseconds;
     return this.#isSilent && (!wasSent || this.#options.mayGiveUpSilent());
   }
 
@@ -193,10 +213,10 @@
   /** Throws where an answer is none to this request, or says that the request has not run. */
   #checkHead(head: AnswerHead): void {
     const { call } = this.#options;
-    const broken = (detail: string): AttemptEnd => new AttemptEnd({ kind: 'broken', detail });
     if (head.requestId !== undefined && head.requestId !== call.envelope.id) {
       throw broken('answer to another request');
     }
+    if (head.requestId === undefined && isSuccess(head)) throw broken('success without a request');
     if (head.isMisdirected) {
       throw new AttemptEnd({ kind: 'declined', reason: 'misdirected' });
     }
@@ -220,48 +240,61 @@
 
   async #relayWhole(head: AnswerHead, answer: OpenAnswer): Promise<AttemptOutcome> {
     const { call } = this.#options;
-    const chunks: Buffer[] = [];
-    let length = 0;
-    for await (const chunk of answer.body) {
-      this.#heard();
-      chunks.push(chunk);
-      length += chunk.length;
-      if (length > MAXIMUM_ANSWER_BYTES) {
-        throw new AttemptEnd({ kind: 'broken', detail: 'answer too large' });
+    const body = new WholeBody(this.#parts.heldBytes, MAXIMUM_ANSWER_BYTES);
+    try {
+      for await (const chunk of answer.body) {
+        this.#heard();
+        if (!body.take(chunk)) throw broken('answer too large');
       }
-    }
-    if (call.response.headersSent) {
-      throw new AttemptEnd({ kind: 'broken', detail: `status ${head.status} to a resumed stream` });
+      if (call.response.headersSent) {
+        throw broken(`status ${head.status} to a resumed stream`);
+      }
+    } catch (error) {
+      body.release();
+      throw error;
     }
     call.answeredAtMilliseconds = call.ageMilliseconds;
-    this.#parts.writer.whole(call.response, head.status, head.passedHeaders, Buffer.concat(chunks));
+    call.response.once('close', () => body.release());
+    this.#parts.writer.whole(call.response, head.status, head.passedHeaders, body.chunks);
     return { kind: 'delivered', status: head.status };
   }
 
   async #relayEvents(head: AnswerHead, answer: OpenAnswer): Promise<AttemptOutcome> {
     const { call } = this.#options;
+    const { writer, heldBytes } = this.#parts;
+    call.stream ??= new CallerStream(call.response, writer, heldBytes);
+    const { stream } = call;
     const reader = new EventStreamReader();
     for await (const chunk of answer.body) {
-      this.#heard();
-      reader.push(chunk).forEach((event) => this.#relayEvent(head, event));
-    }
-    if (reader.isInsideEvent) {
-      throw new AttemptEnd({ kind: 'broken', detail: 'stream ended inside an event' });
+      const events = reader.push(chunk);
+      // Bytes of an event, or a comment, now and then are no progress.
+      if (events.some(({ hasData }) => hasData)) this.#heard();
+      if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw broken('event too large');
+      events.forEach((event) => this.#relayEvent(stream, head, event));
+      if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#untilRead();
     }
-    if (!call.response.headersSent) {
-      this.#parts.writer.head(call.response, head.status, head.passedHeaders);
-    }
-    call.response.end();
+    if (reader.isInsideEvent) throw broken('stream ended inside an event');
+    stream.end(head);
     return { kind: 'delivered', status: head.status };
   }
 
-  #relayEvent(head: AnswerHead, event: StreamEvent): void {
+  /** Waits until the caller has read what waits for it, or has left. */
+  async #untilRead(): Promise<void> {
+    const { response } = this.#options.call;
+    if (response.destroyed) return;
+    this.#isWaitingForCaller = true;
+    await new Promise<void>((resolve) => {
+      response.once('drain', resolve);
+      response.once('close', resolve);
+    });
+    this.#isWaitingForCaller = false;
+    this.#heard();
+  }
+
+  #relayEvent(stream: CallerStream, head: AnswerHead, event: StreamEvent): void {
     const { call } = this.#options;
-    if (!call.response.headersSent) {
-      call.answeredAtMilliseconds = call.ageMilliseconds;
-      this.#parts.writer.head(call.response, head.status, head.passedHeaders);
-    }
-    call.response.write(event.bytes);
+    if (call.events === 0) call.answeredAtMilliseconds = call.ageMilliseconds;
+    if (!stream.write(head, event.bytes)) throw broken('stream too large to be held');
     call.noteEvent(event);
   }
 
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -5,6 +5,7 @@
   TargetService,
 } from '../configuration/fleetConfiguration';
 import type { CallEnvelope } from './callEnvelope';
+import type { CallerStream } from './callerStream';
 import type { StreamEvent } from './eventStreamReader';
 import { DispatchHistory } from './dispatchHistory';
 
@@ -42,6 +43,9 @@
   /** Targets that may have run the request. */
   readonly history = new DispatchHistory();
 
+  /** The stream that answers the request; undefined until a target has begun one. */
+  stream: CallerStream | undefined;
+
   #lastEventId: string | undefined;
 
   #hasUnidentifiedData = false;
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -3,7 +3,6 @@
 import { Deferred } from '@limpetnotch/supervision';
 import type { BudgetGate } from '../budgets/budgetGate';
 import type { FleetState } from '../fleet/fleetState';
-import { cutConnection } from '../ingress/cutConnection';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
 import type { DrainAdmission } from '../shutdown/admitDuringDrain';
 import { admitCall } from './admitCall';
@@ -60,7 +59,7 @@
     } catch (error) {
       const reason = error instanceof Error ? (error.stack ?? error.message) : String(error);
       logger.error('call.failed', { reason });
-      cutConnection(response);
+      response.destroy();
     } finally {
       openCalls.finish(open);
     }
--- a/packages/gateway/src/calls/eventStreamReader.ts
+++ b/packages/gateway/src/calls/eventStreamReader.ts
@@ -29,25 +29,56 @@
   return { bytes, id: ID_LINE.exec(text)?.[1]?.trim(), hasData: DATA_LINE.test(text) };
 };
 
+/** Bytes before a chunk that may begin the blank line that the chunk completes. */
+const BOUNDARY_OVERLAP_BYTES = 2;
+
 /** Cuts the bytes of an event stream into whole events. */
 export class EventStreamReader {
-  #rest: Buffer = Buffer.alloc(0);
+  #pending: Buffer[] = [];
+
+  #pendingBytes = 0;
+
+  /** Last bytes of those pending. */
+  #tail: Buffer = Buffer.alloc(0);
+
+  /** Bytes of the event that is not whole yet. */
+  get pendingBytes(): number {
+    return this.#pendingBytes;
+  }
+
+  /** Whether the bytes so far end in the middle of an event. */
+  get isInsideEvent(): boolean {
+    return this.#pendingBytes > 0;
+  }
 
   /** Takes bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly StreamEvent[] {
-    const bytes = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    if (endOfEvent(Buffer.concat([this.#tail, chunk]), 0) < 0) {
+      this.#keep(chunk);
+      return [];
+    }
+    const bytes = Buffer.concat([...this.#pending, chunk]);
+    this.#forget();
     const events: StreamEvent[] = [];
     let start = 0;
     for (let end = endOfEvent(bytes, start); end >= 0; end = endOfEvent(bytes, start)) {
       events.push(eventOf(bytes.subarray(start, end)));
       start = end;
     }
-    this.#rest = bytes.subarray(start);
+    this.#keep(bytes.subarray(start));
     return events;
   }
 
-  /** Whether the bytes so far end in the middle of an event. */
-  get isInsideEvent(): boolean {
-    return this.#rest.length > 0;
+  #keep(bytes: Buffer): void {
+    if (bytes.length === 0) return;
+    this.#pending.push(bytes);
+    this.#pendingBytes += bytes.length;
+    this.#tail = Buffer.concat([this.#tail, bytes]).subarray(-BOUNDARY_OVERLAP_BYTES);
+  }
+
+  #forget(): void {
+    this.#pending = [];
+    this.#pendingBytes = 0;
+    this.#tail = Buffer.alloc(0);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
 import { AnswerWriter } from './calls/answerWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
+import { HeldBytes } from './calls/heldBytes';
 import { OpenCalls } from './calls/openCalls';
 import type { WireCodec } from './calls/wireCodec';
 import type { FleetConfiguration } from './configuration/fleetConfiguration';
@@ -34,6 +35,9 @@
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
 
+/** Plain answers of all calls together, until their callers have read them; the smallest instances have 200 MB. */
+const MAXIMUM_HELD_ANSWER_BYTES = 32 * 1024 * 1024;
+
 const MILLISECONDS = 1_000;
 
 /** Settings that may change while an instance runs. */
@@ -155,6 +159,7 @@
       prefixes: this.#prefixes,
       speeds: this.#speeds,
       writer,
+      heldBytes: new HeldBytes(MAXIMUM_HELD_ANSWER_BYTES),
       fleet: this.#fleet,
       availabilityZone: settings.availabilityZone,
       logger,
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -117,7 +117,6 @@
   /** Stops listening and closes all connections, within this turn of the event loop. */
   closeNow(): void {
     this.stopAccepting();
-    this.#connections.cutAnswers();
     this.#application.getHttpServer().closeAllConnections();
   }
 
--- a/packages/gateway/src/ingress/openConnections.ts
+++ b/packages/gateway/src/ingress/openConnections.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { cutConnection } from './cutConnection';
 
 /** What is known of one connection. */
 interface OpenConnection {
@@ -73,8 +72,4 @@
       if (responses.size === 0 && wholeAtBytes === socket.bytesRead) socket.destroy();
     });
   }
-  /** Cuts off the answers that have not left this process whole. */
-  cutAnswers(): void {
-    this.#connections.forEach(({ responses }) => responses.forEach(cutConnection));
-  }
 }
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -27,14 +27,34 @@
     [value ?? []].flat().flatMap((one) => [name, one]),
   );
 
+/** Bytes of an answer that wait to be read, beyond which no more are taken from the connection. */
+const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
+
+/** Answers that may precede the real one; nobody sends this many. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 16;
+
+/** What an exchange needs of the connection on which it is sent. */
+export interface ExchangeLine {
+  readonly connection: { readonly bytesRead: number };
+  /** Called once when the exchange needs its connection no more, with whether it may be used on. */
+  readonly onRelease: (isReusable: boolean) => void;
+}
+
 /** One request on one connection to a target, from its dispatch to the end of the answer. */
 export class Exchange implements Dispatcher.DispatchHandler {
-  readonly #onRelease: () => void;
+  #line: ExchangeLine | undefined;
 
   readonly #head = new Deferred<Result<OpenAnswer, ExchangeError>>();
 
   #chunks: Buffer[] = [];
 
+  #bufferedBytes = 0;
+
+  #informationalAnswers = 0;
+
+  /** Bytes that had come on the connection with the last part of the answer. */
+  #bytesAtLastPart = 0;
+
   #wakeReader: (() => void) | undefined;
 
   #state: 'connecting' | 'sent' | 'answering' | 'complete' | 'failed' = 'connecting';
@@ -45,11 +65,6 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
-  /** Takes what is called once when the exchange needs its connection no more. */
-  constructor(onRelease: () => void = () => undefined) {
-    this.#onRelease = onRelease;
-  }
-
   /** Whether the answer is complete, or can't be any more. */
   get isOver(): boolean {
     return this.#state === 'complete' || this.#state === 'failed';
@@ -65,6 +80,22 @@
     return this.#controller !== undefined;
   }
 
+  /** Bytes that came since the last part of the answer and are none themselves as yet. */
+  get unusedBytes(): number {
+    if (!this.wasSent) return 0;
+    return this.#bytesReadOnLine - this.#bytesAtLastPart;
+  }
+
+  /** Takes the connection on which the exchange is sent. */
+  attach(line: ExchangeLine): void {
+    this.#line = line;
+  }
+
+  /** Fails an exchange that no connection has taken. */
+  failUnsent(detail: string): void {
+    this.#fail({ kind: 'not-sent', detail, isRefused: false });
+  }
+
   /** Gives the exchange up and closes its connection, so that the target stops work. */
   abort(detail: string): void {
     if (this.isOver) return;
@@ -80,33 +111,43 @@
       return;
     }
     this.#state = 'sent';
+    this.#notePart();
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
     // Informational answers precede the real one.
-    if (status < 200) return;
+    if (status < 200) {
+      this.#informationalAnswers += 1;
+      if (this.#informationalAnswers <= MAXIMUM_INFORMATIONAL_ANSWERS) return;
+      controller.abort(new Error('informational answers without end'));
+      return;
+    }
     this.#state = 'answering';
+    this.#notePart();
     this.#head.resolve(ok({ status, rawHeaders: rawHeadersOf(headers), body: this.#read() }));
   }
 
-  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer): void {
+  onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this.#notePart();
     this.#chunks.push(chunk);
+    this.#bufferedBytes += chunk.length;
+    if (this.#bufferedBytes > MAXIMUM_BUFFERED_BYTES) controller.pause();
     this.#wakeReader?.();
   }
 
   onResponseEnd(): void {
-    this.#onRelease();
+    this.#line?.onRelease(true);
     if (this.#state === 'failed') return;
     this.#state = 'complete';
     this.#wakeReader?.();
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-    this.#onRelease();
+    this.#line?.onRelease(false);
     const detail = `${codeOf(error)} ${error.message}`;
     this.#fail(
       this.wasSent
@@ -115,6 +156,14 @@
     );
   }
 
+  get #bytesReadOnLine(): number {
+    return this.#line?.connection.bytesRead ?? 0;
+  }
+
+  #notePart(): void {
+    this.#bytesAtLastPart = this.#bytesReadOnLine;
+  }
+
   #fail(failure: ExchangeError): void {
     if (this.isOver) return;
     this.#state = 'failed';
@@ -127,7 +176,9 @@
     for (;;) {
       const chunks = this.#chunks;
       this.#chunks = [];
+      this.#bufferedBytes = 0;
       yield* chunks;
+      this.#controller?.resume();
       if (this.#chunks.length === 0) {
         if (this.#failure) throw new AnswerBrokenError(this.#failure);
         if (this.#state === 'complete') return;
--- /dev/null
+++ b/packages/gateway/src/targets/targetConnection.ts
@@ -0,0 +1,51 @@
+import type { Socket } from 'node:net';
+import { buildConnector, Client } from 'undici';
+import type { Exchange, ExchangeLine } from './exchange';
+import type { TargetRequest } from './targetRequest';
+import { CLIENT_OPTIONS, CONNECT_TIMEOUT_MILLISECONDS, dispatchOptionsOf } from './targetRequest';
+
+const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
+
+/** A connection to a target for one request at a time, opened when a request needs it. */
+export class TargetConnection {
+  readonly #client: Client;
+
+  #socket: Socket | undefined;
+
+  constructor(address: string) {
+    this.#client = new Client(`http://${address}`, {
+      ...CLIENT_OPTIONS,
+      connect: (options, callback) =>
+        connect(options, (...opened) => {
+          const [, socket] = opened;
+          if (socket) this.#socket = socket;
+          callback(...opened);
+        }),
+    });
+  }
+
+  /** Bytes that came on the connection since it was opened last. */
+  get bytesRead(): number {
+    return this.#socket?.bytesRead ?? 0;
+  }
+
+  /** Sends a request; calls back when it needs the connection no more. */
+  send(
+    request: TargetRequest,
+    exchange: Exchange,
+    onRelease: ExchangeLine['onRelease'] = () => undefined,
+  ): void {
+    exchange.attach({ connection: this, onRelease });
+    this.#client.dispatch(dispatchOptionsOf(request), exchange);
+  }
+
+  /** Closes the connection when its request has its answer. */
+  async close(): Promise<void> {
+    await this.#client.close();
+  }
+
+  /** Closes the connection; what is under way fails. */
+  async destroy(): Promise<void> {
+    await this.#client.destroy();
+  }
+}
--- a/packages/gateway/src/targets/targetConnections.ts
+++ b/packages/gateway/src/targets/targetConnections.ts
@@ -1,16 +1,15 @@
-import { Client } from 'undici';
 import { Exchange } from './exchange';
 import type { FleetTarget } from './fleetTarget';
+import { TargetConnection } from './targetConnection';
 import { TargetPool } from './targetPool';
 import type { TargetRequest } from './targetRequest';
-import { CLIENT_OPTIONS, dispatchOptionsOf } from './targetRequest';
 
 /** Connections to targets, a pool for each target at the address it announced last. */
 export class TargetConnections {
   readonly #pools = new Map<string, TargetPool>();
 
   /** Connections that close when the last exchange on them has ended. */
-  readonly #closing = new Set<Client | TargetPool>();
+  readonly #closing = new Set<TargetConnection | TargetPool>();
 
   /** Sends a request; the connections of a target are bounded by the limit given. */
   send(target: FleetTarget, connectionLimit: number, request: TargetRequest): Exchange {
@@ -20,9 +19,9 @@
   /** Sends a request over a connection of its own, as those that are open may be lost. */
   sendAlone(target: FleetTarget, request: TargetRequest): Exchange {
     const exchange = new Exchange();
-    const client = new Client(`http://${target.address}`, CLIENT_OPTIONS);
-    client.dispatch(dispatchOptionsOf(request), exchange);
-    this.#closeAfterUse(client);
+    const connection = new TargetConnection(target.address);
+    connection.send(request, exchange);
+    this.#closeAfterUse(connection);
     return exchange;
   }
 
@@ -37,9 +36,9 @@
 
   /** Closes all connections; what is under way fails. */
   async close(): Promise<void> {
-    const clients = [...this.#pools.values(), ...this.#closing];
+    const open = [...this.#pools.values(), ...this.#closing];
     this.#pools.clear();
-    await Promise.allSettled(clients.map((client) => client.destroy()));
+    await Promise.allSettled(open.map((connections) => connections.destroy()));
   }
 
   #poolOf(target: FleetTarget, connectionLimit: number): TargetPool {
@@ -51,7 +50,7 @@
     return pool;
   }
 
-  #closeAfterUse(connections: Client | TargetPool): void {
+  #closeAfterUse(connections: TargetConnection | TargetPool): void {
     this.#closing.add(connections);
     void connections.close().finally(() => this.#closing.delete(connections));
   }
--- a/packages/gateway/src/targets/targetPool.ts
+++ b/packages/gateway/src/targets/targetPool.ts
@@ -1,7 +1,7 @@
-import { Pool } from 'undici';
+import { Deferred } from '@limpetnotch/supervision';
 import { Exchange } from './exchange';
+import { TargetConnection } from './targetConnection';
 import type { TargetRequest } from './targetRequest';
-import { CLIENT_OPTIONS, dispatchOptionsOf } from './targetRequest';
 
 /** A request that waits for a connection. */
 interface WaitingRequest {
@@ -13,27 +13,27 @@
 export class TargetPool {
   readonly address: string;
 
-  readonly #pool: Pool;
-
   readonly #connectionLimit: number;
 
+  readonly #connections = new Set<TargetConnection>();
+
+  /** Connections without a request; the one used last, which is open most likely, is at the end. */
+  readonly #idle: TargetConnection[] = [];
+
   readonly #waiting: WaitingRequest[] = [];
 
-  #busyConnections = 0;
+  readonly #closed = new Deferred<void>();
+
+  #isClosing = false;
 
   constructor(address: string, connectionLimit: number) {
     this.address = address;
     this.#connectionLimit = connectionLimit;
-    const options = { ...CLIENT_OPTIONS, connections: connectionLimit };
-    this.#pool = new Pool(`http://${address}`, options);
   }
 
   /** Sends a request as soon as a connection is free. */
   send(request: TargetRequest): Exchange {
-    const exchange: Exchange = new Exchange(() => {
-      this.#busyConnections -= 1;
-      this.#sendWaiting();
-    });
+    const exchange = new Exchange();
     this.#waiting.push({ request, exchange });
     this.#sendWaiting();
     return exchange;
@@ -41,32 +41,58 @@
 
   /** Closes the connections when all requests have their answers. */
   async close(): Promise<void> {
-    this.#handOver();
-    await this.#pool.close();
+    this.#isClosing = true;
+    this.#closeIdle();
+    await this.#closed.promise;
   }
 
-  /** Closes the connections; what is under way fails. */
+  /** Closes the connections; what is under way or waits fails. */
   async destroy(): Promise<void> {
-    this.#handOver();
-    await this.#pool.destroy();
-  }
-
-  /** Leaves the requests that wait to the pool, which takes none once it closes. */
-  #handOver(): void {
-    this.#waiting.splice(0).forEach((waiting) => this.#dispatch(waiting));
+    this.#waiting.splice(0).forEach(({ exchange }) => exchange.failUnsent('connections closed'));
+    await Promise.all([...this.#connections].map((connection) => connection.destroy()));
+    this.#closed.resolve();
   }
 
   #sendWaiting(): void {
-    while (this.#busyConnections < this.#connectionLimit) {
-      const next = this.#waiting.shift();
+    for (;;) {
+      this.#dropGivenUp();
+      if (this.#waiting.length === 0) return;
+      const connection = this.#idle.pop() ?? this.#connectionWithinLimit();
+      const next = connection && this.#waiting.shift();
       if (!next) return;
-      this.#dispatch(next);
+      connection.send(next.request, next.exchange, (isReusable) =>
+        this.#release(connection, isReusable),
+      );
+    }
+  }
+
+  #dropGivenUp(): void {
+    while (this.#waiting[0]?.exchange.isOver) this.#waiting.shift();
+  }
+
+  #connectionWithinLimit(): TargetConnection | undefined {
+    if (this.#connections.size >= this.#connectionLimit) return undefined;
+    const connection = new TargetConnection(this.address);
+    this.#connections.add(connection);
+    return connection;
+  }
+
+  #release(connection: TargetConnection, isReusable: boolean): void {
+    if (isReusable) {
+      this.#idle.push(connection);
+    } else {
+      this.#connections.delete(connection);
+      void connection.destroy();
     }
+    this.#sendWaiting();
+    if (this.#isClosing) this.#closeIdle();
   }
 
-  #dispatch({ request, exchange }: WaitingRequest): void {
-    if (exchange.isOver) return;
-    this.#busyConnections += 1;
-    this.#pool.dispatch(dispatchOptionsOf(request), exchange);
+  #closeIdle(): void {
+    this.#idle.splice(0).forEach((connection) => {
+      this.#connections.delete(connection);
+      void connection.close();
+    });
+    if (this.#connections.size === 0) this.#closed.resolve();
   }
 }
--- a/packages/gateway/src/targets/targetRequest.ts
+++ b/packages/gateway/src/targets/targetRequest.ts
@@ -1,7 +1,7 @@
 import type { Client, Dispatcher } from 'undici';
 
 /** A target in the same region answers in milliseconds; a longer wait means that it is cut off. */
-const CONNECT_TIMEOUT_MILLISECONDS = 400;
+export const CONNECT_TIMEOUT_MILLISECONDS = 400;
 
 /** Shorter than the idle time of usual servers, so that a request rarely meets a closing connection. */
 const IDLE_MILLISECONDS = 4_000;
@@ -20,7 +20,6 @@
 
 export const CLIENT_OPTIONS: Client.Options = {
   pipelining: 1,
-  connect: { timeout: CONNECT_TIMEOUT_MILLISECONDS },
   keepAliveTimeout: IDLE_MILLISECONDS,
   headersTimeout: 0,
   bodyTimeout: 0,
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -8,6 +8,7 @@
 import { Call } from '../../src/calls/call';
 import type { CallResult } from '../../src/calls/callRunner';
 import { CallRunner } from '../../src/calls/callRunner';
+import { HeldBytes } from '../../src/calls/heldBytes';
 import type { AnswerHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
@@ -70,6 +71,8 @@
 
   readonly metrics = new MemoryMetrics();
 
+  readonly heldBytes = new HeldBytes(32 * 1024 * 1024);
+
   readonly lines: (readonly [string, LogFields | undefined])[] = [];
 
   readonly #connections: TargetConnections;
@@ -93,6 +96,7 @@
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
+      heldBytes: this.heldBytes,
       fleet: this.fleet,
       availabilityZone: 'a',
       logger,
