Tell slow streams from stalled ones by their events and their route

Causes: any byte counted as progress, so that a stream that sends a comment or a part of an event now and then was never given up; and one bound of 700 ms held for all routes, so that a stream that is as slow as its route allows was given up twice and answered 502. Ruled out: more patience for all, which would keep callers of fast routes waiting at a lost target; status checks, which cost callers' slots.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -14,6 +14,7 @@
 import type { StreamEvent } from './eventStreamReader';
 import type { HeldBytes } from './heldBytes';
 import { WholeBody } from './wholeBody';
+import type { SilenceBound } from './silenceBound';
 import type { AnswerHead, WireCodec } from './wireCodec';
 
 /** Bodies of plain answers are held whole before they are sent; larger ones count as broken. */
@@ -59,7 +60,7 @@
   readonly connection: AttemptConnection;
   readonly priority: number | undefined;
   /** Silence of the target, on all connections, after which the attempt may be given up. */
-  readonly silenceMilliseconds: number;
+  readonly silence: SilenceBound;
   /** Whether giving a silent target up now leaves the caller better off than waiting on. */
   readonly mayGiveUpSilent: () => boolean;
 }
@@ -87,6 +88,9 @@
 
   #lastCheckMilliseconds = performance.now();
 
+  /** Whether the target has sent an event with data. */
+  #hasProgressed = false;
+
   /** Whether the target's answer waits for the caller to read on. */
   #isWaitingForCaller = false;
 
@@ -188,7 +192,10 @@
   }
 
   get #isSilent(): boolean {
-    const { target, silenceMilliseconds } = this.#options;
+    const { target, silence } = this.#options;
+    const silenceMilliseconds = this.#hasProgressed
+      ? silence.laterMilliseconds
+      : silence.firstMilliseconds;
     const ownSilence = performance.now() - this.#lastProgressMilliseconds;
     return (
       ownSilence > silenceMilliseconds &&
@@ -268,7 +275,7 @@
     for await (const chunk of answer.body) {
       const events = reader.push(chunk);
       // Bytes of an event, or a comment, now and then are no progress.
-      if (events.some(({ hasData }) => hasData)) this.#heard();
+      if (events.some(({ hasData }) => hasData)) this.#noteProgress();
       if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw broken('event too large');
       events.forEach((event) => this.#relayEvent(stream, head, event));
       if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#untilRead();
@@ -298,6 +305,11 @@
     call.noteEvent(event);
   }
 
+  #noteProgress(): void {
+    this.#hasProgressed = true;
+    this.#heard();
+  }
+
   #heard(): void {
     this.#lastProgressMilliseconds = performance.now();
     this.#parts.loads.heard(this.#options.target.id);
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -10,6 +10,7 @@
 import { decideDispatch } from './redispatch';
 import type { DispatchSituation, GiveUpReason } from './redispatch';
 import type { Refusal } from './refusal';
+import { silenceBoundOf } from './silenceBound';
 import { SHUTTING_DOWN } from './shuttingDown';
 
 /** Dispatches that a request gets at most, declined ones included. */
@@ -18,9 +19,6 @@
 /** Runs of one request at most: one that broke off this often may be what breaks its targets. */
 const MAXIMUM_RUNS = 3;
 
-/** A target that answers nobody for this long is taken for lost; steps take some milliseconds. */
-const SILENCE_MILLISECONDS = 700;
-
 /** Time of a turn before any was measured, in milliseconds. */
 const UNKNOWN_TURN_MILLISECONDS = 200;
 
@@ -143,9 +141,7 @@
       target,
       connection,
       priority: this.#priorityOf(call),
-      // A plain service that answers nobody may just be at work; an engine makes a step in milliseconds.
-      silenceMilliseconds:
-        call.route.execution.kind === 'event-stream' ? SILENCE_MILLISECONDS : Infinity,
+      silence: silenceBoundOf(call.route),
       mayGiveUpSilent: () => this.#mayGiveUpSilent(call, target, repeats),
     });
     const beganMilliseconds = performance.now();
--- /dev/null
+++ b/packages/gateway/tests/calls/slowStream.test.ts
@@ -0,0 +1,117 @@
+import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
+import { delay } from '@limpetnotch/supervision';
+import { CallHarness, SIGNED } from '../support/callHarness';
+
+/** Well over the silence after which a target of a fast route may be given up. */
+const SLOW_MILLISECONDS = 1_200;
+
+const TIMEOUT_MILLISECONDS = 4_000;
+
+const SLOW_ROUTE = {
+  execution: { kind: 'event-stream', isResumable: true, maximumGapMilliseconds: 1_500 },
+  latencyObjectiveMilliseconds: 1_500,
+} as const;
+
+const FAST_ROUTE = {
+  execution: { kind: 'event-stream', isResumable: true, maximumGapMilliseconds: 200 },
+  latencyObjectiveMilliseconds: 200,
+  timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+} as const;
+
+const eventOf = (id: number): string => `id: ${id}\ndata: ${id}\n\n`;
+
+const THREE_EVENTS = [1, 2, 3].map(eventOf).join('');
+
+let harness = new CallHarness();
+
+let runs = 0;
+
+beforeEach(() => {
+  harness = new CallHarness();
+  runs = 0;
+});
+
+afterEach(() => harness.close());
+
+/** Writes the rest of a stream of three events, with a pause before each. */
+const streaming =
+  (pauseMilliseconds: number) =>
+  async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    runs += 1;
+    response.writeHead(200, SIGNED);
+    for (let id = Number(request.headers['x-after']) + 1; id <= 3; id += 1) {
+      await delay(pauseMilliseconds);
+      response.write(eventOf(id));
+    }
+    response.end();
+  };
+
+/** Writes one event at its first run, then a text now and then; at later runs it streams. */
+const stallingWith =
+  (first: string, text: string): RequestListener =>
+  (request, response) => {
+    if (runs > 0) {
+      void streaming(0)(request, response);
+      return;
+    }
+    runs += 1;
+    response.writeHead(200, SIGNED);
+    response.write(first);
+    const writing = setInterval(() => response.write(text), 100);
+    response.once('close', () => clearInterval(writing));
+  };
+
+test('a stream that is as slow as its route allows is not cut', async () => {
+  const handle = streaming(SLOW_MILLISECONDS);
+  await harness.addTarget('t0', handle);
+  await harness.addTarget('t1', handle);
+  const { status, body, isWhole } = await harness.run(SLOW_ROUTE);
+  expect([status, body, isWhole, runs]).toEqual([200, THREE_EVENTS, true, 1]);
+});
+
+test('a target that thinks as long as its route allows is not given up', async () => {
+  await harness.addTarget('t0', async (request, response) => {
+    await delay(SLOW_MILLISECONDS);
+    await streaming(0)(request, response);
+  });
+  const { status, body } = await harness.run(SLOW_ROUTE);
+  expect([status, body, runs]).toEqual([200, THREE_EVENTS, 1]);
+});
+
+test.each([
+  ['comments', ': still here\n\n'],
+  ['bytes of one event', 'd'],
+  ['line feeds', '\n'],
+])('a stream that stalls and sends %s now and then goes on elsewhere', async (_name, text) => {
+  await harness.addTarget('t0', stallingWith(eventOf(1), text));
+  const { isWhole, body, milliseconds } = await harness.run(FAST_ROUTE);
+  expect(isWhole).toBe(true);
+  expect(body).toContain(eventOf(2) + eventOf(3));
+  expect(milliseconds).toBeLessThan(TIMEOUT_MILLISECONDS / 2);
+});
+
+test('a stream that sends only comments from its start goes on elsewhere', async () => {
+  await harness.addTarget('t0', stallingWith('', ': still here\n\n'));
+  const { isWhole, body, milliseconds } = await harness.run(FAST_ROUTE);
+  expect(isWhole).toBe(true);
+  expect(body).toContain(THREE_EVENTS);
+  expect(milliseconds).toBeLessThan(TIMEOUT_MILLISECONDS / 2);
+});
+
+test('a stalled stream that may not be sent again ends at the timeout of its route', async () => {
+  const responses: ServerResponse[] = [];
+  const handle = stallingWith(eventOf(1), 'd');
+  await harness.addTarget('t0', (request, response) => {
+    responses.push(response);
+    handle(request, response);
+  });
+  const { isWhole, milliseconds } = await harness.run({
+    ...FAST_ROUTE,
+    execution: { ...FAST_ROUTE.execution, isResumable: false },
+    timeoutMilliseconds: SLOW_MILLISECONDS,
+  });
+  expect(isWhole).toBe(false);
+  expect(milliseconds).toBeLessThan(SLOW_MILLISECONDS + 500);
+  await delay(50);
+  expect(responses.map(({ destroyed }) => destroyed)).toEqual([true]);
+});
