--- a/packages/integration/src/faults.ts
+++ b/packages/integration/src/faults.ts
@@ -8,7 +8,7 @@
 import type { CellPlan } from './faults/runCell';
 import { runCell } from './faults/runCell';
 
-const PAGE = resolve(__dirname, '../../../docs/FAULTS.md');
+const PAGE = resolve(__dirname, '../../../docs/FAULT-MATRIX.md');
 
 const failed = (plan: CellPlan, failure: unknown): CellResult => ({
   kind: plan.kind,
@@ -21,7 +21,7 @@
   broken: [failure instanceof Error ? failure.message : String(failure)],
 });
 
-/** `faults`: runs the fault matrix, prints each cell and writes docs/FAULTS.md. */
+/** `faults`: runs the fault matrix, prints each cell and writes docs/FAULT-MATRIX.md. */
 class FaultsCommand extends Command {
   static override paths = [Command.Default];
 
@@ -33,7 +33,7 @@
 
   fleets = Option.String('--fleets', '2', { description: 'Fleets that run cells side by side' });
 
-  write = Option.Boolean('--write', true, { description: 'Write docs/FAULTS.md' });
+  write = Option.Boolean('--write', true, { description: 'Write docs/FAULT-MATRIX.md' });
 
   async execute(): Promise<number> {
     const plans = everyCell().filter(({ kind, step, faults }) =>
--- a/packages/integration/src/faults/faultsPage.ts
+++ b/packages/integration/src/faults/faultsPage.ts
@@ -25,7 +25,7 @@
   charge: 'Tool call that may not be repeated',
 } as const;
 
-/** Writes the page docs/FAULTS.md. */
+/** Writes the page docs/FAULT-MATRIX.md. */
 export const faultsPage = (results: readonly CellResult[]): string => {
   const tables = CALL_KINDS.map(
     (kind) => `## ${TITLES[kind]}\n\n${markdownTable(results, kind)}\n`,
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -67,7 +67,7 @@
 
   mode: TargetMode = 'sound';
 
-  /** Whether answers ask for their connection to be closed, as before a planned end. */
+  /** Whether answers say that the target leaves, and close their connection. */
   isLeaving = false;
 
   /** When the target ended. */
@@ -232,7 +232,7 @@
   #headers({ requestId, signature }: TargetRun, more: Record<string, string>): OutgoingHttpHeaders {
     return {
       ...more,
-      ...(this.isLeaving ? { connection: 'close' } : {}),
+      ...(this.isLeaving ? { connection: 'close', 'server-leaving': '1' } : {}),
       'request-id': requestId,
       'response-signature': signature,
       'server-load': this.#load,
--- a/packages/stand-ins/tests/platformTargetStandIn.test.ts
+++ b/packages/stand-ins/tests/platformTargetStandIn.test.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events';
+import { get } from 'node:http';
+import type { IncomingMessage } from 'node:http';
 import type { CallerRecord, TargetRun } from '../src';
 import { CallerConnection, eventText, PlatformTargetStandIn } from '../src';
 
@@ -103,3 +106,11 @@
   expect((await cut).outcome.kind).toBe('broken');
   expect(runs[0]!.end).toEqual({ kind: 'broken', cause: 'crashed' });
 });
+
+test('a leaving target says so in its answers', async () => {
+  await start(false);
+  const sent = get(`http://127.0.0.1:${target.port}/1x50`, { headers: { 'request-id': 'r1' } });
+  target.isLeaving = true;
+  const [{ headers }] = (await once(sent, 'response')) as [IncomingMessage];
+  expect([headers['server-leaving'], headers.connection]).toEqual(['1', 'close']);
+});
