Split the relay and the progress of an answer off an attempt, and end it for callers that do not read

Cause: since targets wait for callers that do not read, an attempt whose time was over waited on for its caller, beyond the timeout of its route. Ruled out: the target, whose connection was closed in time. Change: AnswerRelay sends answers on, ProgressWatch tells silence, and the wait for a caller ends when the attempt is given up.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,40 +1,23 @@
 import type { Logger } from '@limpetnotch/observability';
-import { AnswerBrokenError } from '../targets/exchangeError';
-import type { Exchange, OpenAnswer } from '../targets/exchange';
 import type { FleetState } from '../fleet/fleetState';
+import type { Exchange } from '../targets/exchange';
+import { AnswerBrokenError } from '../targets/exchangeError';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetConnections } from '../targets/targetConnections';
 import type { TargetLoads } from '../targets/targetLoads';
+import { AnswerRelay } from './answerRelay';
 import type { AnswerWriter } from './answerWriter';
-import { AttemptEnd } from './attemptEnd';
+import { AttemptEnd, broken } from './attemptEnd';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
-import { CallerStream } from './callerStream';
-import { EventStreamReader } from './eventStreamReader';
-import type { StreamEvent } from './eventStreamReader';
 import type { HeldBytes } from './heldBytes';
-import { WholeBody } from './wholeBody';
+import { PROGRESS_CHECK_MILLISECONDS, ProgressWatch } from './progressWatch';
 import type { SilenceBound } from './silenceBound';
 import type { AnswerHead, WireCodec } from './wireCodec';
 
-/** Bodies of plain answers are held whole before they are sent; larger ones count as broken. */
-const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
-
-/** Bytes of one event of a stream; a larger one counts as no event. */
-const MAXIMUM_EVENT_BYTES = 1024 * 1024;
-
 /** Bytes that come without being part of an answer, beyond which none is expected any more. */
 const MAXIMUM_UNUSED_BYTES = 1024 * 1024;
 
-/** Bytes that wait for a caller to read them, beyond which its stream waits, too. */
-const MAXIMUM_UNREAD_BYTES = 256 * 1024;
-
-/** How often the progress of an answer is checked. */
-const PROGRESS_CHECK_MILLISECONDS = 100;
-
-/** Time between two checks from which on the process itself stood still: two checks were missed. */
-const PAUSE_MILLISECONDS = 3 * PROGRESS_CHECK_MILLISECONDS;
-
 /** What an attempt needs of the instance. */
 export interface AttemptParts {
   readonly fleet: FleetState;
@@ -65,8 +48,6 @@
   readonly mayGiveUpSilent: () => boolean;
 }
 
-const broken = (detail: string): AttemptEnd => new AttemptEnd({ kind: 'broken', detail });
-
 const isSuccess = ({ status }: AnswerHead): boolean => status >= 200 && status < 300;
 
 /** A request that waited for its connection all the time says nothing of its target's silence. */
@@ -84,19 +65,14 @@
   /** Why the exchange was aborted, where this instance did so. */
   #given: AttemptOutcome | undefined;
 
-  #lastProgressMilliseconds = performance.now();
-
-  #lastCheckMilliseconds = performance.now();
-
-  /** Whether the target has sent an event with data. */
-  #hasProgressed = false;
+  readonly #givenUp = new AbortController();
 
-  /** Whether the target's answer waits for the caller to read on. */
-  #isWaitingForCaller = false;
+  readonly #progress: ProgressWatch;
 
   constructor(parts: AttemptParts, options: AttemptOptions) {
     this.#parts = parts;
     this.#options = options;
+    this.#progress = new ProgressWatch(options.target.id, options.silence, parts.loads);
   }
 
   /** Sends the request and relays the answer; resolves when the attempt has ended. */
@@ -153,6 +129,7 @@
     const abort = (outcome: AttemptOutcome): void => {
       this.#given ??= outcome;
       exchange.abort(outcome.kind);
+      this.#givenUp.abort();
     };
     const onClose = (): void => {
       if (!call.response.writableFinished) abort({ kind: 'caller-gone' });
@@ -167,7 +144,7 @@
     const progress = setInterval(() => {
       if (exchange.unusedBytes > MAXIMUM_UNUSED_BYTES) {
         abort({ kind: 'broken', detail: 'bytes that are no answer' });
-      } else if (this.#checkSilence(exchange)) {
+      } else if (this.#progress.checkSilence() && this.#mayGiveUp(exchange)) {
         abort({ kind: 'stalled', detail: 'no progress at the target' });
       }
     }, PROGRESS_CHECK_MILLISECONDS);
@@ -179,42 +156,25 @@
     };
   }
 
-  /**
-   * Returns whether to give the target up as silent. Bytes that came while the process stood still
-   * are read only after this check.
-   */
-  #checkSilence({ wasSent }: Exchange): boolean {
-    const nowMilliseconds = performance.now();
-    const wasPaused = nowMilliseconds - this.#lastCheckMilliseconds > PAUSE_MILLISECONDS;
-    this.#lastCheckMilliseconds = nowMilliseconds;
-    if (wasPaused || this.#isWaitingForCaller) this.#lastProgressMilliseconds = nowMilliseconds;
-    return this.#isSilent && (!wasSent || this.#options.mayGiveUpSilent());
-  }
-
-  get #isSilent(): boolean {
-    const { target, silence } = this.#options;
-    const silenceMilliseconds = this.#hasProgressed
-      ? silence.laterMilliseconds
-      : silence.firstMilliseconds;
-    const ownSilence = performance.now() - this.#lastProgressMilliseconds;
-    return (
-      ownSilence > silenceMilliseconds &&
-      this.#parts.loads.silenceMilliseconds(target.id) > silenceMilliseconds
-    );
+  #mayGiveUp({ wasSent }: Exchange): boolean {
+    return !wasSent || this.#options.mayGiveUpSilent();
   }
 
   async #receive(exchange: Exchange): Promise<AttemptOutcome> {
     const opened = await exchange.head;
     if (opened.isErr()) throw new AnswerBrokenError(opened.error);
-    this.#heard();
+    this.#progress.noteProgress();
     const answer = opened.value;
     const head = this.#parts.codec.decodeAnswer(answer.status, answer.rawHeaders);
     if (head.load) this.#parts.loads.report(this.#options.target.id, head.load);
     this.#checkHead(head);
-    const { execution } = this.#options.call.route;
-    return execution.kind === 'event-stream' && isSuccess(head)
-      ? this.#relayEvents(head, answer)
-      : this.#relayWhole(head, answer);
+    const { call } = this.#options;
+    const { writer, heldBytes } = this.#parts;
+    const givenUp = this.#givenUp.signal;
+    const relay = new AnswerRelay({ call, writer, heldBytes, progress: this.#progress, givenUp });
+    return call.route.execution.kind === 'event-stream' && isSuccess(head)
+      ? relay.relayEvents(head, answer)
+      : relay.relayWhole(head, answer);
   }
 
   /** Throws where an answer is none to this request, or says that the request has not run. */
@@ -245,76 +205,6 @@
     });
   }
 
-  async #relayWhole(head: AnswerHead, answer: OpenAnswer): Promise<AttemptOutcome> {
-    const { call } = this.#options;
-    const body = new WholeBody(this.#parts.heldBytes, MAXIMUM_ANSWER_BYTES);
-    try {
-      for await (const chunk of answer.body) {
-        this.#heard();
-        if (!body.take(chunk)) throw broken('answer too large');
-      }
-      if (call.response.headersSent) {
-        throw broken(`status ${head.status} to a resumed stream`);
-      }
-    } catch (error) {
-      body.release();
-      throw error;
-    }
-    call.answeredAtMilliseconds = call.ageMilliseconds;
-    call.response.once('close', () => body.release());
-    this.#parts.writer.whole(call.response, head.status, head.passedHeaders, body.chunks);
-    return { kind: 'delivered', status: head.status };
-  }
-
-  async #relayEvents(head: AnswerHead, answer: OpenAnswer): Promise<AttemptOutcome> {
-    const { call } = this.#options;
-    const { writer, heldBytes } = this.#parts;
-    call.stream ??= new CallerStream(call.response, writer, heldBytes);
-    const { stream } = call;
-    const reader = new EventStreamReader();
-    for await (const chunk of answer.body) {
-      const events = reader.push(chunk);
-      // Bytes of an event, or a comment, now and then are no progress.
-      if (events.some(({ hasData }) => hasData)) this.#noteProgress();
-      if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw broken('event too large');
-      events.forEach((event) => this.#relayEvent(stream, head, event));
-      if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#untilRead();
-    }
-    if (reader.isInsideEvent) throw broken('stream ended inside an event');
-    stream.end(head);
-    return { kind: 'delivered', status: head.status };
-  }
-
-  /** Waits until the caller has read what waits for it, or has left. */
-  async #untilRead(): Promise<void> {
-    const { response } = this.#options.call;
-    if (response.destroyed) return;
-    this.#isWaitingForCaller = true;
-    await new Promise<void>((resolve) => {
-      response.once('drain', resolve);
-      response.once('close', resolve);
-    });
-    this.#isWaitingForCaller = false;
-    this.#heard();
-  }
-
-  #relayEvent(stream: CallerStream, head: AnswerHead, event: StreamEvent): void {
-    const { call } = this.#options;
-    if (call.events === 0) call.answeredAtMilliseconds = call.ageMilliseconds;
-    if (!stream.write(head, event.bytes)) throw broken('stream too large to be held');
-    call.noteEvent(event);
-  }
-
-  #noteProgress(): void {
-    this.#hasProgressed = true;
-    this.#heard();
-  }
-
-  #heard(): void {
-    this.#lastProgressMilliseconds = performance.now();
-    this.#parts.loads.heard(this.#options.target.id);
-  }
-
   #outcomeOfError(error: unknown): AttemptOutcome {
     if (this.#given) return this.#given;
     if (error instanceof AttemptEnd) return error.outcome;
--- a/packages/gateway/src/calls/attemptEnd.ts
+++ b/packages/gateway/src/calls/attemptEnd.ts
@@ -9,3 +9,6 @@
     this.outcome = outcome;
   }
 }
+
+/** Returns the end of an attempt whose answer is lost or none to its request. */
+export const broken = (detail: string): AttemptEnd => new AttemptEnd({ kind: 'broken', detail });
--- /dev/null
+++ b/packages/gateway/src/calls/untilWritable.ts
@@ -0,0 +1,17 @@
+import type { Writable } from 'node:stream';
+
+/** Resolves when a stream takes more, is closed, or the signal aborts. */
+export const untilWritable = async (stream: Writable, signal: AbortSignal): Promise<void> => {
+  if (!stream.writableNeedDrain || stream.destroyed || signal.aborted) return;
+  await new Promise<void>((resolve) => {
+    const settle = (): void => {
+      stream.removeListener('drain', settle);
+      stream.removeListener('close', settle);
+      signal.removeEventListener('abort', settle);
+      resolve();
+    };
+    stream.once('drain', settle);
+    stream.once('close', settle);
+    signal.addEventListener('abort', settle);
+  });
+};
