Take no answer that does not name its request

Cause: a late answer without a request's name was refused only where it was a success. One that declines, or comes from another target at the address, says that the next request on the connection has not run, and a failure would be given to its caller. Ruled out: that targets of the platform leave the name out. Change: an answer of any status must name its request; what doesn't is lost, and the request may have run. The stand-in names it in declines.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -180,10 +180,8 @@
   /** Throws where an answer is none to this request, or says that the request has not run. */
   #checkHead(head: AnswerHead): void {
     const { call } = this.#options;
-    if (head.requestId !== undefined && head.requestId !== call.envelope.id) {
-      throw broken('answer to another request');
-    }
-    if (head.requestId === undefined && isSuccess(head)) throw broken('success without a request');
+    // A late answer to another request may lack its name, and may say that this one has not run.
+    if (head.requestId !== call.envelope.id) throw broken('answer to another request');
     if (head.isMisdirected) {
       throw new AttemptEnd({ kind: 'declined', reason: 'misdirected' });
     }
--- a/packages/gateway/tests/calls/secondAnswer.test.ts
+++ b/packages/gateway/tests/calls/secondAnswer.test.ts
@@ -104,3 +104,23 @@
     expect([next.status, next.body]).toEqual([200, 'id: 1\ndata: next\n\n']);
   },
 );
+
+test.each([
+  ['a decline', 'HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n'],
+  ['another target', 'HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n'],
+  ['a failure', 'HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n'],
+])(
+  'a late answer without a name does not say how the next request ended (%s)',
+  async (_name, late) => {
+    let requests = 0;
+    await harness.addTarget('t0', (request) => {
+      requests += 1;
+      request.resume();
+      const id = String(request.headers['x-id']);
+      request.socket.write(requests === 1 ? answerTo(id) : late);
+    });
+    await harness.run({ execution: { kind: 'at-most-once' } }, 'first');
+    const { status } = await harness.run({ execution: { kind: 'at-most-once' } }, 'next');
+    expect([status, requests]).toEqual([502, 2]);
+  },
+);
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -110,7 +110,10 @@
 
   /** Starts a target and announces it. */
   async addTarget(id: string, handle: RequestListener): Promise<StandInTarget> {
-    const target = await this.#listen(handle);
+    const target = await this.#listen((request, response) => {
+      response.setHeader('x-id', String(request.headers['x-id']));
+      handle(request, response);
+    });
     this.announce(id, target.address, 'serving');
     return target;
   }
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -244,7 +244,9 @@
   }
 
   #decline(response: ServerResponse, status: number): void {
+    const requestId = response.req.headers['request-id'];
     response.writeHead(status, {
+      ...(requestId === undefined ? {} : { 'request-id': requestId }),
       'content-length': 0,
       'not-executed': '1',
       'server-load': this.#load,
