Remember that a target leaves where the store has said so first

Cause: an answer that said so was not remembered for a target that the store had announced as leaving, so that an outdated announcement of the store would have brought it back.

--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -12,7 +12,7 @@
  */
 const DEPARTURE_MEMORY_MILLISECONDS = 2 * DEPARTURE_MILLISECONDS;
 
-/** Starts that are kept in mind as leaving; more than leave in the time that a leave takes. */
+/** Starts of targets that are remembered as leaving; the oldest are forgotten beyond this. */
 const MAXIMUM_LEAVING_STARTS = 1_000;
 
 const isSameStart = (one: FleetTarget, other: FleetTarget): boolean =>
@@ -92,10 +92,11 @@
    */
   markLeaving(target: FleetTarget): boolean {
     const known = this.#targets.get(target.id);
-    if (known && (known.state === 'leaving' || !isSameStart(known, target))) return false;
+    if (known && !isSameStart(known, target)) return false;
     this.#keepLeavingStart(target);
-    if (known) this.put(known);
-    return known !== undefined;
+    if (known?.state !== 'serving') return false;
+    this.put(known);
+    return true;
   }
 
   /** Returns the targets of a service that may get new work. */
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -174,3 +174,11 @@
   directory.put(leaving);
   expect(servingIds(directory)).toEqual([]);
 });
+
+test('an outdated announcement does not undo what a leaving target said', () => {
+  const directory = new TargetDirectory();
+  directory.put(target('1', 'leaving'));
+  expect(directory.markLeaving(target('1'))).toBe(false);
+  directory.put(target('1'));
+  expect(servingIds(directory)).toEqual([]);
+});
