Add a durable log of turns

This is the part on one disk; the path of a turn through instances comes next, and no program uses the log yet. Ruled out: see docs/decisions/turn-log.md. Change: packages/turn-log, records of a message that instances will exchange, too.

--- /dev/null
+++ b/packages/turn-log/src/index.ts
@@ -0,0 +1,5 @@
+export { openSegmentFiles } from './openSegmentFiles';
+export type { SegmentFile, SegmentFiles } from './segmentFiles';
+export { TurnLog } from './turnLog';
+export type { TurnLogOptions } from './turnLog';
+export type { TurnLogError } from './turnLogError';
--- /dev/null
+++ b/packages/turn-log/src/openSegmentFiles.ts
@@ -0,0 +1,45 @@
+import { mkdir, open, readdir, readFile, rm } from 'node:fs/promises';
+import { join } from 'node:path';
+import type { SegmentFile, SegmentFiles } from './segmentFiles';
+
+const createFile = async (path: string): Promise<SegmentFile> => {
+  const handle = await open(path, 'ax');
+  return {
+    append: (bytes) => handle.appendFile(bytes),
+    sync: () => handle.datasync(),
+    close: () => handle.close(),
+  };
+};
+
+const readPart = async (path: string, offset: number, length: number): Promise<Buffer> => {
+  const handle = await open(path, 'r');
+  try {
+    const { buffer, bytesRead } = await handle.read(Buffer.alloc(length), 0, length, offset);
+    return buffer.subarray(0, bytesRead);
+  } finally {
+    await handle.close();
+  }
+};
+
+const syncDirectory = async (path: string): Promise<void> => {
+  const handle = await open(path, 'r');
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+};
+
+/** Opens the files of a log in a directory, which is created where it is missing. */
+export const openSegmentFiles = async (directory: string): Promise<SegmentFiles> => {
+  await mkdir(directory, { recursive: true });
+  const pathOf = (name: string): string => join(directory, name);
+  return {
+    list: () => readdir(directory),
+    create: (name) => createFile(pathOf(name)),
+    syncDirectory: () => syncDirectory(directory),
+    read: (name, offset, length) => readPart(pathOf(name), offset, length),
+    readWhole: (name) => readFile(pathOf(name)),
+    remove: (name) => rm(pathOf(name), { force: true }),
+  };
+};
--- /dev/null
+++ b/packages/turn-log/tests/support/turn.ts
@@ -0,0 +1,15 @@
+import { create } from '@bufbuild/protobuf';
+import type { Turn } from '@limpetnotch/peer-protocol';
+import { TurnSchema } from '@limpetnotch/peer-protocol';
+
+/** Returns a turn of an organisation, with a text that only it has. */
+export const turnOf = (id: string, change: Partial<Turn> = {}): Turn =>
+  create(TurnSchema, {
+    organisation: 'north',
+    id,
+    parentId: '',
+    expiresAtMilliseconds: 1_000_000,
+    input: Buffer.from(`input of ${id}`),
+    output: Buffer.from(`output of ${id}`),
+    ...change,
+  });
--- /dev/null
+++ b/packages/turn-log/tests/turnRecord.test.ts
@@ -0,0 +1,48 @@
+import fc from 'fast-check';
+import { encodeRecord, scanRecords } from '../src/turnRecord';
+import { turnOf } from './support/turn';
+
+const idsOf = (bytes: Buffer): string[] => scanRecords(bytes).records.map(({ turn }) => turn.id);
+
+const RECORDS = ['1', '2', '3'].map((id) => encodeRecord(turnOf(id)));
+
+test('records are found in their order', () => {
+  expect(idsOf(Buffer.concat(RECORDS))).toEqual(['1', '2', '3']);
+  expect(scanRecords(Buffer.concat(RECORDS)).lostBytes).toBe(0);
+});
+
+test('bytes between records are counted as lost', () => {
+  const [first, second] = RECORDS;
+  const bytes = Buffer.concat([first!, Buffer.from('ltr1 and more'), second!]);
+  expect(scanRecords(bytes)).toMatchObject({ lostBytes: 13 });
+  expect(idsOf(bytes)).toEqual(['1', '2']);
+});
+
+test('a text that looks like a record is not taken for one', () => {
+  const inner = encodeRecord(turnOf('inner'));
+  const outer = encodeRecord(turnOf('outer', { output: inner }));
+  expect(idsOf(outer)).toEqual(['outer']);
+});
+
+test('whatever bytes change, a scan ends and finds only turns that were written', () => {
+  const change = fc.record({ at: fc.nat(), value: fc.nat({ max: 255 }) });
+  const property = fc.property(fc.array(change, { maxLength: 8 }), fc.nat(), (changes, cut) => {
+    const bytes = Buffer.concat(RECORDS);
+    changes.forEach(({ at, value }) => {
+      bytes[at % bytes.length] = value;
+    });
+    const found = scanRecords(bytes.subarray(0, cut % (bytes.length + 1))).records;
+    found.forEach(({ turn }) => expect(turn).toEqual(turnOf(turn.id)));
+    expect(new Set(found.map(({ turn }) => turn.id)).size).toBe(found.length);
+  });
+  fc.assert(property, { numRuns: 1_000, seed: 4 });
+});
+
+test('any bytes can be scanned', () => {
+  const property = fc.property(fc.uint8Array({ maxLength: 300 }), (bytes) => {
+    const { records, lostBytes } = scanRecords(Buffer.from(bytes));
+    expect(records).toEqual([]);
+    expect(lostBytes).toBe(bytes.length);
+  });
+  fc.assert(property, { numRuns: 500, seed: 5 });
+});
