--- a/packages/gateway/src/calls/callerStream.ts
+++ b/packages/gateway/src/calls/callerStream.ts
@@ -4,7 +4,7 @@
 import { WholeBody } from './wholeBody';
 import type { AnswerHead } from './wireCodec';
 
-/** Events of a held stream beyond which it counts as broken. */
+/** Bytes of a held stream beyond which it counts as broken. */
 const MAXIMUM_HELD_STREAM_BYTES = 16 * 1024 * 1024;
 
 /** How the events of a stream reach a caller. */
