Open the connections that a test silences for certain

Its first reads were not checked, and where the process stands still for longer than a call may take they fail, the client leaves its connections, and the silence hits none that is in use. Ruled out: the client, which does what it should. Shown by a run: with the event loop held for 400 ms during the first reads all 50 of them failed, and the test failed in the same way. Change: the test reads until a batch succeeds; its checks stay. Before: failed with the event loop held. After: passed, held or not.

--- a/packages/store/tests/createEtcdStore.test.ts
+++ b/packages/store/tests/createEtcdStore.test.ts
@@ -32,6 +32,12 @@
   return swapped.revision;
 };
 
+/** Reads until all reads of a batch succeed, as a failed one makes the client leave its connections. */
+const openConnections = async (): Promise<void> => {
+  const reads = await Promise.all(Array.from({ length: 50 }, () => store.read('a/1')));
+  if (reads.some((read) => read.isErr())) await openConnections();
+};
+
 /** Collects changes, without progress, until a number of them came. */
 const takeChanges = async (fromRevision: number, count: number): Promise<WatchEvent[]> => {
   const controller = new AbortController();
@@ -119,7 +125,7 @@
 
 test('uses new connections after old ones went silent', async () => {
   await create('a/1', 'first');
-  await Promise.all(Array.from({ length: 50 }, () => store.read('a/1')));
+  await openConnections();
   standIn.server.silenceConnections();
   // A connection that the server had not yet accepted is not silent: not every read must fail.
   const reads = await Promise.all(Array.from({ length: 50 }, () => store.read('a/1')));
