--- a/packages/turn-log/src/segmentWriter.ts
+++ b/packages/turn-log/src/segmentWriter.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@limpetnotch/observability';
+import { detailOf } from './detailOf';
 import type { SegmentFile, SegmentFiles } from './segmentFiles';
 import { segmentName } from './segmentName';
 
@@ -89,7 +90,7 @@
     try {
       await file.close();
     } catch (error) {
-      const detail = error instanceof Error ? error.message : String(error);
+      const detail = detailOf(error);
       this.#options.logger.warn('turn-log.close-failed', { segment: sequence, detail });
     }
   }
--- a/packages/turn-log/src/turnLog.ts
+++ b/packages/turn-log/src/turnLog.ts
@@ -3,9 +3,11 @@
 import { Deferred } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
+import { detailOf } from './detailOf';
 import type { SegmentFiles } from './segmentFiles';
 import { segmentName, segmentSequence } from './segmentName';
 import { SegmentWriter } from './segmentWriter';
+import type { AppendedAt } from './segmentWriter';
 import { TurnIndex } from './turnIndex';
 import type { TurnLocation } from './turnIndex';
 import type { TurnLogError } from './turnLogError';
@@ -35,9 +37,6 @@
   readonly written: Deferred<Result<void, TurnLogError>>;
 }
 
-const detailOf = (error: unknown): string =>
-  error instanceof Error ? error.message : String(error);
-
 const errorOf = (error: unknown): TurnLogError => {
   const isFull = error instanceof Error && 'code' in error && error.code === 'ENOSPC';
   return { kind: isFull ? 'disk-full' : 'disk-failed', detail: detailOf(error) };
@@ -225,7 +224,7 @@
   }
 
   /** A full disk may have room once expired segments are gone. */
-  async #appendBytes(bytes: Buffer): Promise<{ segment: number; offset: number }> {
+  async #appendBytes(bytes: Buffer): Promise<AppendedAt> {
     try {
       return await this.#writer.append(bytes);
     } catch (error) {
