Log what tells repeats of one request, and whether its target ended under it

Change: digest, time at the target and work under way in call.attempt-ended; TargetEnds checks the target by one connection and by its announcements (targets.checked, targets.crashed, call.target-crashed, targets.crashes). It decides nothing yet. Departures are remembered for 10 s in place of 2 s, so that the planned end of a target is not taken for a crash.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -69,12 +69,19 @@
 
   readonly #progress: ProgressWatch;
 
+  #ranMilliseconds: number | undefined;
+
   constructor(parts: AttemptParts, options: AttemptOptions) {
     this.#parts = parts;
     this.#options = options;
     this.#progress = new ProgressWatch(options.target.id, options.silence, parts.loads);
   }
 
+  /** How long the target had the request, in milliseconds; undefined where it never did. */
+  get ranMilliseconds(): number | undefined {
+    return this.#ranMilliseconds;
+  }
+
   /** Sends the request and relays the answer; resolves when the attempt has ended. */
   async run(): Promise<AttemptOutcome> {
     const { call, target } = this.#options;
@@ -83,6 +90,10 @@
     const stopWatching = this.#watch(exchange);
     try {
       const outcome = await this.#outcomeOf(exchange);
+      const { sentAtMilliseconds } = exchange;
+      if (sentAtMilliseconds !== undefined) {
+        this.#ranMilliseconds = performance.now() - sentAtMilliseconds;
+      }
       const announced = this.#parts.fleet.targets.asAnnounced(target);
       call.history.record(announced, outcome, exchange.wasSent);
       return outcome;
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -7,6 +7,7 @@
 import type { CallEnvelope } from './callEnvelope';
 import type { CallerStream } from './callerStream';
 import type { StreamEvent } from './eventStreamReader';
+import { requestDigest } from '../quarantine/requestDigest';
 import { DispatchHistory } from './dispatchHistory';
 
 /** Parts of a {@link Call}. */
@@ -46,6 +47,8 @@
   /** The stream that answers the request; undefined until a target has begun one. */
   stream: CallerStream | undefined;
 
+  #digest: string | undefined;
+
   #lastEventId: string | undefined;
 
   #hasUnidentifiedData = false;
@@ -78,6 +81,14 @@
     this.ending = parts.ending;
   }
 
+  /** Digest that the call shares with others of the same content and organisation. */
+  get digest(): string {
+    const { method, host, pathAndQuery } = this.envelope;
+    const organisation = this.organisation?.name ?? '';
+    this.#digest ??= requestDigest({ organisation, method, host, pathAndQuery, body: this.body });
+    return this.#digest;
+  }
+
   /** Identifier of the last event with one that went to the caller. */
   get lastEventId(): string | undefined {
     return this.#lastEventId;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -3,6 +3,7 @@
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { FleetTarget } from '../targets/fleetTarget';
+import type { CrashEvidence, TargetEnds } from '../targets/targetEnds';
 import type { AttemptConnection, AttemptParts } from './attempt';
 import { Attempt } from './attempt';
 import type { AttemptOutcome } from './attemptOutcome';
@@ -40,6 +41,7 @@
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
   readonly metrics: Metrics;
+  readonly ends: TargetEnds;
   /** Instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
@@ -72,6 +74,24 @@
   }
 };
 
+/** Whether an attempt left open if its target ended under it: with a break, or in silence. */
+const interruptionOf = (outcome: AttemptOutcome): 'break' | 'silence' | undefined => {
+  switch (outcome.kind) {
+    case 'broken':
+      return 'break';
+    case 'stalled':
+      return 'silence';
+    case 'timed-out':
+      return outcome.wasSent ? 'silence' : undefined;
+    case 'caller-gone':
+    case 'declined':
+    case 'delivered':
+    case 'not-sent':
+    case 'shutting-down':
+      return undefined;
+  }
+};
+
 /** What decides whether a request may be sent again, for the log. */
 const dispatchFields = (call: Call, last: AttemptOutcome): LogFields => {
   const { formerTargets, runs } = call.history;
@@ -165,11 +185,33 @@
         detail: 'detail' in outcome ? outcome.detail : undefined,
         events: call.events,
         ageMilliseconds: Math.round(call.ageMilliseconds),
+        digest: call.digest,
+        bornMilliseconds: target.bornMilliseconds,
+        ranMilliseconds: attempt.ranMilliseconds && Math.round(attempt.ranMilliseconds),
+        underWay: Math.round(this.#parts.loads.estimate(target.id)),
       });
     }
+    this.#noteEnd(call, target, outcome);
     return outcome;
   }
 
+  /** Takes what the end of an attempt says of the life of its target. */
+  #noteEnd(call: Call, target: FleetTarget, outcome: AttemptOutcome): void {
+    const { ends, logger } = this.#parts;
+    const { request, digest } = { request: call.envelope.id, digest: call.digest };
+    if (outcome.kind === 'declined' && outcome.reason === 'misdirected') {
+      ends.note(target, 'answered-as-another');
+    }
+    if (outcome.kind === 'not-sent' && outcome.isRefused) ends.noteRefused(target);
+    const interruption = interruptionOf(outcome);
+    if (!interruption) return;
+    const isSilent = interruption === 'silence';
+    const onCrash = (evidence: CrashEvidence): void => {
+      logger.info('call.target-crashed', { request, digest, target: target.id, evidence });
+    };
+    void ends.followUp({ target, request, isSilent, onCrash });
+  }
+
   /** Ends a call that has no answer; one that was sent is logged, as it may have run. */
   #giveUp(call: Call, last: AttemptOutcome | undefined, refusal: Refusal): CallResult {
     if (last) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
 import { SharedQuotas } from './quotas/sharedQuotas';
 import { drainTimesOf } from './shutdown/drainTimesOf';
 import { GatewayDrain } from './shutdown/gatewayDrain';
+import { TargetEnds } from './targets/targetEnds';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
@@ -69,6 +70,8 @@
 
   readonly #speeds = new TargetSpeeds();
 
+  readonly #ends: TargetEnds;
+
   readonly #peers: FleetPeers;
 
   readonly #membership: Membership;
@@ -107,6 +110,7 @@
     });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new AnswerWriter({ codec, isLast });
+    this.#ends = new TargetEnds({ directory: this.#fleet.targets, logger, metrics });
     this.#peers = new FleetPeers(logger, metrics);
     this.#membership = new Membership({
       store: parts.store,
@@ -164,6 +168,7 @@
       availabilityZone: settings.availabilityZone,
       logger,
       metrics,
+      ends: this.#ends,
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
@@ -279,5 +284,6 @@
     this.#connections.retain(isKnown);
     this.#loads.retain(isKnown);
     this.#speeds.retain(isKnown);
+    this.#ends.review();
   }
 }
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -65,6 +65,8 @@
 
   #controller: Dispatcher.DispatchController | undefined;
 
+  #sentAtMilliseconds: number | undefined;
+
   /** Whether the answer is complete, or can't be any more. */
   get isOver(): boolean {
     return this.#state === 'complete' || this.#state === 'failed';
@@ -80,6 +82,11 @@
     return this.#controller !== undefined;
   }
 
+  /** When the request was sent; undefined where it was not. */
+  get sentAtMilliseconds(): number | undefined {
+    return this.#sentAtMilliseconds;
+  }
+
   /** Bytes that came since the last part of the answer and are none themselves as yet. */
   get unusedBytes(): number {
     if (!this.wasSent) return 0;
@@ -106,6 +113,7 @@
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
+    this.#sentAtMilliseconds = performance.now();
     if (this.#abortDetail !== undefined) {
       controller.abort(new Error(this.#abortDetail));
       return;
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -7,10 +7,10 @@
 const DEPARTURE_MILLISECONDS = 1_000;
 
 /**
- * A departure is known for as long as requests may be repeated after it, and while the last of
- * these repeats pauses and connects, which takes under a second.
+ * A departure is known for longer than a leaving target serves, so that its end is not taken for a
+ * crash, and than requests may be repeated after it.
  */
-const DEPARTURE_MEMORY_MILLISECONDS = 2 * DEPARTURE_MILLISECONDS;
+const DEPARTURE_MEMORY_MILLISECONDS = 10_000;
 
 /** Starts of targets that are remembered as leaving; the oldest are forgotten beyond this. */
 const MAXIMUM_LEAVING_STARTS = 1_000;
@@ -18,6 +18,9 @@
 const isSameStart = (one: FleetTarget, other: FleetTarget): boolean =>
   one.address === other.address && one.bornMilliseconds === other.bornMilliseconds;
 
+/** How announcements show that a target has ended without having said that it leaves. */
+export type AnnouncedEnd = 'started-again' | 'address-taken' | 'lapsed';
+
 /** When a target stopped to take new requests, and whether it said so itself. */
 interface Departure {
   readonly atMilliseconds: number;
@@ -121,6 +124,29 @@
     return performance.now() - departure.atMilliseconds < DEPARTURE_MILLISECONDS;
   }
 
+  /**
+   * Whether this start of a target leaves as planned. One that withdraws its announcement serves on
+   * for a while, unless it has been silent for as long as an announcement takes to lapse.
+   */
+  hasLeft(target: FleetTarget, isSilent: boolean): boolean {
+    const known = this.get(target.id);
+    if (known) return isSameStart(known, target) && known.state === 'leaving';
+    return !isSilent || this.#departures.get(target.id)?.isAnnounced === true;
+  }
+
+  /**
+   * Returns how the announcements show that a start of a target has ended; undefined where they
+   * don't. Some targets withdraw theirs and serve on, so that a missing one says this only of a
+   * target that fell silent.
+   */
+  endOf(target: FleetTarget, isSilent: boolean): AnnouncedEnd | undefined {
+    const known = this.get(target.id);
+    if (known && !isSameStart(known, target)) return 'started-again';
+    if (known) return this.#isAddressTaken(known) ? 'address-taken' : undefined;
+    const hasAnnounced = this.#departures.get(target.id)?.isAnnounced === true;
+    return isSilent && !hasAnnounced ? 'lapsed' : undefined;
+  }
+
   /** Returns a target of a dispatch as leaving if it has announced that since. */
   asAnnounced(target: FleetTarget): FleetTarget {
     const isLeaving =
@@ -134,6 +160,13 @@
     return this.#targets.get(id);
   }
 
+  /** Whether a target that started later has the address. */
+  #isAddressTaken({ address, bornMilliseconds = Infinity }: FleetTarget): boolean {
+    return [...this.#targets.values()].some(
+      (other) => other.address === address && (other.bornMilliseconds ?? 0) > bornMilliseconds,
+    );
+  }
+
   #expireLapsed(): void {
     if (this.#lapsed.size === 0) return;
     const now = performance.now();
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -13,6 +13,7 @@
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
 import { TargetConnections } from '../../src/targets/targetConnections';
+import { TargetEnds } from '../../src/targets/targetEnds';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { callEnvelope } from './callEnvelope';
 import { fleetRoute } from './fleetRoute';
@@ -104,6 +105,7 @@
       availabilityZone: 'a',
       logger,
       metrics: this.metrics,
+      ends: new TargetEnds({ directory: this.fleet.targets, logger, metrics: this.metrics }),
       instanceCount: () => 1,
     });
   }
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -16,6 +16,7 @@
 import type { DrainTimes } from '../../src/shutdown/drainTimes';
 import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
 import { TargetConnections } from '../../src/targets/targetConnections';
+import { TargetEnds } from '../../src/targets/targetEnds';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { fleetRoute } from './fleetRoute';
 import { testWireCodec } from './testWireCodec';
@@ -151,6 +152,11 @@
       availabilityZone: 'a',
       logger: this.#logger,
       metrics: this.metrics,
+      ends: new TargetEnds({
+        directory: fleet.targets,
+        logger: this.#logger,
+        metrics: this.metrics,
+      }),
       instanceCount: () => 1,
     });
     return new CallGateway({
