--- a/packages/integration/src/signal-soak/soakTarget.ts
+++ b/packages/integration/src/signal-soak/soakTarget.ts
@@ -6,6 +6,8 @@
 const SILENT_ENTRY_MILLISECONDS = 3_600;
 /** Time for which a target that leaves still serves; the platform's example names 2 s. */
 const LEAVING_MILLISECONDS = 2_000;
+/** Time after which a target that a request has crashed is back at its address. */
+const CRASH_MILLISECONDS = 1_500;
 
 /** Options of {@link SoakTarget.start}. */
 export interface SoakTargetOptions {
@@ -36,7 +38,11 @@
   async start(port = 0): Promise<void> {
     const { name, slots, isStreaming, record } = this.#options;
     const id = `${name}-${this.lives.size + 1}`;
-    const target = await PlatformTargetStandIn.start({ id, slots, isStreaming, port, record });
+    const onCrash = (): void => {
+      void this.crash(CRASH_MILLISECONDS, true);
+    };
+    const options = { id, slots, isStreaming, port, record, onCrash };
+    const target = await PlatformTargetStandIn.start(options);
     this.#current = target;
     this.lives.set(id, target);
     this.#announce(target, false);
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -40,6 +40,8 @@
   readonly port: number;
   /** Gets every run. */
   readonly record: (run: TargetRun) => void;
+  /** Called when a request crashes the target, as `crash-MILLISECONDS` in place of its work does. */
+  readonly onCrash?: () => void;
 }
 
 interface OpenRun {
@@ -55,12 +57,18 @@
   return typeof text === 'string' && text !== '' ? Number(text) : undefined;
 };
 
+/** Returns how long after its start a request crashes its target; undefined where it doesn't. */
+const crashTimeOf = (url = ''): number | undefined => {
+  const found = /\/crash-(\d+)$/.exec(url);
+  return found ? Number(found[1]) : undefined;
+};
+
 const signatureOf = (...parts: readonly string[]): string =>
   createHash('sha256').update(parts.join(' ')).digest('hex').slice(0, 24);
 
 /**
  * One life of a target of the platform. The last part of a request's path, such as `12x30`, says how
- * many steps it takes and how many milliseconds each.
+ * many steps it takes and how many milliseconds each; `crash-5` crashes the target after 5 ms.
  */
 export class PlatformTargetStandIn {
   readonly id: string;
@@ -155,6 +163,11 @@
     };
     this.#open.add(open);
     this.#bound(open, numberOf(headers, 'deadline-milliseconds'));
+    const crashTime = crashTimeOf(request.url);
+    if (crashTime !== undefined) {
+      setTimeout(() => this.#options.onCrash?.(), crashTime);
+      return;
+    }
     void (this.#options.isStreaming ? this.#stream(open) : this.#answerPlainly(open));
   }
 
