Refuse a request that crashed its targets, at the instance that saw it

What callers saw: one request, sent again under new identifiers, ended every target of a service; all others got 502 and 503. Cause: what an instance knows of a request ends with its answer; nothing joins the repeats of one content. The product's own interface has a quarantine, and the path that the users' platform runs has none. A crash counts in full only where nothing else explains it: several requests under way, a run of over a second, silence, or a target that served the request within a minute make it count for less (five such as three others). A served request is cleared. One under suspicion runs where least is under way, others keep clear of it, and it is not repeated where one more crash would settle it. A quarantined one is refused at once with 503, without a time to come back. A target that refuses the check gets nothing new.

--- a/packages/gateway/src/calls/answerWriter.ts
+++ b/packages/gateway/src/calls/answerWriter.ts
@@ -14,6 +14,17 @@
 const retryAfterOf = (refusal: Refusal): number | undefined =>
   'retryAfterSeconds' in refusal ? refusal.retryAfterSeconds : undefined;
 
+/** Returns what the body of a refusal tells its caller. */
+const explanationOf = (refusal: Refusal): object => {
+  if (refusal.kind !== 'quarantined') return { error: refusal.kind };
+  return {
+    error: refusal.kind,
+    detail:
+      'not run: targets crashed that ran this request; it is refused as long as it is the same',
+    digest: refusal.digest,
+  };
+};
+
 /** Writes answers to callers. */
 export class AnswerWriter {
   readonly #options: AnswerWriterOptions;
@@ -50,7 +61,7 @@
       return;
     }
     const headers = this.#options.codec.encodeOwnAnswer(envelope, retryAfterOf(refusal));
-    const body = Buffer.from(`${JSON.stringify({ error: refusal.kind })}\n`);
+    const body = Buffer.from(`${JSON.stringify(explanationOf(refusal))}\n`);
     this.whole(
       response,
       statusOf(refusal),
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -4,6 +4,7 @@
 import type { BudgetGate } from '../budgets/budgetGate';
 import type { FleetState } from '../fleet/fleetState';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
+import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import type { DrainAdmission } from '../shutdown/admitDuringDrain';
 import { admitCall } from './admitCall';
 import type { AnswerWriter } from './answerWriter';
@@ -32,6 +33,7 @@
   readonly runner: CallRunner;
   readonly writer: AnswerWriter;
   readonly openCalls: OpenCalls;
+  readonly quarantine: RequestQuarantine;
   /** Decides on a request that may need a time in milliseconds, as during a shutdown. */
   readonly admitDuringDrain: (remainingMilliseconds: number) => DrainAdmission;
   readonly logger: Logger;
@@ -123,6 +125,7 @@
       reason: 'reason' in refusal ? refusal.reason : undefined,
       program: envelope?.program?.id,
       ageMilliseconds: Math.round(ageMilliseconds),
+      ...(refusal.kind === 'quarantined' && this.#parts.quarantine.describe(refusal.digest)),
     });
     writer.refuse(open.response, envelope, refusal);
   }
@@ -151,6 +154,9 @@
       const { retryAfterSeconds } = drain;
       return { kind: 'refused', refusal: { ...SHUTTING_DOWN, retryAfterSeconds } };
     }
+    if (this.#parts.quarantine.stageOf(call.digest) === 'quarantined') {
+      return { kind: 'refused', refusal: { kind: 'quarantined', digest: call.digest } };
+    }
     const result = await this.#runWithinRate(call);
     this.#logServed(call, result);
     return result;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,9 +1,9 @@
 import type { LogFields, Metrics } from '@limpetnotch/observability';
-import { placeRequest, turnPriority } from '@limpetnotch/scheduling';
+import { placeRequest, trialTargets, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
+import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import type { FleetTarget } from '../targets/fleetTarget';
-import type { CrashEvidence, TargetEnds } from '../targets/targetEnds';
 import type { AttemptConnection, AttemptParts } from './attempt';
 import { Attempt } from './attempt';
 import type { AttemptOutcome } from './attemptOutcome';
@@ -41,7 +41,7 @@
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
   readonly metrics: Metrics;
-  readonly ends: TargetEnds;
+  readonly quarantine: RequestQuarantine;
   /** Instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
@@ -74,24 +74,6 @@
   }
 };
 
-/** Whether an attempt left open if its target ended under it: with a break, or in silence. */
-const interruptionOf = (outcome: AttemptOutcome): 'break' | 'silence' | undefined => {
-  switch (outcome.kind) {
-    case 'broken':
-      return 'break';
-    case 'stalled':
-      return 'silence';
-    case 'timed-out':
-      return outcome.wasSent ? 'silence' : undefined;
-    case 'caller-gone':
-    case 'declined':
-    case 'delivered':
-    case 'not-sent':
-    case 'shutting-down':
-      return undefined;
-  }
-};
-
 /** What decides whether a request may be sent again, for the log. */
 const dispatchFields = (call: Call, last: AttemptOutcome): LogFields => {
   const { formerTargets, runs } = call.history;
@@ -116,6 +98,9 @@
 export class CallRunner {
   readonly #parts: CallRunnerParts;
 
+  /** Requests under suspicion that run at each target. */
+  readonly #trials = new Map<string, number>();
+
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
   }
@@ -142,14 +127,30 @@
     return this.#giveUp(call, last, this.#noTarget(call, { reason: 'no-target' }));
   }
 
-  /** Returns how a call ends that must not go on: nobody waits for it, or its instance stops. */
+  /**
+   * Returns how a call ends that must not go on: nobody waits for it, it crashes its targets, or its
+   * instance stops.
+   */
   #overOf(call: Call, last: AttemptOutcome | undefined): CallResult | undefined {
     if (call.isCallerGone) return { kind: 'caller-gone' };
     if (call.remainingMilliseconds <= 0) return refused(this.#expired(call));
+    const barred = this.#barredOf(call, last);
+    if (barred) return barred;
     if (!call.ending?.aborted) return undefined;
     return this.#giveUp(call, last, this.#shuttingDown(call));
   }
 
+  /** Returns how a call ends that is not to run, or not again, as it crashes its targets. */
+  #barredOf(call: Call, last: AttemptOutcome | undefined): CallResult | undefined {
+    const { digest, history } = call;
+    const stage = this.#parts.quarantine.stageOf(digest);
+    if (stage === 'quarantined' && history.runs === 0) {
+      return this.#giveUp(call, last, { kind: 'quarantined', digest });
+    }
+    if (stage !== 'quarantined' && (stage !== 'last-trial' || history.runs === 0)) return undefined;
+    return this.#giveUp(call, last, { kind: 'outcome-unknown', reason: 'crashes its targets' });
+  }
+
   async #attempt(
     call: Call,
     target: FleetTarget,
@@ -164,10 +165,11 @@
       silence: silenceBoundOf(call.route),
       mayGiveUpSilent: () => this.#mayGiveUpSilent(call, target, repeats),
     });
+    const endTrial = this.#beginTrial(call, target);
     const beganMilliseconds = performance.now();
     const eventsBefore = call.events;
     const openBefore = call.history.openTargets;
-    const outcome = await attempt.run();
+    const outcome = await attempt.run().finally(endTrial);
     const { openTargets } = call.history;
     if (openTargets > Math.max(openBefore, call.route.maximumTargets)) {
       this.#parts.metrics.increment('call.target-bound-exceeded');
@@ -191,25 +193,25 @@
         underWay: Math.round(this.#parts.loads.estimate(target.id)),
       });
     }
-    this.#noteEnd(call, target, outcome);
+    const ranMilliseconds = attempt.ranMilliseconds ?? 0;
+    await this.#parts.quarantine.noteAttempt({ call, target, outcome, ranMilliseconds });
     return outcome;
   }
 
-  /** Takes what the end of an attempt says of the life of its target. */
-  #noteEnd(call: Call, target: FleetTarget, outcome: AttemptOutcome): void {
-    const { ends, logger } = this.#parts;
-    const { request, digest } = { request: call.envelope.id, digest: call.digest };
-    if (outcome.kind === 'declined' && outcome.reason === 'misdirected') {
-      ends.note(target, 'answered-as-another');
-    }
-    if (outcome.kind === 'not-sent' && outcome.isRefused) ends.noteRefused(target);
-    const interruption = interruptionOf(outcome);
-    if (!interruption) return;
-    const isSilent = interruption === 'silence';
-    const onCrash = (evidence: CrashEvidence): void => {
-      logger.info('call.target-crashed', { request, digest, target: target.id, evidence });
+  /** Notes that a request under suspicion runs at a target; returns what ends that. */
+  #beginTrial(call: Call, { id }: FleetTarget): () => void {
+    if (!this.#isOnTrial(call)) return () => undefined;
+    this.#trials.set(id, (this.#trials.get(id) ?? 0) + 1);
+    return () => {
+      const left = (this.#trials.get(id) ?? 0) - 1;
+      if (left > 0) this.#trials.set(id, left);
+      else this.#trials.delete(id);
     };
-    void ends.followUp({ target, request, isSilent, onCrash });
+  }
+
+  #isOnTrial({ digest }: Call): boolean {
+    const stage = this.#parts.quarantine.stageOf(digest);
+    return stage === 'on-trial' || stage === 'last-trial';
   }
 
   /** Ends a call that has no answer; one that was sent is logged, as it may have run. */
@@ -323,11 +325,18 @@
     const parts = call.envelope.prompt?.parts ?? [];
     const placement = placeRequest(
       { availabilityZone, work: this.#workOf(call) },
-      candidates.map((target) => ({
+      trialTargets(
+        candidates.map((target) => ({
+          ...target,
+          estimatedLoad: this.#parts.loads.estimate(target.id),
+          trials: this.#trials.get(target.id) ?? 0,
+        })),
+        this.#isOnTrial(call),
+      ).map((target) => ({
         id: target.id,
         availabilityZone: target.availabilityZone,
         slots: target.slots,
-        estimatedLoad: this.#parts.loads.estimate(target.id),
+        estimatedLoad: target.estimatedLoad,
         slowness: this.#parts.speeds.slowness(target.id),
         cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
       })),
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -1,9 +1,7 @@
 import type { FleetTarget } from '../targets/fleetTarget';
+import type { CrashEvidence } from '../targets/targetEnds';
 import type { AttemptOutcome } from './attemptOutcome';
 
-/** How an instance learns for certain that a target has ended. */
-export type EndEvidence = 'connection-refused' | 'answered-as-another';
-
 /** What is known of a target that may have run a request. */
 export type FormerTargetState =
   /** It took the request, and nothing speaks against another connection. */
@@ -14,7 +12,7 @@
   | { readonly kind: 'unreachable' }
   /** It took the request, and declined it later. */
   | { readonly kind: 'full' }
-  | { readonly kind: 'ended'; readonly evidence: EndEvidence };
+  | { readonly kind: 'ended'; readonly evidence: CrashEvidence };
 
 /** A target that may have run a request. */
 export interface FormerTarget {
@@ -107,6 +105,12 @@
     return this.formerTargets.filter(({ state }) => state.kind !== 'ended').length;
   }
 
+  /** Takes the news that a target which may have run the request has crashed. */
+  noteCrash(target: FleetTarget, evidence: CrashEvidence): void {
+    if (!this.#formerTargets.has(target.id)) return;
+    this.#formerTargets.set(target.id, { target, state: { kind: 'ended', evidence } });
+  }
+
   /**
    * Takes the outcome of a dispatch to a target, as announced by then, with whether any of the
    * request may have reached it.
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -10,6 +10,8 @@
   | { readonly kind: 'budget-spent' }
   /** Nothing can take the request now; it has not run. */
   | { readonly kind: 'unavailable'; readonly reason: string; readonly retryAfterSeconds: number }
+  /** The request crashes the targets that run it; it has not run. */
+  | { readonly kind: 'quarantined'; readonly digest: string }
   /** The request may have run, and no answer to it can be had. */
   | { readonly kind: 'outcome-unknown'; readonly reason: string }
   /** The time for the answer is over; the request may have run. */
@@ -32,6 +34,7 @@
       return 429;
     case 'outcome-unknown':
       return 502;
+    case 'quarantined':
     case 'unavailable':
       return 503;
     case 'timed-out':
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
+import { RequestQuarantine } from './quarantine/requestQuarantine';
 import { SharedQuotas } from './quotas/sharedQuotas';
 import { drainTimesOf } from './shutdown/drainTimesOf';
 import { GatewayDrain } from './shutdown/gatewayDrain';
@@ -72,6 +73,8 @@
 
   readonly #ends: TargetEnds;
 
+  readonly #quarantine: RequestQuarantine;
+
   readonly #peers: FleetPeers;
 
   readonly #membership: Membership;
@@ -111,6 +114,12 @@
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new AnswerWriter({ codec, isLast });
     this.#ends = new TargetEnds({ directory: this.#fleet.targets, logger, metrics });
+    this.#quarantine = new RequestQuarantine({
+      ends: this.#ends,
+      loads: this.#loads,
+      logger,
+      metrics,
+    });
     this.#peers = new FleetPeers(logger, metrics);
     this.#membership = new Membership({
       store: parts.store,
@@ -168,7 +177,7 @@
       availabilityZone: settings.availabilityZone,
       logger,
       metrics,
-      ends: this.#ends,
+      quarantine: this.#quarantine,
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
@@ -179,6 +188,7 @@
       runner,
       writer,
       openCalls: this.#openCalls,
+      quarantine: this.#quarantine,
       admitDuringDrain: (remainingMilliseconds) => this.#drain.admit(remainingMilliseconds),
       logger,
       metrics,
--- /dev/null
+++ b/packages/gateway/src/quarantine/requestQuarantine.ts
@@ -0,0 +1,174 @@
+import type { LogFields, Logger, Metrics } from '@limpetnotch/observability';
+import type { QuarantineEntry, QuarantineStage } from '@limpetnotch/scheduling';
+import { countedCrashes, Quarantine } from '@limpetnotch/scheduling';
+import { settleWithin } from '@limpetnotch/supervision';
+import type { AttemptOutcome } from '../calls/attemptOutcome';
+import type { Call } from '../calls/call';
+import type { FleetTarget } from '../targets/fleetTarget';
+import type { CrashEvidence, TargetEnds } from '../targets/targetEnds';
+import { targetLife } from '../targets/targetLife';
+import type { TargetLoads } from '../targets/targetLoads';
+import { CrashWorkload } from './crashWorkload';
+import { interruptionOf } from './interruption';
+import { ServedRequests } from './servedRequests';
+
+/** Crashes that put a request into quarantine, where nothing else explains them. */
+const QUARANTINE_CRASHES = 3;
+
+/** A request is forgotten this long after its last crash; the store's longest lease is as long. */
+export const QUARANTINE_MILLISECONDS = 600_000;
+
+/** A target that ran a request this long without harm has more likely crashed for another reason. */
+const LONG_RUN_MILLISECONDS = 1_000;
+
+/** A request is sent again once its last target was checked, which takes a round trip. */
+const CHECK_MILLISECONDS = 50;
+
+/** Where an instance learnt of a request. */
+export type QuarantineSource = 'peer' | 'store';
+
+/** Parts of a {@link RequestQuarantine}. */
+export interface RequestQuarantineParts {
+  readonly ends: TargetEnds;
+  readonly loads: TargetLoads;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}
+
+/** An attempt that has ended. */
+export interface EndedAttempt {
+  readonly call: Call;
+  readonly target: FleetTarget;
+  readonly outcome: AttemptOutcome;
+  /** How long the target had the request. */
+  readonly ranMilliseconds: number;
+}
+
+/** Returns the crashes that count against a request, for the log: each target with its age. */
+const describeCrashes = (entry: QuarantineEntry | undefined): string =>
+  (entry ? countedCrashes(entry) : [])
+    .map(
+      ({ target, atMilliseconds }) => `${target} ${Math.round(Date.now() - atMilliseconds)} ms ago`,
+    )
+    .join(', ');
+
+/**
+ * Requests that crash the targets that run them. A crash counts for less where something else may
+ * explain it, and a request that a target has served is cleared.
+ */
+export class RequestQuarantine {
+  readonly #parts: RequestQuarantineParts;
+
+  readonly #quarantine = new Quarantine({
+    crashes: QUARANTINE_CRASHES,
+    expiryMilliseconds: QUARANTINE_MILLISECONDS,
+  });
+
+  readonly #served = new ServedRequests();
+
+  readonly #workload: CrashWorkload;
+
+  constructor(parts: RequestQuarantineParts) {
+    this.#parts = parts;
+    this.#workload = new CrashWorkload(parts.loads);
+  }
+
+  /** Returns how far a request is under suspicion. */
+  stageOf(digest: string): QuarantineStage {
+    return this.#quarantine.stageOf(digest);
+  }
+
+  /** Returns why a request is not run, for the log. */
+  describe(digest: string): LogFields {
+    return { digest, crashes: describeCrashes(this.#quarantine.find(digest)) };
+  }
+
+  /** Is told of each change that was made here, not of what was learnt. */
+  onChange(listener: (entry: QuarantineEntry) => void): void {
+    this.#quarantine.onChange(listener);
+  }
+
+  /** Takes an entry of another instance; returns what is known then, unless it has expired. */
+  learn(entry: QuarantineEntry, source: QuarantineSource): QuarantineEntry | undefined {
+    const { requestDigest: digest } = entry;
+    const before = this.stageOf(digest);
+    const known = this.#quarantine.mergeOne(entry);
+    const stage = this.stageOf(digest);
+    if (stage !== before) {
+      this.#parts.logger.info('quarantine.learnt', { ...this.describe(digest), stage, source });
+    }
+    return known;
+  }
+
+  /**
+   * Takes the end of an attempt. Resolves when it is known whether the target has ended, or when
+   * that takes too long to wait for it.
+   */
+  async noteAttempt(ended: EndedAttempt): Promise<void> {
+    const { call, target, outcome } = ended;
+    const { ends } = this.#parts;
+    if (outcome.kind === 'delivered') {
+      if (outcome.status >= 200 && outcome.status < 300) this.#noteServed(call);
+      return;
+    }
+    if (outcome.kind === 'declined' && outcome.reason === 'misdirected') {
+      ends.note(target, 'answered-as-another');
+    }
+    if (outcome.kind === 'not-sent' && outcome.isRefused) ends.noteRefused(target);
+    const interruption = interruptionOf(outcome);
+    if (!interruption) return;
+    const isSilent = interruption === 'silence';
+    const onCrash = this.#crashListener(ended, isSilent);
+    const checked = ends.followUp({ target, request: call.envelope.id, isSilent, onCrash });
+    await settleWithin(checked, CHECK_MILLISECONDS, () => undefined);
+  }
+
+  /** A request that a target has served does not crash each one that runs it. */
+  #noteServed({ digest, envelope }: Call): void {
+    this.#served.note(digest);
+    if (!this.#quarantine.lift(digest)) return;
+    this.#parts.logger.info('quarantine.cleared', { request: envelope.id, digest });
+    this.#parts.metrics.increment('quarantine.cleared');
+  }
+
+  /** Returns what takes the news that the target of an attempt has ended; it may come later. */
+  #crashListener(
+    { call, target, ranMilliseconds }: EndedAttempt,
+    isSilent: boolean,
+  ): (evidence: CrashEvidence) => void {
+    const { digest } = call;
+    const brokenAt = performance.now();
+    const underWay = this.#workload.atBreak(target);
+    const isIncidental =
+      isSilent ||
+      underWay >= 2 ||
+      ranMilliseconds >= LONG_RUN_MILLISECONDS ||
+      this.#served.ageMilliseconds(digest) !== undefined;
+    return (evidence) => {
+      // One that fell silent and closed its listener may be at work still.
+      if (!isSilent) call.history.noteCrash(target, evidence);
+      const ageMilliseconds = performance.now() - brokenAt;
+      const servedAge = this.#served.ageMilliseconds(digest) ?? Infinity;
+      if (servedAge < ageMilliseconds) return;
+      const request = { requestDigest: digest, organisation: call.organisation?.name ?? '' };
+      this.#quarantine.recordCrash({ ...request, route: call.route.name }, targetLife(target), {
+        ageMilliseconds,
+        isIncidental,
+      });
+      this.#parts.metrics.increment('quarantine.crashes', 1, {
+        isIncidental: String(isIncidental),
+      });
+      this.#parts.logger.info('quarantine.crash-noted', {
+        request: call.envelope.id,
+        target: target.id,
+        evidence,
+        isIncidental,
+        underWay: Math.round(underWay),
+        ranMilliseconds: Math.round(ranMilliseconds),
+        servedMilliseconds: Number.isFinite(servedAge) ? Math.round(servedAge) : undefined,
+        stage: this.stageOf(digest),
+        ...this.describe(digest),
+      });
+    };
+  }
+}
--- a/packages/gateway/src/targets/targetEnds.ts
+++ b/packages/gateway/src/targets/targetEnds.ts
@@ -113,7 +113,9 @@
     const check = this.#parts.check ?? checkConnection;
     const result = await check(target.address, CONNECT_TIMEOUT_MILLISECONDS);
     this.#parts.logger.info('targets.checked', { target: target.id, request, result });
-    if (result === 'refused') this.noteRefused(target);
+    if (result !== 'refused') return;
+    this.#parts.directory.markRefused(target);
+    this.noteRefused(target);
   }
 
   #remember(life: string, evidence: CrashEvidence): void {
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
 import { AnswerWriter } from '../../src/calls/answerWriter';
 import { Call } from '../../src/calls/call';
+import type { CallEnvelope } from '../../src/calls/callEnvelope';
 import type { CallResult } from '../../src/calls/callRunner';
 import { CallRunner } from '../../src/calls/callRunner';
 import { HeldBytes } from '../../src/calls/heldBytes';
@@ -13,6 +14,7 @@
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
 import { TargetConnections } from '../../src/targets/targetConnections';
+import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { TargetEnds } from '../../src/targets/targetEnds';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { callEnvelope } from './callEnvelope';
@@ -79,6 +81,8 @@
 
   readonly lines: (readonly [string, LogFields | undefined])[] = [];
 
+  readonly quarantine: RequestQuarantine;
+
   readonly #connections: TargetConnections;
 
   readonly #writer = new AnswerWriter({ codec, isLast: () => false });
@@ -93,10 +97,14 @@
       ...silentLogger,
       info: (message, fields) => this.lines.push([message, fields]),
     };
+    const { metrics } = this;
+    const loads = new TargetLoads();
+    const ends = new TargetEnds({ directory: this.fleet.targets, logger, metrics });
+    this.quarantine = new RequestQuarantine({ ends, loads, logger, metrics });
     this.#runner = new CallRunner({
       codec,
       connections,
-      loads: new TargetLoads(),
+      loads,
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
@@ -105,7 +113,7 @@
       availabilityZone: 'a',
       logger,
       metrics: this.metrics,
-      ends: new TargetEnds({ directory: this.fleet.targets, logger, metrics: this.metrics }),
+      quarantine: this.quarantine,
       instanceCount: () => 1,
     });
   }
@@ -127,10 +135,14 @@
   }
 
   /** Runs one call through a real connection of a caller. */
-  async run(route: Partial<FleetRoute>, id = 'r1'): Promise<CallerView> {
+  async run(
+    route: Partial<FleetRoute>,
+    id = 'r1',
+    envelope: Partial<CallEnvelope> = {},
+  ): Promise<CallerView> {
     let result: CallResult | undefined;
     const { address } = await this.#listen((_request, response) => {
-      void this.#serve(route, id, response).then((ended) => {
+      void this.#serve(route, { id, ...envelope }, response).then((ended) => {
         result = ended;
       });
     });
@@ -167,11 +179,11 @@
 
   async #serve(
     route: Partial<FleetRoute>,
-    id: string,
+    envelope: Partial<CallEnvelope>,
     response: ServerResponse,
   ): Promise<CallResult> {
     const call = new Call({
-      envelope: callEnvelope({ id, patienceMilliseconds: PATIENCE_MILLISECONDS }),
+      envelope: callEnvelope({ patienceMilliseconds: PATIENCE_MILLISECONDS, ...envelope }),
       route: fleetRoute({ timeoutMilliseconds: PATIENCE_MILLISECONDS, ...route }),
       organisation: undefined,
       service: { name: 's', connectionLimit: this.connectionLimit },
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -16,6 +16,7 @@
 import type { DrainTimes } from '../../src/shutdown/drainTimes';
 import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
 import { TargetConnections } from '../../src/targets/targetConnections';
+import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { TargetEnds } from '../../src/targets/targetEnds';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { fleetRoute } from './fleetRoute';
@@ -140,10 +141,15 @@
   #callGateway(fleet: FleetState): CallGateway {
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new AnswerWriter({ codec: testWireCodec, isLast });
+    const { metrics } = this;
+    const logger = this.#logger;
+    const loads = new TargetLoads();
+    const ends = new TargetEnds({ directory: fleet.targets, logger, metrics });
+    const quarantine = new RequestQuarantine({ ends, loads, logger, metrics });
     const runner = new CallRunner({
       codec: testWireCodec,
       connections: this.#connections,
-      loads: new TargetLoads(),
+      loads,
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
@@ -152,16 +158,13 @@
       availabilityZone: 'a',
       logger: this.#logger,
       metrics: this.metrics,
-      ends: new TargetEnds({
-        directory: fleet.targets,
-        logger: this.#logger,
-        metrics: this.metrics,
-      }),
+      quarantine,
       instanceCount: () => 1,
     });
     return new CallGateway({
       codec: testWireCodec,
       fleet,
+      quarantine,
       quotas: this.#options.quotas ?? {
         take: async () => ({ kind: 'taken', giveBack: () => undefined }),
       },
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -8,3 +8,4 @@
 export { PeerClients } from './peerClients';
 export { PeerServer } from './peerServer';
 export type { PeerServerOptions } from './peerServer';
+export { quarantineEntryOf, quarantineMessage } from './quarantineMessage';
--- a/packages/server/src/peers/quarantineMessage.ts
+++ b/packages/peer-protocol/src/quarantineMessage.ts
@@ -1,13 +1,18 @@
 import { create } from '@bufbuild/protobuf';
-import type { QuarantinedRequest } from '@limpetnotch/peer-protocol';
-import { QuarantinedRequestSchema, TargetCrashSchema } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
+import type { QuarantinedRequest } from './generated/limpetnotch/peer/v1/peer_pb';
+import {
+  QuarantinedRequestSchema,
+  TargetCrashSchema,
+} from './generated/limpetnotch/peer/v1/peer_pb';
 
 /** Builds the message of a quarantine entry. */
 export const quarantineMessage = (entry: QuarantineEntry): QuarantinedRequest =>
   create(QuarantinedRequestSchema, {
     ...entry,
-    crashes: entry.crashes.map((crash) => create(TargetCrashSchema, crash)),
+    crashes: entry.crashes.map(({ isIncidental = false, ...crash }) =>
+      create(TargetCrashSchema, { ...crash, isIncidental }),
+    ),
   });
 
 /** Reads the message of a quarantine entry. */
@@ -15,7 +20,11 @@
   requestDigest: message.requestDigest,
   organisation: message.organisation,
   route: message.route,
-  crashes: message.crashes.map(({ target, atMilliseconds }) => ({ target, atMilliseconds })),
+  crashes: message.crashes.map(({ target, atMilliseconds, isIncidental }) => ({
+    target,
+    atMilliseconds,
+    isIncidental,
+  })),
   liftedAtMilliseconds: message.liftedAtMilliseconds,
   expiresAtMilliseconds: message.expiresAtMilliseconds,
 });
--- a/packages/scheduling/src/quarantine.ts
+++ b/packages/scheduling/src/quarantine.ts
@@ -1,8 +1,15 @@
 import type { QuarantineEntry } from './quarantineEntry';
-import { countedCrashes, mergeQuarantineEntries } from './quarantineEntry';
+import {
+  countedCrashes,
+  CRASH_POINTS,
+  crashPoints,
+  mergeQuarantineEntries,
+} from './quarantineEntry';
 
 const MAXIMUM_ENTRIES = 10_000;
 
+const JUST_NOW: CrashCircumstances = { ageMilliseconds: 0, isIncidental: false };
+
 /** Receives each entry that changed at this instance, so that it can be spread. */
 export type QuarantineListener = (entry: QuarantineEntry) => void;
 
@@ -13,9 +20,32 @@
   readonly route: string;
 }
 
+/** What is known of a crash beside the request and the target. */
+export interface CrashCircumstances {
+  /** How long ago the target crashed, in milliseconds. */
+  readonly ageMilliseconds: number;
+  /** Whether something else than the request may explain it. */
+  readonly isIncidental: boolean;
+}
+
+/** How far a request is under suspicion. */
+export type QuarantineStage =
+  | 'clear'
+  /** It was under way at a crash that something else may explain. */
+  | 'noted'
+  /** It is to run where it harms few others, until a target has served it. */
+  | 'on-trial'
+  /** As on trial, and one more crash that nothing else explains puts it into quarantine. */
+  | 'last-trial'
+  /** It is not to run. */
+  | 'quarantined';
+
 /** Options of a {@link Quarantine}. */
 export interface QuarantineOptions {
-  /** Crashes of different targets after which a request is quarantined. */
+  /**
+   * Crashes of different targets after which a request is quarantined, where nothing else explains
+   * them; others count less.
+   */
   readonly crashes: number;
   readonly expiryMilliseconds: number;
 }
@@ -33,7 +63,11 @@
   }
 
   /** Notes that a target crashed with the request under way; returns whether it is quarantined. */
-  recordCrash(request: CrashedRequest, target: string): boolean {
+  recordCrash(
+    request: CrashedRequest,
+    target: string,
+    { ageMilliseconds, isIncidental }: CrashCircumstances = JUST_NOW,
+  ): boolean {
     const now = Date.now();
     const lifted = this.#current(request.requestDigest)?.liftedAtMilliseconds ?? 0;
     this.#change({
@@ -41,7 +75,9 @@
       organisation: request.organisation,
       route: request.route,
       // A clock that was set back must not hide a crash behind an earlier lift.
-      crashes: [{ target, atMilliseconds: Math.max(now, lifted + 1) }],
+      crashes: [
+        { target, atMilliseconds: Math.max(now - ageMilliseconds, lifted + 1), isIncidental },
+      ],
       liftedAtMilliseconds: 0,
       expiresAtMilliseconds: now + this.#options.expiryMilliseconds,
     });
@@ -53,6 +89,22 @@
     return entry !== undefined && this.#binds(entry);
   }
 
+  /** Returns how far a request is under suspicion. */
+  stageOf(requestDigest: string): QuarantineStage {
+    const entry = this.#current(requestDigest);
+    const points = entry ? crashPoints(entry) : 0;
+    const bound = this.#options.crashes * CRASH_POINTS;
+    if (points >= bound) return 'quarantined';
+    if (points + CRASH_POINTS >= bound) return 'last-trial';
+    if (points >= CRASH_POINTS) return 'on-trial';
+    return points > 0 ? 'noted' : 'clear';
+  }
+
+  /** Returns what is known of a request; undefined where nothing is. */
+  find(requestDigest: string): QuarantineEntry | undefined {
+    return this.#current(requestDigest);
+  }
+
   /** Returns whether the request was under way at a crash that still counts. */
   isSuspected(requestDigest: string): boolean {
     const entry = this.#current(requestDigest);
@@ -71,7 +123,7 @@
   lift(requestDigest: string): boolean {
     const entry = this.#current(requestDigest);
     if (!entry || countedCrashes(entry).length === 0) return false;
-    const latest = Math.max(...entry.crashes.map(({ atMilliseconds }) => atMilliseconds));
+    const latest = Math.max(...countedCrashes(entry).map(({ atMilliseconds }) => atMilliseconds));
     this.#change({ ...entry, liftedAtMilliseconds: Math.max(Date.now(), latest) });
     return true;
   }
@@ -79,17 +131,22 @@
   /** Takes in entries of other instances. */
   merge(entries: readonly QuarantineEntry[]): void {
     entries.forEach((entry) => {
-      if (entry.expiresAtMilliseconds > Date.now()) this.#keep(entry);
+      this.mergeOne(entry);
     });
   }
 
+  /** Takes in an entry of another instance; returns what is known then, unless it has expired. */
+  mergeOne(entry: QuarantineEntry): QuarantineEntry | undefined {
+    return entry.expiresAtMilliseconds > Date.now() ? this.#keep(entry) : undefined;
+  }
+
   /** Adds a listener that is told of each change made here, not of merged entries. */
   onChange(listener: QuarantineListener): void {
     this.#listeners.push(listener);
   }
 
   #binds(entry: QuarantineEntry): boolean {
-    return countedCrashes(entry).length >= this.#options.crashes;
+    return crashPoints(entry) >= this.#options.crashes * CRASH_POINTS;
   }
 
   #change(entry: QuarantineEntry): void {
--- a/packages/scheduling/tests/quarantine.test.ts
+++ b/packages/scheduling/tests/quarantine.test.ts
@@ -73,3 +73,31 @@
     { seed: 6, numRuns: 100 },
   );
 });
+
+const INCIDENTAL = { ageMilliseconds: 0, isIncidental: true };
+
+test('five crashes that something else may explain count as three others', () => {
+  const requests = new Quarantine({ crashes: 3, expiryMilliseconds: 60_000 });
+  const stages = ['a', 'b', 'c', 'd', 'e'].map((target) => {
+    requests.recordCrash(request, target, INCIDENTAL);
+    return requests.stageOf('deadly');
+  });
+  expect(stages).toEqual(['noted', 'on-trial', 'on-trial', 'last-trial', 'quarantined']);
+});
+
+test('crashes that nothing else explains count in full', () => {
+  const requests = new Quarantine({ crashes: 3, expiryMilliseconds: 60_000 });
+  const stages = ['a', 'b', 'c'].map((target) => {
+    requests.recordCrash(request, target);
+    return requests.stageOf('deadly');
+  });
+  expect(stages).toEqual(['on-trial', 'last-trial', 'quarantined']);
+});
+
+test('crashes before a lift are dropped', () => {
+  const requests = quarantine();
+  requests.recordCrash(request, 'one');
+  requests.lift('deadly');
+  requests.recordCrash(request, 'two');
+  expect(requests.find('deadly')?.crashes.map(({ target }) => target)).toEqual(['two']);
+});
--- a/packages/server/src/peers/heartbeats.ts
+++ b/packages/server/src/peers/heartbeats.ts
@@ -3,12 +3,11 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { Member, Membership } from '@limpetnotch/partitions';
 import type { Heartbeat, PeerClients } from '@limpetnotch/peer-protocol';
-import { HeartbeatSchema } from '@limpetnotch/peer-protocol';
+import { HeartbeatSchema, quarantineEntryOf, quarantineMessage } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { delay, Supervisor } from '@limpetnotch/supervision';
 import type { ChildContext } from '@limpetnotch/supervision';
 import { memberMessage } from './memberMessage';
-import { quarantineEntryOf, quarantineMessage } from './quarantineMessage';
 
 const INTERVAL_MILLISECONDS = 1_000;
 const HEARD_MILLISECONDS = 5_000;
