Tell the other instances, and the store, of requests that crash targets

Cause: the quarantine of an instance stayed in its memory. Change: the first crash is told to six instances that count together (chosen by the digest, so that all agree); from the second on, all instances are told by calls, and the store keeps an entry under a lease of ten minutes. Entries are joined in any order (the product's own merge), so that writes and calls may repeat. A few lines of the membership watch follow them, so that no watch is added. One that reaches none of the others tells them by the store; one that starts reads the store. A served request clears it everywhere.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,8 @@
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
+import { QuarantineLedger } from './quarantine/quarantineLedger';
+import { QuarantineSharing } from './quarantine/quarantineSharing';
 import { RequestQuarantine } from './quarantine/requestQuarantine';
 import { SharedQuotas } from './quotas/sharedQuotas';
 import { drainTimesOf } from './shutdown/drainTimesOf';
@@ -75,6 +77,10 @@
 
   readonly #quarantine: RequestQuarantine;
 
+  readonly #quarantineLedger: QuarantineLedger;
+
+  readonly #quarantineSharing: QuarantineSharing;
+
   readonly #peers: FleetPeers;
 
   readonly #membership: Membership;
@@ -121,12 +127,23 @@
       metrics,
     });
     this.#peers = new FleetPeers(logger, metrics);
+    this.#quarantineLedger = new QuarantineLedger({
+      store: parts.store,
+      quarantine: this.#quarantine,
+      logger,
+    });
+    this.#quarantineSharing = new QuarantineSharing({
+      quarantine: this.#quarantine,
+      peers: this.#peers,
+      ledger: this.#quarantineLedger,
+    });
     this.#membership = new Membership({
       store: parts.store,
       instance: settings.instance,
       address: `${settings.peer.host}:${settings.peer.port}`,
       logger,
       onChange: () => this.#onMembership(),
+      ledger: this.#quarantineLedger,
     });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
@@ -231,7 +248,7 @@
   async #start(): Promise<void> {
     const { settings } = this.#parts;
     // The store answers while the servers start, so that the first request finds a configuration.
-    const tasks = [...this.#follower.tasks, ...this.#membership.tasks];
+    const tasks = [...this.#follower.tasks, ...this.#membership.tasks, this.#quarantineLedger.task];
     if (!settings.isFirstStart) tasks.push(learnBegunPrograms(this.#budgets));
     for (const task of tasks) {
       await this.#supervisor.startChild(task);
@@ -246,7 +263,11 @@
     });
     this.#peerListener = await HttpListener.start({
       ...settings.peer,
-      listener: createFleetListener(this.#quotas, this.#budgets),
+      listener: createFleetListener({
+        quotas: this.#quotas,
+        budgets: this.#budgets,
+        quarantine: this.#quarantineSharing,
+      }),
     });
   }
 
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -4,14 +4,24 @@
 import {
   FleetService,
   LendBudgetResponse_Outcome as LendOutcome,
+  quarantineEntryOf,
 } from '@limpetnotch/peer-protocol';
 import type { EscrowBudgets } from '../budgets/escrowBudgets';
+import type { QuarantineSharing } from '../quarantine/quarantineSharing';
 import type { SharedQuotas } from '../quotas/sharedQuotas';
 
-const createFleetService = (
-  quotas: SharedQuotas,
-  budgets: EscrowBudgets,
-): Partial<ServiceImpl<typeof FleetService>> => ({
+/** What answers the questions of other instances. */
+export interface FleetListenerParts {
+  readonly quotas: SharedQuotas;
+  readonly budgets: EscrowBudgets;
+  readonly quarantine: QuarantineSharing;
+}
+
+const createFleetService = ({
+  quotas,
+  budgets,
+  quarantine,
+}: FleetListenerParts): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, wanted }) => ({ given: quotas.give(organisation, wanted) }),
   describeDemand: async ({ organisation, program }) => quotas.describe(organisation, program),
   lendBudget: async (request) => {
@@ -34,6 +44,10 @@
     keys.forEach((key) => budgets.noteBegun(key));
     return {};
   },
+  shareQuarantine: async ({ entries }) => {
+    quarantine.receive(entries.map(quarantineEntryOf));
+    return {};
+  },
   releaseBudget: async ({ budget }) => {
     await budgets.release(budget);
     return {};
@@ -41,11 +55,8 @@
 });
 
 /** Creates a listener that answers the questions of other instances, by connect. */
-export const createFleetListener = (
-  quotas: SharedQuotas,
-  budgets: EscrowBudgets,
-): RequestListener =>
+export const createFleetListener = (parts: FleetListenerParts): RequestListener =>
   connectNodeAdapter({
-    routes: (router) => router.service(FleetService, createFleetService(quotas, budgets)),
+    routes: (router) => router.service(FleetService, createFleetService(parts)),
     acceptCompression: [],
   });
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -6,8 +6,12 @@
 import {
   FleetService,
   LendBudgetResponse_Outcome as LendOutcome,
+  quarantineMessage,
 } from '@limpetnotch/peer-protocol';
-import type { LendBudgetResponse } from '@limpetnotch/peer-protocol';
+import type { LendBudgetResponse, ShareQuarantineResponse } from '@limpetnotch/peer-protocol';
+import type { QuarantineEntry } from '@limpetnotch/scheduling';
+import { chooseKeepers } from '../quarantine/chooseKeepers';
+import type { QuarantinePeers } from '../quarantine/quarantinePeers';
 import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
 
@@ -29,6 +33,12 @@
 /** Programs that begin within this time are announced together. */
 const ANNOUNCEMENT_DELAY_MILLISECONDS = 10;
 
+/** A peer that took what it was told answers at once. */
+const QUARANTINE_DEADLINE_MILLISECONDS = 250;
+
+/** Peers told of the quarantine at one time, as each may need a connection of its own. */
+const QUARANTINE_CALLS_AT_ONCE = 16;
+
 /** Peers told of each program, enough to outlast the loss of some. */
 const PEERS_TOLD = 6;
 
@@ -69,7 +79,7 @@
 };
 
 /** Connections to the other instances. */
-export class FleetPeers implements QuotaPeers {
+export class FleetPeers implements QuotaPeers, QuarantinePeers {
   readonly #logger: Logger;
 
   readonly #metrics: Metrics;
@@ -163,10 +173,43 @@
     setTimeout(() => this.#sendAnnouncements(), ANNOUNCEMENT_DELAY_MILLISECONDS).unref();
   }
 
+  async tellKeepers(entries: readonly QuarantineEntry[]): Promise<ReadonlySet<string>> {
+    const names = [...this.#peers.keys()];
+    const byPeer = new Map<string, QuarantineEntry[]>();
+    entries.forEach((entry) =>
+      chooseKeepers(entry.requestDigest, names).forEach((name) =>
+        byPeer.set(name, [...(byPeer.get(name) ?? []), entry]),
+      ),
+    );
+    const taken = await Promise.all(
+      [...byPeer].map(async ([name, told]) =>
+        (await this.#tellQuarantine([name], told)).length > 0 ? told : [],
+      ),
+    );
+    return new Set(taken.flat().map(({ requestDigest }) => requestDigest));
+  }
+
+  async tellAll(entries: readonly QuarantineEntry[]): Promise<void> {
+    const names = [...this.#peers.keys()];
+    while (names.length > 0) {
+      await this.#tellQuarantine(names.splice(0, QUARANTINE_CALLS_AT_ONCE), entries);
+    }
+  }
+
   close(): void {
     this.setPeers(new Map());
   }
 
+  #tellQuarantine(
+    names: readonly string[],
+    entries: readonly QuarantineEntry[],
+  ): Promise<readonly Reply<ShareQuarantineResponse>[]> {
+    const message = { entries: entries.map(quarantineMessage) };
+    return this.#callEach(names, QUARANTINE_DEADLINE_MILLISECONDS, (client, options) =>
+      client.shareQuarantine(message, options),
+    );
+  }
+
   #sendAnnouncements(): void {
     const budgets = this.#announcements;
     this.#announcements = [];
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -5,6 +5,8 @@
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
 import { StoreContact } from '../fleet/storeContact';
+import type { QuarantineLedger } from '../quarantine/quarantineLedger';
+import { QUARANTINE_PREFIX } from '../quarantine/quarantineLedger';
 import type { Holding } from '../quotas/holding';
 
 const PREFIX = 'limpetnotch/';
@@ -33,6 +35,8 @@
 const presenceSchema = z.object({ address: z.string() });
 const membersSchema = z.object({ members: z.array(z.string()) });
 
+const isOfQuarantine = (key: string): boolean => key.startsWith(QUARANTINE_PREFIX);
+
 /** Parts of a {@link Membership}. */
 export interface MembershipParts {
   readonly store: KeyValueStore;
@@ -42,6 +46,8 @@
   readonly logger: Logger;
   /** Called when the instances that are present, or the members, have changed. */
   readonly onChange: () => void;
+  /** Follows the quarantine, which lies under the same prefix, so that one watch tells of both. */
+  readonly ledger: Pick<QuarantineLedger, 'replaceAll' | 'read' | 'forget'>;
 }
 
 /**
@@ -120,16 +126,25 @@
     return {
       replaced: (entries) => {
         this.#present.clear();
-        entries.forEach((entry) => this.#apply(entry));
+        this.#parts.ledger.replaceAll(entries.filter(({ key }) => isOfQuarantine(key)));
+        entries.filter(({ key }) => !isOfQuarantine(key)).forEach((entry) => this.#apply(entry));
         this.#noteAbsence();
         this.#parts.onChange();
       },
       put: (entry) => {
+        if (isOfQuarantine(entry.key)) {
+          this.#parts.ledger.read(entry);
+          return;
+        }
         this.#apply(entry);
         this.#noteAbsence();
         this.#parts.onChange();
       },
       removed: (key) => {
+        if (isOfQuarantine(key)) {
+          this.#parts.ledger.forget(key);
+          return;
+        }
         this.#present.delete(key.slice(PRESENCE_PREFIX.length));
         this.#noteAbsence();
         this.#parts.onChange();
--- /dev/null
+++ b/packages/gateway/src/quarantine/quarantineLedger.ts
@@ -0,0 +1,154 @@
+import type { Logger } from '@limpetnotch/observability';
+import type { QuarantineEntry } from '@limpetnotch/scheduling';
+import { mergeQuarantineEntries, quarantineEntrySchema } from '@limpetnotch/scheduling';
+import type { KeyValueStore, StoreEntry } from '@limpetnotch/store';
+import { boundStoreCall, parseWith } from '@limpetnotch/store';
+import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
+import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
+import type { RequestQuarantine } from './requestQuarantine';
+
+/** Prefix of the store's keys; the rest of a key is the digest of its request. */
+export const QUARANTINE_PREFIX = 'limpetnotch/quarantine/';
+
+/** A slow store answers within 250 ms. */
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+
+/** Pause after a write that failed, as while the store is away. */
+const RETRY_MILLISECONDS = 500;
+
+/** Entries that wait for the store at most; the oldest are given up beyond this. */
+const MAXIMUM_WAITING = 1_000;
+
+const SHORTEST_LEASE_MILLISECONDS = 1_000;
+
+/** How a write of an entry ended. */
+type WriteOutcome = 'done' | 'conflict' | 'failed';
+
+/** An entry as the store has it. */
+interface StoredEntry {
+  readonly entry: QuarantineEntry;
+  readonly revision: number;
+}
+
+/** Parts of a {@link QuarantineLedger}. */
+export interface QuarantineLedgerParts {
+  readonly store: KeyValueStore;
+  readonly quarantine: RequestQuarantine;
+  readonly logger: Logger;
+}
+
+const digestOf = (key: string): string => key.slice(QUARANTINE_PREFIX.length);
+
+const isSame = (one: QuarantineEntry, other: QuarantineEntry): boolean =>
+  JSON.stringify(mergeQuarantineEntries(one, other)) === JSON.stringify(one);
+
+/**
+ * The quarantine in the store, which outlasts all instances: a key for each request, which goes away
+ * with its lease. Entries are joined, so that a write may be repeated and may come in any order.
+ */
+export class QuarantineLedger {
+  readonly #parts: QuarantineLedgerParts;
+
+  readonly #stored = new Map<string, StoredEntry>();
+
+  readonly #waiting = new Map<string, QuarantineEntry>();
+
+  #wake = new Deferred();
+
+  constructor(parts: QuarantineLedgerParts) {
+    this.#parts = parts;
+  }
+
+  /** Task that writes entries until the store has taken each. */
+  get task(): ChildSpecification {
+    return { name: 'quarantine', restart: 'always', run: (context) => this.#run(context) };
+  }
+
+  /** Takes an entry to be written. */
+  write(entry: QuarantineEntry): void {
+    const { requestDigest: digest } = entry;
+    const waiting = this.#waiting.get(digest);
+    this.#waiting.set(digest, waiting ? mergeQuarantineEntries(waiting, entry) : entry);
+    const [oldest] = this.#waiting.keys();
+    if (this.#waiting.size > MAXIMUM_WAITING && oldest !== undefined) {
+      this.#waiting.delete(oldest);
+      this.#parts.logger.warn('quarantine.not-written', { digest: oldest, reason: 'too many' });
+    }
+    this.#wake.resolve(undefined);
+  }
+
+  /** Takes all keys of the store. */
+  replaceAll(entries: readonly StoreEntry[]): void {
+    this.#stored.clear();
+    entries.forEach((entry) => this.read(entry));
+  }
+
+  /** Takes a key of the store, as read or watched. */
+  read({ key, value, revision }: StoreEntry): void {
+    const entry = parseWith(quarantineEntrySchema, value);
+    if (!entry) {
+      this.#parts.logger.warn('quarantine.unreadable', { key, revision });
+      return;
+    }
+    this.#stored.set(digestOf(key), { entry, revision });
+    this.#parts.quarantine.learn(entry, 'store');
+  }
+
+  /** Takes the news that the store has a key no more. */
+  forget(key: string): void {
+    this.#stored.delete(digestOf(key));
+  }
+
+  async #run({ signal, ready }: ChildContext): Promise<void> {
+    ready();
+    const aborted = untilAborted(signal);
+    while (!signal.aborted) {
+      const [next] = this.#waiting;
+      if (next) {
+        await this.#writeNext(...next, signal);
+      } else {
+        this.#wake = new Deferred();
+        await Promise.race([this.#wake.promise, aborted]);
+      }
+    }
+  }
+
+  async #writeNext(digest: string, entry: QuarantineEntry, signal: AbortSignal): Promise<void> {
+    const outcome = await this.#write(digest, entry);
+    // More may have become known meanwhile.
+    if (outcome === 'done' && this.#waiting.get(digest) === entry) this.#waiting.delete(digest);
+    if (outcome === 'failed') await delay(RETRY_MILLISECONDS, signal);
+  }
+
+  async #write(digest: string, entry: QuarantineEntry): Promise<WriteOutcome> {
+    const { store, logger } = this.#parts;
+    const known = this.#stored.get(digest);
+    if (known && isSame(known.entry, entry)) return 'done';
+    const merged = known ? mergeQuarantineEntries(known.entry, entry) : entry;
+    const leaseMilliseconds = merged.expiresAtMilliseconds - Date.now();
+    if (leaseMilliseconds < SHORTEST_LEASE_MILLISECONDS) return 'done';
+    const key = `${QUARANTINE_PREFIX}${digest}`;
+    const written = await boundStoreCall(
+      store.grantLease(leaseMilliseconds).andThen(({ leaseId }) =>
+        store.compareAndSwap({
+          key,
+          value: JSON.stringify(merged),
+          expectedRevision: known?.revision ?? 0,
+          leaseId,
+        }),
+      ),
+      CALL_TIMEOUT_MILLISECONDS,
+    );
+    const outcome = written.isOk() ? written.value.kind : written.error.kind;
+    logger.info('quarantine.written', { digest, outcome });
+    if (written.isErr()) return 'failed';
+    if (written.value.kind === 'swapped') {
+      this.#stored.set(digest, { entry: merged, revision: written.value.revision });
+      return 'done';
+    }
+    const { current } = written.value;
+    if (current) this.read(current);
+    else this.#stored.delete(digest);
+    return 'conflict';
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/quarantine/quarantineSharing.ts
@@ -0,0 +1,70 @@
+import type { QuarantineEntry } from '@limpetnotch/scheduling';
+import { countedCrashes } from '@limpetnotch/scheduling';
+import type { QuarantineLedger } from './quarantineLedger';
+import type { QuarantinePeers } from './quarantinePeers';
+import type { RequestQuarantine } from './requestQuarantine';
+
+/** Crashes of one target interrupt several requests within this time. */
+const BATCH_MILLISECONDS = 20;
+
+/** Parts of a {@link QuarantineSharing}. */
+export interface QuarantineSharingParts {
+  readonly quarantine: RequestQuarantine;
+  readonly peers: QuarantinePeers;
+  readonly ledger: Pick<QuarantineLedger, 'write'>;
+}
+
+/**
+ * Spreads what instances know of requests that crash targets. The first crash goes to a few that
+ * count together; from the second on all instances are told, and the store, which outlasts them.
+ */
+export class QuarantineSharing {
+  readonly #parts: QuarantineSharingParts;
+
+  #changed = new Map<string, QuarantineEntry>();
+
+  constructor(parts: QuarantineSharingParts) {
+    this.#parts = parts;
+    parts.quarantine.onChange((entry) => this.#share(entry));
+  }
+
+  /** Takes entries from another instance; tells of those of which more is known here. */
+  receive(entries: readonly QuarantineEntry[]): void {
+    entries.forEach((entry) => {
+      const known = this.#parts.quarantine.learn(entry, 'peer');
+      if (!known) return;
+      const isAhead =
+        countedCrashes(known).length > countedCrashes(entry).length ||
+        known.liftedAtMilliseconds > entry.liftedAtMilliseconds;
+      if (isAhead) this.#share(known);
+    });
+  }
+
+  #share(entry: QuarantineEntry): void {
+    const isFirst = this.#changed.size === 0;
+    this.#changed.set(entry.requestDigest, entry);
+    if (!isFirst) return;
+    const send = (): void => {
+      void this.#send();
+    };
+    setTimeout(send, BATCH_MILLISECONDS).unref();
+  }
+
+  async #send(): Promise<void> {
+    const { peers, ledger, quarantine } = this.#parts;
+    const entries = [...this.#changed.values()];
+    this.#changed = new Map();
+    const isForAll = ({ requestDigest }: QuarantineEntry): boolean =>
+      quarantine.concernsAll(requestDigest);
+    const forAll = entries.filter(isForAll);
+    const forKeepers = entries.filter((entry) => !isForAll(entry));
+    forAll.forEach((entry) => ledger.write(entry));
+    const told = forAll.length > 0 ? peers.tellAll(forAll) : undefined;
+    const taken = forKeepers.length > 0 ? await peers.tellKeepers(forKeepers) : new Set<string>();
+    // An instance that reaches none of the others tells them by the store.
+    forKeepers
+      .filter(({ requestDigest }) => !taken.has(requestDigest))
+      .forEach((entry) => ledger.write(entry));
+    await told;
+  }
+}
--- a/packages/gateway/src/quarantine/requestQuarantine.ts
+++ b/packages/gateway/src/quarantine/requestQuarantine.ts
@@ -8,6 +8,7 @@
 import type { CrashEvidence, TargetEnds } from '../targets/targetEnds';
 import { targetLife } from '../targets/targetLife';
 import type { TargetLoads } from '../targets/targetLoads';
+import { RecentKeys } from '../util/recentKeys';
 import { CrashWorkload } from './crashWorkload';
 import { interruptionOf } from './interruption';
 import { ServedRequests } from './servedRequests';
@@ -15,6 +16,12 @@
 /** Crashes that put a request into quarantine, where nothing else explains them. */
 const QUARANTINE_CRASHES = 3;
 
+/** Crashes from which on every instance is told of a request. */
+const SHARED_CRASHES = 2;
+
+/** Requests of which every instance was told, and is told of a lift. */
+const MAXIMUM_SHARED = 10_000;
+
 /** A request is forgotten this long after its last crash; the store's longest lease is as long. */
 export const QUARANTINE_MILLISECONDS = 600_000;
 
@@ -66,11 +73,14 @@
 
   readonly #served = new ServedRequests();
 
+  readonly #shared = new RecentKeys(MAXIMUM_SHARED);
+
   readonly #workload: CrashWorkload;
 
   constructor(parts: RequestQuarantineParts) {
     this.#parts = parts;
     this.#workload = new CrashWorkload(parts.loads);
+    this.#quarantine.onChange((entry) => this.#noteShared(entry));
   }
 
   /** Returns how far a request is under suspicion. */
@@ -78,6 +88,11 @@
     return this.#quarantine.stageOf(digest);
   }
 
+  /** Whether every instance is to be told of what happens to a request. */
+  concernsAll(digest: string): boolean {
+    return this.#shared.has(digest);
+  }
+
   /** Returns why a request is not run, for the log. */
   describe(digest: string): LogFields {
     return { digest, crashes: describeCrashes(this.#quarantine.find(digest)) };
@@ -92,12 +107,15 @@
   learn(entry: QuarantineEntry, source: QuarantineSource): QuarantineEntry | undefined {
     const { requestDigest: digest } = entry;
     const before = this.stageOf(digest);
+    this.#noteShared(entry);
     const known = this.#quarantine.mergeOne(entry);
+    if (known) this.#noteShared(known);
+    if (known && this.#hasServedSince(known)) this.#quarantine.lift(digest);
     const stage = this.stageOf(digest);
     if (stage !== before) {
       this.#parts.logger.info('quarantine.learnt', { ...this.describe(digest), stage, source });
     }
-    return known;
+    return this.#quarantine.find(digest);
   }
 
   /**
@@ -123,6 +141,19 @@
     await settleWithin(checked, CHECK_MILLISECONDS, () => undefined);
   }
 
+  #noteShared(entry: QuarantineEntry): void {
+    if (countedCrashes(entry).length >= SHARED_CRASHES) this.#shared.note(entry.requestDigest);
+  }
+
+  /** Whether a target served a request here after all crashes that are known of it. */
+  #hasServedSince(entry: QuarantineEntry): boolean {
+    const servedAge = this.#served.ageMilliseconds(entry.requestDigest);
+    const crashes = countedCrashes(entry);
+    if (servedAge === undefined || crashes.length === 0) return false;
+    const servedAt = Date.now() - servedAge;
+    return crashes.every(({ atMilliseconds }) => atMilliseconds < servedAt);
+  }
+
   /** A request that a target has served does not crash each one that runs it. */
   #noteServed({ digest, envelope }: Call): void {
     this.#served.note(digest);
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -1,7 +1,7 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { EscrowBudgets } from '../../src/budgets/escrowBudgets';
 import type { Loan, LoanRequest } from '../../src/budgets/loan';
-import { MemoryStore } from './memoryStore';
+import { MemoryStore } from '../support/memoryStore';
 
 /** Instances whose budgets share a store and ask each other, in one process. */
 export class BudgetFleet {
--- /dev/null
+++ b/packages/gateway/tests/quarantine/quarantineFleet.ts
@@ -0,0 +1,178 @@
+import type { ServerResponse } from 'node:http';
+import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import type { QuarantineEntry, QuarantineStage } from '@limpetnotch/scheduling';
+import { Call } from '../../src/calls/call';
+import { chooseKeepers } from '../../src/quarantine/chooseKeepers';
+import { QuarantineLedger } from '../../src/quarantine/quarantineLedger';
+import { QuarantineSharing } from '../../src/quarantine/quarantineSharing';
+import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
+import { TargetDirectory } from '../../src/targets/targetDirectory';
+import { TargetEnds } from '../../src/targets/targetEnds';
+import { TargetLoads } from '../../src/targets/targetLoads';
+import { callEnvelope } from '../support/callEnvelope';
+import { fleetRoute } from '../support/fleetRoute';
+import { fleetTarget } from '../support/fleetTarget';
+import { MemoryStore } from '../support/memoryStore';
+
+interface Instance {
+  readonly quarantine: RequestQuarantine;
+  readonly sharing: QuarantineSharing;
+  readonly ledger: QuarantineLedger;
+  readonly directory: TargetDirectory;
+}
+
+const CHECK_MILLISECONDS = 20;
+/** The platform's stable window. */
+const WINDOW_MILLISECONDS = 3_000;
+
+const callOf = (body: string): Call =>
+  new Call({
+    envelope: callEnvelope({ id: 'r1' }),
+    route: fleetRoute({}),
+    organisation: undefined,
+    service: { name: 's', connectionLimit: 8 },
+    body: Buffer.from(body),
+    response: {} as ServerResponse,
+    arrivedAtMilliseconds: performance.now(),
+  });
+
+/** Instances that share their quarantine by a store and by calls, in one process. */
+export class QuarantineFleet {
+  readonly store = new MemoryStore();
+
+  /** Instances that no other one reaches, and that reach none. */
+  readonly cutOff = new Set<number>();
+
+  /** Instances that don't reach the store. */
+  readonly withoutStore = new Set<number>();
+
+  /** Calls between instances that were answered. */
+  calls = 0;
+
+  readonly #instances: Instance[];
+
+  readonly #tasks: AbortController[] = [];
+
+  readonly #disturbedAt: number[] = [];
+
+  #storeDisturbedAt = -Infinity;
+
+  #targets = 0;
+
+  constructor(count: number) {
+    this.store.onWrite = (entry) => {
+      this.#instances.forEach(({ ledger }, index) => {
+        if (!this.withoutStore.has(index)) ledger.read(entry);
+      });
+    };
+    this.#instances = Array.from({ length: count }, (_value, index) => this.#start(index));
+  }
+
+  /** Lets the store go away or come back. */
+  toggleStore(): void {
+    this.store.isDown = !this.store.isDown;
+    this.#storeDisturbedAt = performance.now();
+  }
+
+  /** Cuts an instance off from the store or from the others, or lets it reach them again. */
+  toggle(cut: Set<number>, index: number): void {
+    if (!cut.delete(index)) cut.add(index);
+    else if (!this.store.isDown) this.#of(index).ledger.replaceAll(this.store.entries);
+    this.#disturbedAt[index] = performance.now();
+  }
+
+  /** Whether the users' bounds hold for an instance: for a time, nothing has disturbed it. */
+  isInTouch(index: number): boolean {
+    const lastAt = Math.max(this.#disturbedAt[index] ?? -Infinity, this.#storeDisturbedAt);
+    const isCut = this.store.isDown || this.withoutStore.has(index);
+    return !isCut && performance.now() - lastAt >= WINDOW_MILLISECONDS;
+  }
+
+  /** Replaces an instance by one that remembers nothing, and reads the store. */
+  restart(index: number): void {
+    const started = this.#start(index);
+    this.#instances[index] = started;
+    this.#disturbedAt[index] = performance.now();
+    if (!this.store.isDown) started.ledger.replaceAll(this.store.entries);
+  }
+
+  /** Has a new target crash under a request that an instance has sent there. */
+  async crash(index: number, body = 'deadly'): Promise<void> {
+    const { quarantine, directory } = this.#of(index);
+    this.#targets += 1;
+    const target = fleetTarget({ id: `t${this.#targets}`, address: `10.0.0.1:${this.#targets}` });
+    directory.put(target);
+    const outcome = { kind: 'broken', detail: 'reset' } as const;
+    await quarantine.noteAttempt({ call: callOf(body), target, outcome, ranMilliseconds: 5 });
+  }
+
+  /** Has a target serve a request that an instance has sent there. */
+  async serve(index: number, body = 'deadly'): Promise<void> {
+    const outcome = { kind: 'delivered', status: 200 } as const;
+    const ended = { call: callOf(body), target: fleetTarget({}), outcome, ranMilliseconds: 5 };
+    await this.#of(index).quarantine.noteAttempt(ended);
+  }
+
+  /** How far each instance suspects a request. */
+  stages(body = 'deadly'): readonly QuarantineStage[] {
+    return this.#instances.map(({ quarantine }) => quarantine.stageOf(callOf(body).digest));
+  }
+
+  /** Waits until instances suspect a request in one way; returns the last stages of all. */
+  async untilAll(
+    stage: QuarantineStage,
+    milliseconds: number,
+    body = 'deadly',
+  ): Promise<readonly QuarantineStage[]> {
+    const endsAt = performance.now() + milliseconds;
+    while (performance.now() < endsAt && this.stages(body).some((one) => one !== stage)) {
+      await jest.advanceTimersByTimeAsync(CHECK_MILLISECONDS);
+    }
+    return this.stages(body);
+  }
+
+  stop(): void {
+    this.#tasks.forEach((task) => task.abort());
+  }
+
+  #of(index: number): Instance {
+    const instance = this.#instances[index];
+    if (!instance) throw new Error(`no instance ${index}`);
+    return instance;
+  }
+
+  #start(index: number): Instance {
+    const [logger, metrics] = [silentLogger, new MemoryMetrics()];
+    const directory = new TargetDirectory();
+    const check = async () => 'refused' as const;
+    const ends = new TargetEnds({ directory, logger, metrics, check });
+    const quarantine = new RequestQuarantine({ ends, loads: new TargetLoads(), logger, metrics });
+    const ledger = new QuarantineLedger({ store: this.store.client, quarantine, logger });
+    const peers = {
+      tellKeepers: async (entries: readonly QuarantineEntry[]) => this.#tell(index, entries, true),
+      tellAll: async (entries: readonly QuarantineEntry[]) => {
+        this.#tell(index, entries, false);
+      },
+    };
+    const sharing = new QuarantineSharing({ quarantine, peers, ledger });
+    const task = new AbortController();
+    this.#tasks.push(task);
+    void ledger.task.run({ signal: task.signal, ready: () => undefined });
+    return { quarantine, sharing, ledger, directory };
+  }
+
+  #tell(from: number, entries: readonly QuarantineEntry[], isForKeepers: boolean): Set<string> {
+    const others = this.#instances.map((_one, index) => String(index));
+    const taken = entries.filter(({ requestDigest }) => {
+      const names = others.filter((name) => name !== String(from));
+      const told = (isForKeepers ? chooseKeepers(requestDigest, names) : names)
+        .map(Number)
+        .filter((index) => !this.cutOff.has(index) && !this.cutOff.has(from));
+      this.calls += told.length;
+      const own = entries.filter((entry) => entry.requestDigest === requestDigest);
+      told.forEach((index) => this.#of(index).sharing.receive(own));
+      return told.length > 0;
+    });
+    return new Set(taken.map(({ requestDigest }) => requestDigest));
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/quarantine/quarantineSharing.test.ts
@@ -0,0 +1,170 @@
+import { SeededRandom } from '@limpetnotch/stand-ins';
+import { QuarantineFleet } from './quarantineFleet';
+
+/** The users' bound for what all instances are to know. */
+const KNOWN_MILLISECONDS = 3_000;
+const SETTLE_MILLISECONDS = 100;
+/** The users' bound for repeats later than that after the third crash. */
+const LATE_CRASHES = 3;
+
+let fleet: QuarantineFleet;
+
+const start = (instances: number): void => {
+  fleet = new QuarantineFleet(instances);
+};
+
+beforeEach(() => {
+  jest.useFakeTimers();
+});
+
+afterEach(() => {
+  fleet.stop();
+  jest.useRealTimers();
+});
+
+const crashAt = async (...instances: readonly number[]): Promise<void> => {
+  for (const index of instances) {
+    await fleet.crash(index);
+    await jest.advanceTimersByTimeAsync(SETTLE_MILLISECONDS);
+  }
+};
+
+const expectKnown = async (): Promise<void> => {
+  const stages = await fleet.untilAll('quarantined', KNOWN_MILLISECONDS);
+  expect(new Set(stages)).toEqual(new Set(['quarantined']));
+};
+
+test('crashes at three instances are known to all', async () => {
+  start(4);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+});
+
+test('crashes at three of 68 instances are known to all', async () => {
+  start(68);
+  await crashAt(5, 33, 60);
+  await expectKnown();
+});
+
+test('the first crash is told to few', async () => {
+  start(390);
+  await crashAt(5);
+  expect(fleet.calls).toBe(6);
+  expect(fleet.store.writes).toBe(0);
+});
+
+test('crashes are known to all while the store is away, and to the store later', async () => {
+  start(8);
+  fleet.store.isDown = true;
+  await crashAt(0, 1, 2);
+  await expectKnown();
+  fleet.store.isDown = false;
+  await jest.advanceTimersByTimeAsync(1_000);
+  expect(fleet.store.entries).toHaveLength(1);
+});
+
+test('an instance that the others do not reach learns by the store', async () => {
+  start(4);
+  fleet.cutOff.add(3);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+});
+
+test('crashes at an instance that the others do not reach count', async () => {
+  start(4);
+  fleet.cutOff.add(3);
+  await crashAt(3, 0, 1);
+  await expectKnown();
+});
+
+test('an instance that does not reach the store learns from the others', async () => {
+  start(4);
+  fleet.withoutStore.add(3);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+});
+
+test('an instance that starts later knows', async () => {
+  start(4);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+  fleet.restart(3);
+  await expectKnown();
+});
+
+test('all know after all were killed', async () => {
+  start(4);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+  [0, 1, 2, 3].forEach((index) => fleet.restart(index));
+  await expectKnown();
+});
+
+test('an instance that starts while the store is away learns at the next crash', async () => {
+  start(4);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+  fleet.store.isDown = true;
+  fleet.restart(3);
+  await crashAt(3);
+  await expectKnown();
+});
+
+test('a request that is served anywhere is cleared everywhere', async () => {
+  start(12);
+  await crashAt(0, 1);
+  await fleet.serve(7);
+  const stages = await fleet.untilAll('clear', KNOWN_MILLISECONDS);
+  expect(new Set(stages)).toEqual(new Set(['clear']));
+  await crashAt(2);
+  expect(fleet.stages()).not.toContain('quarantined');
+});
+
+test('a request that is served elsewhere all the time is not blamed for crashes', async () => {
+  start(4);
+  for (let crashes = 0; crashes < 6; crashes += 1) {
+    await fleet.serve(3);
+    await crashAt(crashes % 3);
+  }
+  expect(fleet.stages()).not.toContain('quarantined');
+});
+
+test('other requests are not blamed', async () => {
+  start(4);
+  await crashAt(0, 1, 2);
+  await expectKnown();
+  expect(new Set(fleet.stages('sound'))).toEqual(new Set(['clear']));
+});
+
+test.each(Array.from({ length: 60 }, (_value, index) => index + 1))(
+  'instances in touch send it at most three more times: seed %i',
+  async (seed) => {
+    const random = new SeededRandom(seed);
+    const count = random.integer(2, 20);
+    start(count);
+    const anInstance = (): number => random.integer(0, count - 1);
+    const disturbances = [
+      () => fleet.toggleStore(),
+      () => fleet.restart(anInstance()),
+      () => fleet.toggle(fleet.cutOff, anInstance()),
+      () => fleet.toggle(fleet.withoutStore, anInstance()),
+    ];
+    let thirdCrashAt = Infinity;
+    let crashes = 0;
+    let late = 0;
+    for (let sent = 0; sent < 60; sent += 1) {
+      const index = anInstance();
+      if (random.chance(0.2)) random.pick(disturbances)();
+      if (fleet.stages()[index] !== 'quarantined') {
+        const isBounded = performance.now() > thirdCrashAt + KNOWN_MILLISECONDS;
+        if (isBounded && fleet.isInTouch(index)) late += 1;
+        await fleet.crash(index);
+        crashes += 1;
+        if (crashes === 3) thirdCrashAt = performance.now();
+      }
+      await jest.advanceTimersByTimeAsync(random.integer(100, 1_500));
+    }
+    expect(crashes).toBeGreaterThanOrEqual(3);
+    expect(late).toBeLessThanOrEqual(LATE_CRASHES);
+  },
+);
--- a/packages/gateway/tests/budgets/memoryStore.ts
+++ b/packages/gateway/tests/support/memoryStore.ts
@@ -8,6 +8,9 @@
   /** Writes that were tried, whatever came of them. */
   writes = 0;
 
+  /** Called with each entry that was written. */
+  onWrite: (entry: StoreEntry) => void = () => undefined;
+
   #revision = 0;
 
   readonly #entries = new Map<string, StoreEntry>();
@@ -17,10 +20,17 @@
     return {
       read: (key: string) => (this.isDown ? this.#unavailable() : okAsync(this.#entries.get(key))),
       list: (prefix: string) => (this.isDown ? this.#unavailable() : okAsync(this.#list(prefix))),
+      grantLease: (timeToLiveMilliseconds: number) =>
+        this.isDown ? this.#unavailable() : okAsync({ leaseId: '1', timeToLiveMilliseconds }),
       compareAndSwap: (request: CompareAndSwapRequest) => this.#swap(request),
     } as unknown as KeyValueStore;
   }
 
+  /** All keys with their values. */
+  get entries(): readonly StoreEntry[] {
+    return [...this.#entries.values()];
+  }
+
   /** Values of all keys, parsed. */
   get values(): readonly unknown[] {
     return [...this.#entries.values()].map(({ value }): unknown => JSON.parse(value));
@@ -39,7 +49,9 @@
       return okAsync({ kind: 'conflict' as const, current });
     }
     this.#revision += 1;
-    this.#entries.set(key, { key, value, revision: this.#revision });
+    const entry = { key, value, revision: this.#revision };
+    this.#entries.set(key, entry);
+    this.onWrite(entry);
     return okAsync({ kind: 'swapped' as const, revision: this.#revision });
   }
 
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -5,7 +5,7 @@
 export type { SchedulerOptions } from './createScheduler';
 export { estimateTokens, prefixBlocks } from './prefixBlocks';
 export type { PromptMessage } from './prefixBlocks';
-export { countedCrashes, crashPoints, quarantineEntrySchema } from './quarantineEntry';
+export { countedCrashes, mergeQuarantineEntries, quarantineEntrySchema } from './quarantineEntry';
 export type { QuarantineEntry } from './quarantineEntry';
 export { Quarantine } from './quarantine';
 export type { QuarantineListener, QuarantineStage } from './quarantine';
