--- a/packages/cli/src/explain/causeOf.ts
+++ b/packages/cli/src/explain/causeOf.ts
@@ -15,6 +15,8 @@
   'over-rate': "the organisation's rate was used up; see the line quota.refused",
   'budget-spent': "the program's token budget was spent; see the line budget.spent",
   'outcome-unknown': 'the request may have run, and was not sent again',
+  quarantined:
+    'targets crashed that ran a request of the same content; see the lines quarantine.* with its digest',
   'timed-out': "the route's time or the caller's deadline was over",
 };
 
@@ -42,6 +44,10 @@
       return 'the store was out of reach, and no instance knew the program';
     case 'call.attempt-ended':
       return `target ${textOf(line, 'target')} ended the attempt: ${textOf(line, 'outcome')} ${textOf(line, 'detail')}`.trim();
+    case 'quarantine.crash-noted':
+      return `target ${textOf(line, 'target')} crashed ${textOf(line, 'ranMilliseconds')} ms after it got the request, with ${textOf(line, 'underWay')} under way (${textOf(line, 'evidence')}): ${textOf(line, 'stage')}`;
+    case 'quarantine.cleared':
+      return 'a target served it, so that it is under suspicion no more';
     case 'call.redispatched':
       return `sent again to target ${textOf(line, 'target')} (${textOf(line, 'mayHaveRunAt')} may have run it, ${textOf(line, 'maximumTargets')} may)`;
     case 'call.given-up':
--- a/packages/cli/src/explain/explainRequest.ts
+++ b/packages/cli/src/explain/explainRequest.ts
@@ -36,6 +36,16 @@
 const names = (line: LogLine, id: string): boolean =>
   line.request === id || line.program === id || String(line.program).endsWith(`/${id}`);
 
+/** Returns the digests of requests that were refused, as other requests have put them in quarantine. */
+const quarantinedDigests = (lines: readonly LogLine[]): ReadonlySet<unknown> =>
+  new Set(
+    lines
+      .filter(({ refusal, digest }) => refusal === 'quarantined' && digest !== undefined)
+      .map(({ digest }) => digest),
+  );
+
+const isOfQuarantine = ({ message }: LogLine): boolean => message.startsWith('quarantine.');
+
 const beliefsBefore = (lines: readonly LogLine[], last: LogLine): readonly LogLine[] => {
   const latest = new Map<string, LogLine>();
   lines
@@ -51,9 +61,12 @@
 /** Collects what happened to a request, or to all requests of a program, and why. */
 export const explainRequest = (all: readonly LogLine[], id: string): Explanation => {
   const sorted = [...all].sort(byTime);
-  const lines = sorted.filter((line) => names(line, id));
-  const last = lines.at(-1);
-  const causes = lines.flatMap((line) => causeOf(line) ?? []);
+  const digests = quarantinedDigests(sorted.filter((line) => names(line, id)));
+  const lines = sorted.filter(
+    (line) => names(line, id) || (isOfQuarantine(line) && digests.has(line.digest)),
+  );
+  const last = lines.filter((line) => names(line, id)).at(-1);
+  const causes = lines.filter((line) => names(line, id)).flatMap((line) => causeOf(line) ?? []);
   return {
     id,
     lines,
--- a/packages/cli/tests/explainCommand.test.ts
+++ b/packages/cli/tests/explainCommand.test.ts
@@ -42,6 +42,21 @@
     ageMilliseconds: 5_100,
     sinceStopMilliseconds: 7_000,
   }),
+  line(3, 'quarantine.crash-noted', {
+    request: 'request-6',
+    digest: 'd6',
+    target: 't',
+    evidence: 'connection-refused',
+    ranMilliseconds: 5,
+    underWay: 1,
+    stage: 'quarantined',
+  }),
+  line(8, 'call.refused', {
+    request: 'request-7',
+    refusal: 'quarantined',
+    digest: 'd6',
+    crashes: 't@1 5000 ms ago',
+  }),
   '{"time":"2023-11-14T22:13:25.000Z","message":"call.ser',
 ];
 
@@ -70,6 +85,12 @@
   expect(stdout).toContain('given up: silent');
 });
 
+test('a quarantined request is told with the crashes of others of its content', async () => {
+  const { stdout } = await runTestCli(['explain', 'request-7', file]);
+  expect(stdout).toContain('target t crashed 5 ms after it got the request, with 1 under way');
+  expect(stdout).toContain('Cause: targets crashed that ran a request of the same content');
+});
+
 test('a request that a shutdown ended is told apart from a failed target', async () => {
   const refused = await runTestCli(['explain', 'request-5', file]);
   expect(refused.stdout).toContain('the instance shut down before the target had answered');
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,6 +19,8 @@
 export { Gateway } from './gateway';
 export type { GatewayParts } from './gateway';
 export type { GatewaySettings } from './gatewaySettings';
+export { liftStoredQuarantine, listStoredQuarantine } from './quarantine/storedQuarantine';
+export type { LiftOutcome } from './quarantine/storedQuarantine';
 export { fleetTargetSchema } from './targets/fleetTarget';
 export type { FleetTarget } from './targets/fleetTarget';
 export { HttpListener } from './ingress/httpListener';
