Clear a request in limpetnotchd once a target has answered it

A sound request that is sent often was quarantined after two unrelated crashes. Test first: 'a request that a target answered is not blamed for crashes before' failed with one entry in quarantine.

--- a/packages/scheduling/src/callScheduler.ts
+++ b/packages/scheduling/src/callScheduler.ts
@@ -247,6 +247,8 @@
     switch (outcome.kind) {
       case 'answered':
         this.#table.recordSuccess(view);
+        // A request that crashes each target that runs it gets no answer.
+        this.#quarantine.lift(call.requestDigest);
         break;
       case 'refused':
       case 'not-sent':
--- a/packages/scheduling/tests/callScheduler.test.ts
+++ b/packages/scheduling/tests/callScheduler.test.ts
@@ -229,6 +229,16 @@
   expect(scheduler.takeLocalService('south')).toBe(0);
 });
 
+test('a request that a target answered is not blamed for crashes before', async () => {
+  const { scheduler } = startScheduler();
+  const call = scheduledCall({ requestDigest: 'sound' });
+  (await acquired(scheduler, call)).release({ kind: 'broken' });
+  (await acquired(scheduler, { ...call, callId: 'second' })).release(answered);
+  const third = { ...call, callId: 'third', excludedTargets: ['one'] };
+  (await acquired(scheduler, third)).release({ kind: 'broken' });
+  expect(scheduler.listQuarantine()).toEqual([]);
+});
+
 test('a request under way at two crashes is quarantined', async () => {
   const { scheduler } = startScheduler();
   const seen: string[] = [];
