Send a request that crashes its targets within the signal soak

Each drawn soak has one caller of the kind, from a seed of its own, so that the other faults of a seed stay as they were. Its check counts runs later than 3 s after the third crash from instances that nothing has disturbed for as long.

--- a/packages/integration/src/crashing-request/repeatingCaller.ts
+++ b/packages/integration/src/crashing-request/repeatingCaller.ts
@@ -38,6 +38,11 @@
     this.#options = options;
   }
 
+  /** Whether a request is of this caller. */
+  isOwn(requestId: string): boolean {
+    return requestId.startsWith(`${this.#options.name}-`);
+  }
+
   async run(): Promise<void> {
     const { signal, pauseMilliseconds } = this.#options;
     while (!signal.aborted) {
--- a/packages/integration/src/signal-soak/runSignalSoak.ts
+++ b/packages/integration/src/signal-soak/runSignalSoak.ts
@@ -7,6 +7,8 @@
 import type { CheckContext } from './checkContext';
 import { checkExchange } from './checkExchange';
 import { checkLifetime } from './checkLifetime';
+import { checkCrashingRequest } from './checkCrashingRequest';
+import { drawCrashingRequest } from './drawCrashingRequest';
 import { drawFaults } from './drawFaults';
 import { EventLoopLag } from './eventLoopLag';
 import { SoakCaller } from './soakCaller';
@@ -62,7 +64,10 @@
 
   async run(): Promise<SoakResult> {
     const { seed } = this.#options;
-    const planned = this.#options.faults ?? this.#drawFaults();
+    const planned = this.#options.faults ?? [
+      ...this.#drawFaults(),
+      drawCrashingRequest(seed, this.#options.seconds * MILLISECONDS_PER_SECOND),
+    ];
     const faults = [...planned].sort(
       (first, second) => first.atMilliseconds - second.atMilliseconds,
     );
@@ -129,6 +134,9 @@
     const violations = [
       ...lifetimes.flatMap((lifetime) => checkLifetime(lifetime, context)),
       ...this.#assignRuns(),
+      ...this.#fleet.crashingCallers.flatMap((caller) =>
+        checkCrashingRequest(caller, this.#runs, this.#fleet.instances),
+      ),
       ...this.#exchanges.flatMap((exchange) => checkExchange(exchange, context)),
     ];
     return {
@@ -149,7 +157,8 @@
     return this.#runs.flatMap((run) => {
       const exchange = exchanges.get(run.requestId);
       exchange?.runs.push(run);
-      if (exchange) return [];
+      const isCrashing = this.#fleet.crashingCallers.some((one) => one.isOwn(run.requestId));
+      if (exchange || isCrashing) return [];
       const text = `${run.targetId} ran a request that nobody sent`;
       return [{ check: 'unasked', lifetime: '', requestId: run.requestId, text }];
     });
--- a/packages/integration/src/signal-soak/soakFault.ts
+++ b/packages/integration/src/signal-soak/soakFault.ts
@@ -23,7 +23,13 @@
       /** Whether its next life listens at the same address. */
       readonly keepsAddress: boolean;
     }
-  | { readonly kind: 'configuration' };
+  | { readonly kind: 'configuration' }
+  /** A caller sends one request again and again, which crashes every target that runs it. */
+  | {
+      readonly kind: 'crashing-request';
+      readonly route: string;
+      readonly forMilliseconds: number;
+    };
 
 /** A fault with its time from the start of the traffic. */
 export interface PlannedFault {
--- a/packages/integration/src/signal-soak/soakFleet.ts
+++ b/packages/integration/src/signal-soak/soakFleet.ts
@@ -1,6 +1,7 @@
 import type { TargetRun } from '@limpetnotch/stand-ins';
 import { platformConfiguration, PlatformStoreStandIn } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
+import { RepeatingCaller } from '../crashing-request/repeatingCaller';
 import { waitUntil } from '../fleet/waitUntil';
 import { Balancer } from './balancer';
 import type { Lifetime } from './lifetime';
@@ -23,6 +24,9 @@
 /** The platform's bound for a configuration to be in force. */
 const APPLY_MILLISECONDS = 2_000;
 const START_MILLISECONDS = 20_000;
+/** Work that crashes a target 5 ms after the request has reached it. */
+const CRASH_WORK = 'crash-5';
+const CRASH_PAUSE_MILLISECONDS = 250;
 
 /** Options of {@link SoakFleet.start}. */
 export interface SoakFleetOptions {
@@ -57,6 +61,9 @@
 
   readonly balancer: Balancer;
 
+  /** Callers whose request crashes its targets. */
+  readonly crashingCallers: RepeatingCaller[] = [];
+
   readonly #store: PlatformStoreStandIn;
 
   #routes: readonly SoakRoute[] = SOAK_ROUTES;
@@ -158,6 +165,9 @@
         await delay(APPLY_MILLISECONDS);
         this.#routesInForce = this.#routes;
         return;
+      case 'crashing-request':
+        await this.#repeatCrashing(fault.route, fault.forMilliseconds);
+        return;
       default:
         fault satisfies never;
     }
@@ -173,6 +183,25 @@
     await this.#store.server.stop();
   }
 
+  async #repeatCrashing(routeName: string, milliseconds: number): Promise<void> {
+    const route = SOAK_ROUTES.find(({ name }) => name === routeName);
+    if (!route) throw new Error(`no route ${routeName}`);
+    const over = new AbortController();
+    const caller = new RepeatingCaller({
+      name: `crashing${this.crashingCallers.length}`,
+      hosts: this.instances.map(({ host }) => host),
+      host: this.access.host,
+      key: this.access.keys[0] ?? '',
+      route,
+      work: CRASH_WORK,
+      pauseMilliseconds: CRASH_PAUSE_MILLISECONDS,
+      signal: over.signal,
+    });
+    this.crashingCallers.push(caller);
+    setTimeout(() => over.abort(), milliseconds);
+    await caller.run();
+  }
+
   /** Puts a new version in force that holds all routes so far. */
   #configure(): void {
     this.#version += 1;
