Count no crash of a target whose address another had before

Cause: an announcement outlives its target by seconds. Requests went to the old id though another target had been announced at its address, which reset them; the later start was then taken for the end of the old one under the request. Change: a start counts as an end under a request only if it came after the request was sent, and a target whose address has gone to a later start gets nothing new.

--- a/packages/gateway/src/quarantine/requestQuarantine.ts
+++ b/packages/gateway/src/quarantine/requestQuarantine.ts
@@ -137,7 +137,13 @@
     if (!interruption) return;
     const isSilent = interruption === 'silence';
     const onCrash = this.#crashListener(ended, isSilent);
-    const checked = ends.followUp({ target, request: call.envelope.id, isSilent, onCrash });
+    const checked = ends.followUp({
+      target,
+      request: call.envelope.id,
+      sentAtMilliseconds: Date.now() - ended.ranMilliseconds,
+      isSilent,
+      onCrash,
+    });
     await settleWithin(checked, CHECK_MILLISECONDS, () => undefined);
   }
 
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -50,6 +50,8 @@
 
   #byService = new Map<string, readonly FleetTarget[]>();
 
+  #startsByAddress: ReadonlyMap<string, number> | undefined;
+
   /** Adds or changes a target. */
   put(announced: FleetTarget): void {
     const target = this.#withOwnWord(announced);
@@ -58,7 +60,7 @@
     if (target.state === 'leaving') this.#noteDeparture(target.id, true);
     else this.#departures.delete(target.id);
     this.#targets.set(target.id, target);
-    this.#byService.clear();
+    this.#noteChange();
   }
 
   /** Removes a target, at once or, shortly after an outage of the store, after the grace period. */
@@ -86,7 +88,7 @@
   markRefused({ id, address }: FleetTarget): void {
     if (this.#targets.get(id)?.address !== address) return;
     this.#refused.add(id);
-    this.#byService.clear();
+    this.#noteChange();
   }
 
   /**
@@ -109,7 +111,10 @@
     if (known) return known;
     const serving = [...this.#targets.values()].filter(
       (target) =>
-        target.service === service && target.state === 'serving' && !this.#refused.has(target.id),
+        target.service === service &&
+        target.state === 'serving' &&
+        !this.#refused.has(target.id) &&
+        this.#laterStart(target) === undefined,
     );
     this.#byService.set(service, serving);
     return serving;
@@ -142,11 +147,19 @@
   endOf(target: FleetTarget, isSilent: boolean): AnnouncedEnd | undefined {
     const known = this.get(target.id);
     if (known && !isSameStart(known, target)) return 'started-again';
-    if (known) return this.#isAddressTaken(known) ? 'address-taken' : undefined;
+    if (known) return this.#laterStart(known) === undefined ? undefined : 'address-taken';
     const hasAnnounced = this.#departures.get(target.id)?.isAnnounced === true;
     return isSilent && !hasAnnounced ? 'lapsed' : undefined;
   }
 
+  /** Whether a start of a target was over at a Unix time in milliseconds, as another had followed. */
+  hadEnded(target: FleetTarget, atMilliseconds: number): boolean {
+    const known = this.get(target.id);
+    if (!known) return false;
+    const followed = isSameStart(known, target) ? this.#laterStart(known) : known.bornMilliseconds;
+    return followed !== undefined && followed < atMilliseconds;
+  }
+
   /** Returns a target of a dispatch as leaving if it has announced that since. */
   asAnnounced(target: FleetTarget): FleetTarget {
     const isLeaving =
@@ -160,11 +173,28 @@
     return this.#targets.get(id);
   }
 
-  /** Whether a target that started later has the address. */
-  #isAddressTaken({ address, bornMilliseconds = Infinity }: FleetTarget): boolean {
-    return [...this.#targets.values()].some(
-      (other) => other.address === address && (other.bornMilliseconds ?? 0) > bornMilliseconds,
-    );
+  /** Returns when another target started at the address of one; undefined where none did later. */
+  #laterStart({ address, bornMilliseconds = Infinity }: FleetTarget): number | undefined {
+    const latest = this.#latestStarts.get(address) ?? -Infinity;
+    return latest > bornMilliseconds ? latest : undefined;
+  }
+
+  /** The latest start that was announced for each address, as Unix time in milliseconds. */
+  get #latestStarts(): ReadonlyMap<string, number> {
+    if (this.#startsByAddress) return this.#startsByAddress;
+    const starts = new Map<string, number>();
+    this.#targets.forEach(({ address, bornMilliseconds }) => {
+      if (bornMilliseconds === undefined) return;
+      starts.set(address, Math.max(bornMilliseconds, starts.get(address) ?? 0));
+    });
+    this.#startsByAddress = starts;
+    return starts;
+  }
+
+  /** Drops what was derived from the targets, as they have changed. */
+  #noteChange(): void {
+    this.#byService.clear();
+    this.#startsByAddress = undefined;
   }
 
   #expireLapsed(): void {
@@ -180,7 +210,7 @@
     // Without a time of start, what is announced from now on can't be told from another start.
     if (this.#leavingStarts.get(id)?.bornMilliseconds === undefined) this.#leavingStarts.delete(id);
     this.#targets.delete(id);
-    this.#byService.clear();
+    this.#noteChange();
   }
 
   /** Returns an announcement as of a leaving target where this start of it has said so. */
--- a/packages/gateway/src/targets/targetEnds.ts
+++ b/packages/gateway/src/targets/targetEnds.ts
@@ -21,6 +21,8 @@
 export interface InterruptedRun {
   readonly target: FleetTarget;
   readonly request: string;
+  /** When it was sent, as Unix time in milliseconds. */
+  readonly sentAtMilliseconds: number;
   /** Whether the target fell silent, in place of a connection that broke. */
   readonly isSilent: boolean;
   /** Called at most once, when the target is known to have ended. */
@@ -58,6 +60,8 @@
   async followUp(run: InterruptedRun): Promise<void> {
     const { directory } = this.#parts;
     if (directory.hasLeft(run.target, run.isSilent)) return;
+    // Its address was another's already.
+    if (directory.hadEnded(run.target, run.sentAtMilliseconds)) return;
     const life = targetLife(run.target);
     const untilMilliseconds = performance.now() + SUSPICION_MILLISECONDS;
     this.#forgetOld();
--- a/packages/gateway/tests/targets/targetDirectory.test.ts
+++ b/packages/gateway/tests/targets/targetDirectory.test.ts
@@ -182,3 +182,12 @@
   directory.put(target('1'));
   expect(servingIds(directory)).toEqual([]);
 });
+
+test('a target whose address has gone to a later one gets nothing', () => {
+  const directory = new TargetDirectory();
+  directory.put({ ...target('old'), bornMilliseconds: 1 });
+  directory.put({ ...target('new'), bornMilliseconds: 2 });
+  expect(servingIds(directory)).toEqual(['new']);
+  directory.remove('new');
+  expect(servingIds(directory)).toEqual(['old']);
+});
--- a/packages/gateway/tests/targets/targetEnds.test.ts
+++ b/packages/gateway/tests/targets/targetEnds.test.ts
@@ -6,6 +6,7 @@
 import { fleetTarget } from '../support/fleetTarget';
 
 const BORN = 1_000;
+const SENT = 5_000;
 const target = fleetTarget({ bornMilliseconds: BORN });
 
 let directory: TargetDirectory;
@@ -38,6 +39,7 @@
 const interrupted = (isSilent = false) => ({
   target,
   request: 'r1',
+  sentAtMilliseconds: SENT,
   isSilent,
   onCrash: (evidence: CrashEvidence) => {
     crashes.push(evidence);
@@ -65,7 +67,7 @@
 test('another start under the id is a crash', async () => {
   const ends = endsWith('accepted');
   await ends.followUp(interrupted());
-  directory.put({ ...target, bornMilliseconds: BORN + 1 });
+  directory.put({ ...target, bornMilliseconds: SENT + 1 });
   ends.review();
   expect(crashes).toEqual(['started-again']);
 });
@@ -73,11 +75,19 @@
 test('a later target at the address is a crash', async () => {
   const ends = endsWith('unknown');
   await ends.followUp(interrupted());
-  directory.put({ ...target, id: '2', bornMilliseconds: BORN + 1 });
+  directory.put({ ...target, id: '2', bornMilliseconds: SENT + 1 });
   ends.review();
   expect(crashes).toEqual(['address-taken']);
 });
 
+test('a break at an address that was taken before is no crash', async () => {
+  const ends = endsWith('refused');
+  directory.put({ ...target, id: '2', bornMilliseconds: SENT - 1 });
+  await ends.followUp(interrupted());
+  expect(crashes).toEqual([]);
+  expect(checks).toBe(0);
+});
+
 test('an answer from another target at the address is a crash', async () => {
   const ends = endsWith('unknown');
   await ends.followUp(interrupted());
