Give trial runs a class of their own, and delay no answer for a check

A request that can't be sent again doesn't wait for the check of its target, nor does one whose target fell silent.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -3,6 +3,7 @@
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { RequestQuarantine } from '../quarantine/requestQuarantine';
+import { TrialRuns } from '../quarantine/trialRuns';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { AttemptConnection, AttemptParts } from './attempt';
 import { Attempt } from './attempt';
@@ -98,8 +99,7 @@
 export class CallRunner {
   readonly #parts: CallRunnerParts;
 
-  /** Requests under suspicion that run at each target. */
-  readonly #trials = new Map<string, number>();
+  readonly #trials = new TrialRuns();
 
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
@@ -165,7 +165,7 @@
       silence: silenceBoundOf(call.route),
       mayGiveUpSilent: () => this.#mayGiveUpSilent(call, target, repeats),
     });
-    const endTrial = this.#beginTrial(call, target);
+    const endTrial = this.#isOnTrial(call) ? this.#trials.begin(target.id) : undefined;
     const beganMilliseconds = performance.now();
     const eventsBefore = call.events;
     const openBefore = call.history.openTargets;
@@ -198,17 +198,7 @@
     return outcome;
   }
 
-  /** Notes that a request under suspicion runs at a target; returns what ends that. */
-  #beginTrial(call: Call, { id }: FleetTarget): () => void {
-    if (!this.#isOnTrial(call)) return () => undefined;
-    this.#trials.set(id, (this.#trials.get(id) ?? 0) + 1);
-    return () => {
-      const left = (this.#trials.get(id) ?? 0) - 1;
-      if (left > 0) this.#trials.set(id, left);
-      else this.#trials.delete(id);
-    };
-  }
-
+  /** Whether a request runs apart from others, as one that may crash its target. */
   #isOnTrial({ digest }: Call): boolean {
     const stage = this.#parts.quarantine.stageOf(digest);
     return stage === 'on-trial' || stage === 'last-trial';
@@ -329,7 +319,7 @@
         candidates.map((target) => ({
           ...target,
           estimatedLoad: this.#parts.loads.estimate(target.id),
-          trials: this.#trials.get(target.id) ?? 0,
+          trials: this.#trials.at(target.id),
         })),
         this.#isOnTrial(call),
       ).map((target) => ({
--- a/packages/gateway/src/quarantine/requestQuarantine.ts
+++ b/packages/gateway/src/quarantine/requestQuarantine.ts
@@ -110,7 +110,7 @@
     this.#noteShared(entry);
     const known = this.#quarantine.mergeOne(entry);
     if (known) this.#noteShared(known);
-    if (known && this.#hasServedSince(known)) this.#quarantine.lift(digest);
+    if (known && this.#hasServedSince(known)) this.#clear(digest);
     const stage = this.stageOf(digest);
     if (stage !== before) {
       this.#parts.logger.info('quarantine.learnt', { ...this.describe(digest), stage, source });
@@ -119,8 +119,8 @@
   }
 
   /**
-   * Takes the end of an attempt. Resolves when it is known whether the target has ended, or when
-   * that takes too long to wait for it.
+   * Takes the end of an attempt. Where the request may be sent again, it resolves when it is known
+   * whether the target has ended, or when that takes too long to wait for it.
    */
   async noteAttempt(ended: EndedAttempt): Promise<void> {
     const { call, target, outcome } = ended;
@@ -144,6 +144,7 @@
       isSilent,
       onCrash,
     });
+    if (isSilent || !call.isRepeatable) return;
     await settleWithin(checked, CHECK_MILLISECONDS, () => undefined);
   }
 
@@ -163,8 +164,12 @@
   /** A request that a target has served does not crash each one that runs it. */
   #noteServed({ digest, envelope }: Call): void {
     this.#served.note(digest);
+    this.#clear(digest, envelope.id);
+  }
+
+  #clear(digest: string, request?: string): void {
     if (!this.#quarantine.lift(digest)) return;
-    this.#parts.logger.info('quarantine.cleared', { request: envelope.id, digest });
+    this.#parts.logger.info('quarantine.cleared', { request, digest });
     this.#parts.metrics.increment('quarantine.cleared');
   }
 
