--- a/packages/server/src/owner/answerRelay.ts
+++ b/packages/server/src/owner/answerRelay.ts
@@ -5,6 +5,9 @@
 import type { AnswerFrame } from '../targets/answerReader';
 import type { AnswerChannel } from './answerChannel';
 
+/** Bytes of one answer, which are kept whole for the record. */
+const MAXIMUM_ANSWER_BYTES = 16 * 1024 * 1024;
+
 /** Head of an answer, as it goes to the caller. */
 export interface RelayedHead {
   readonly status: number;
@@ -25,6 +28,8 @@
 
   #headSent = false;
 
+  #keptBytes = 0;
+
   #held: Uint8Array[] = [];
 
   constructor(channel: AnswerChannel<RunCallEvent>) {
@@ -41,10 +46,10 @@
     if (!this.#headSent) this.#head = head;
   }
 
-  /** Relays one event of a stream; the closing one is held back. */
+  /** Relays one event of a stream; the closing one is held back. Throws where it gets too long. */
   async frame({ text, done }: AnswerFrame): Promise<void> {
     const bytes = Buffer.from(text);
-    this.#parts.push(bytes);
+    this.#keep(bytes);
     if (done) {
       this.#held.push(bytes);
     } else {
@@ -52,15 +57,16 @@
     }
   }
 
-  /** Keeps a part of an answer that is no stream. */
+  /** Keeps a part of an answer that is no stream. Throws where the answer gets too long. */
   hold(bytes: Uint8Array): void {
-    this.#parts.push(bytes);
+    this.#keep(bytes);
     this.#held.push(bytes);
   }
 
   /** Drops what was kept, before another attempt starts the answer anew. */
   reset(): void {
     this.#parts.length = 0;
+    this.#keptBytes = 0;
     this.#held = [];
   }
 
@@ -80,6 +86,12 @@
     this.#held = [];
   }
 
+  #keep(bytes: Uint8Array): void {
+    this.#keptBytes += bytes.length;
+    if (this.#keptBytes > MAXIMUM_ANSWER_BYTES) throw new Error('an answer without end');
+    this.#parts.push(bytes);
+  }
+
   async #sendHead(): Promise<void> {
     const head = this.#head;
     if (!head || this.#headSent) return;
--- a/packages/server/src/targets/answerReader.ts
+++ b/packages/server/src/targets/answerReader.ts
@@ -22,6 +22,9 @@
   readonly cachedTokens: number;
 }
 
+/** Characters of one event, beyond which none is expected to end. */
+const MAXIMUM_EVENT_CHARACTERS = 1024 * 1024;
+
 const FRAME_END = '\n\n';
 const DATA_PREFIX = 'data:';
 const DONE = '[DONE]';
@@ -70,7 +73,7 @@
     return this.#usage;
   }
 
-  /** Adds bytes and returns the events that they complete. */
+  /** Adds bytes and returns the events that they complete; throws where an event has no end. */
   read(bytes: Uint8Array): readonly AnswerFrame[] {
     this.#rest += this.#decoder.decode(bytes, { stream: true });
     const frames: AnswerFrame[] = [];
@@ -80,6 +83,7 @@
       this.#rest = this.#rest.slice(end + FRAME_END.length);
       end = this.#rest.indexOf(FRAME_END);
     }
+    if (this.#rest.length > MAXIMUM_EVENT_CHARACTERS) throw new Error('an event without end');
     return frames;
   }
 
--- a/packages/server/src/targets/targetClient.ts
+++ b/packages/server/src/targets/targetClient.ts
@@ -7,6 +7,9 @@
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
 const KEEP_ALIVE_MILLISECONDS = 4_000;
 
+/** Answers that may precede the real one; nobody sends this many. */
+const MAXIMUM_INFORMATIONAL_ANSWERS = 16;
+
 /** One HTTP request to a target. */
 export interface TargetRequest {
   /** Base address of the target. */
@@ -50,6 +53,13 @@
 
   async #send(request: TargetRequest): Promise<TargetResponse> {
     const { origin, pathname } = new URL(request.address);
+    const endless = new AbortController();
+    let informationalAnswers = 0;
+    const countInformational = (): void => {
+      informationalAnswers += 1;
+      if (informationalAnswers <= MAXIMUM_INFORMATIONAL_ANSWERS) return;
+      endless.abort(new Error('informational answers without end'));
+    };
     const { statusCode, headers, body } = await this.#agent.request({
       origin,
       path: `${pathname.replace(/\/$/, '')}${request.pathAndQuery}`,
@@ -58,7 +68,8 @@
       body: request.body.length > 0 ? request.body : null,
       headersTimeout: request.progressDeadlineMilliseconds,
       bodyTimeout: request.progressDeadlineMilliseconds,
-      signal: request.signal,
+      signal: AbortSignal.any([request.signal, endless.signal]),
+      onInfo: countInformational,
     });
     return { status: statusCode, headers, body };
   }
