--- a/packages/gateway/src/targets/targetEnds.ts
+++ b/packages/gateway/src/targets/targetEnds.ts
@@ -60,7 +60,7 @@
   async followUp(run: InterruptedRun): Promise<void> {
     const { directory } = this.#parts;
     if (directory.hasLeft(run.target, run.isSilent)) return;
-    // Its address was another's already.
+    // Another start had the address before the request was sent.
     if (directory.hadEnded(run.target, run.sentAtMilliseconds)) return;
     const life = targetLife(run.target);
     const untilMilliseconds = performance.now() + SUSPICION_MILLISECONDS;
