Judge late runs and build the repeating caller in one place

The third crash, the window after it and the caller of one request stood both in the runs of the incident and in the signal soak. No bound and no assertion changes.

--- a/packages/integration/src/crashing-request/repeatingCaller.ts
+++ b/packages/integration/src/crashing-request/repeatingCaller.ts
@@ -3,6 +3,11 @@
 import { delay } from '@limpetnotch/supervision';
 import type { SoakRoute } from '../signal-soak/soakRoutes';
 
+/** Work that crashes a target 5 ms after the request has reached it. */
+export const CRASH_WORK = 'crash-5';
+
+/** Pause after each answer. */
+const PAUSE_MILLISECONDS = 250;
 const PROMPT_TOKENS = 500;
 const ANSWER_TOKENS = 40;
 
@@ -16,7 +21,6 @@
   readonly route: SoakRoute;
   /** Last part of the path, which says what the target does. */
   readonly work: string;
-  readonly pauseMilliseconds: number;
   readonly signal: AbortSignal;
 }
 
@@ -44,10 +48,10 @@
   }
 
   async run(): Promise<void> {
-    const { signal, pauseMilliseconds } = this.#options;
+    const { signal } = this.#options;
     while (!signal.aborted) {
       await this.#sendOne();
-      await delay(pauseMilliseconds, signal);
+      await delay(PAUSE_MILLISECONDS, signal);
     }
   }
 
--- a/packages/integration/src/crashing-request/runCrashingRequest.ts
+++ b/packages/integration/src/crashing-request/runCrashingRequest.ts
@@ -5,19 +5,15 @@
 import { delay } from '@limpetnotch/supervision';
 import type { SoakFault } from '../signal-soak/soakFault';
 import { SoakFleet } from '../signal-soak/soakFleet';
-import { SOAK_ROUTES } from '../signal-soak/soakRoutes';
-import type { RepeatedRequest } from './repeatingCaller';
-import { RepeatingCaller } from './repeatingCaller';
+import { lateRunsOf } from './lateRunsOf';
+import type { RepeatedRequest, RepeatingCaller } from './repeatingCaller';
+import { CRASH_WORK } from './repeatingCaller';
+import { thirdCrashOf } from './thirdCrashOf';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const INSTANCES = 4;
 const GRACE_SECONDS = 5;
-const PAUSE_MILLISECONDS = 250;
-const CRASH_WORK = 'crash-5';
 const ORDINARY_WORK = '1x10';
-const BLAMED_CRASHES = 3;
-/** The platform's stable window, after which a request that crashed three targets is bounded. */
-const WINDOW_MILLISECONDS = 3_000;
 const CHECK_MILLISECONDS = 10;
 
 /** Options of {@link runCrashingRequest}. */
@@ -74,34 +70,17 @@
   }
 
   #caller(name: string, work: string): RepeatingCaller {
-    const { instances, access } = this.#fleet;
-    const route = SOAK_ROUTES.find((one) => one.name === this.#options.route);
-    if (!route) throw new Error(`no route ${this.#options.route}`);
-    return new RepeatingCaller({
-      name,
-      hosts: instances.map(({ host }) => host),
-      host: access.host,
-      key: access.keys[0] ?? '',
-      route,
-      work,
-      pauseMilliseconds: PAUSE_MILLISECONDS,
-      signal: this.#over.signal,
-    });
+    const { route } = this.#options;
+    return this.#fleet.createRepeatingCaller({ name, route, work, signal: this.#over.signal });
   }
 
   get #crashingRuns(): readonly TargetRun[] {
     return this.#runs.filter(({ requestId }) => requestId.startsWith('crashing'));
   }
 
-  get #thirdCrashAt(): number | undefined {
-    return this.#crashingRuns
-      .flatMap(({ endedAt }) => endedAt ?? [])
-      .sort((first, second) => first - second)[BLAMED_CRASHES - 1];
-  }
-
   async #carryOutFaults(): Promise<void> {
     const { signal } = this.#over;
-    while (!signal.aborted && this.#thirdCrashAt === undefined) {
+    while (!signal.aborted && thirdCrashOf(this.#crashingRuns) === undefined) {
       await delay(CHECK_MILLISECONDS, signal);
     }
     await Promise.all(
@@ -113,15 +92,14 @@
   }
 
   #resultOf(crashing: RepeatingCaller, ordinary: RepeatingCaller): CrashingRequestResult {
-    const thirdCrashAt = this.#thirdCrashAt;
-    const bound = (thirdCrashAt ?? Infinity) + WINDOW_MILLISECONDS;
+    const runs = this.#crashingRuns;
     const lifetimes = this.#fleet.instances.flatMap((instance) => instance.lifetimes);
     return {
       repeats: crashing.sent,
       ordinary: ordinary.sent,
-      runs: this.#crashingRuns,
-      lateRuns: this.#crashingRuns.filter(({ startedAt }) => startedAt > bound),
-      thirdCrashAt,
+      runs,
+      lateRuns: lateRunsOf(runs),
+      thirdCrashAt: thirdCrashOf(runs),
       output: lifetimes.map((lifetime) => this.#fleet.outputOf(lifetime)).join(''),
     };
   }
--- a/packages/integration/src/signal-soak/checkCrashingRequest.ts
+++ b/packages/integration/src/signal-soak/checkCrashingRequest.ts
@@ -1,9 +1,9 @@
 import type { TargetRun } from '@limpetnotch/stand-ins';
+import { lateRunsOf } from '../crashing-request/lateRunsOf';
 import type { RepeatingCaller } from '../crashing-request/repeatingCaller';
 import type { SoakInstance } from './soakInstance';
 import type { Violation } from './violation';
 
-const BLAMED_CRASHES = 3;
 const LATE_RUNS = 3;
 /** The platform's stable window. */
 const WINDOW_MILLISECONDS = 3_000;
@@ -24,14 +24,12 @@
   instances: readonly SoakInstance[],
 ): readonly Violation[] => {
   const own = runs.filter(({ requestId }) => caller.isOwn(requestId));
-  const crashes = own.flatMap(({ endedAt }) => endedAt ?? []).sort((one, other) => one - other);
-  const bound = (crashes[BLAMED_CRASHES - 1] ?? Infinity) + WINDOW_MILLISECONDS;
   const instanceOf = new Map(
     caller.sent.map(({ instance, record }) => [record.request.id, instance]),
   );
-  const late = own.filter(({ requestId, startedAt }) => {
+  const late = lateRunsOf(own).filter(({ requestId, startedAt }) => {
     const instance = instances[instanceOf.get(requestId) ?? -1];
-    return startedAt > bound && instance !== undefined && !wasDisturbed(instance, startedAt);
+    return instance !== undefined && !wasDisturbed(instance, startedAt);
   });
   if (late.length <= LATE_RUNS) return [];
   const text = `a request that had crashed three targets ran ${late.length} times more`;
--- a/packages/integration/src/signal-soak/soakFleet.ts
+++ b/packages/integration/src/signal-soak/soakFleet.ts
@@ -1,7 +1,8 @@
 import type { TargetRun } from '@limpetnotch/stand-ins';
 import { platformConfiguration, PlatformStoreStandIn } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
-import { RepeatingCaller } from '../crashing-request/repeatingCaller';
+import type { RepeatingCallerOptions } from '../crashing-request/repeatingCaller';
+import { CRASH_WORK, RepeatingCaller } from '../crashing-request/repeatingCaller';
 import { waitUntil } from '../fleet/waitUntil';
 import { Balancer } from './balancer';
 import type { Lifetime } from './lifetime';
@@ -24,9 +25,11 @@
 /** The platform's bound for a configuration to be in force. */
 const APPLY_MILLISECONDS = 2_000;
 const START_MILLISECONDS = 20_000;
-/** Work that crashes a target 5 ms after the request has reached it. */
-const CRASH_WORK = 'crash-5';
-const CRASH_PAUSE_MILLISECONDS = 250;
+
+/** What a caller sends again and again; the route by its name. */
+interface RepeatedWork extends Pick<RepeatingCallerOptions, 'name' | 'work' | 'signal'> {
+  readonly route: string;
+}
 
 /** Options of {@link SoakFleet.start}. */
 export interface SoakFleetOptions {
@@ -135,6 +138,19 @@
     return this.instances.map((instance) => instance.outputOf(lifetime)).join('');
   }
 
+  /** Creates a caller that sends one request of a route to the instances in turn. */
+  createRepeatingCaller({ route: name, ...options }: RepeatedWork): RepeatingCaller {
+    const route = SOAK_ROUTES.find((one) => one.name === name);
+    if (!route) throw new Error(`no route ${name}`);
+    return new RepeatingCaller({
+      ...options,
+      route,
+      hosts: this.instances.map(({ host }) => host),
+      host: this.access.host,
+      key: this.access.keys[0] ?? '',
+    });
+  }
+
   /** Carries out a fault; resolves when it is over. */
   async apply(fault: SoakFault): Promise<void> {
     switch (fault.kind) {
@@ -183,18 +199,13 @@
     await this.#store.server.stop();
   }
 
-  async #repeatCrashing(routeName: string, milliseconds: number): Promise<void> {
-    const route = SOAK_ROUTES.find(({ name }) => name === routeName);
-    if (!route) throw new Error(`no route ${routeName}`);
+  async #repeatCrashing(route: string, milliseconds: number): Promise<void> {
     const over = new AbortController();
-    const caller = new RepeatingCaller({
-      name: `crashing${this.crashingCallers.length}`,
-      hosts: this.instances.map(({ host }) => host),
-      host: this.access.host,
-      key: this.access.keys[0] ?? '',
+    const name = `crashing${this.crashingCallers.length}`;
+    const caller = this.createRepeatingCaller({
+      name,
       route,
       work: CRASH_WORK,
-      pauseMilliseconds: CRASH_PAUSE_MILLISECONDS,
       signal: over.signal,
     });
     this.crashingCallers.push(caller);
