Decode the limit that a target names, and log when it is learned, changed and ended

The logs couldn't tell whether an instance knew of a limit, so that no hypothesis on requests above it could be checked. The adapter decodes the header into a type of its own (named, absent, malformed); LimitBeliefs keeps the limit for each incarnation of a target and logs limits.learned, limits.changed, limits.ended and limits.malformed with value, source, request and age. Nothing is decided by it yet. A response to a request sent before the limit was learned can't raise or end it, as responses overtake each other; a declined one can't end it.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,5 +1,6 @@
 import type { Logger } from '@limpetnotch/observability';
 import type { FleetState } from '../fleet/fleetState';
+import type { LimitBeliefs } from '../limits/limitBeliefs';
 import type { Exchange } from '../targets/exchange';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { FleetTarget } from '../targets/fleetTarget';
@@ -24,6 +25,7 @@
   readonly codec: WireCodec;
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
+  readonly limits: LimitBeliefs;
   readonly writer: ResponseWriter;
   readonly bufferLimiter: BufferLimiter;
   readonly logger: Logger;
@@ -185,7 +187,7 @@
     const targetResponse = headResult.value;
     const head = this.#parts.codec.decodeResponse(targetResponse.status, targetResponse.rawHeaders);
     if (head.load) this.#parts.loads.recordReport(this.#options.target.id, head.load);
-    this.#checkHead(head);
+    this.#checkHead(head, exchange);
     const { call } = this.#options;
     const { writer, bufferLimiter } = this.#parts;
     const abortSignal = this.#abortController.signal;
@@ -202,7 +204,7 @@
   }
 
   /** Throws if a response belongs to another request, or says that the request has not run. */
-  #checkHead(head: ResponseHead): void {
+  #checkHead(head: ResponseHead, exchange: Exchange): void {
     const { call } = this.#options;
     // A late response to another request may lack an identifier, and may say that the request has
     // not run. It must not decide about this one.
@@ -211,6 +213,13 @@
       throw new AttemptEndedError({ kind: 'declined', reason: 'misdirected' });
     }
     if (head.isLeaving) this.#markLeaving();
+    this.#parts.limits.observe({
+      target: this.#options.target,
+      namedLimit: head.namedLimit,
+      isSigned: head.isSigned,
+      request: call.envelope.id,
+      sentAtMilliseconds: exchange.sentAtMilliseconds ?? performance.now(),
+    });
     if (head.isNotExecuted) {
       throw new AttemptEndedError({ kind: 'declined', reason: 'full' });
     }
--- a/packages/gateway/src/calls/wireCodec.ts
+++ b/packages/gateway/src/calls/wireCodec.ts
@@ -21,6 +21,12 @@
   readonly slots: number;
 }
 
+/** Limit on the requests from all instances together that a target names in a response. */
+export type NamedLimit =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'limited'; readonly requestsPerSecond: number }
+  | { readonly kind: 'malformed'; readonly text: string };
+
 /** Head of a target's response, decoded from its headers. */
 export interface ResponseHead {
   readonly status: number;
@@ -36,6 +42,8 @@
   readonly isLeaving: boolean;
   readonly hasContentEncoding: boolean;
   readonly load: ReportedLoad | undefined;
+  /** The limit holds for as long as the target's responses name it. */
+  readonly namedLimit: NamedLimit;
   /** Headers that are passed to the caller unchanged, as alternating names and values. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import type { GatewaySettings } from './gatewaySettings';
 import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
+import { LimitBeliefs } from './limits/limitBeliefs';
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
@@ -30,6 +31,7 @@
 import { computeDrainTimes } from './shutdown/computeDrainTimes';
 import { GatewayDrain } from './shutdown/gatewayDrain';
 import { CrashDetector } from './targets/crashDetector';
+import { getIncarnationKey } from './targets/getIncarnationKey';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
@@ -79,6 +81,8 @@
 
   readonly #speeds = new TargetSpeeds();
 
+  readonly #limits: LimitBeliefs;
+
   readonly #ends: CrashDetector;
 
   readonly #quarantine: RequestQuarantine;
@@ -125,6 +129,7 @@
     });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
+    this.#limits = new LimitBeliefs({ logger, metrics });
     this.#ends = new CrashDetector({ directory: this.#fleet.targets, logger, metrics });
     this.#quarantine = new RequestQuarantine({
       crashDetector: this.#ends,
@@ -193,6 +198,7 @@
       codec,
       connections: this.#connections,
       loads: this.#loads,
+      limits: this.#limits,
       prefixes: this.#prefixes,
       speeds: this.#speeds,
       writer,
@@ -326,6 +332,8 @@
     this.#connections.retain(isKnown);
     this.#loads.retain(isKnown);
     this.#speeds.retain(isKnown);
+    const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
+    this.#limits.retain((key) => incarnationKeys.has(key));
     this.#ends.checkAnnouncements();
   }
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -4,6 +4,7 @@
   ResponseHead,
   DispatchMetadata,
   EnvelopeError,
+  NamedLimit,
   ReportedLoad,
   WireCodec,
 } from './calls/wireCodec';
--- /dev/null
+++ b/packages/gateway/src/limits/limitBelief.ts
@@ -0,0 +1,24 @@
+/** What an instance knows about the limit of one incarnation of a target. */
+export type LimitBelief =
+  | {
+      readonly kind: 'limited';
+      readonly requestsPerSecond: number;
+      /** When a response last named the limit, by `performance.now()`. */
+      readonly observedAtMilliseconds: number;
+      /** When this instance learned the current value, by `performance.now()`. */
+      readonly learnedAtMilliseconds: number;
+    }
+  /** A response no longer named a limit. */
+  | { readonly kind: 'ended'; readonly observedAtMilliseconds: number };
+
+/** Where an instance learned a belief from. */
+export type LimitSource = 'response' | 'peer';
+
+/** A change of what an instance knows about the limit of a target. */
+export interface LimitChange {
+  /** Incarnation of the target. */
+  readonly incarnationKey: string;
+  readonly belief: LimitBelief;
+  readonly source: LimitSource;
+  readonly isFirst: boolean;
+}
--- a/packages/gateway/src/targets/targetDirectory.ts
+++ b/packages/gateway/src/targets/targetDirectory.ts
@@ -105,6 +105,12 @@
     return true;
   }
 
+  /** Announced targets, including those that leave. */
+  get all(): readonly FleetTarget[] {
+    this.#expireLapsed();
+    return [...this.#targets.values()];
+  }
+
   /** Returns the targets of a service that may receive new requests. */
   getServing(service: string): readonly FleetTarget[] {
     this.#expireLapsed();
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -10,9 +10,10 @@
 import type { CallResult } from '../../src/calls/callRunner';
 import { CallRunner } from '../../src/calls/callRunner';
 import { BufferLimiter } from '../../src/calls/bufferLimiter';
-import type { ResponseHead, WireCodec } from '../../src/calls/wireCodec';
+import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
+import { LimitBeliefs } from '../../src/limits/limitBeliefs';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { CrashDetector } from '../../src/targets/crashDetector';
@@ -20,6 +21,9 @@
 import { callEnvelope } from './callEnvelope';
 import { fleetRoute } from './fleetRoute';
 
+const toNamedLimit = (text: string | undefined): NamedLimit =>
+  text === undefined ? { kind: 'none' } : { kind: 'limited', requestsPerSecond: Number(text) };
+
 /** Codec for headers that only these tests use. */
 const codec: WireCodec = {
   decodeRequest: () => ({ kind: 'malformed-request', detail: 'unused' }),
@@ -40,6 +44,7 @@
       isLeaving: value('x-leaving') !== undefined,
       hasContentEncoding: false,
       load: undefined,
+      namedLimit: toNamedLimit(value('x-limit')),
       passedHeaders: [],
     };
   },
@@ -104,6 +109,7 @@
       codec,
       connections,
       loads,
+      limits: new LimitBeliefs({ logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -15,6 +15,7 @@
 import type { QuotaGate } from '../../src/quotas/quotaGate';
 import type { DrainTimes } from '../../src/shutdown/drainTimes';
 import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
+import { LimitBeliefs } from '../../src/limits/limitBeliefs';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { CrashDetector } from '../../src/targets/crashDetector';
@@ -150,6 +151,7 @@
       codec: testWireCodec,
       connections: this.#connections,
       loads,
+      limits: new LimitBeliefs({ logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
--- a/packages/gateway/tests/support/testWireCodec.ts
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -31,6 +31,7 @@
     isLeaving: false,
     hasContentEncoding: false,
     load: undefined,
+    namedLimit: { kind: 'none' },
     passedHeaders: [],
   }),
   encodeGatewayResponse: (_envelope, retryAfterSeconds) =>
