Reproduce requests above the limit of a target with real processes, failing

Four processes of the platform's entry, stand-ins that name a limit in every answer and count what arrives.

--- a/packages/integration/src/crashing-request/repeatingCaller.ts
+++ b/packages/integration/src/crashing-request/repeatingCaller.ts
@@ -22,6 +22,8 @@
   /** Last segment of the path, which tells the target what to do. */
   readonly work: string;
   readonly signal: AbortSignal;
+  /** Index of the instance that gets the first request; 0 if omitted. */
+  readonly firstInstance?: number;
 }
 
 /** A repeated request and the index of the instance that received it. */
@@ -56,8 +58,8 @@
   }
 
   async #sendNext(): Promise<void> {
-    const { hosts } = this.#options;
-    const instance = this.#sentCount % hosts.length;
+    const { hosts, firstInstance = 0 } = this.#options;
+    const instance = (firstInstance + this.#sentCount) % hosts.length;
     this.#sentCount += 1;
     const connection = await CallerConnection.open(hosts[instance] ?? '', PLATFORM_PORTS.entry);
     if (!connection) return;
--- a/packages/integration/src/signal-soak/soakFault.ts
+++ b/packages/integration/src/signal-soak/soakFault.ts
@@ -23,6 +23,12 @@
       /** Whether the next incarnation listens at the same address. */
       readonly keepsAddress: boolean;
     }
+  /** Makes a target name a limit on its requests per second; undefined ends it. */
+  | {
+      readonly kind: 'target-limit';
+      readonly target: number;
+      readonly requestsPerSecond: number | undefined;
+    }
   | { readonly kind: 'configuration' }
   /** A caller repeats one request, which crashes every target that runs it. */
   | {
--- a/packages/integration/src/signal-soak/soakFleet.ts
+++ b/packages/integration/src/signal-soak/soakFleet.ts
@@ -27,7 +27,10 @@
 const START_TIMEOUT_MILLISECONDS = 20_000;
 
 /** What a repeating caller sends, with the route's name. */
-interface RepeatingCallerRequest extends Pick<RepeatingCallerOptions, 'name' | 'work' | 'signal'> {
+interface RepeatingCallerRequest extends Pick<
+  RepeatingCallerOptions,
+  'name' | 'work' | 'signal' | 'firstInstance'
+> {
   readonly route: string;
 }
 
@@ -170,6 +173,9 @@
       case 'target-mode':
         this.targets[fault.target]?.setMode(fault.mode);
         return;
+      case 'target-limit':
+        this.targets[fault.target]?.setLimit(fault.requestsPerSecond);
+        return;
       case 'target-crash':
         await this.targets[fault.target]?.crash(fault.awayMilliseconds, fault.keepsAddress);
         return;
--- a/packages/integration/src/signal-soak/soakTarget.ts
+++ b/packages/integration/src/signal-soak/soakTarget.ts
@@ -52,6 +52,11 @@
     if (this.#current) this.#current.mode = mode;
   }
 
+  /** Sets the limit that the current incarnation names; undefined ends it. */
+  setLimit(requestsPerSecond: number | undefined): void {
+    this.#current?.limitHistory.set(requestsPerSecond);
+  }
+
   /** Ends without notice; its entry stays until the platform expires it. */
   async crash(awayMilliseconds: number, keepsAddress: boolean): Promise<void> {
     const { store } = this.#options;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -24,6 +24,8 @@
 export { CallerConnection } from './platform/callerConnection';
 export type { CallerOutcome, CallerRecord, CallerRequest } from './platform/callerRecord';
 export { eventText } from './platform/eventText';
+export { LimitHistory } from './platform/limitHistory';
+export type { Arrival, NamedValue } from './platform/limitHistory';
 export { platformConfiguration } from './platform/platformConfiguration';
 export type { StandInRoute } from './platform/platformConfiguration';
 export { platformRequestHeaders } from './platform/platformRequestHeaders';
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -11,6 +11,7 @@
 import type { Socket } from 'node:net';
 import { waitMilliseconds } from '../util/waitMilliseconds';
 import { eventText } from './eventText';
+import { LimitHistory } from './limitHistory';
 import type { RunEnd, TargetRun } from './targetRun';
 
 const STATUS_OK = 200;
@@ -82,6 +83,9 @@
   /** Whether responses announce that the target is leaving and close their connection. */
   isLeaving = false;
 
+  /** Limits that the target named, and the requests that arrived. */
+  readonly limitHistory = new LimitHistory();
+
   /** When the target ended, as a reading of `performance.now()`. */
   endedAt: number | undefined;
 
@@ -143,6 +147,7 @@
       this.#decline(response, STATUS_MISDIRECTED);
       return;
     }
+    this.limitHistory.recordArrival(requestId);
     if (this.#activeRuns.size >= this.#options.slots) {
       this.#decline(response, STATUS_UNAVAILABLE);
       return;
@@ -257,9 +262,15 @@
       'request-id': requestId,
       'response-signature': signature,
       'server-load': this.#loadHeader,
+      ...this.#nameLimit(),
     };
   }
 
+  #nameLimit(): Record<string, string> {
+    const requestsPerSecond = this.limitHistory.name();
+    return requestsPerSecond === undefined ? {} : { 'server-limit': String(requestsPerSecond) };
+  }
+
   get #loadHeader(): string {
     return `${this.#activeRuns.size},0,${this.#options.slots}`;
   }
@@ -271,6 +282,7 @@
       'content-length': 0,
       'not-executed': '1',
       'server-load': this.#loadHeader,
+      ...this.#nameLimit(),
     });
     response.end();
   }
