Keep the requests of all instances within the limit that a target names

The owner announces that a limit exists; a new instance, or one that was cut off, fetches the list. Every dispatch takes a token: repeats, resumed streams, trials. When all targets are at their limits, calls wait by importance or are refused at once.

Ruled out: equal parts for each instance (rounding at a limit below the number of instances), a burst for each, gossip of demand (lists that differ).

--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -10,6 +10,15 @@
 import { requestDigest } from '../quarantine/requestDigest';
 import { DispatchHistory } from './dispatchHistory';
 
+/** Limit of a target under which a call was dispatched. */
+export interface DispatchLimit {
+  readonly requestsPerSecond: number;
+  /** Whole tokens that the holder of the limit had left. */
+  readonly remaining: number;
+  /** Time that the call waited for a token. */
+  readonly waitMilliseconds: number;
+}
+
 /** Initial values of a {@link Call}. */
 export interface CallParts {
   readonly envelope: CallEnvelope;
@@ -67,6 +76,9 @@
   /** Target of the last dispatch. */
   target: string | undefined;
 
+  /** Limit of the target of the last dispatch; undefined if it named none. */
+  limit: DispatchLimit | undefined;
+
   /** Why the last target was chosen. */
   placement = '';
 
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -12,6 +12,7 @@
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
+import { isMainLineTurn } from './isMainLineTurn';
 import type { OpenCall } from './openCall';
 import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
@@ -184,6 +185,9 @@
       status: 'status' in result ? result.status : undefined,
       target: call.history.lastTargetId,
       placement: call.placement,
+      limitPerSecond: call.limit?.requestsPerSecond,
+      limitRemaining: call.limit?.remaining,
+      limitWaitMilliseconds: call.limit && Math.round(call.limit.waitMilliseconds),
       dispatches: call.history.runs,
       quotaAtMilliseconds: Math.round(call.quotaAtMilliseconds),
       budgetAtMilliseconds: Math.round(call.budgetAtMilliseconds),
@@ -227,10 +231,8 @@
 
   /** Only a turn of a program's main session can be its first; its other requests come later. */
   #getProgramStage(call: Call): ProgramStage {
-    const { program, prompt } = call.envelope;
-    const isMainLine = program?.session === undefined || program.session === program.id;
-    if (!program || !prompt || !isMainLine) return { kind: 'under-way' };
-    const objective = program.finishMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS;
+    if (!isMainLineTurn(call.envelope)) return { kind: 'under-way' };
+    const objective = call.envelope.program?.finishMilliseconds ?? DEFAULT_OBJECTIVE_MILLISECONDS;
     return { kind: 'new-program', expectedMilliseconds: objective * EXPECTED_OBJECTIVE_RATIO };
   }
 
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -2,6 +2,9 @@
 import { placeRequest, filterTargetsByTrials, turnPriority } from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
+import type { LimitedDispatch } from '../limits/limitedDispatch';
+import type { LimitGate } from '../limits/limitGate';
+import { LimitWait } from '../limits/limitWait';
 import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import { TrialRuns } from '../quarantine/trialRuns';
 import type { FleetTarget } from '../targets/fleetTarget';
@@ -43,6 +46,8 @@
   readonly speeds: TargetSpeeds;
   readonly metrics: Metrics;
   readonly quarantine: RequestQuarantine;
+  readonly limitGate: LimitGate;
+  readonly limitedDispatch: LimitedDispatch;
   /** Returns the number of instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
@@ -52,10 +57,16 @@
   | {
       readonly kind: 'target';
       readonly target: FleetTarget;
+      /** Targets that may get the call instead, and the chosen one. */
+      readonly candidates: readonly FleetTarget[];
       readonly connection: AttemptConnection;
       readonly pauseMilliseconds: number;
     }
-  | { readonly kind: 'none'; readonly reason: GiveUpReason };
+  | {
+      readonly kind: 'none';
+      readonly reason: GiveUpReason;
+      readonly retryAfterSeconds?: number;
+    };
 
 /** Whether the outcome of an attempt counts as a failure of its target. */
 const isTargetFailure = (outcome: AttemptOutcome): boolean => {
@@ -110,12 +121,11 @@
     let repeatCount = 0;
     let last: AttemptOutcome | undefined;
     for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
-      const choice = this.#chooseTarget(call, repeatCount);
+      const choice = await this.#chooseWithinLimits(call, repeatCount);
       if (choice.kind === 'none') {
         return this.#checkEnd(call, last) ?? this.#giveUp(call, last, this.#noTarget(call, choice));
       }
-      const { target, connection, pauseMilliseconds } = choice;
-      if (pauseMilliseconds > 0) await delay(pauseMilliseconds, call.endSignal);
+      const { target, connection } = choice;
       const endedResult = this.#checkEnd(call, last);
       if (endedResult) return endedResult;
       if (last) this.#logRedispatch(call, last, dispatch, target);
@@ -127,6 +137,25 @@
     return this.#giveUp(call, last, this.#noTarget(call, { reason: 'no-target' }));
   }
 
+  /** Chooses the target of the next dispatch, once its limit allows the dispatch. */
+  async #chooseWithinLimits(call: Call, repeatCount: number): Promise<TargetChoice> {
+    const wait = new LimitWait();
+    let pausedMilliseconds = 0;
+    for (;;) {
+      const choice = this.#chooseTarget(call, repeatCount);
+      if (choice.kind === 'none') return choice;
+      const pauseMilliseconds = choice.pauseMilliseconds - pausedMilliseconds;
+      if (pauseMilliseconds > 0) await delay(pauseMilliseconds, call.endSignal);
+      pausedMilliseconds += Math.max(0, pauseMilliseconds);
+      const admission = await this.#parts.limitedDispatch.admit(call, choice, wait);
+      if (admission.kind === 'admitted') return choice;
+      if (admission.kind === 'refused') {
+        const { retryAfterSeconds } = admission;
+        return { kind: 'none', reason: 'limited', retryAfterSeconds };
+      }
+    }
+  }
+
   /**
    * Returns the result of a call that must not continue: its caller has left, its deadline has
    * passed, it crashes its targets, or its instance is stopping.
@@ -174,6 +203,7 @@
     if (possiblyActiveTargetCount > Math.max(possiblyActiveBefore, call.route.maximumTargets)) {
       this.#parts.metrics.increment('call.target-bound-exceeded');
     }
+    if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isSuccessful = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isSuccessful && eventCountBefore === 0) {
@@ -191,6 +221,8 @@
         bornMilliseconds: target.bornMilliseconds,
         ranMilliseconds: attempt.ranMilliseconds && Math.round(attempt.ranMilliseconds),
         underWay: Math.round(this.#parts.loads.estimateInFlight(target.id)),
+        limitPerSecond: call.limit?.requestsPerSecond,
+        limitRemaining: call.limit?.remaining,
       });
     }
     const ranMilliseconds = attempt.ranMilliseconds ?? 0;
@@ -309,7 +341,12 @@
       case 'dispatch':
         return this.#placeCall(call, decision.candidates);
       case 'repeat':
-        return { ...decision, kind: 'target', connection: { kind: 'own' } };
+        return {
+          ...decision,
+          kind: 'target',
+          candidates: [decision.target],
+          connection: { kind: 'own' },
+        };
       case 'give-up':
         return { kind: 'none', reason: decision.reason };
     }
@@ -334,6 +371,7 @@
         estimatedLoad: target.estimatedLoad,
         slowness: this.#parts.speeds.slowness(target.id),
         cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
+        limitMilliseconds: this.#parts.limitGate.getWaitMilliseconds(target),
       })),
     );
     const target = placement && fleet.targets.get(placement.targetId);
@@ -344,7 +382,7 @@
     const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
     const connectionLimit = Math.max(1, Math.floor(share));
     const connection = { kind: 'shared', connectionLimit } as const;
-    return { kind: 'target', target, connection, pauseMilliseconds: 0 };
+    return { kind: 'target', target, candidates, connection, pauseMilliseconds: 0 };
   }
 
   #toPlacementWork({ envelope: { prompt, program }, route }: Call): PlacementWork {
@@ -368,12 +406,19 @@
     return { kind: 'outcome-unknown', reason: SHUTDOWN_REFUSAL.reason };
   }
 
-  #noTarget(call: Call, { reason }: { readonly reason: GiveUpReason }): Refusal {
+  #noTarget(
+    call: Call,
+    {
+      reason,
+      retryAfterSeconds = FULL_RETRY_AFTER_SECONDS,
+    }: { readonly reason: GiveUpReason; readonly retryAfterSeconds?: number },
+  ): Refusal {
     if (call.history.runs > 0) return { kind: 'outcome-unknown', reason };
     return {
       kind: 'unavailable',
-      reason: 'no target accepted the request',
-      retryAfterSeconds: FULL_RETRY_AFTER_SECONDS,
+      reason:
+        reason === 'limited' ? 'targets are at their limits' : 'no target accepted the request',
+      retryAfterSeconds,
     };
   }
 }
--- a/packages/gateway/src/calls/decideDispatch.ts
+++ b/packages/gateway/src/calls/decideDispatch.ts
@@ -35,7 +35,7 @@
 
 /** Why a request is not dispatched again. */
 export type GiveUpReason =
-  'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed' | 'full';
+  'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed' | 'full' | 'limited';
 
 /** Where a request is dispatched next. */
 export type DispatchDecision =
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,9 @@
 import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
 import { LimitBeliefs } from './limits/limitBeliefs';
+import { LimitedDispatch } from './limits/limitedDispatch';
+import { LimitGate } from './limits/limitGate';
+import { LimitSharing } from './limits/limitSharing';
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
@@ -83,6 +86,10 @@
 
   readonly #limits: LimitBeliefs;
 
+  readonly #limitGate: LimitGate;
+
+  readonly #limitSharing: LimitSharing;
+
   readonly #ends: CrashDetector;
 
   readonly #quarantine: RequestQuarantine;
@@ -156,6 +163,13 @@
       onChange: () => this.#onMembershipChanged(),
       ledger: this.#quarantineLedger,
     });
+    const limitParts = {
+      beliefs: this.#limits,
+      peers: this.#peers,
+      membership: this.#membership,
+    };
+    this.#limitGate = new LimitGate(limitParts);
+    this.#limitSharing = new LimitSharing({ ...limitParts, gate: this.#limitGate });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
       rateShare: () => this.#membership.rateShare,
@@ -208,6 +222,13 @@
       logger,
       metrics,
       quarantine: this.#quarantine,
+      limitGate: this.#limitGate,
+      limitedDispatch: new LimitedDispatch({
+        gate: this.#limitGate,
+        instanceCount: () => this.#membership.presentCount,
+        logger,
+        metrics,
+      }),
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
@@ -262,7 +283,12 @@
     const { settings } = this.#parts;
     // The configuration is read while the servers start, so that it is available to the first
     // request.
-    const tasks = [...this.#follower.tasks, ...this.#membership.tasks, this.#quarantineLedger.task];
+    const tasks = [
+      ...this.#follower.tasks,
+      ...this.#membership.tasks,
+      this.#quarantineLedger.task,
+      this.#limitSharing.task,
+    ];
     if (!settings.isFirstStart) tasks.push(createStartedProgramsTask(this.#budgets));
     for (const task of tasks) {
       await this.#supervisor.startChild(task);
@@ -281,6 +307,8 @@
         quotas: this.#quotas,
         budgets: this.#budgets,
         quarantine: this.#quarantineSharing,
+        limitGate: this.#limitGate,
+        limitSharing: this.#limitSharing,
       }),
     });
   }
@@ -333,7 +361,9 @@
     this.#loads.retain(isKnown);
     this.#speeds.retain(isKnown);
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
-    this.#limits.retain((key) => incarnationKeys.has(key));
+    [this.#limits, this.#limitGate, this.#limitSharing].forEach((part) =>
+      part.retain((key) => incarnationKeys.has(key)),
+    );
     this.#ends.checkAnnouncements();
   }
 }
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -1,5 +1,6 @@
 import type { RequestListener } from 'node:http';
 import type { ServiceImpl } from '@connectrpc/connect';
+import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import {
   FleetService,
@@ -7,20 +8,27 @@
   quarantineEntryOf,
 } from '@limpetnotch/peer-protocol';
 import type { EscrowBudgets } from '../budgets/escrowBudgets';
+import type { LimitGate } from '../limits/limitGate';
+import type { LimitSharing } from '../limits/limitSharing';
 import type { QuarantineSharing } from '../quarantine/quarantineSharing';
 import type { SharedQuotas } from '../quotas/sharedQuotas';
+import { fromLimitMessage, toLimitMessage } from './limitMessage';
 
 /** Handlers of the calls of other instances. */
 export interface FleetListenerParts {
   readonly quotas: SharedQuotas;
   readonly budgets: EscrowBudgets;
   readonly quarantine: QuarantineSharing;
+  readonly limitGate: LimitGate;
+  readonly limitSharing: LimitSharing;
 }
 
 const createFleetService = ({
   quotas,
   budgets,
   quarantine,
+  limitGate,
+  limitSharing,
 }: FleetListenerParts): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, wanted }) => ({
     given: quotas.transferTokens(organisation, wanted),
@@ -50,6 +58,30 @@
     quarantine.receive(entries.map(quarantineEntryOf));
     return {};
   },
+  takeTargetTokens: async ({ limit, membersRevision, ...request }) => {
+    if (!limit) throw new ConnectError('the limit is missing', Code.InvalidArgument);
+    const { incarnationKey, belief } = fromLimitMessage(limit);
+    const reply = limitGate.handleTokenRequest({
+      ...request,
+      incarnationKey,
+      belief,
+      membersRevision: Number(membersRevision),
+    });
+    const known = reply.belief && toLimitMessage({ incarnationKey, belief: reply.belief });
+    return {
+      given: reply.given,
+      remaining: reply.remaining,
+      nextMilliseconds: reply.nextMilliseconds,
+      isHolder: reply.isHolder,
+      membersRevision: BigInt(reply.membersRevision),
+      ...(known && { limit: known }),
+    };
+  },
+  announceLimits: async ({ limits }) => {
+    limitSharing.receive(limits.map(fromLimitMessage));
+    return {};
+  },
+  listLimits: async () => ({ limits: limitSharing.list().map(toLimitMessage) }),
   releaseBudget: async ({ budget }) => {
     await budgets.release(budget);
     return {};
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -8,12 +8,18 @@
   LendBudgetResponse_Outcome as LendOutcome,
   quarantineMessage,
 } from '@limpetnotch/peer-protocol';
-import type { LendBudgetResponse, ShareQuarantineResponse } from '@limpetnotch/peer-protocol';
+import type {
+  AnnounceLimitsResponse,
+  LendBudgetResponse,
+  ShareQuarantineResponse,
+} from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { chooseCountingInstances } from '../quarantine/chooseCountingInstances';
+import type { KeyedLimitBelief, LimitPeers, TokenReply, TokenRequest } from '../limits/limitPeers';
 import type { QuarantinePeers } from '../quarantine/quarantinePeers';
 import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
+import { fromLimitMessage, toLimitMessage } from './limitMessage';
 
 /**
  * Deadline of token requests, on which a call waits; a peer in the same availability zone responds
@@ -39,8 +45,11 @@
 /** Deadline of quarantine updates; a peer that accepts one responds immediately. */
 const QUARANTINE_DEADLINE_MILLISECONDS = 250;
 
-/** Concurrent quarantine updates, as each may need a connection of its own. */
-const CONCURRENT_QUARANTINE_CALLS = 16;
+/** Deadline of announcements and lists of limits; a peer responds immediately. */
+const LIMITS_DEADLINE_MILLISECONDS = 250;
+
+/** Concurrent calls to all peers, as each may need a connection of its own. */
+const CONCURRENT_BROADCAST_CALLS = 16;
 
 /** Peers notified of each program, enough to tolerate the loss of some. */
 const PEERS_PER_ANNOUNCEMENT = 6;
@@ -84,7 +93,7 @@
 };
 
 /** Clients of the other instances. */
-export class FleetPeers implements QuotaPeers, QuarantinePeers {
+export class FleetPeers implements QuotaPeers, QuarantinePeers, LimitPeers {
   readonly #logger: Logger;
 
   readonly #metrics: Metrics;
@@ -104,6 +113,10 @@
     this.#metrics = metrics;
   }
 
+  get names(): readonly string[] {
+    return [...this.#peers.keys()];
+  }
+
   /** Sets the other instances by name, with the address (`host:port`) of each. */
   setPeers(addresses: ReadonlyMap<string, string>): void {
     this.#peers.forEach((peer, name) => {
@@ -208,10 +221,51 @@
   async notifyAll(entries: readonly QuarantineEntry[]): Promise<void> {
     const names = [...this.#peers.keys()];
     while (names.length > 0) {
-      await this.#shareQuarantine(names.splice(0, CONCURRENT_QUARANTINE_CALLS), entries);
+      await this.#shareQuarantine(names.splice(0, CONCURRENT_BROADCAST_CALLS), entries);
+    }
+  }
+
+  async takeTargetTokens(name: string, request: TokenRequest): Promise<TokenReply | undefined> {
+    const { instance, wanted, isOwnerUnreachable } = request;
+    const message = {
+      instance,
+      wanted,
+      isOwnerUnreachable,
+      limit: toLimitMessage(request),
+      membersRevision: BigInt(request.membersRevision),
+    };
+    const reply = await this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
+      client.takeTargetTokens(message, options),
+    );
+    if (!reply) return undefined;
+    const { given, remaining, nextMilliseconds, isHolder, limit, membersRevision } = reply;
+    return {
+      given,
+      remaining,
+      nextMilliseconds,
+      isHolder,
+      belief: limit && fromLimitMessage(limit).belief,
+      membersRevision: Number(membersRevision),
+    };
+  }
+
+  async announceLimits(
+    names: readonly string[],
+    limits: readonly KeyedLimitBelief[],
+  ): Promise<void> {
+    const remaining = [...names];
+    while (remaining.length > 0) {
+      await this.#announceLimitsTo(remaining.splice(0, CONCURRENT_BROADCAST_CALLS), limits);
     }
   }
 
+  async listLimits(name: string): Promise<readonly KeyedLimitBelief[] | undefined> {
+    const reply = await this.#call(name, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
+      client.listLimits({}, options),
+    );
+    return reply?.limits.map(fromLimitMessage);
+  }
+
   close(): void {
     this.setPeers(new Map());
   }
@@ -226,6 +280,16 @@
     );
   }
 
+  #announceLimitsTo(
+    names: readonly string[],
+    limits: readonly KeyedLimitBelief[],
+  ): Promise<readonly Reply<AnnounceLimitsResponse>[]> {
+    const message = { limits: limits.map(toLimitMessage) };
+    return this.#callEach(names, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
+      client.announceLimits(message, options),
+    );
+  }
+
   #sendAnnouncements(): void {
     const budgets = this.#announcements;
     this.#announcements = [];
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -5,6 +5,8 @@
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
 import { WatchStatus } from '../fleet/watchStatus';
+import type { LimitMembership } from '../limits/limitPeers';
+import { MemberLists } from '../limits/memberLists';
 import type { QuarantineLedger } from '../quarantine/quarantineLedger';
 import { QUARANTINE_PREFIX } from '../quarantine/quarantineLedger';
 import type { RateShare } from '../quotas/rateShare';
@@ -35,6 +37,12 @@
 
 const RETRY_MILLISECONDS = 300;
 
+/**
+ * Time for which the list of members counts as confirmed after the store responded; two renewals of
+ * the presence lease.
+ */
+const CONFIRMATION_MILLISECONDS = 3_500;
+
 const presenceSchema = z.object({ address: z.string() });
 const membersSchema = z.object({ members: z.array(z.string()) });
 
@@ -58,10 +66,14 @@
  * with an equal share; a presence key with a lease holds the address of each present instance. A
  * member that is absent for too long is removed from the list by the first instance that is present.
  */
-export class Membership {
+export class Membership implements LimitMembership {
   readonly #parts: MembershipParts;
 
-  #members: readonly string[] = [];
+  readonly #lists = new MemberLists();
+
+  #storeRespondedAtMilliseconds = -Infinity;
+
+  #isReadingMembers = false;
 
   #membersRevision = 0;
 
@@ -90,14 +102,38 @@
    * This instance's share of every rate; empty for a new member until the others have been notified.
    */
   get rateShare(): RateShare {
-    const rank = this.#members.indexOf(this.#parts.instance);
+    const rank = this.#lists.current.indexOf(this.#parts.instance);
     if (!this.#hasShare || rank === -1) return { rank: 0, holders: 0 };
-    return { rank, holders: this.#members.length };
+    return { rank, holders: this.#lists.current.length };
+  }
+
+  get instance(): string {
+    return this.#parts.instance;
+  }
+
+  get membersRevision(): number {
+    return this.#membersRevision;
+  }
+
+  get memberLists(): readonly (readonly string[])[] {
+    return this.#lists.recent;
+  }
+
+  get isConfirmed(): boolean {
+    return performance.now() - this.#storeRespondedAtMilliseconds < CONFIRMATION_MILLISECONDS;
+  }
+
+  noteRevision(revision: number): void {
+    if (revision <= this.#membersRevision || this.#isReadingMembers) return;
+    this.#isReadingMembers = true;
+    void this.#readMembers().finally(() => {
+      this.#isReadingMembers = false;
+    });
   }
 
   /** Names of the other members, including absent ones. */
   get others(): readonly string[] {
-    return this.#members.filter((name) => name !== this.#parts.instance);
+    return this.#lists.current.filter((name) => name !== this.#parts.instance);
   }
 
   /** Other instances that are present, with their addresses. */
@@ -157,6 +193,7 @@
         this.#parts.onChange();
       },
       confirmed: () => {
+        this.#storeRespondedAtMilliseconds = performance.now();
         this.#watchStatus.recordRecovery();
       },
       lost: (detail) => this.#watchStatus.recordLoss(detail),
@@ -181,7 +218,7 @@
       this.#parts.logger.warn('membership.unreadable', { key: entry.key });
       return;
     }
-    this.#members = list.members;
+    this.#lists.record(list.members);
     this.#membersRevision = entry.revision;
     this.#parts.logger.info('membership.members', {
       members: list.members.length,
@@ -191,7 +228,7 @@
 
   #recordAbsences(): void {
     const now = performance.now();
-    this.#members.forEach((name) => {
+    this.#lists.current.forEach((name) => {
       if (this.#present.has(name)) this.#absentSince.delete(name);
       else if (!this.#absentSince.has(name)) this.#absentSince.set(name, now);
     });
@@ -235,10 +272,19 @@
   async #renew(leaseId: string): Promise<string | undefined> {
     const renewed = await this.#parts.store.renewLease(leaseId);
     // Any other failure leaves the lease unchanged; the next renewal may succeed.
-    if (renewed.isErr() && renewed.error.kind === 'lease-ended') return undefined;
+    if (renewed.isErr()) return renewed.error.kind === 'lease-ended' ? undefined : leaseId;
+    this.#storeRespondedAtMilliseconds = performance.now();
     return leaseId;
   }
 
+  async #readMembers(): Promise<void> {
+    const read = await this.#parts.store.read(MEMBERS_KEY);
+    if (read.isErr() || !read.value) return;
+    this.#storeRespondedAtMilliseconds = performance.now();
+    this.#setMembers(read.value);
+    this.#parts.onChange();
+  }
+
   async #join(signal: AbortSignal): Promise<void> {
     const { instance, logger } = this.#parts;
     while (!signal.aborted) {
@@ -248,7 +294,7 @@
         return isNew ? [...members, instance].sort() : members;
       });
       if (isMember) {
-        logger.info('membership.joined', { members: this.#members.length, isNew });
+        logger.info('membership.joined', { members: this.#lists.current.length, isNew });
         if (isNew) await delay(JOIN_DELAY_MILLISECONDS, signal);
         this.#hasShare = true;
         this.#parts.onChange();
@@ -267,8 +313,8 @@
     const read = await store.read(MEMBERS_KEY);
     if (read.isErr()) return false;
     if (read.value) this.#setMembers(read.value);
-    const wanted = change(read.value ? this.#members : []);
-    if (read.value && wanted.join() === this.#members.join()) return true;
+    const wanted = change(read.value ? this.#lists.current : []);
+    if (read.value && wanted.join() === this.#lists.current.join()) return true;
     const value = JSON.stringify({ members: wanted });
     const written = await compareAndSwapUntilKnown({
       store,
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -13,13 +13,13 @@
 import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
-import { LimitBeliefs } from '../../src/limits/limitBeliefs';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { CrashDetector } from '../../src/targets/crashDetector';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { callEnvelope } from './callEnvelope';
 import { fleetRoute } from './fleetRoute';
+import { singleInstanceLimits } from './singleInstanceLimits';
 
 const toNamedLimit = (text: string | undefined): NamedLimit =>
   text === undefined ? { kind: 'none' } : { kind: 'limited', requestsPerSecond: Number(text) };
@@ -109,7 +109,7 @@
       codec,
       connections,
       loads,
-      limits: new LimitBeliefs({ logger, metrics }),
+      ...singleInstanceLimits({ logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -15,12 +15,12 @@
 import type { QuotaGate } from '../../src/quotas/quotaGate';
 import type { DrainTimes } from '../../src/shutdown/drainTimes';
 import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
-import { LimitBeliefs } from '../../src/limits/limitBeliefs';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { CrashDetector } from '../../src/targets/crashDetector';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { fleetRoute } from './fleetRoute';
+import { singleInstanceLimits } from './singleInstanceLimits';
 import { testWireCodec } from './testWireCodec';
 
 /** Options of an instance that a test sets. */
@@ -151,7 +151,7 @@
       codec: testWireCodec,
       connections: this.#connections,
       loads,
-      limits: new LimitBeliefs({ logger, metrics }),
+      ...singleInstanceLimits({ logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
--- /dev/null
+++ b/packages/gateway/tests/support/singleInstanceLimits.ts
@@ -0,0 +1,35 @@
+import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { CallRunnerParts } from '../../src/calls/callRunner';
+import { LimitBeliefs } from '../../src/limits/limitBeliefs';
+import { LimitedDispatch } from '../../src/limits/limitedDispatch';
+import { LimitGate } from '../../src/limits/limitGate';
+
+/** Creates the limits of an instance that is alone in its fleet. */
+export const singleInstanceLimits = (parts: {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+}): Pick<CallRunnerParts, 'limits' | 'limitGate' | 'limitedDispatch'> => {
+  const limits = new LimitBeliefs(parts);
+  const limitGate = new LimitGate({
+    beliefs: limits,
+    peers: {
+      names: [],
+      takeTargetTokens: async () => undefined,
+      announceLimits: async () => undefined,
+      listLimits: async () => undefined,
+    },
+    membership: {
+      instance: 'i0',
+      memberLists: [['i0']],
+      membersRevision: 1,
+      isConfirmed: true,
+      noteRevision: () => undefined,
+    },
+  });
+  const limitedDispatch = new LimitedDispatch({
+    ...parts,
+    gate: limitGate,
+    instanceCount: () => 1,
+  });
+  return { limits, limitGate, limitedDispatch };
+};
--- a/packages/scheduling/src/carried/sessionPlacement.ts
+++ b/packages/scheduling/src/carried/sessionPlacement.ts
@@ -11,6 +11,8 @@
   readonly slowness: number;
   /** Prompt tokens of the request that the target probably caches. */
   readonly cachedTokens: number;
+  /** Time until the target's own limit lets it take the request, in milliseconds. */
+  readonly limitMilliseconds: number;
 }
 
 /** Properties of a request that determine its placement. */
@@ -85,8 +87,9 @@
   zone: string,
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
+  const soonest = Math.min(...candidates.map(({ limitMilliseconds }) => limitMilliseconds));
   const chosen = findCheapest(
-    candidates,
+    candidates.filter(({ limitMilliseconds }) => limitMilliseconds === soonest),
     ({ estimatedLoad, slowness, slots, availabilityZone }) =>
       ((estimatedLoad + 1) * slowness) / slots +
       (availabilityZone === zone ? 0 : OTHER_ZONE_LOAD_MARGIN),
@@ -100,7 +103,8 @@
  * its uncached prompt, prefill of concurrent requests, the queue for a slot and the target's speed.
  * If no target caches more of the prompt than the others, the program's home target gets a bonus,
  * so that its requests meet at one target whichever instance they reach. Plain requests go to the
- * least loaded target, with a margin in favour of the instance's own availability zone.
+ * least loaded target, with a margin in favour of the instance's own availability zone. A target at
+ * its own limit is worth a wait only for the prompt that it caches.
  */
 export const placeRequest = (
   { availabilityZone: zone, work }: PlacementRequest,
@@ -121,7 +125,8 @@
     const queue = (Math.max(0, estimatedLoad + 1 - slots) * usualMilliseconds) / slots;
     const roundTrip = candidate.availabilityZone === zone ? 0 : OTHER_ZONE_ROUND_TRIP_MILLISECONDS;
     const bonus = candidate === home ? HOME_BONUS_MILLISECONDS : 0;
-    return (usualMilliseconds + prefill + contention + queue) * slowness + roundTrip - bonus;
+    const serving = (usualMilliseconds + prefill + contention + queue) * slowness;
+    return serving + roundTrip + candidate.limitMilliseconds - bonus;
   });
   if (!chosen) return undefined;
   if (chosen === home) return { targetId: chosen.id, reason: 'home' };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -24,6 +24,10 @@
   PlacementRequest,
   PlacementWork,
 } from './carried/sessionPlacement';
+export { LimitedQueue } from './carried/limitedQueue';
+export type { LimitedRequest, LimitedThroughput } from './carried/limitedQueue';
+export { ReturnSchedule } from './carried/returnSchedule';
+export type { ReturnSituation } from './carried/returnSchedule';
 export { PrefixDirectory } from './carried/prefixDirectory';
 export type { PrefixPart } from './carried/prefixDirectory';
 export { filterTargetsByTrials } from './carried/filterTargetsByTrials';
--- a/packages/scheduling/tests/carried/sessionPlacement.test.ts
+++ b/packages/scheduling/tests/carried/sessionPlacement.test.ts
@@ -12,6 +12,7 @@
   estimatedLoad,
   slowness: 1,
   cachedTokens: 0,
+  limitMilliseconds: 0,
   ...more,
 });
 
