Refuse programs at their first turn while limits leave no room, and use only targets with room

Under a limit the other targets took the rest of the demand, whatever it was: turns took 700 ms in place of 200, nearly every program ended late and nothing was refused. While a target of a service names a limit, a target without one has room only in free slots, requests wait in a queue by importance, and a program starts only if slots and limits can take it to its end; the least service decides.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -114,6 +114,11 @@
     return budget.stored !== undefined;
   }
 
+  /** Whether a program is known here to have started, without asking others. */
+  isProgramKnown(programId: string): boolean {
+    return this.#isKnown(toBudgetKey(programId));
+  }
+
   /** Records that a program has started on another instance. */
   recordProgramStart(key: string): void {
     this.#startedPrograms.add(key);
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -3,6 +3,7 @@
 import { Deferred } from '@limpetnotch/supervision';
 import type { BudgetGate } from '../budgets/budgetGate';
 import type { FleetState } from '../fleet/fleetState';
+import type { ProgramStarts } from '../limits/programStarts';
 import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
 import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import type { DrainAdmission } from '../shutdown/admitDuringDrain';
@@ -35,6 +36,7 @@
   readonly writer: ResponseWriter;
   readonly openCalls: OpenCalls;
   readonly quarantine: RequestQuarantine;
+  readonly programStarts: Pick<ProgramStarts, 'admit'>;
   /** Decides during a shutdown whether a request with this remaining time may still start. */
   readonly admitDuringDrain: (remainingMilliseconds: number) => DrainAdmission;
   readonly logger: Logger;
@@ -165,11 +167,23 @@
     if (this.#parts.quarantine.stageOf(call.digest) === 'quarantined') {
       return { kind: 'refused', refusal: { kind: 'quarantined', digest: call.digest } };
     }
+    const start = this.#admitProgram(call);
+    if (start.kind === 'refused') return start;
     const result = await this.#runWithinRate(call);
     this.#logServed(call, result);
     return result;
   }
 
+  /** Refuses a request that would start a program which the targets' limits can't take. */
+  #admitProgram(call: Call): CallResult | { readonly kind: 'admitted' } {
+    if (!call.envelope.program) return { kind: 'admitted' };
+    const decision = this.#parts.programStarts.admit(call, toProgramKey(call));
+    if (decision.kind === 'admitted') return decision;
+    const { retryAfterSeconds } = decision;
+    const reason = 'targets are at their limits';
+    return { kind: 'refused', refusal: { kind: 'unavailable', reason, retryAfterSeconds } };
+  }
+
   #logServed(call: Call, result: CallResult): void {
     if (result.kind === 'refused') return;
     const { metrics } = this.#parts;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -204,6 +204,7 @@
       this.#parts.metrics.increment('call.target-bound-exceeded');
     }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
+    this.#parts.limitedDispatch.recordEnd(call);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isSuccessful = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isSuccessful && eventCountBefore === 0) {
@@ -353,12 +354,12 @@
   }
 
   #placeCall(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
-    const { fleet, availabilityZone } = this.#parts;
+    const { fleet, availabilityZone, limitedDispatch } = this.#parts;
     const parts = call.envelope.prompt?.parts ?? [];
     const placement = placeRequest(
       { availabilityZone, work: this.#toPlacementWork(call) },
       filterTargetsByTrials(
-        candidates.map((target) => ({
+        limitedDispatch.filterByRoom(call, candidates).map((target) => ({
           ...target,
           estimatedLoad: this.#parts.loads.estimateInFlight(target.id),
           trials: this.#trials.countAt(target.id),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 import { LimitedDispatch } from './limits/limitedDispatch';
 import { LimitGate } from './limits/limitGate';
 import { LimitSharing } from './limits/limitSharing';
+import { ProgramStarts } from './limits/programStarts';
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
@@ -208,6 +209,13 @@
         void this.#budgets.recordGrants();
       },
     });
+    const limitedDispatch = new LimitedDispatch({
+      gate: this.#limitGate,
+      loads: this.#loads,
+      instanceCount: () => this.#membership.presentCount,
+      logger,
+      metrics,
+    });
     const runner = new CallRunner({
       codec,
       connections: this.#connections,
@@ -223,12 +231,7 @@
       metrics,
       quarantine: this.#quarantine,
       limitGate: this.#limitGate,
-      limitedDispatch: new LimitedDispatch({
-        gate: this.#limitGate,
-        instanceCount: () => this.#membership.presentCount,
-        logger,
-        metrics,
-      }),
+      limitedDispatch,
       instanceCount: () => this.#membership.presentCount,
     });
     this.#calls = new CallGateway({
@@ -240,6 +243,17 @@
       writer,
       openCalls: this.#openCalls,
       quarantine: this.#quarantine,
+      programStarts: new ProgramStarts({
+        fleet: this.#fleet,
+        gate: this.#limitGate,
+        loads: this.#loads,
+        speeds: this.#speeds,
+        instanceCount: () => this.#membership.presentCount,
+        isAnyLimited: () => this.#limits.isAnyLimited,
+        hasStarted: (programKey) => this.#budgets.isProgramKnown(programKey),
+        logger,
+        metrics,
+      }),
       admitDuringDrain: (remainingMilliseconds) => this.#drain.admit(remainingMilliseconds),
       logger,
       metrics,
--- a/packages/gateway/src/limits/limitBeliefs.ts
+++ b/packages/gateway/src/limits/limitBeliefs.ts
@@ -37,6 +37,8 @@
 
   readonly #beliefs = new Map<string, LimitBelief>();
 
+  #limitedCount = 0;
+
   readonly #malformedTexts = new Map<string, string>();
 
   readonly #changesLoggedAt = new Map<string, number>();
@@ -63,6 +65,11 @@
     return belief?.kind === 'limited' ? belief : undefined;
   }
 
+  /** Whether any limit is in force. */
+  get isAnyLimited(): boolean {
+    return this.#limitedCount > 0;
+  }
+
   /** Incarnations with a limit in force. */
   get limited(): ReadonlyMap<string, Limited> {
     return new Map(
@@ -101,6 +108,7 @@
     [this.#beliefs, this.#malformedTexts, this.#changesLoggedAt].forEach((map) =>
       [...map.keys()].filter((key) => !isKnown(key)).forEach((key) => map.delete(key)),
     );
+    this.#limitedCount = this.limited.size;
   }
 
   #observeLimit(
@@ -148,6 +156,7 @@
       return;
     }
     this.#beliefs.set(incarnationKey, belief);
+    this.#limitedCount = this.limited.size;
     if (belief.kind === 'ended' && previous?.kind !== 'limited') return;
     const isFirst = previous?.kind !== 'limited';
     this.#logChange(incarnationKey, belief, { source, request, previous });
--- a/packages/gateway/src/limits/limitedDispatch.ts
+++ b/packages/gateway/src/limits/limitedDispatch.ts
@@ -1,8 +1,9 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { Deferred, delay } from '@limpetnotch/supervision';
+import { Deferred } from '@limpetnotch/supervision';
 import type { Call } from '../calls/call';
 import { isMainLineTurn } from '../calls/isMainLineTurn';
 import type { FleetTarget } from '../targets/fleetTarget';
+import type { TargetLoads } from '../targets/targetLoads';
 import { RecentKeys } from '../util/recentKeys';
 import { computeLongestWait } from './computeLongestWait';
 import type { LimitGate } from './limitGate';
@@ -34,6 +35,7 @@
 /** Dependencies of a {@link LimitedDispatch}. */
 export interface LimitedDispatchParts {
   readonly gate: LimitGate;
+  readonly loads: TargetLoads;
   /** Number of instances that share the targets. */
   readonly instanceCount: () => number;
   readonly logger: Logger;
@@ -62,8 +64,8 @@
 
 /**
  * Admits dispatches within the limits that targets name. While another target has room, a call uses
- * that one. If all are at their limits, calls wait in a queue, and those that can't be served in
- * time are refused immediately.
+ * that one. If none has, calls wait in a queue, and those that can't be served in time are refused
+ * immediately.
  */
 export class LimitedDispatch {
   readonly #parts: LimitedDispatchParts;
@@ -82,33 +84,44 @@
     if (programKey !== undefined) this.#servedPrograms.add(programKey);
   }
 
+  /** Records that a call has ended at its target. */
+  recordEnd(call: Call): void {
+    this.#services.get(call.service.name)?.recordEnd();
+  }
+
+  /** Returns the candidates with room; all of them if none has, or if none names a limit. */
+  filterByRoom(call: Call, candidates: readonly FleetTarget[]): readonly FleetTarget[] {
+    const { gate } = this.#parts;
+    if (!candidates.some((candidate) => gate.isLimited(candidate))) return candidates;
+    const service = this.#getService(call);
+    const withRoom = candidates.filter((candidate) => service.hasRoom(candidate));
+    return withRoom.length > 0 ? withRoom : candidates;
+  }
+
   /** Admits a call to its chosen target, or waits until the target should be chosen again. */
   async admit(call: Call, choice: LimitedChoice, wait: LimitWait): Promise<LimitAdmission> {
-    const { gate } = this.#parts;
+    const { target, candidates } = choice;
+    const admitted = call;
+    admitted.limit = undefined;
+    if (!candidates.some((candidate) => this.#parts.gate.isLimited(candidate))) {
+      return { kind: 'admitted' };
+    }
     const mutableWait = wait;
     mutableWait.choices += 1;
     if (wait.choices > MAXIMUM_CHOICES) return this.#refuse(call, wait);
-    const { target, candidates } = choice;
-    if (!candidates.every((candidate) => gate.isLimited(candidate))) {
-      await delay(gate.getWaitMilliseconds(target), call.endSignal);
-      return this.#takeToken(call, target, wait);
-    }
     const service = this.#getService(call);
-    service.setTargets(candidates, this.#parts.instanceCount());
-    const mustQueue = service.size > 0 || gate.getWaitMilliseconds(target) > 0;
-    if (wait.hasTurn || !mustQueue) {
-      const admission = await this.#takeToken(call, target, wait);
-      if (admission.kind === 'admitted') service.recordSent(call.organisation?.name ?? '');
-      mutableWait.hasTurn = false;
-      return admission;
-    }
-    return this.#queue(call, service, wait);
+    service.setTargets(candidates);
+    const isQueued = service.size > 0 && !wait.hasTurn;
+    if (isQueued || !service.hasRoom(target)) return this.#queue(call, service, wait);
+    mutableWait.hasTurn = false;
+    const admission = await this.#takeToken(call, target, wait);
+    if (admission.kind === 'admitted') service.recordSent(call.organisation?.name ?? '');
+    return admission;
   }
 
   async #takeToken(call: Call, target: FleetTarget, wait: LimitWait): Promise<LimitAdmission> {
     const decision = await this.#parts.gate.acquire(target);
     const limited = call;
-    limited.limit = undefined;
     switch (decision.kind) {
       case 'denied':
         return { kind: 'choose-again' };
@@ -194,7 +207,7 @@
   #getService({ service: { name } }: Call): LimitedService {
     const existing = this.#services.get(name);
     if (existing) return existing;
-    const service = new LimitedService(this.#parts.gate);
+    const service = new LimitedService(this.#parts);
     this.#services.set(name, service);
     return service;
   }
--- a/packages/gateway/src/limits/limitedService.ts
+++ b/packages/gateway/src/limits/limitedService.ts
@@ -1,18 +1,25 @@
 import type { LimitedRequest, LimitedThroughput } from '@limpetnotch/scheduling';
 import { LimitedQueue, ReturnSchedule } from '@limpetnotch/scheduling';
 import type { FleetTarget } from '../targets/fleetTarget';
+import type { TargetLoads } from '../targets/targetLoads';
 import type { LimitGate } from './limitGate';
 import { RecentCounts } from './recentCounts';
 
 /** Time over which the rate of sent requests is measured. */
 const MEASURED_MILLISECONDS = 2_000;
 
+/** Time for which a slot is assumed to be taken until a rate was measured. */
+const SLOT_MILLISECONDS = 250;
+
 /** Time in which an organisation's count of sent requests halves. */
 const SHARE_HALF_LIFE_MILLISECONDS = 2_000;
 
 /** Shortest pause between two requests that leave the queue. */
 const SHORTEST_PAUSE_MILLISECONDS = 5;
 
+/** Interval at which the load of targets without a limit is checked. */
+const LOAD_CHECK_MILLISECONDS = 25;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** How the wait of a request ended. */
@@ -23,9 +30,20 @@
   readonly finish: (end: WaitEnd) => void;
 }
 
-/** Requests that wait while all targets of one service are at their limits. */
+/** Dependencies of a {@link LimitedService}. */
+export interface LimitedServiceParts {
+  readonly gate: LimitGate;
+  readonly loads: TargetLoads;
+  /** Number of instances that share the targets. */
+  readonly instanceCount: () => number;
+}
+
+/**
+ * One service of which some targets name limits. The others get the rest of the demand, so they count
+ * as having room only while they have free slots. Requests wait while no target has room.
+ */
 export class LimitedService {
-  readonly #gate: LimitGate;
+  readonly #parts: LimitedServiceParts;
 
   readonly #queue = new LimitedQueue<QueuedRequest>();
 
@@ -35,14 +53,14 @@
 
   #targets: readonly FleetTarget[] = [];
 
-  #instanceCount = 1;
-
   #sentAt: number[] = [];
 
+  #firstSentAtMilliseconds = 0;
+
   #timer: NodeJS.Timeout | undefined;
 
-  constructor(gate: LimitGate) {
-    this.#gate = gate;
+  constructor(parts: LimitedServiceParts) {
+    this.#parts = parts;
   }
 
   /** Number of waiting requests. */
@@ -50,24 +68,39 @@
     return this.#queue.size;
   }
 
-  /** Sets the targets that may serve the next requests, and the instances that share them. */
-  setTargets(targets: readonly FleetTarget[], instanceCount: number): void {
+  /** Sets the targets that may serve the next requests. */
+  setTargets(targets: readonly FleetTarget[]): void {
     this.#targets = targets;
-    this.#instanceCount = instanceCount;
   }
 
-  /** What waiting requests can expect: the measured rate, or an equal share of the limits. */
+  /** Whether a target can take a request now, as far as it is known. */
+  hasRoom(target: FleetTarget): boolean {
+    const { gate, loads } = this.#parts;
+    return gate.isLimited(target)
+      ? gate.getWaitMilliseconds(target) <= 0
+      : loads.countInFlight(target.id) < target.slots;
+  }
+
+  /** What waiting requests can expect: the measured rate, or an equal share of an estimate. */
   get throughput(): LimitedThroughput {
     const nowMilliseconds = performance.now();
     this.#sentAt = this.#sentAt.filter((at) => at > nowMilliseconds - MEASURED_MILLISECONDS);
+    const isMeasured = this.#firstSentAtMilliseconds < nowMilliseconds - MEASURED_MILLISECONDS;
     const measured = (this.#sentAt.length * MILLISECONDS_PER_SECOND) / MEASURED_MILLISECONDS;
-    const limits = this.#targets.map((target) => this.#gate.getRequestsPerSecond(target) ?? 0);
-    const share = limits.reduce((sum, limit) => sum + limit, 0) / this.#instanceCount;
-    const waits = this.#targets.map((target) => this.#gate.getWaitMilliseconds(target));
     return {
       nowMilliseconds,
-      requestsPerSecond: Math.max(measured, share),
-      firstMilliseconds: Math.min(...waits),
+      requestsPerSecond: isMeasured
+        ? Math.max(
+            measured,
+            this.#sumOverTargets(() => 0),
+          )
+        : this.#sumOverTargets(
+            ({ slots }) => (slots * MILLISECONDS_PER_SECOND) / SLOT_MILLISECONDS,
+          ),
+      firstMilliseconds: Math.min(
+        LOAD_CHECK_MILLISECONDS,
+        ...this.#targets.map((target) => this.#getWaitMilliseconds(target)),
+      ),
     };
   }
 
@@ -76,12 +109,19 @@
     return this.#organisations.get(organisation);
   }
 
-  /** Records that a request was sent to a target at its limit. */
+  /** Records that a request is sent to a target of the service. */
   recordSent(organisation: string): void {
-    this.#sentAt.push(performance.now());
+    const now = performance.now();
+    if (this.#sentAt.length === 0) this.#firstSentAtMilliseconds = now;
+    this.#sentAt.push(now);
     this.#organisations.add(organisation);
   }
 
+  /** Records that a request at a target of the service has ended. */
+  recordEnd(): void {
+    if (this.#queue.size > 0) this.#advance();
+  }
+
   /** Returns the delay after which a refused request should return, in milliseconds. */
   computeReturn(longestMilliseconds: number): number {
     const { nowMilliseconds, requestsPerSecond } = this.throughput;
@@ -104,18 +144,34 @@
     this.#queue.remove(request);
   }
 
+  /** Sums the share of this instance in the limits and, where there are none, in an estimate. */
+  #sumOverTargets(estimate: (target: FleetTarget) => number): number {
+    const { gate, instanceCount } = this.#parts;
+    const rates = this.#targets.map(
+      (target) => gate.getRequestsPerSecond(target) ?? estimate(target),
+    );
+    return rates.reduce((sum, rate) => sum + rate, 0) / instanceCount();
+  }
+
+  #getWaitMilliseconds(target: FleetTarget): number {
+    const { gate } = this.#parts;
+    if (this.hasRoom(target)) return 0;
+    return gate.isLimited(target) ? gate.getWaitMilliseconds(target) : LOAD_CHECK_MILLISECONDS;
+  }
+
   #schedule(): void {
     if (this.#timer || this.#queue.size === 0) return;
-    const { firstMilliseconds } = this.throughput;
-    const pause = Math.max(SHORTEST_PAUSE_MILLISECONDS, firstMilliseconds);
-    this.#timer = setTimeout(() => this.#advance(), pause);
+    const pause = Math.max(SHORTEST_PAUSE_MILLISECONDS, this.throughput.firstMilliseconds);
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      this.#advance();
+    }, pause);
   }
 
   #advance(): void {
-    this.#timer = undefined;
-    const { throughput } = this;
-    if (throughput.firstMilliseconds <= 0) this.#queue.takeFirst()?.finish('turn');
-    this.#queue.refuseHopeless(throughput).forEach(({ finish }) => finish('refused'));
+    const isAnyReady = this.#targets.some((target) => this.hasRoom(target));
+    if (isAnyReady) this.#queue.takeFirst()?.finish('turn');
+    this.#queue.refuseHopeless(this.throughput).forEach(({ finish }) => finish('refused'));
     this.#schedule();
   }
 }
--- a/packages/gateway/src/targets/targetLoads.ts
+++ b/packages/gateway/src/targets/targetLoads.ts
@@ -52,6 +52,24 @@
     return load.ownInFlight + load.othersInFlight * freshness;
   }
 
+  /**
+   * Counts the requests that all instances have in flight at a target, by its last report if that is
+   * recent: higher than the estimate, for a limit rather than a comparison.
+   */
+  countInFlight(targetId: string): number {
+    const load = this.#loads.get(targetId);
+    if (!load) return 0;
+    const age = performance.now() - load.reportedAtMilliseconds;
+    return load.ownInFlight + (age < REPORT_LIFETIME_MILLISECONDS ? load.othersInFlight : 0);
+  }
+
+  /** Returns the share of this instance in the requests in flight at targets; undefined if none. */
+  computeOwnShare(targetIds: readonly string[]): number | undefined {
+    const own = targetIds.reduce((sum, id) => sum + (this.#loads.get(id)?.ownInFlight ?? 0), 0);
+    const all = targetIds.reduce((sum, id) => sum + this.countInFlight(id), 0);
+    return all === 0 ? undefined : own / all;
+  }
+
   /** Removes targets that are no longer registered. */
   retain(isRegistered: (targetId: string) => boolean): void {
     [...this.#loads.keys()]
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -109,7 +109,7 @@
       codec,
       connections,
       loads,
-      ...singleInstanceLimits({ logger, metrics }),
+      ...singleInstanceLimits({ logger, metrics, loads }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -151,7 +151,7 @@
       codec: testWireCodec,
       connections: this.#connections,
       loads,
-      ...singleInstanceLimits({ logger, metrics }),
+      ...singleInstanceLimits({ logger, metrics, loads }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
@@ -167,6 +167,7 @@
       codec: testWireCodec,
       fleet,
       quarantine,
+      programStarts: { admit: () => ({ kind: 'admitted' }) },
       quotas: this.#options.quotas ?? {
         take: async () => ({ kind: 'taken', returnToken: () => undefined }),
       },
--- a/packages/gateway/tests/support/singleInstanceLimits.ts
+++ b/packages/gateway/tests/support/singleInstanceLimits.ts
@@ -1,5 +1,6 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { CallRunnerParts } from '../../src/calls/callRunner';
+import type { TargetLoads } from '../../src/targets/targetLoads';
 import { LimitBeliefs } from '../../src/limits/limitBeliefs';
 import { LimitedDispatch } from '../../src/limits/limitedDispatch';
 import { LimitGate } from '../../src/limits/limitGate';
@@ -8,6 +9,7 @@
 export const singleInstanceLimits = (parts: {
   readonly logger: Logger;
   readonly metrics: Metrics;
+  readonly loads: TargetLoads;
 }): Pick<CallRunnerParts, 'limits' | 'limitGate' | 'limitedDispatch'> => {
   const limits = new LimitBeliefs(parts);
   const limitGate = new LimitGate({
@@ -29,6 +31,7 @@
   const limitedDispatch = new LimitedDispatch({
     ...parts,
     gate: limitGate,
+    loads: parts.loads,
     instanceCount: () => 1,
   });
   return { limits, limitGate, limitedDispatch };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -24,6 +24,8 @@
   PlacementRequest,
   PlacementWork,
 } from './carried/sessionPlacement';
+export { admitProgramStart } from './carried/admitProgramStart';
+export type { LimitedServiceLoad, ProgramStartSituation } from './carried/admitProgramStart';
 export { LimitedQueue } from './carried/limitedQueue';
 export type { LimitedRequest, LimitedThroughput } from './carried/limitedQueue';
 export { ReturnSchedule } from './carried/returnSchedule';
