--- a/packages/gateway/src/calls/callEnvelope.ts
+++ b/packages/gateway/src/calls/callEnvelope.ts
@@ -15,6 +15,8 @@
 export interface PromptShape {
   readonly inputTokens: number;
   readonly maximumOutputTokens: number;
+  /** The caller's estimate of the output, which is often far off; undefined if it sends none. */
+  readonly expectedOutputTokens: number | undefined;
   readonly parts: readonly PrefixPart[];
 }
 
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,9 +1,13 @@
 import type { LogFields, Metrics } from '@limpetnotch/observability';
-import { placeRequest, filterTargetsByTrials, turnPriority } from '@limpetnotch/scheduling';
+import {
+  estimateEngineMilliseconds,
+  filterTargetsByTrials,
+  placeRequest,
+  turnPriority,
+} from '@limpetnotch/scheduling';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { LimitedDispatch } from '../limits/limitedDispatch';
-import type { LimitGate } from '../limits/limitGate';
 import { LimitWait } from '../limits/limitWait';
 import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import { TrialRuns } from '../quarantine/trialRuns';
@@ -46,7 +50,6 @@
   readonly speeds: TargetSpeeds;
   readonly metrics: Metrics;
   readonly quarantine: RequestQuarantine;
-  readonly limitGate: LimitGate;
   readonly limitedDispatch: LimitedDispatch;
   /** Returns the number of instances that share the connections of a target. */
   readonly instanceCount: () => number;
@@ -59,6 +62,8 @@
       readonly target: FleetTarget;
       /** Targets that may get the call instead, and the chosen one. */
       readonly candidates: readonly FleetTarget[];
+      /** Whether the target may have run the call before. */
+      readonly isRepeat: boolean;
       readonly connection: AttemptConnection;
       readonly pauseMilliseconds: number;
     }
@@ -346,6 +351,7 @@
           ...decision,
           kind: 'target',
           candidates: [decision.target],
+          isRepeat: true,
           connection: { kind: 'own' },
         };
       case 'give-up':
@@ -359,11 +365,13 @@
     const placement = placeRequest(
       { availabilityZone, work: this.#toPlacementWork(call) },
       filterTargetsByTrials(
-        limitedDispatch.filterByRoom(call, candidates).map((target) => ({
-          ...target,
-          estimatedLoad: this.#parts.loads.estimateInFlight(target.id),
-          trials: this.#trials.countAt(target.id),
-        })),
+        limitedDispatch
+          .filterByRoom(call, candidates, (target) => this.#estimateEngineCost(call, target))
+          .map((target) => ({
+            ...target,
+            estimatedLoad: this.#parts.loads.estimateInFlight(target.id),
+            trials: this.#trials.countAt(target.id),
+          })),
         this.#isOnTrial(call),
       ).map((target) => ({
         id: target.id,
@@ -372,7 +380,6 @@
         estimatedLoad: target.estimatedLoad,
         slowness: this.#parts.speeds.slowness(target.id),
         cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
-        limitMilliseconds: this.#parts.limitGate.getWaitMilliseconds(target),
       })),
     );
     const target = placement && fleet.targets.get(placement.targetId);
@@ -383,7 +390,25 @@
     const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
     const connectionLimit = Math.max(1, Math.floor(share));
     const connection = { kind: 'shared', connectionLimit } as const;
-    return { kind: 'target', target, candidates, connection, pauseMilliseconds: 0 };
+    return {
+      kind: 'target',
+      target,
+      candidates,
+      isRepeat: false,
+      connection,
+      pauseMilliseconds: 0,
+    };
+  }
+
+  /** Estimates the time for which a call occupies a model engine, in milliseconds. */
+  #estimateEngineCost({ envelope: { prompt } }: Call, { id, slots }: FleetTarget): number {
+    if (!prompt) return 0;
+    const uncachedTokens = prompt.inputTokens - this.#parts.prefixes.cachedTokens(id, prompt.parts);
+    return estimateEngineMilliseconds({
+      uncachedTokens,
+      outputTokens: prompt.expectedOutputTokens ?? prompt.maximumOutputTokens,
+      slots,
+    });
   }
 
   #toPlacementWork({ envelope: { prompt, program }, route }: Call): PlacementWork {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -230,7 +230,6 @@
       logger,
       metrics,
       quarantine: this.#quarantine,
-      limitGate: this.#limitGate,
       limitedDispatch,
       instanceCount: () => this.#membership.presentCount,
     });
--- a/packages/gateway/src/limits/limitGate.ts
+++ b/packages/gateway/src/limits/limitGate.ts
@@ -66,6 +66,7 @@
 
   /** Whether a target names a limit. */
   isLimited(target: FleetTarget): boolean {
+    if (!this.#parts.beliefs.isAnyLimited) return false;
     return this.#parts.beliefs.getLimit(getIncarnationKey(target)) !== undefined;
   }
 
--- a/packages/gateway/src/limits/limitedDispatch.ts
+++ b/packages/gateway/src/limits/limitedDispatch.ts
@@ -1,5 +1,5 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { Deferred } from '@limpetnotch/supervision';
+import { Deferred, delay } from '@limpetnotch/supervision';
 import type { Call } from '../calls/call';
 import { isMainLineTurn } from '../calls/isMainLineTurn';
 import type { FleetTarget } from '../targets/fleetTarget';
@@ -29,7 +29,9 @@
 /** A chosen target and the others that could serve the call. */
 export interface LimitedChoice {
   readonly target: FleetTarget;
+  /** Only the chosen target if the call is repeated where it may have run. */
   readonly candidates: readonly FleetTarget[];
+  readonly isRepeat: boolean;
 }
 
 /** Dependencies of a {@link LimitedDispatch}. */
@@ -89,18 +91,33 @@
     this.#services.get(call.service.name)?.recordEnd();
   }
 
-  /** Returns the candidates with room; all of them if none has, or if none names a limit. */
-  filterByRoom(call: Call, candidates: readonly FleetTarget[]): readonly FleetTarget[] {
+  /**
+   * Returns the candidates that may be chosen: those with room, or all of them if none has room or
+   * names a limit. Of targets with and without limits, only the kind is kept that suits the call.
+   */
+  filterByRoom(
+    call: Call,
+    candidates: readonly FleetTarget[],
+    estimateCost: (target: FleetTarget) => number,
+  ): readonly FleetTarget[] {
     const { gate } = this.#parts;
     if (!candidates.some((candidate) => gate.isLimited(candidate))) return candidates;
     const service = this.#getService(call);
     const withRoom = candidates.filter((candidate) => service.hasRoom(candidate));
-    return withRoom.length > 0 ? withRoom : candidates;
+    const unlimited = withRoom.filter((candidate) => !gate.isLimited(candidate));
+    if (unlimited.length === withRoom.length) {
+      return withRoom.length > 0 ? withRoom : candidates;
+    }
+    if (unlimited.length === 0) return withRoom;
+    const cost = Math.min(...unlimited.map(estimateCost));
+    return service.prefersLimit(cost)
+      ? withRoom.filter((candidate) => gate.isLimited(candidate))
+      : unlimited;
   }
 
   /** Admits a call to its chosen target, or waits until the target should be chosen again. */
   async admit(call: Call, choice: LimitedChoice, wait: LimitWait): Promise<LimitAdmission> {
-    const { target, candidates } = choice;
+    const { target, candidates, isRepeat } = choice;
     const admitted = call;
     admitted.limit = undefined;
     if (!candidates.some((candidate) => this.#parts.gate.isLimited(candidate))) {
@@ -109,6 +126,7 @@
     const mutableWait = wait;
     mutableWait.choices += 1;
     if (wait.choices > MAXIMUM_CHOICES) return this.#refuse(call, wait);
+    if (isRepeat) return this.#waitForTarget(call, target, wait);
     const service = this.#getService(call);
     service.setTargets(candidates);
     const isQueued = service.size > 0 && !wait.hasTurn;
@@ -119,6 +137,16 @@
     return admission;
   }
 
+  /** Waits for the limit of the one target at which a call may be repeated. */
+  async #waitForTarget(call: Call, target: FleetTarget, wait: LimitWait): Promise<LimitAdmission> {
+    const milliseconds = this.#parts.gate.getWaitMilliseconds(target);
+    if (wait.milliseconds + milliseconds > computeLongestWait(call)) {
+      return this.#refuse(call, wait);
+    }
+    await delay(milliseconds, call.endSignal);
+    return this.#takeToken(call, target, wait);
+  }
+
   async #takeToken(call: Call, target: FleetTarget, wait: LimitWait): Promise<LimitAdmission> {
     const decision = await this.#parts.gate.acquire(target);
     const limited = call;
--- a/packages/gateway/src/limits/limitedService.ts
+++ b/packages/gateway/src/limits/limitedService.ts
@@ -1,5 +1,5 @@
 import type { LimitedRequest, LimitedThroughput } from '@limpetnotch/scheduling';
-import { LimitedQueue, ReturnSchedule } from '@limpetnotch/scheduling';
+import { LimitedQueue, LimitPreference, ReturnSchedule } from '@limpetnotch/scheduling';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetLoads } from '../targets/targetLoads';
 import type { LimitGate } from './limitGate';
@@ -51,6 +51,8 @@
 
   readonly #organisations = new RecentCounts(SHARE_HALF_LIFE_MILLISECONDS);
 
+  readonly #preference = new LimitPreference();
+
   #targets: readonly FleetTarget[] = [];
 
   #sentAt: number[] = [];
@@ -117,6 +119,12 @@
     this.#organisations.add(organisation);
   }
 
+  /** Whether a request with this cost at a target without a limit should use a limited one. */
+  prefersLimit(cost: number): boolean {
+    const { requestsPerSecond } = this.throughput;
+    return this.#preference.prefersLimit(cost, this.#sumOverTargets(() => 0) / requestsPerSecond);
+  }
+
   /** Records that a request at a target of the service has ended. */
   recordEnd(): void {
     if (this.#queue.size > 0) this.#advance();
--- a/packages/gateway/src/limits/programStarts.ts
+++ b/packages/gateway/src/limits/programStarts.ts
@@ -12,7 +12,7 @@
 import { SmoothedValue } from './smoothedValue';
 
 /** Share of the slots of a target without a limit at which its requests still take their usual time. */
-const USABLE_SLOT_SHARE = 0.5;
+const USABLE_SLOT_SHARE = 0.65;
 
 /** Duration of a request that is assumed until one was measured. */
 const DEFAULT_REQUEST_MILLISECONDS = 250;
@@ -36,7 +36,7 @@
 /** Dependencies of {@link ProgramStarts}. */
 export interface ProgramStartsParts {
   readonly fleet: FleetState;
-  readonly gate: LimitGate;
+  readonly gate: Pick<LimitGate, 'isLimited' | 'getRequestsPerSecond'>;
   readonly loads: TargetLoads;
   readonly speeds: TargetSpeeds;
   readonly instanceCount: () => number;
@@ -136,7 +136,7 @@
     const retryAfterMilliseconds = this.#returns.next({
       nowMilliseconds: performance.now(),
       requestsPerSecond: Math.max(LEAST_RETURNS_PER_SECOND, Math.min(...returnsPerSecond)),
-      waitingRequests: this.#activity.activePrograms,
+      waitingRequests: 0,
       longestMilliseconds: computeLongestWait(call),
     });
     const retryAfterSeconds = retryAfterMilliseconds / MILLISECONDS_PER_SECOND;
--- a/packages/gateway/tests/support/singleInstanceLimits.ts
+++ b/packages/gateway/tests/support/singleInstanceLimits.ts
@@ -10,7 +10,7 @@
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly loads: TargetLoads;
-}): Pick<CallRunnerParts, 'limits' | 'limitGate' | 'limitedDispatch'> => {
+}): Pick<CallRunnerParts, 'limits' | 'limitedDispatch'> => {
   const limits = new LimitBeliefs(parts);
   const limitGate = new LimitGate({
     beliefs: limits,
@@ -34,5 +34,5 @@
     loads: parts.loads,
     instanceCount: () => 1,
   });
-  return { limits, limitGate, limitedDispatch };
+  return { limits, limitedDispatch };
 };
--- a/packages/scheduling/src/carried/sessionPlacement.ts
+++ b/packages/scheduling/src/carried/sessionPlacement.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { PREFILL_MILLISECONDS_PER_TOKEN } from './estimateEngineMilliseconds';
 
 /** State of a target as seen by the instance that places a request. */
 export interface PlacementCandidate {
@@ -11,8 +12,6 @@
   readonly slowness: number;
   /** Prompt tokens of the request that the target probably caches. */
   readonly cachedTokens: number;
-  /** Time until the target's own limit lets it take the request, in milliseconds. */
-  readonly limitMilliseconds: number;
 }
 
 /** Properties of a request that determine its placement. */
@@ -45,9 +44,6 @@
 /** Network round trip to another availability zone. */
 const OTHER_ZONE_ROUND_TRIP_MILLISECONDS = 2;
 
-/** Prefill time per prompt token: 77 tokens per millisecond on the engines served so far. */
-const PREFILL_MILLISECONDS_PER_TOKEN = 0.013;
-
 /**
  * Delay that each other request at an engine causes: while a request runs, prefill of another
  * request with about 800 uncached tokens runs between its steps.
@@ -87,9 +83,8 @@
   zone: string,
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
-  const soonest = Math.min(...candidates.map(({ limitMilliseconds }) => limitMilliseconds));
   const chosen = findCheapest(
-    candidates.filter(({ limitMilliseconds }) => limitMilliseconds === soonest),
+    candidates,
     ({ estimatedLoad, slowness, slots, availabilityZone }) =>
       ((estimatedLoad + 1) * slowness) / slots +
       (availabilityZone === zone ? 0 : OTHER_ZONE_LOAD_MARGIN),
@@ -103,8 +98,7 @@
  * its uncached prompt, prefill of concurrent requests, the queue for a slot and the target's speed.
  * If no target caches more of the prompt than the others, the program's home target gets a bonus,
  * so that its requests meet at one target whichever instance they reach. Plain requests go to the
- * least loaded target, with a margin in favour of the instance's own availability zone. A target at
- * its own limit is worth a wait only for the prompt that it caches.
+ * least loaded target, with a margin in favour of the instance's own availability zone.
  */
 export const placeRequest = (
   { availabilityZone: zone, work }: PlacementRequest,
@@ -125,8 +119,7 @@
     const queue = (Math.max(0, estimatedLoad + 1 - slots) * usualMilliseconds) / slots;
     const roundTrip = candidate.availabilityZone === zone ? 0 : OTHER_ZONE_ROUND_TRIP_MILLISECONDS;
     const bonus = candidate === home ? HOME_BONUS_MILLISECONDS : 0;
-    const serving = (usualMilliseconds + prefill + contention + queue) * slowness;
-    return serving + roundTrip + candidate.limitMilliseconds - bonus;
+    return (usualMilliseconds + prefill + contention + queue) * slowness + roundTrip - bonus;
   });
   if (!chosen) return undefined;
   if (chosen === home) return { targetId: chosen.id, reason: 'home' };
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -17,6 +17,8 @@
 export type { AttemptOutcome, SchedulingRefusal, TargetGrant } from './targetGrant';
 export { TargetProber } from './targetProber';
 export type { ProbePort, TargetProberOptions } from './targetProber';
+export { estimateEngineMilliseconds } from './carried/estimateEngineMilliseconds';
+export type { EngineWork } from './carried/estimateEngineMilliseconds';
 export { placeRequest } from './carried/sessionPlacement';
 export type {
   Placement,
@@ -26,6 +28,7 @@
 } from './carried/sessionPlacement';
 export { admitProgramStart } from './carried/admitProgramStart';
 export type { LimitedServiceLoad, ProgramStartSituation } from './carried/admitProgramStart';
+export { LimitPreference } from './carried/limitPreference';
 export { LimitedQueue } from './carried/limitedQueue';
 export type { LimitedRequest, LimitedThroughput } from './carried/limitedQueue';
 export { ReturnSchedule } from './carried/returnSchedule';
--- a/packages/scheduling/tests/carried/sessionPlacement.test.ts
+++ b/packages/scheduling/tests/carried/sessionPlacement.test.ts
@@ -12,7 +12,6 @@
   estimatedLoad,
   slowness: 1,
   cachedTokens: 0,
-  limitMilliseconds: 0,
   ...more,
 });
 
