--- a/packages/cli/src/explain/describeCause.ts
+++ b/packages/cli/src/explain/describeCause.ts
@@ -42,6 +42,10 @@
       return `${getFieldText(line, 'grantedTokens')} of ${getFieldText(line, 'limitTokens')} tokens were granted, and a turn may need ${getFieldText(line, 'turnTokens')}`;
     case 'budget.granted-on-trust':
       return 'the store was unreachable, and no instance had a record of the program';
+    case 'limits.refused':
+      return `targets of service ${getFieldText(line, 'service')} take ${getFieldText(line, 'perSecond')} requests a second from this instance and ${getFieldText(line, 'waiting')} were waiting; it could wait ${getFieldText(line, 'longestMilliseconds')} ms`;
+    case 'limits.program-refused':
+      return `it would have started a program, and the ${getFieldText(line, 'activePrograms')} under way need what the targets' limits allow (${getFieldText(line, 'perSecond')} requests a second)`;
     case 'call.attempt-ended':
       return `target ${getFieldText(line, 'target')} ended the attempt: ${getFieldText(line, 'outcome')} ${getFieldText(line, 'detail')}`.trim();
     case 'quarantine.crash-noted':
--- a/packages/cli/tests/explainCommand.test.ts
+++ b/packages/cli/tests/explainCommand.test.ts
@@ -30,6 +30,19 @@
     refusal: 'over-rate',
     program: 'program-1',
   }),
+  createLine(3, 'limits.learned', { target: 't@1', perSecond: 2 }),
+  createLine(4, 'limits.refused', {
+    request: 'request-8',
+    service: 'models',
+    perSecond: 2,
+    waiting: 3,
+    longestMilliseconds: 400,
+  }),
+  createLine(4, 'call.refused', {
+    request: 'request-8',
+    refusal: 'unavailable',
+    reason: 'targets are at their limits',
+  }),
   createLine(5, 'call.served', {
     request: 'request-2',
     program: 'program-1',
@@ -105,6 +118,13 @@
   expect(stdout).toContain('Cause: targets crashed that ran a request of the same content');
 });
 
+test('explains a request refused within the limits of targets, with the limits known', async () => {
+  const { stdout } = await runTestCli(['explain', 'request-8', file]);
+  expect(stdout).toContain('limits.learned target=t@1 perSecond=2');
+  expect(stdout).toContain('targets of service models take 2 requests a second');
+  expect(stdout).toContain('targets are at their limits');
+});
+
 test('distinguishes a request ended by a shutdown from a failed target', async () => {
   const refused = await runTestCli(['explain', 'request-5', file]);
   expect(refused.stdout).toContain('the instance shut down before the target had answered');
--- a/packages/gateway/tests/limits/limitFleet.ts
+++ b/packages/gateway/tests/limits/limitFleet.ts
@@ -40,6 +40,9 @@
 
   readonly cutFromStore = new Set<string>();
 
+  /** Calls for tokens so far. */
+  tokenCalls = 0;
+
   lossProbability = 0;
 
   longestDelayMilliseconds = 2;
@@ -165,8 +168,10 @@
       get names() {
         return others();
       },
-      takeTargetTokens: (other, request) =>
-        this.#call(name, other, ({ gate }) => gate.handleTokenRequest(request)),
+      takeTargetTokens: (other, request) => {
+        this.tokenCalls += 1;
+        return this.#call(name, other, ({ gate }) => gate.handleTokenRequest(request));
+      },
       announceLimits: async (names, limits) => {
         await Promise.all(
           names.map((other) => this.#call(name, other, ({ sharing }) => sharing.receive(limits))),
--- a/packages/gateway/tests/limits/limitGate.test.ts
+++ b/packages/gateway/tests/limits/limitGate.test.ts
@@ -84,6 +84,23 @@
   expect(used).toBeGreaterThanOrEqual(0.7 * Math.min(perSecond, 50));
 });
 
+// Load pattern: every instance wants far more than its share all the time.
+test.each([
+  [4, 8],
+  [68, 8],
+  [150, 8],
+])('at %i instances, a limit of %d a second costs few calls', async (count, perSecond) => {
+  const random = new SeededRandom(8);
+  const fleet = new LimitFleet(count, random);
+  const counting = createTarget(perSecond);
+  const options = { milliseconds: 10_000, meanPauseMilliseconds: 100 };
+  await run(sendAll(fleet, counting, random, options));
+  fleet.stop();
+  const callsPerSecond = fleet.tokenCalls / 10;
+  // Each instance asks about once a second, and once more for each token.
+  expect(callsPerSecond).toBeLessThanOrEqual(1.5 * (count + 2 * perSecond));
+});
+
 test('an instance that never saw a response of its own keeps the limit', async () => {
   const random = new SeededRandom(2);
   const fleet = new LimitFleet(4, random);
--- a/packages/integration/src/signal-soak/runSignalSoak.ts
+++ b/packages/integration/src/signal-soak/runSignalSoak.ts
@@ -9,7 +9,9 @@
 import { checkLifetime } from './checkLifetime';
 import { checkCrashingRequest } from './checkCrashingRequest';
 import { drawCrashingRequest } from './drawCrashingRequest';
+import { checkTargetLimit } from './checkTargetLimit';
 import { drawFaults } from './drawFaults';
+import { drawTargetLimits } from './drawTargetLimits';
 import { EventLoopLag } from './eventLoopLag';
 import { SoakCaller } from './soakCaller';
 import type { SoakExchange } from './soakExchange';
@@ -67,6 +69,11 @@
     const planned = this.#options.faults ?? [
       ...this.#drawFaults(),
       drawCrashingRequest(seed, this.#options.seconds * MILLISECONDS_PER_SECOND),
+      ...drawTargetLimits(
+        seed,
+        this.#options.seconds * MILLISECONDS_PER_SECOND,
+        this.#fleet.targets.length,
+      ),
     ];
     const faults = [...planned].sort(
       (first, second) => first.atMilliseconds - second.atMilliseconds,
@@ -138,6 +145,7 @@
         checkCrashingRequest(caller, this.#runs, this.#fleet.instances),
       ),
       ...this.#exchanges.flatMap((exchange) => checkExchange(exchange, context)),
+      ...this.#checkTargetLimits(),
     ];
     return {
       seed: this.#options.seed,
@@ -151,6 +159,17 @@
     };
   }
 
+  #checkTargetLimits(): readonly Violation[] {
+    const lifetimes = new Map(
+      this.#exchanges.map(({ record, lifetime }) => [record.request.id, lifetime]),
+    );
+    return this.#fleet.targets.flatMap(({ incarnations }) =>
+      [...incarnations].flatMap(([id, { limitHistory }]) =>
+        checkTargetLimit(id, limitHistory, (requestId) => lifetimes.get(requestId)),
+      ),
+    );
+  }
+
   /** Assigns the runs to their exchanges; a run of a request that nobody sent is a violation. */
   #assignRuns(): readonly Violation[] {
     const exchanges = new Map(this.#exchanges.map((one) => [one.record.request.id, one]));
