--- a/packages/gateway/src/limits/limitBeliefs.ts
+++ b/packages/gateway/src/limits/limitBeliefs.ts
@@ -194,7 +194,7 @@
     metrics.increment('limits.changes', 1, { change: wasLimited ? 'changed' : 'learned' });
     const loggedAt = this.#changesLoggedAt.get(incarnationKey) ?? -Infinity;
     if (wasLimited && now - loggedAt < CHANGE_LOG_INTERVAL_MILLISECONDS) return;
-    this.#changesLoggedAt.set(incarnationKey, now);
+    if (wasLimited) this.#changesLoggedAt.set(incarnationKey, now);
     logger.info(wasLimited ? 'limits.changed' : 'limits.learned', {
       ...common,
       perSecond: belief.requestsPerSecond,
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http';
 import type { Client } from '@connectrpc/connect';
-import { createClient } from '@connectrpc/connect';
+import { Code, ConnectError, createClient } from '@connectrpc/connect';
 import { createConnectTransport } from '@connectrpc/connect-node';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import {
@@ -340,6 +340,8 @@
       peer.failures = 0;
       return answer;
     } catch (error) {
+      // An instance of an earlier version lacks some calls and answers the others.
+      if (error instanceof ConnectError && error.code === Code.Unimplemented) return undefined;
       peer.failures += 1;
       if (peer.failures >= FAILURES_BEFORE_SUSPENSION) {
         peer.suspendedUntilMilliseconds = performance.now() + SUSPENSION_MILLISECONDS;
--- /dev/null
+++ b/packages/gateway/tests/peers/fleetPeers.test.ts
@@ -0,0 +1,27 @@
+import { connectNodeAdapter } from '@connectrpc/connect-node';
+import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { FleetService } from '@limpetnotch/peer-protocol';
+import { HttpListener } from '../../src/ingress/httpListener';
+import { FleetPeers } from '../../src/peers/fleetPeers';
+
+let listener: HttpListener | undefined;
+
+const peers = new FleetPeers(silentLogger, new MemoryMetrics());
+
+afterEach(async () => {
+  peers.close();
+  await listener?.close();
+});
+
+test('calls that a peer of an earlier version lacks do not suspend its other calls', async () => {
+  listener = await HttpListener.start({
+    host: '127.0.0.1',
+    port: 0,
+    listener: connectNodeAdapter({
+      routes: (router) => router.service(FleetService, { takeTokens: async () => ({ given: 1 }) }),
+    }),
+  });
+  peers.setPeers(new Map([['old', `127.0.0.1:${listener.port}`]]));
+  for (let call = 0; call < 4; call += 1) expect(await peers.listLimits('old')).toBeUndefined();
+  expect(await peers.takeTokens('organisation', 1)).toBe(1);
+});
--- a/packages/scheduling/src/carried/returnSchedule.ts
+++ b/packages/scheduling/src/carried/returnSchedule.ts
@@ -33,15 +33,18 @@
   next(situation: ReturnSituation): number {
     const { nowMilliseconds, requestsPerSecond, waitingRequests } = situation;
     const longest = Math.max(SHORTEST_DELAY_MILLISECONDS, situation.longestMilliseconds);
+    if (requestsPerSecond <= 0) return this.#spread(longest);
     const interval = MILLISECONDS_PER_SECOND / requestsPerSecond;
     const returnAt = Math.max(
       nowMilliseconds + Math.max(SHORTEST_DELAY_MILLISECONDS, waitingRequests * interval),
       this.#lastReturnAtMilliseconds + interval,
     );
-    if (returnAt - nowMilliseconds > longest) {
-      return longest * (1 - SPREAD_SHARE * this.#random());
-    }
+    if (returnAt - nowMilliseconds > longest) return this.#spread(longest);
     this.#lastReturnAtMilliseconds = returnAt;
     return returnAt - nowMilliseconds;
   }
+
+  #spread(longest: number): number {
+    return longest * (1 - SPREAD_SHARE * this.#random());
+  }
 }
--- a/packages/scheduling/tests/carried/returnSchedule.test.ts
+++ b/packages/scheduling/tests/carried/returnSchedule.test.ts
@@ -30,3 +30,9 @@
   const schedule = new ReturnSchedule(() => 0);
   expect(schedule.next({ ...situation, longestMilliseconds: 3 })).toBe(100);
 });
+
+test('callers return although nothing can be served now', () => {
+  const schedule = new ReturnSchedule(() => 0);
+  expect(schedule.next({ ...situation, requestsPerSecond: 0 })).toBe(1_000);
+  expect(schedule.next(situation)).toBe(100);
+});
