--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,6 +1,6 @@
 import type { Logger } from '@limpetnotch/observability';
 import type { FleetState } from '../fleet/fleetState';
-import type { LimitBeliefs } from '../limits/limitBeliefs';
+import type { TargetLimits } from '../limits/targetLimits';
 import type { Exchange } from '../targets/exchange';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { FleetTarget } from '../targets/fleetTarget';
@@ -25,7 +25,7 @@
   readonly codec: WireCodec;
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
-  readonly limits: LimitBeliefs;
+  readonly limits: TargetLimits;
   readonly writer: ResponseWriter;
   readonly bufferLimiter: BufferLimiter;
   readonly logger: Logger;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,7 +20,7 @@
 import type { GatewaySettings } from './gatewaySettings';
 import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
-import { LimitBeliefs } from './limits/limitBeliefs';
+import { TargetLimits } from './limits/targetLimits';
 import { LimitedDispatch } from './limits/limitedDispatch';
 import { LimitGate } from './limits/limitGate';
 import { LimitSharing } from './limits/limitSharing';
@@ -85,7 +85,7 @@
 
   readonly #speeds = new TargetSpeeds();
 
-  readonly #limits: LimitBeliefs;
+  readonly #limits: TargetLimits;
 
   readonly #limitGate: LimitGate;
 
@@ -137,7 +137,7 @@
     });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
-    this.#limits = new LimitBeliefs({ logger, metrics });
+    this.#limits = new TargetLimits({ logger, metrics });
     this.#ends = new CrashDetector({ directory: this.#fleet.targets, logger, metrics });
     this.#quarantine = new RequestQuarantine({
       crashDetector: this.#ends,
@@ -165,7 +165,7 @@
       ledger: this.#quarantineLedger,
     });
     const limitParts = {
-      beliefs: this.#limits,
+      limits: this.#limits,
       peers: this.#peers,
       membership: this.#membership,
     };
--- a/packages/gateway/src/limits/limitGate.ts
+++ b/packages/gateway/src/limits/limitGate.ts
@@ -4,7 +4,7 @@
 import type { LimitHolders } from './chooseLimitHolders';
 import { decideLimitRole, toRatePart } from './decideLimitRole';
 import type { LimitRole, LimitRoleSituation } from './decideLimitRole';
-import type { LimitBeliefs } from './limitBeliefs';
+import type { TargetLimits } from './targetLimits';
 import type { LimitMembership, LimitPeers, TokenReply, TokenRequest } from './limitPeers';
 import { LimitTokens } from './limitTokens';
 
@@ -24,7 +24,7 @@
 
 /** Dependencies of a {@link LimitGate}. */
 export interface LimitGateParts {
-  readonly beliefs: LimitBeliefs;
+  readonly limits: TargetLimits;
   readonly peers: LimitPeers;
   readonly membership: LimitMembership;
 }
@@ -66,13 +66,13 @@
 
   /** Whether a target names a limit. */
   isLimited(target: FleetTarget): boolean {
-    if (!this.#parts.beliefs.isAnyLimited) return false;
-    return this.#parts.beliefs.getLimit(getIncarnationKey(target)) !== undefined;
+    if (!this.#parts.limits.isAnyLimited) return false;
+    return this.#parts.limits.getLimit(getIncarnationKey(target)) !== undefined;
   }
 
   /** Returns the limit of a target in requests per second; undefined if there is none. */
   getRequestsPerSecond(target: FleetTarget): number | undefined {
-    return this.#parts.beliefs.getLimit(getIncarnationKey(target))?.requestsPerSecond;
+    return this.#parts.limits.getLimit(getIncarnationKey(target))?.requestsPerSecond;
   }
 
   /** Returns the time until a request may be sent to a target, as far as it is known. */
@@ -85,29 +85,29 @@
   /** Takes a token for one request to a target. */
   async acquire(target: FleetTarget): Promise<LimitDecision> {
     const incarnationKey = getIncarnationKey(target);
-    const limit = this.#parts.beliefs.getLimit(incarnationKey);
+    const limit = this.#parts.limits.getLimit(incarnationKey);
     if (!limit) return { kind: 'unlimited' };
     const limited = this.#getOrCreate(incarnationKey);
     if (!limited.tokens.trySpendReceived()) {
       if (this.getWaitMilliseconds(target) > 0) return this.#deny(limit.requestsPerSecond);
       if (!(await this.#takeToken(limited))) return this.#denyOrPass(incarnationKey);
     }
-    const { requestsPerSecond } = this.#parts.beliefs.getLimit(incarnationKey) ?? limit;
+    const { requestsPerSecond } = this.#parts.limits.getLimit(incarnationKey) ?? limit;
     return { kind: 'granted', requestsPerSecond, remaining: limited.remaining };
   }
 
   /** Responds to another instance that requests tokens. */
   handleTokenRequest(request: TokenRequest): TokenReply {
-    const { beliefs, membership } = this.#parts;
+    const { limits, membership } = this.#parts;
     const { incarnationKey, instance, wanted, isOwnerUnreachable } = request;
-    beliefs.merge(incarnationKey, request.belief);
+    limits.merge(incarnationKey, request.state);
     membership.noteRevision(request.membersRevision);
     const { membersRevision } = membership;
-    const belief = beliefs.get(incarnationKey);
-    const common = { given: 0, remaining: 0, nextMilliseconds: 0, belief, membersRevision };
-    if (belief?.kind !== 'limited') return { ...common, isHolder: true };
+    const state = limits.get(incarnationKey);
+    const common = { given: 0, remaining: 0, nextMilliseconds: 0, state, membersRevision };
+    if (state?.kind !== 'limited') return { ...common, isHolder: true };
     const role = this.#decideRole(incarnationKey, { ...ALL_REACHABLE, isOwnerUnreachable });
-    const part = toRatePart(role, belief.requestsPerSecond);
+    const part = toRatePart(role, state.requestsPerSecond);
     if (!part) return { ...common, isHolder: false };
     const grant = this.#getOrCreate(incarnationKey).tokens.give(instance, part, wanted);
     return { ...common, ...grant, isHolder: true };
@@ -140,7 +140,7 @@
 
   /** The limit may have ended while a token was requested. */
   #denyOrPass(incarnationKey: string): LimitDecision {
-    const limit = this.#parts.beliefs.getLimit(incarnationKey);
+    const limit = this.#parts.limits.getLimit(incarnationKey);
     return limit ? this.#deny(limit.requestsPerSecond) : { kind: 'unlimited' };
   }
 
@@ -178,12 +178,12 @@
     holder: string | undefined,
     isOwnerUnreachable: boolean,
   ): Promise<TokenReply | undefined> {
-    const { peers, membership, beliefs } = this.#parts;
-    const belief = beliefs.get(incarnationKey);
-    if (holder === undefined || !belief) return undefined;
+    const { peers, membership, limits } = this.#parts;
+    const state = limits.get(incarnationKey);
+    if (holder === undefined || !state) return undefined;
     return peers.takeTargetTokens(holder, {
       incarnationKey,
-      belief,
+      state,
       instance: membership.instance,
       wanted: Math.max(1, waitingRequests),
       membersRevision: membership.membersRevision,
@@ -194,9 +194,9 @@
   /** Applies the reply of a holder; returns whether there was one. */
   #applyReply(limited: LimitedTarget, reply: TokenReply | undefined): boolean {
     if (!reply) return false;
-    const { beliefs, membership } = this.#parts;
+    const { limits, membership } = this.#parts;
     membership.noteRevision(reply.membersRevision);
-    if (reply.belief) beliefs.merge(limited.incarnationKey, reply.belief);
+    if (reply.state) limits.merge(limited.incarnationKey, reply.state);
     limited.tokens.receive(reply.given);
     const mutable = limited;
     mutable.remaining = reply.remaining;
@@ -211,9 +211,9 @@
 
   /** Spends a token of the part that this instance hands out; returns whether there was one. */
   #spendOwn(limited: LimitedTarget, unreachable: Unreachable): boolean {
-    const { beliefs, membership } = this.#parts;
+    const { limits, membership } = this.#parts;
     const { incarnationKey } = limited;
-    const limit = beliefs.getLimit(incarnationKey);
+    const limit = limits.getLimit(incarnationKey);
     if (!limit) return false;
     const part = toRatePart(this.#decideRole(incarnationKey, unreachable), limit.requestsPerSecond);
     const mutable = limited;
--- a/packages/gateway/src/limits/limitPeers.ts
+++ b/packages/gateway/src/limits/limitPeers.ts
@@ -1,13 +1,13 @@
-import type { LimitBelief } from './limitBelief';
+import type { TargetLimitState } from './targetLimitState';
 
 /** What an instance knows about the limit of an incarnation. */
-export interface KeyedLimitBelief {
+export interface KeyedLimitState {
   readonly incarnationKey: string;
-  readonly belief: LimitBelief;
+  readonly state: TargetLimitState;
 }
 
 /** Request of an instance for tokens of a target's limit. */
-export interface TokenRequest extends KeyedLimitBelief {
+export interface TokenRequest extends KeyedLimitState {
   /** Name of the requesting instance. */
   readonly instance: string;
   readonly wanted: number;
@@ -24,7 +24,7 @@
   /** Time after which the requesting instance may get the next token. */
   readonly nextMilliseconds: number;
   /** What the holder knows about the limit; undefined if it knows nothing. */
-  readonly belief: LimitBelief | undefined;
+  readonly state: TargetLimitState | undefined;
   readonly membersRevision: number;
   /** Whether the responding instance hands out tokens of this limit. */
   readonly isHolder: boolean;
@@ -37,9 +37,9 @@
   /** Requests tokens from one instance; undefined if it doesn't respond in time. */
   takeTargetTokens(name: string, request: TokenRequest): Promise<TokenReply | undefined>;
   /** Notifies instances of limits; those that don't respond in time are skipped. */
-  announceLimits(names: readonly string[], limits: readonly KeyedLimitBelief[]): Promise<void>;
+  announceLimits(names: readonly string[], limits: readonly KeyedLimitState[]): Promise<void>;
   /** Returns the limits that an instance knows; undefined if it doesn't respond in time. */
-  listLimits(name: string): Promise<readonly KeyedLimitBelief[] | undefined>;
+  listLimits(name: string): Promise<readonly KeyedLimitState[] | undefined>;
 }
 
 /** Membership of the fleet, as far as it decides who hands out tokens. */
--- a/packages/gateway/src/limits/limitSharing.ts
+++ b/packages/gateway/src/limits/limitSharing.ts
@@ -1,9 +1,9 @@
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
-import type { LimitChange } from './limitBelief';
-import type { LimitBeliefs } from './limitBeliefs';
+import type { LimitChange } from './targetLimitState';
+import type { TargetLimits } from './targetLimits';
 import type { LimitGate } from './limitGate';
-import type { KeyedLimitBelief, LimitMembership, LimitPeers } from './limitPeers';
+import type { KeyedLimitState, LimitMembership, LimitPeers } from './limitPeers';
 
 /** Changes within this time are sent together. */
 const BATCH_DELAY_MILLISECONDS = 20;
@@ -19,7 +19,7 @@
 
 /** Dependencies of a {@link LimitSharing}. */
 export interface LimitSharingParts {
-  readonly beliefs: LimitBeliefs;
+  readonly limits: TargetLimits;
   readonly gate: LimitGate;
   readonly peers: LimitPeers;
   readonly membership: LimitMembership;
@@ -33,10 +33,10 @@
   readonly #parts: LimitSharingParts;
 
   /** Changed limits for the holders of each. */
-  #forHolders = new Map<string, KeyedLimitBelief>();
+  #forHolders = new Map<string, KeyedLimitState>();
 
   /** Changed limits for all instances. */
-  readonly #forAll = new Map<string, KeyedLimitBelief>();
+  readonly #forAll = new Map<string, KeyedLimitState>();
 
   readonly #announcedAt = new Map<string, number>();
 
@@ -44,7 +44,7 @@
 
   constructor(parts: LimitSharingParts) {
     this.#parts = parts;
-    parts.beliefs.onChange((change) => this.#schedule(change));
+    parts.limits.onChange((change) => this.#schedule(change));
   }
 
   get task(): ChildSpecification {
@@ -59,17 +59,15 @@
   }
 
   /** Merges limits that another instance announced. */
-  receive(limits: readonly KeyedLimitBelief[]): void {
-    limits.forEach(({ incarnationKey, belief }) =>
-      this.#parts.beliefs.merge(incarnationKey, belief),
-    );
+  receive(limits: readonly KeyedLimitState[]): void {
+    limits.forEach(({ incarnationKey, state }) => this.#parts.limits.merge(incarnationKey, state));
   }
 
   /** Returns the limits that this instance knows. */
-  list(): readonly KeyedLimitBelief[] {
-    return [...this.#parts.beliefs.limited].map(([incarnationKey, belief]) => ({
+  list(): readonly KeyedLimitState[] {
+    return [...this.#parts.limits.limited].map(([incarnationKey, state]) => ({
       incarnationKey,
-      belief,
+      state,
     }));
   }
 
@@ -81,12 +79,12 @@
   }
 
   #schedule(change: LimitChange): void {
-    const { incarnationKey, belief } = change;
-    const isNews = change.isFirst || belief.kind === 'ended';
+    const { incarnationKey, state } = change;
+    const isExistenceChanged = change.isFirst || state.kind === 'ended';
     if (this.#announcesToAll(incarnationKey)) {
-      if (isNews) this.#forAll.set(incarnationKey, { incarnationKey, belief });
+      if (isExistenceChanged) this.#forAll.set(incarnationKey, { incarnationKey, state });
     } else if (change.source === 'response') {
-      this.#forHolders.set(incarnationKey, { incarnationKey, belief });
+      this.#forHolders.set(incarnationKey, { incarnationKey, state });
     }
     this.#startTimer(BATCH_DELAY_MILLISECONDS);
   }
@@ -112,7 +110,7 @@
     const { peers, gate, membership } = this.#parts;
     const forHolders = [...this.#forHolders.values()];
     this.#forHolders = new Map();
-    const byHolder = new Map<string, KeyedLimitBelief[]>();
+    const byHolder = new Map<string, KeyedLimitState[]>();
     forHolders.forEach((limit) => {
       const { owner, deputy } = gate.getHolders(limit.incarnationKey);
       [owner, deputy].forEach((name) => {
@@ -129,7 +127,7 @@
   }
 
   /** Takes the announcements whose limit was not announced within the interval. */
-  #takeDueAnnouncements(): readonly KeyedLimitBelief[] {
+  #takeDueAnnouncements(): readonly KeyedLimitState[] {
     const now = performance.now();
     const due = [...this.#forAll.values()].filter(({ incarnationKey }) => {
       const announcedAt = this.#announcedAt.get(incarnationKey) ?? -Infinity;
--- a/packages/gateway/src/limits/limitedService.ts
+++ b/packages/gateway/src/limits/limitedService.ts
@@ -179,7 +179,7 @@
   #advance(): void {
     const isAnyReady = this.#targets.some((target) => this.hasRoom(target));
     if (isAnyReady) this.#queue.takeFirst()?.finish('turn');
-    this.#queue.refuseHopeless(this.throughput).forEach(({ finish }) => finish('refused'));
+    this.#queue.refuseBeyondDeadline(this.throughput).forEach(({ finish }) => finish('refused'));
     this.#schedule();
   }
 }
--- a/packages/gateway/src/limits/limitBelief.ts
+++ b/packages/gateway/src/limits/targetLimitState.ts
@@ -1,5 +1,5 @@
 /** What an instance knows about the limit of one incarnation of a target. */
-export type LimitBelief =
+export type TargetLimitState =
   | {
       readonly kind: 'limited';
       readonly requestsPerSecond: number;
@@ -11,14 +11,14 @@
   /** A response no longer named a limit. */
   | { readonly kind: 'ended'; readonly observedAtMilliseconds: number };
 
-/** Where an instance learned a belief from. */
+/** Where an instance learned a state from. */
 export type LimitSource = 'response' | 'peer';
 
 /** A change of what an instance knows about the limit of a target. */
 export interface LimitChange {
   /** Incarnation of the target. */
   readonly incarnationKey: string;
-  readonly belief: LimitBelief;
+  readonly state: TargetLimitState;
   readonly source: LimitSource;
   readonly isFirst: boolean;
 }
--- a/packages/gateway/src/limits/limitBeliefs.ts
+++ b/packages/gateway/src/limits/targetLimits.ts
@@ -2,7 +2,7 @@
 import type { NamedLimit } from '../calls/wireCodec';
 import type { FleetTarget } from '../targets/fleetTarget';
 import { getIncarnationKey } from '../targets/getIncarnationKey';
-import type { LimitBelief, LimitChange, LimitSource } from './limitBelief';
+import type { TargetLimitState, LimitChange, LimitSource } from './targetLimitState';
 
 /** Changed values of one target are logged at most this often. */
 const CHANGE_LOG_INTERVAL_MILLISECONDS = 1_000;
@@ -19,23 +19,23 @@
   readonly sentAtMilliseconds: number;
 }
 
-/** Dependencies of {@link LimitBeliefs}. */
-export interface LimitBeliefsParts {
+/** Dependencies of {@link TargetLimits}. */
+export interface TargetLimitsParts {
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
-type Limited = Extract<LimitBelief, { kind: 'limited' }>;
+type Limited = Extract<TargetLimitState, { kind: 'limited' }>;
 
 /**
  * Limits that targets name in their responses, by incarnation: a restarted target has none until it
  * names one. Responses on different connections may overtake each other, so one to a request that
  * was sent before the limit was learned can lower the limit, but not raise or end it.
  */
-export class LimitBeliefs {
-  readonly #parts: LimitBeliefsParts;
+export class TargetLimits {
+  readonly #parts: TargetLimitsParts;
 
-  readonly #beliefs = new Map<string, LimitBelief>();
+  readonly #states = new Map<string, TargetLimitState>();
 
   #limitedCount = 0;
 
@@ -45,7 +45,7 @@
 
   #listener: (change: LimitChange) => void = () => undefined;
 
-  constructor(parts: LimitBeliefsParts) {
+  constructor(parts: TargetLimitsParts) {
     this.#parts = parts;
   }
 
@@ -55,14 +55,14 @@
   }
 
   /** Returns what is known about the limit of an incarnation; undefined if nothing is. */
-  get(incarnationKey: string): LimitBelief | undefined {
-    return this.#beliefs.get(incarnationKey);
+  get(incarnationKey: string): TargetLimitState | undefined {
+    return this.#states.get(incarnationKey);
   }
 
   /** Returns the limit in force for an incarnation; undefined if there is none. */
   getLimit(incarnationKey: string): Limited | undefined {
-    const belief = this.#beliefs.get(incarnationKey);
-    return belief?.kind === 'limited' ? belief : undefined;
+    const state = this.#states.get(incarnationKey);
+    return state?.kind === 'limited' ? state : undefined;
   }
 
   /** Whether any limit is in force. */
@@ -73,8 +73,8 @@
   /** Incarnations with a limit in force. */
   get limited(): ReadonlyMap<string, Limited> {
     return new Map(
-      [...this.#beliefs].flatMap(([key, belief]) =>
-        belief.kind === 'limited' ? [[key, belief] as const] : [],
+      [...this.#states].flatMap(([key, state]) =>
+        state.kind === 'limited' ? [[key, state] as const] : [],
       ),
     );
   }
@@ -97,15 +97,15 @@
   }
 
   /** Applies what another instance knows, unless this instance knows something newer. */
-  merge(incarnationKey: string, belief: LimitBelief): void {
-    const current = this.#beliefs.get(incarnationKey);
-    if (current && current.observedAtMilliseconds >= belief.observedAtMilliseconds) return;
-    this.#set(incarnationKey, belief, 'peer', undefined);
+  merge(incarnationKey: string, state: TargetLimitState): void {
+    const current = this.#states.get(incarnationKey);
+    if (current && current.observedAtMilliseconds >= state.observedAtMilliseconds) return;
+    this.#set(incarnationKey, state, 'peer', undefined);
   }
 
   /** Forgets incarnations that are no longer known. */
   retain(isKnown: (incarnationKey: string) => boolean): void {
-    [this.#beliefs, this.#malformedTexts, this.#changesLoggedAt].forEach((map) =>
+    [this.#states, this.#malformedTexts, this.#changesLoggedAt].forEach((map) =>
       [...map.keys()].filter((key) => !isKnown(key)).forEach((key) => map.delete(key)),
     );
     this.#limitedCount = this.limited.size;
@@ -116,9 +116,9 @@
     requestsPerSecond: number,
     { sentAtMilliseconds, request }: LimitObservation,
   ): void {
-    const current = this.#beliefs.get(incarnationKey);
+    const current = this.#states.get(incarnationKey);
     const now = performance.now();
-    const belief: LimitBelief = {
+    const state: TargetLimitState = {
       kind: 'limited',
       requestsPerSecond,
       observedAtMilliseconds: now,
@@ -126,7 +126,7 @@
     };
     const isRaise = current?.kind === 'limited' && requestsPerSecond > current.requestsPerSecond;
     if (isRaise && sentAtMilliseconds <= current.learnedAtMilliseconds) return;
-    this.#set(incarnationKey, belief, 'response', request);
+    this.#set(incarnationKey, state, 'response', request);
   }
 
   #observeNone(
@@ -135,37 +135,37 @@
   ): void {
     const current = this.getLimit(incarnationKey);
     if (!current || !isSigned || sentAtMilliseconds <= current.learnedAtMilliseconds) return;
-    const belief: LimitBelief = { kind: 'ended', observedAtMilliseconds: performance.now() };
-    this.#set(incarnationKey, belief, 'response', request);
+    const state: TargetLimitState = { kind: 'ended', observedAtMilliseconds: performance.now() };
+    this.#set(incarnationKey, state, 'response', request);
   }
 
   #set(
     incarnationKey: string,
-    belief: LimitBelief,
+    state: TargetLimitState,
     source: LimitSource,
     request: string | undefined,
   ): void {
-    const previous = this.#beliefs.get(incarnationKey);
+    const previous = this.#states.get(incarnationKey);
     const isUnchanged =
       previous?.kind === 'limited' &&
-      belief.kind === 'limited' &&
-      previous.requestsPerSecond === belief.requestsPerSecond;
+      state.kind === 'limited' &&
+      previous.requestsPerSecond === state.requestsPerSecond;
     if (isUnchanged) {
-      const { observedAtMilliseconds } = belief;
-      this.#beliefs.set(incarnationKey, { ...previous, observedAtMilliseconds });
+      const { observedAtMilliseconds } = state;
+      this.#states.set(incarnationKey, { ...previous, observedAtMilliseconds });
       return;
     }
-    this.#beliefs.set(incarnationKey, belief);
+    this.#states.set(incarnationKey, state);
     this.#limitedCount = this.limited.size;
-    if (belief.kind === 'ended' && previous?.kind !== 'limited') return;
+    if (state.kind === 'ended' && previous?.kind !== 'limited') return;
     const isFirst = previous?.kind !== 'limited';
-    this.#logChange(incarnationKey, belief, { source, request, previous });
-    this.#listener({ incarnationKey, belief, source, isFirst });
+    this.#logChange(incarnationKey, state, { source, request, previous });
+    this.#listener({ incarnationKey, state, source, isFirst });
   }
 
   #logChange(
     incarnationKey: string,
-    belief: LimitBelief,
+    state: TargetLimitState,
     {
       source,
       request,
@@ -173,7 +173,7 @@
     }: {
       readonly source: LimitSource;
       readonly request: string | undefined;
-      readonly previous: LimitBelief | undefined;
+      readonly previous: TargetLimitState | undefined;
     },
   ): void {
     const { logger, metrics } = this.#parts;
@@ -184,9 +184,9 @@
       previousPerSecond: wasLimited ? previous.requestsPerSecond : undefined,
       source,
       request,
-      ageMilliseconds: Math.round(now - belief.observedAtMilliseconds),
+      ageMilliseconds: Math.round(now - state.observedAtMilliseconds),
     };
-    if (belief.kind === 'ended') {
+    if (state.kind === 'ended') {
       metrics.increment('limits.changes', 1, { change: 'ended' });
       logger.info('limits.ended', common);
       return;
@@ -197,7 +197,7 @@
     if (wasLimited) this.#changesLoggedAt.set(incarnationKey, now);
     logger.info(wasLimited ? 'limits.changed' : 'limits.learned', {
       ...common,
-      perSecond: belief.requestsPerSecond,
+      perSecond: state.requestsPerSecond,
     });
   }
 
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -60,14 +60,14 @@
   },
   takeTargetTokens: async ({ limit, membersRevision, ...request }) => {
     if (!limit) throw new ConnectError('the limit is missing', Code.InvalidArgument);
-    const { incarnationKey, belief } = fromLimitMessage(limit);
+    const { incarnationKey, state } = fromLimitMessage(limit);
     const reply = limitGate.handleTokenRequest({
       ...request,
       incarnationKey,
-      belief,
+      state,
       membersRevision: Number(membersRevision),
     });
-    const known = reply.belief && toLimitMessage({ incarnationKey, belief: reply.belief });
+    const known = reply.state && toLimitMessage({ incarnationKey, state: reply.state });
     return {
       given: reply.given,
       remaining: reply.remaining,
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -15,7 +15,7 @@
 } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { chooseCountingInstances } from '../quarantine/chooseCountingInstances';
-import type { KeyedLimitBelief, LimitPeers, TokenReply, TokenRequest } from '../limits/limitPeers';
+import type { KeyedLimitState, LimitPeers, TokenReply, TokenRequest } from '../limits/limitPeers';
 import type { QuarantinePeers } from '../quarantine/quarantinePeers';
 import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
@@ -244,14 +244,14 @@
       remaining,
       nextMilliseconds,
       isHolder,
-      belief: limit && fromLimitMessage(limit).belief,
+      state: limit && fromLimitMessage(limit).state,
       membersRevision: Number(membersRevision),
     };
   }
 
   async announceLimits(
     names: readonly string[],
-    limits: readonly KeyedLimitBelief[],
+    limits: readonly KeyedLimitState[],
   ): Promise<void> {
     const remaining = [...names];
     while (remaining.length > 0) {
@@ -259,7 +259,7 @@
     }
   }
 
-  async listLimits(name: string): Promise<readonly KeyedLimitBelief[] | undefined> {
+  async listLimits(name: string): Promise<readonly KeyedLimitState[] | undefined> {
     const reply = await this.#call(name, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
       client.listLimits({}, options),
     );
@@ -282,7 +282,7 @@
 
   #announceLimitsTo(
     names: readonly string[],
-    limits: readonly KeyedLimitBelief[],
+    limits: readonly KeyedLimitState[],
   ): Promise<readonly Reply<AnnounceLimitsResponse>[]> {
     const message = { limits: limits.map(toLimitMessage) };
     return this.#callEach(names, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
--- a/packages/gateway/src/peers/limitMessage.ts
+++ b/packages/gateway/src/peers/limitMessage.ts
@@ -1,5 +1,5 @@
 import type { TargetLimit } from '@limpetnotch/peer-protocol';
-import type { KeyedLimitBelief } from '../limits/limitPeers';
+import type { KeyedLimitState } from '../limits/limitPeers';
 
 /** Message fields of a limit; instances share no clock, so its age is sent instead of its time. */
 export interface LimitMessage {
@@ -9,22 +9,22 @@
 }
 
 /** Returns the message for a limit that this instance knows. */
-export const toLimitMessage = ({ incarnationKey, belief }: KeyedLimitBelief): LimitMessage => ({
+export const toLimitMessage = ({ incarnationKey, state }: KeyedLimitState): LimitMessage => ({
   incarnation: incarnationKey,
-  ...(belief.kind === 'limited' && { requestsPerSecond: belief.requestsPerSecond }),
-  ageMilliseconds: Math.max(0, Math.round(performance.now() - belief.observedAtMilliseconds)),
+  ...(state.kind === 'limited' && { requestsPerSecond: state.requestsPerSecond }),
+  ageMilliseconds: Math.max(0, Math.round(performance.now() - state.observedAtMilliseconds)),
 });
 
 /** Returns the limit that another instance knows. */
-export const fromLimitMessage = (message: TargetLimit): KeyedLimitBelief => {
+export const fromLimitMessage = (message: TargetLimit): KeyedLimitState => {
   const { incarnation: incarnationKey, requestsPerSecond, ageMilliseconds } = message;
   const now = performance.now();
   const observedAtMilliseconds = now - ageMilliseconds;
   return requestsPerSecond === undefined
-    ? { incarnationKey, belief: { kind: 'ended', observedAtMilliseconds } }
+    ? { incarnationKey, state: { kind: 'ended', observedAtMilliseconds } }
     : {
         incarnationKey,
-        belief: {
+        state: {
           kind: 'limited',
           requestsPerSecond,
           observedAtMilliseconds,
--- a/packages/gateway/tests/limits/limitFleet.ts
+++ b/packages/gateway/tests/limits/limitFleet.ts
@@ -1,7 +1,7 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { SeededRandom } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
-import { LimitBeliefs } from '../../src/limits/limitBeliefs';
+import { TargetLimits } from '../../src/limits/targetLimits';
 import { LimitGate } from '../../src/limits/limitGate';
 import type { LimitMembership, LimitPeers } from '../../src/limits/limitPeers';
 import { LimitSharing } from '../../src/limits/limitSharing';
@@ -15,7 +15,7 @@
 
 export interface LimitInstance {
   readonly name: string;
-  readonly beliefs: LimitBeliefs;
+  readonly limits: TargetLimits;
   readonly gate: LimitGate;
   readonly sharing: LimitSharing;
   readonly lists: MemberLists;
@@ -73,9 +73,9 @@
     this.instances.get(name)?.end.abort();
     const lists = new MemberLists();
     const parts = { logger: silentLogger, metrics: new MemoryMetrics() };
-    const beliefs = new LimitBeliefs(parts);
+    const limits = new TargetLimits(parts);
     const common = {
-      beliefs,
+      limits,
       peers: this.#peersOf(name),
       membership: this.#membershipOf(name, lists),
     };
@@ -83,7 +83,7 @@
     const sharing = new LimitSharing({ ...common, gate });
     const end = new AbortController();
     void sharing.task.run({ signal: end.signal, ready: () => undefined });
-    this.instances.set(name, { name, beliefs, gate, sharing, lists, end });
+    this.instances.set(name, { name, limits, gate, sharing, lists, end });
     this.#record(name);
   }
 
@@ -126,7 +126,7 @@
     counting.arrivals.push(sentAtMilliseconds);
     const { requestsPerSecond } = counting;
     await delay(this.#random.integer(5, 60));
-    instance.beliefs.observe({
+    instance.limits.observe({
       target: counting.target,
       namedLimit:
         requestsPerSecond === undefined ? { kind: 'none' } : { kind: 'limited', requestsPerSecond },
--- a/packages/gateway/tests/limits/limitGate.test.ts
+++ b/packages/gateway/tests/limits/limitGate.test.ts
@@ -112,7 +112,7 @@
     })(),
   );
   const key = getIncarnationKey(counting.target);
-  const known = [...fleet.instances.values()].map(({ beliefs }) => beliefs.getLimit(key));
+  const known = [...fleet.instances.values()].map(({ limits }) => limits.getLimit(key));
   fleet.stop();
   expect(known.map((limit) => limit?.requestsPerSecond)).toEqual([2, 2, 2, 2]);
 });
--- a/packages/gateway/tests/limits/limitBeliefs.test.ts
+++ b/packages/gateway/tests/limits/targetLimits.test.ts
@@ -1,7 +1,7 @@
 import type { LogFields, Logger } from '@limpetnotch/observability';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { NamedLimit } from '../../src/calls/wireCodec';
-import { LimitBeliefs } from '../../src/limits/limitBeliefs';
+import { TargetLimits } from '../../src/limits/targetLimits';
 import { getIncarnationKey } from '../../src/targets/getIncarnationKey';
 import { fleetTarget } from '../support/fleetTarget';
 
@@ -12,12 +12,12 @@
 const record: Logger['info'] = (message, fields) => logLines.push([message, fields]);
 const logger: Logger = { ...silentLogger, info: record, warn: record };
 
-let beliefs = new LimitBeliefs({ logger, metrics: new MemoryMetrics() });
+let limits = new TargetLimits({ logger, metrics: new MemoryMetrics() });
 
 beforeEach(() => {
   jest.useFakeTimers();
   logLines.length = 0;
-  beliefs = new LimitBeliefs({ logger, metrics: new MemoryMetrics() });
+  limits = new TargetLimits({ logger, metrics: new MemoryMetrics() });
 });
 
 afterEach(() => {
@@ -28,7 +28,7 @@
 
 const observe = (namedLimit: NamedLimit, change: { sentAt?: number; isSigned?: boolean } = {}) => {
   jest.advanceTimersByTime(100);
-  beliefs.observe({
+  limits.observe({
     target,
     namedLimit,
     isSigned: change.isSigned ?? true,
@@ -37,7 +37,7 @@
   });
 };
 
-const getPerSecond = (): number | undefined => beliefs.getLimit(key)?.requestsPerSecond;
+const getPerSecond = (): number | undefined => limits.getLimit(key)?.requestsPerSecond;
 
 test('a limit is learned, changed and ended with a log line each', () => {
   observe(limited(8));
@@ -79,17 +79,17 @@
 
 test('a restarted target has no limit', () => {
   observe(limited(8));
-  expect(beliefs.getLimit(getIncarnationKey({ ...target, bornMilliseconds: 2 }))).toBeUndefined();
-  beliefs.retain(() => false);
+  expect(limits.getLimit(getIncarnationKey({ ...target, bornMilliseconds: 2 }))).toBeUndefined();
+  limits.retain(() => false);
   expect(getPerSecond()).toBeUndefined();
 });
 
 test('what a peer knows applies if it is newer', () => {
   observe(limited(8));
   const at = performance.now();
-  beliefs.merge(key, { kind: 'ended', observedAtMilliseconds: at - 5 });
+  limits.merge(key, { kind: 'ended', observedAtMilliseconds: at - 5 });
   expect(getPerSecond()).toBe(8);
-  beliefs.merge(key, { kind: 'ended', observedAtMilliseconds: at + 5 });
+  limits.merge(key, { kind: 'ended', observedAtMilliseconds: at + 5 });
   expect(getPerSecond()).toBeUndefined();
 });
 
--- a/packages/gateway/tests/support/singleInstanceLimits.ts
+++ b/packages/gateway/tests/support/singleInstanceLimits.ts
@@ -1,7 +1,7 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { CallRunnerParts } from '../../src/calls/callRunner';
 import type { TargetLoads } from '../../src/targets/targetLoads';
-import { LimitBeliefs } from '../../src/limits/limitBeliefs';
+import { TargetLimits } from '../../src/limits/targetLimits';
 import { LimitedDispatch } from '../../src/limits/limitedDispatch';
 import { LimitGate } from '../../src/limits/limitGate';
 
@@ -11,9 +11,9 @@
   readonly metrics: Metrics;
   readonly loads: TargetLoads;
 }): Pick<CallRunnerParts, 'limits' | 'limitedDispatch'> => {
-  const limits = new LimitBeliefs(parts);
+  const limits = new TargetLimits(parts);
   const limitGate = new LimitGate({
-    beliefs: limits,
+    limits,
     peers: {
       names: [],
       takeTargetTokens: async () => undefined,
--- a/packages/integration/src/signal-soak/checkCrashingRequest.ts
+++ b/packages/integration/src/signal-soak/checkCrashingRequest.ts
@@ -3,21 +3,9 @@
 import type { RepeatingCaller } from '../crashing-request/repeatingCaller';
 import type { SoakInstance } from './soakInstance';
 import type { Violation } from './violation';
+import { wasDisturbed } from './wasDisturbed';
 
 const MAXIMUM_LATE_RUNS = 3;
-/** The platform's stable window. */
-const STABLE_WINDOW_MILLISECONDS = 3_000;
-
-/** Whether an instance was started or signalled shortly before a moment, or was ever paused. */
-const wasDisturbed = ({ lifetimes }: SoakInstance, moment: number): boolean => {
-  const isRecent = (at: number): boolean =>
-    at <= moment && at > moment - STABLE_WINDOW_MILLISECONDS;
-  return lifetimes.some(
-    ({ spawnedAt, signals, wasPaused }) =>
-      wasPaused || isRecent(spawnedAt) || signals.some(({ at }) => isRecent(at)),
-  );
-};
-
 /** Checks that a request which crashes its targets was rejected in time. */
 export const checkCrashingRequest = (
   caller: RepeatingCaller,
@@ -30,7 +18,8 @@
   );
   const lateRuns = findLateRuns(ownRuns).filter(({ requestId, startedAt }) => {
     const instance = instances[instanceByRequest.get(requestId) ?? -1];
-    return instance !== undefined && !wasDisturbed(instance, startedAt);
+    const isDisturbed = instance?.lifetimes.some((one) => wasDisturbed(one, startedAt));
+    return isDisturbed === false;
   });
   if (lateRuns.length <= MAXIMUM_LATE_RUNS) return [];
   const text = `a request that had crashed three targets ran ${lateRuns.length} times more`;
--- a/packages/integration/src/signal-soak/checkTargetLimit.ts
+++ b/packages/integration/src/signal-soak/checkTargetLimit.ts
@@ -2,16 +2,7 @@
 import { findLimitExcess } from '../capped-target/findLimitExcess';
 import type { Lifetime } from './lifetime';
 import type { Violation } from './violation';
-
-/** The platform's stable window. */
-const STABLE_WINDOW_MILLISECONDS = 3_000;
-
-/** Whether a process was started or signalled shortly before a moment, or was ever paused. */
-const wasDisturbed = ({ spawnedAt, signals, wasPaused }: Lifetime, moment: number): boolean => {
-  const isRecent = (at: number): boolean =>
-    at <= moment && at > moment - STABLE_WINDOW_MILLISECONDS;
-  return wasPaused || isRecent(spawnedAt) || signals.some(({ at }) => isRecent(at));
-};
+import { wasDisturbed } from './wasDisturbed';
 
 /** Checks that undisturbed instances kept the limits that an incarnation of a target named. */
 export const checkTargetLimit = (
--- a/packages/scheduling/src/carried/limitedQueue.ts
+++ b/packages/scheduling/src/carried/limitedQueue.ts
@@ -73,11 +73,11 @@
       request,
       ...this.#requests.slice(position),
     ];
-    return this.refuseHopeless(throughput);
+    return this.refuseBeyondDeadline(throughput);
   }
 
   /** Removes the requests that can't be sent in time, and returns them. */
-  refuseHopeless(throughput: LimitedThroughput): readonly Request[] {
+  refuseBeyondDeadline(throughput: LimitedThroughput): readonly Request[] {
     const kept: Request[] = [];
     const refused: Request[] = [];
     this.#requests.forEach((request) => {
