--- a/packages/gateway/src/limits/decideLimitRole.ts
+++ b/packages/gateway/src/limits/decideLimitRole.ts
@@ -1,4 +1,3 @@
-import type { RatePart } from '@limpetnotch/admission';
 import { chooseLimitHolders } from './chooseLimitHolders';
 
 /** What an instance may hand out of a target's limit. */
@@ -45,40 +44,3 @@
     ? { kind: 'isolated', members: members.length }
     : { kind: 'none' };
 };
-
-/** Span over which tokens are counted; the platform measures limits over the same span. */
-const WINDOW_SECONDS = 4;
-
-/** Requests that a target may get at once, as seconds of its limit. */
-const BURST_SECONDS = 0.5;
-
-/** Share of the limit while another instance may act as the owner. */
-const UNSETTLED_SHARE = 0.375;
-
-/** Share of the limit that is handed out without the owner. */
-const RESERVE_SHARE = 0.25;
-
-const toWholePart = (perSecond: number, burst: number): RatePart => ({
-  perSecond,
-  burst,
-  windowSeconds: WINDOW_SECONDS,
-  holders: 1,
-  rank: 0,
-});
-
-/** Returns the part of a limit that a role may hand out; undefined if it may hand out none. */
-export const toRatePart = (role: LimitRole, requestsPerSecond: number): RatePart | undefined => {
-  switch (role.kind) {
-    case 'owner':
-      // With at least one token in each window, the end of a very low limit is noticed.
-      return role.isSettled
-        ? toWholePart(requestsPerSecond, Math.max(1, requestsPerSecond * BURST_SECONDS))
-        : toWholePart(requestsPerSecond * UNSETTLED_SHARE, 1);
-    case 'deputy':
-      return toWholePart(requestsPerSecond * RESERVE_SHARE, 0);
-    case 'isolated':
-      return toWholePart((requestsPerSecond * RESERVE_SHARE) / role.members, 0);
-    case 'none':
-      return undefined;
-  }
-};
--- a/packages/gateway/src/limits/limitGate.ts
+++ b/packages/gateway/src/limits/limitGate.ts
@@ -2,11 +2,12 @@
 import { getIncarnationKey } from '../targets/getIncarnationKey';
 import { chooseLimitHolders } from './chooseLimitHolders';
 import type { LimitHolders } from './chooseLimitHolders';
-import { decideLimitRole, toRatePart } from './decideLimitRole';
+import { decideLimitRole } from './decideLimitRole';
 import type { LimitRole, LimitRoleSituation } from './decideLimitRole';
 import type { TargetLimits } from './targetLimits';
 import type { LimitMembership, LimitPeers, TokenReply, TokenRequest } from './limitPeers';
 import { LimitTokens } from './limitTokens';
+import { toRatePart } from './toRatePart';
 
 /** Time after which a limit is asked for again if the holders are unknown or disagree. */
 const UNCERTAIN_RETRY_MILLISECONDS = 250;
--- a/packages/gateway/src/limits/memberLists.ts
+++ b/packages/gateway/src/limits/memberLists.ts
@@ -1,8 +1,8 @@
 /**
  * Time for which an earlier list of members may still be in use at another instance: one that can't
- * reach the store stops relying on its list after `CONFIRMATION_MILLISECONDS`.
+ * reach the store stops relying on its list half a second earlier.
  */
-export const SETTLE_MILLISECONDS = 4_000;
+const SETTLE_MILLISECONDS = 4_000;
 
 interface MemberList {
   readonly members: readonly string[];
@@ -17,7 +17,7 @@
     return this.#lists.at(-1)?.members ?? [];
   }
 
-  /** Lists that were in force at any time within {@link SETTLE_MILLISECONDS}. */
+  /** Lists that were in force at any time within the settle time. */
   get recent(): readonly (readonly string[])[] {
     this.#prune();
     return this.#lists.map(({ members }) => members);
