Log how answers are framed and what error ended their connection

The logs of the incident don't tell whether a connection that ended an answer without length and chunks was reset or closed in order. `call.served` and `call.attempt-ended` now have `framing` and `connectionFailure`, and `call.responses-until-close` counts them. No logic changes.

On a local socket a reset that arrives together with data is reported as an orderly end by the runtime, while the socket no longer has a peer.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -102,6 +102,8 @@
       }
       const announced = this.#parts.fleet.targets.withAnnouncedState(target);
       call.history.record(announced, outcome, exchange.wasSent);
+      call.responseFraming = exchange.framing;
+      call.connectionFailureCode = exchange.connectionFailureCode;
       return outcome;
     } finally {
       stopWatching();
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -8,6 +8,7 @@
 import type { CallerStream } from './callerStream';
 import type { StreamEvent } from './eventStreamReader';
 import { requestDigest } from '../quarantine/requestDigest';
+import type { ResponseFraming } from '../targets/responseFraming';
 import { DispatchHistory } from './dispatchHistory';
 
 /** Limit of a target under which a call was dispatched. */
@@ -79,6 +80,12 @@
   /** Limit of the target of the last dispatch; undefined if it named none. */
   limit: DispatchLimit | undefined;
 
+  /** How the last response of a target was framed; undefined if there was none. */
+  responseFraming: ResponseFraming | undefined;
+
+  /** Error that ended the connection of the last dispatch; undefined if there was none. */
+  connectionFailureCode: string | undefined;
+
   /** Why the last target was chosen. */
   placement = '';
 
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -198,6 +198,8 @@
       result: result.kind,
       status: 'status' in result ? result.status : undefined,
       target: call.history.lastTargetId,
+      framing: call.responseFraming,
+      connectionFailure: call.connectionFailureCode,
       placement: call.placement,
       limitPerSecond: call.limit?.requestsPerSecond,
       limitRemaining: call.limit?.remaining,
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -208,6 +208,13 @@
     if (possiblyActiveTargetCount > Math.max(possiblyActiveBefore, call.route.maximumTargets)) {
       this.#parts.metrics.increment('call.target-bound-exceeded');
     }
+    if (call.responseFraming === 'until-close') {
+      const ending = call.connectionFailureCode === undefined ? 'closed' : 'failed';
+      this.#parts.metrics.increment('call.responses-until-close', 1, {
+        connection: ending,
+        outcome: outcome.kind,
+      });
+    }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     this.#parts.limitedDispatch.recordEnd(call);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
@@ -222,6 +229,8 @@
         outcome: outcome.kind,
         detail: 'detail' in outcome ? outcome.detail : undefined,
         events: call.eventCount,
+        framing: call.responseFraming,
+        connectionFailure: call.connectionFailureCode,
         ageMilliseconds: Math.round(call.ageMilliseconds),
         digest: call.digest,
         bornMilliseconds: target.bornMilliseconds,
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -4,6 +4,8 @@
 import type { Dispatcher } from 'undici';
 import type { ExchangeError } from './exchangeError';
 import { AnswerBrokenError } from './exchangeError';
+import type { ResponseFraming } from './responseFraming';
+import { responseFramingOf } from './responseFraming';
 
 /** Head of a response and its body, which can be read once. */
 export interface TargetResponse {
@@ -35,7 +37,10 @@
 
 /** The connection on which an exchange is sent, as far as the exchange uses it. */
 export interface ConnectionHandle {
-  readonly connection: { readonly bytesRead: number };
+  readonly connection: {
+    readonly bytesRead: number;
+    readonly failureCode: string | undefined;
+  };
   /** Called once when the exchange no longer needs the connection; tells whether it is reusable. */
   readonly onRelease: (isReusable: boolean) => void;
 }
@@ -67,6 +72,10 @@
 
   #sentAtMilliseconds: number | undefined;
 
+  #framing: ResponseFraming | undefined;
+
+  #connectionFailureCode: string | undefined;
+
   /** Whether the response is complete or has failed. */
   get hasEnded(): boolean {
     return this.#state === 'complete' || this.#state === 'failed';
@@ -87,6 +96,16 @@
     return this.#sentAtMilliseconds;
   }
 
+  /** How the end of the response's body is marked; undefined until its head has arrived. */
+  get framing(): ResponseFraming | undefined {
+    return this.#framing;
+  }
+
+  /** Code of the connection's error when the response ended; undefined if there was none. */
+  get connectionFailureCode(): string | undefined {
+    return this.#connectionFailureCode;
+  }
+
   /** Bytes received since the last parsed part of the response that do not form a part yet. */
   get unparsedBytes(): number {
     if (!this.wasSent) return 0;
@@ -135,6 +154,7 @@
       return;
     }
     this.#state = 'answering';
+    this.#framing = responseFramingOf(headers);
     this.#recordPart();
     this.#head.resolve(ok({ status, rawHeaders: rawHeadersOf(headers), body: this.#read() }));
   }
@@ -148,6 +168,7 @@
   }
 
   onResponseEnd(): void {
+    this.#recordConnectionFailure();
     this.#connectionHandle?.onRelease(true);
     if (this.#state === 'failed') return;
     this.#state = 'complete';
@@ -155,6 +176,7 @@
   }
 
   onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
+    this.#recordConnectionFailure();
     this.#connectionHandle?.onRelease(false);
     const detail = `${codeOf(error)} ${error.message}`;
     this.#fail(
@@ -168,6 +190,11 @@
     return this.#connectionHandle?.connection.bytesRead ?? 0;
   }
 
+  /** Called when the response ends: afterwards the client may destroy the connection itself. */
+  #recordConnectionFailure(): void {
+    this.#connectionFailureCode ??= this.#connectionHandle?.connection.failureCode;
+  }
+
   #recordPart(): void {
     this.#bytesReadAtLastPart = this.#bytesReadOnConnection;
   }
--- a/packages/gateway/src/targets/targetConnection.ts
+++ b/packages/gateway/src/targets/targetConnection.ts
@@ -6,19 +6,23 @@
 
 const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MILLISECONDS });
 
+const RESET_CODE = 'ECONNRESET';
+
 /** A connection to a target for one request at a time, opened on demand. */
 export class TargetConnection {
   readonly #client: Client;
 
   #socket: Socket | undefined;
 
+  #failureCode: string | undefined;
+
   constructor(address: string) {
     this.#client = new Client(`http://${address}`, {
       ...CLIENT_OPTIONS,
       connect: (options, callback) =>
         connect(options, (...opened) => {
           const [, socket] = opened;
-          if (socket) this.#socket = socket;
+          if (socket) this.#observe(socket);
           callback(...opened);
         }),
     });
@@ -29,6 +33,11 @@
     return this.#socket?.bytesRead ?? 0;
   }
 
+  /** Code of the error of the connection, of the client too; undefined if there was none. */
+  get failureCode(): string | undefined {
+    return this.#failureCode;
+  }
+
   /** Sends a request; calls `onRelease` when the request no longer needs the connection. */
   send(
     request: TargetRequest,
@@ -48,4 +57,19 @@
   async destroy(): Promise<void> {
     await this.#client.destroy();
   }
+
+  /** Listens before the client does, so that an error is known when the client ends a response. */
+  #observe(socket: Socket): void {
+    this.#socket = socket;
+    this.#failureCode = undefined;
+    const record = (code: string): void => {
+      if (this.#socket === socket) this.#failureCode ??= code;
+    };
+    socket.once('error', (error: NodeJS.ErrnoException) => record(error.code ?? error.name));
+    // The runtime reports a reset that arrives together with data as an orderly end. Only a socket
+    // that was closed in order still has a peer then.
+    socket.once('end', () => {
+      if (socket.remoteAddress === undefined) record(RESET_CODE);
+    });
+  }
 }
