Treat an answer without a length as broken when its connection was reset

Cause: an answer with neither length nor chunks ends with its connection, and the HTTP client takes a reset for that end. So does the runtime when a reset arrives together with the last bytes: it reports an orderly end, and no error at all. The class is an end that is inferred from silence instead of being stated by the sender.

Change: the connection observes its socket before the client does; an error, or an end after which the socket has no peer, breaks an answer without framing. A stream without framing is complete only after an event with data, as neither its missing events nor a keep-alive comment say that it is over. Streams that may be resumed and requests that may be repeated go on at another target; all others end with 502 or an incomplete stream.

The 14 cases of resetWithoutLength failed before and pass, also those with HTTP/1.0 and a resumption; in one of them the stand-in began its stream anew when it was resumed, which was an error of the test.

--- a/packages/gateway/src/calls/eventStreamReader.ts
+++ b/packages/gateway/src/calls/eventStreamReader.ts
@@ -41,6 +41,13 @@
   /** Last pending bytes. */
   #tail: Buffer = Buffer.alloc(0);
 
+  #endsWithData = false;
+
+  /** Whether the last complete event has data; a comment may be followed by further events. */
+  get endsWithData(): boolean {
+    return this.#endsWithData;
+  }
+
   /** Bytes of the event that is not complete yet. */
   get pendingBytes(): number {
     return this.#pendingBytes;
@@ -65,6 +72,7 @@
       events.push(parseEvent(bytes.subarray(start, end)));
       start = end;
     }
+    this.#endsWithData = events.at(-1)?.hasData ?? false;
     this.#appendPending(bytes.subarray(start));
     return events;
   }
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -68,6 +68,9 @@
       if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#waitForCaller();
     }
     if (reader.isInsideEvent) throw toBrokenError('stream ended within an event');
+    if (targetResponse.framing === 'until-close' && !reader.endsWithData) {
+      throw toBrokenError('stream without a length ended without an event');
+    }
     stream.end(head);
     return { kind: 'delivered', status: head.status };
   }
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -12,6 +12,7 @@
   readonly status: number;
   /** Alternating names and values. */
   readonly rawHeaders: readonly string[];
+  readonly framing: ResponseFraming;
   /** Throws an {@link AnswerBrokenError} if the response ends early. */
   readonly body: AsyncIterable<Buffer>;
 }
@@ -154,9 +155,11 @@
       return;
     }
     this.#state = 'answering';
-    this.#framing = responseFramingOf(headers);
+    const framing = responseFramingOf(headers);
+    this.#framing = framing;
     this.#recordPart();
-    this.#head.resolve(ok({ status, rawHeaders: rawHeadersOf(headers), body: this.#read() }));
+    const rawHeaders = rawHeadersOf(headers);
+    this.#head.resolve(ok({ status, rawHeaders, framing, body: this.#read() }));
   }
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -169,7 +172,11 @@
 
   onResponseEnd(): void {
     this.#recordConnectionFailure();
-    this.#connectionHandle?.onRelease(true);
+    const code = this.#connectionFailureCode;
+    // The client takes any end of the connection for the end of such a response.
+    const isCutOff = this.#framing === 'until-close' && code !== undefined;
+    if (isCutOff) this.#fail({ kind: 'broken', detail: `${code} before the end of the response` });
+    this.#connectionHandle?.onRelease(!isCutOff);
     if (this.#state === 'failed') return;
     this.#state = 'complete';
     this.#wakeReader?.();
--- a/packages/gateway/tests/calls/resetWithoutLength.test.ts
+++ b/packages/gateway/tests/calls/resetWithoutLength.test.ts
@@ -33,9 +33,10 @@
 const respondUntilClose =
   (body: string, ending: Ending, version = '1.1'): RequestListener =>
   ({ socket, headers }) => {
+    const rest = headers['x-after'] === '1' ? body.replace(EVENT, '') : body;
     const head = `HTTP/${version} 200 OK\r\nx-id: ${String(headers['x-id'])}\r\nx-signed: 1\r\n\r\n`;
     socket.write(head);
-    setTimeout(() => ENDINGS[ending](socket, body), 20);
+    setTimeout(() => ENDINGS[ending](socket, rest), 20);
   };
 
 let harness = new CallHarness();
