Decode and log the version of a target and the attempt that a caller resumes

`call.served`, `call.attempt-ended`, `call.redispatched` and `targets.changed` now have `version`, `call.served` has `resumes`. The stand-in of a target has a version and names it in each event, so that the soak's check of events finds streams that are joined from two versions. No logic changes.

--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -77,6 +77,9 @@
   /** Target of the last dispatch. */
   target: string | undefined;
 
+  /** Software version of the target of the last dispatch; undefined if it announces none. */
+  version: string | undefined;
+
   /** Limit of the target of the last dispatch; undefined if it named none. */
   limit: DispatchLimit | undefined;
 
--- a/packages/gateway/src/calls/callEnvelope.ts
+++ b/packages/gateway/src/calls/callEnvelope.ts
@@ -35,6 +35,8 @@
   readonly prompt: PromptShape | undefined;
   /** Identifier of the last event of a stream that the caller has received. */
   readonly lastEventId: string | undefined;
+  /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
+  readonly resumedRequestId: string | undefined;
   /** Headers that are passed to a target unchanged, as alternating names and values. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -198,6 +198,8 @@
       result: result.kind,
       status: 'status' in result ? result.status : undefined,
       target: call.history.lastTargetId,
+      version: call.version,
+      resumes: call.envelope.resumedRequestId,
       framing: call.responseFraming,
       connectionFailure: call.connectionFailureCode,
       placement: call.placement,
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -135,6 +135,8 @@
       if (endedResult) return endedResult;
       if (last) this.#logRedispatch(call, last, dispatch, target);
       if (connection.kind === 'own') repeatCount += 1;
+      const dispatched = call;
+      dispatched.version = target.version;
       last = await this.#attempt(call, target, connection, repeatCount);
       const result = this.#toFinalResult(call, target, last);
       if (result) return result;
@@ -226,6 +228,7 @@
       this.#parts.logger.info('call.attempt-ended', {
         request: call.envelope.id,
         target: target.id,
+        version: target.version,
         outcome: outcome.kind,
         detail: 'detail' in outcome ? outcome.detail : undefined,
         events: call.eventCount,
@@ -261,7 +264,12 @@
   }
 
   #logRedispatch(call: Call, last: AttemptOutcome, dispatch: number, target: FleetTarget): void {
-    const fields = { ...toDispatchLogFields(call, last), dispatch, target: target.id };
+    const fields = {
+      ...toDispatchLogFields(call, last),
+      dispatch,
+      target: target.id,
+      version: target.version,
+    };
     this.#parts.logger.info('call.redispatched', fields);
   }
 
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -110,6 +110,7 @@
         logger.info('targets.changed', {
           target: codec.targetIdOf(entry.key),
           state: target?.state ?? 'unreadable',
+          version: target?.version,
           revision: entry.revision,
         });
         onTargetsChanged();
--- a/packages/gateway/src/targets/fleetTarget.ts
+++ b/packages/gateway/src/targets/fleetTarget.ts
@@ -15,6 +15,8 @@
    * target announces none.
    */
   bornMilliseconds: z.number().int().optional(),
+  /** Version of its software; undefined if the target announces none. */
+  version: z.string().min(1).optional(),
 });
 
 export type FleetTarget = z.infer<typeof fleetTargetSchema>;
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -134,8 +134,13 @@
   }
 
   /** Applies an announcement of a target. */
-  announce(id: string, address: string, state: 'serving' | 'leaving'): void {
-    const common = { service: 's', availabilityZone: 'a', slots: 4 };
+  announce(
+    id: string,
+    address: string,
+    state: 'serving' | 'leaving',
+    version: string | undefined = 'v1',
+  ): void {
+    const common = { service: 's', availabilityZone: 'a', slots: 4, version };
     this.fleet.targets.put({ ...common, id, address, state });
   }
 
--- a/packages/gateway/tests/support/fleetTarget.ts
+++ b/packages/gateway/tests/support/fleetTarget.ts
@@ -8,5 +8,6 @@
   availabilityZone: 'a',
   slots: 4,
   state: 'serving',
+  version: 'v1',
   ...change,
 });
--- a/packages/integration/src/signal-soak/checkExchange.ts
+++ b/packages/integration/src/signal-soak/checkExchange.ts
@@ -28,6 +28,9 @@
 /** With more lag than this the processors are overloaded, and measured times mean nothing. */
 const STARVATION_LAG_MILLISECONDS = 200;
 
+/** The version in the first event of a stream. */
+const VERSION_PATTERN = /^data: \S+ (\S+)/m;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 const isInterrupted = ({ end, endedAt }: TargetRun, before: number): boolean =>
@@ -101,7 +104,9 @@
   if (route.kind !== 'stream') return undefined;
   const isStream = outcome.kind !== 'answered' || isSuccess(outcome.status);
   if (!isStream) return undefined;
-  const completeText = eventText(request.id, 1, steps);
+  const version = VERSION_PATTERN.exec(outcome.body)?.[1] ?? '';
+  // Events of another version don't match the text of the version that began the stream.
+  const completeText = eventText(request.id, version, 1, steps);
   if (outcome.kind === 'answered') {
     return outcome.body === completeText
       ? undefined
--- a/packages/integration/src/signal-soak/soakTarget.ts
+++ b/packages/integration/src/signal-soak/soakTarget.ts
@@ -31,6 +31,9 @@
 
   #isAway = false;
 
+  /** Software version of the incarnations that start from now on. */
+  version = 'v1';
+
   constructor(options: SoakTargetOptions) {
     this.#options = options;
   }
@@ -41,7 +44,8 @@
     const onCrash = (): void => {
       void this.crash(CRASH_RESTART_MILLISECONDS, true);
     };
-    const options = { id, slots, isStreaming, port, record, onCrash };
+    const { version } = this;
+    const options = { id, slots, isStreaming, port, version, record, onCrash };
     const target = await PlatformTargetStandIn.start(options);
     this.#current = target;
     this.incarnations.set(id, target);
@@ -99,7 +103,7 @@
     this.#isAway = false;
   }
 
-  #announce({ id, port }: PlatformTargetStandIn, isLeaving: boolean): void {
-    this.#options.store.announceTarget({ ...this.#options, id, port, isLeaving });
+  #announce({ id, port, version }: PlatformTargetStandIn, isLeaving: boolean): void {
+    this.#options.store.announceTarget({ ...this.#options, id, port, version, isLeaving });
   }
 }
--- a/packages/integration/tests/signalSoakChecks.test.ts
+++ b/packages/integration/tests/signalSoakChecks.test.ts
@@ -20,6 +20,7 @@
 
 const run = (change: Partial<TargetRun> = {}): TargetRun => ({
   requestId: 'r1',
+  version: 'v1',
   targetId: 'target-1',
   startedAt: 1_010,
   firstEvent: 1,
@@ -80,7 +81,7 @@
 
 const cancelled = run({ end: { kind: 'cancelled' }, endedAt: 1_500 });
 const reset = run({ end: { kind: 'broken', cause: 'reset' } });
-const completeText = eventText('r1', 1, 3);
+const completeText = eventText('r1', 'v1', 1, 3);
 
 test.each<[string, readonly string[], SoakExchange]>([
   ['a complete response', [], exchange('safe', answered(200, SIGNATURE), [run()])],
@@ -131,12 +132,12 @@
   [
     'a missing event',
     ['events'],
-    exchange('stream', answered(200, SIGNATURE, eventText('r1', 2, 3)), [run()]),
+    exchange('stream', answered(200, SIGNATURE, eventText('r1', 'v1', 2, 3)), [run()]),
   ],
   [
     'a stream complete too early',
     ['events'],
-    exchange('stream', answered(200, SIGNATURE, eventText('r1', 1, 2)), [run()]),
+    exchange('stream', answered(200, SIGNATURE, eventText('r1', 'v1', 1, 2)), [run()]),
   ],
   ['no signature', ['answer'], exchange('safe', answered(200), [run()])],
   ['another body', ['answer'], exchange('safe', answered(200, SIGNATURE, 'x'), [run()])],
--- a/packages/stand-ins/src/platform/platformStoreStandIn.ts
+++ b/packages/stand-ins/src/platform/platformStoreStandIn.ts
@@ -39,6 +39,8 @@
   readonly slots: number;
   readonly availabilityZone: string;
   readonly isLeaving: boolean;
+  /** Version of its software. */
+  readonly version: string;
 }
 
 /**
@@ -85,12 +87,12 @@
 
   /** Writes the entry of a target. */
   announceTarget(target: AnnouncedTarget): void {
-    const { id, service, port, slots, availabilityZone, isLeaving } = target;
+    const { id, service, port, slots, availabilityZone, isLeaving, version } = target;
     this.put(`${TARGET_PREFIX}${id}`, {
       service,
       address: `127.0.0.1:${port}`,
       zone: availabilityZone,
-      version: 1,
+      version,
       slots,
       state: isLeaving ? 'draining' : 'ready',
       coldRemainingMs: 0,
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -37,6 +37,8 @@
   readonly slots: number;
   /** Whether responses are event streams. */
   readonly isStreaming: boolean;
+  /** Version of its software. */
+  readonly version: string;
   /** TCP port on 127.0.0.1; 0 lets the system choose. */
   readonly port: number;
   /** Called with each run when it starts. */
@@ -117,6 +119,10 @@
     return target;
   }
 
+  get version(): string {
+    return this.#options.version;
+  }
+
   get port(): number {
     const address = this.#server.address();
     return typeof address === 'object' && address ? address.port : 0;
@@ -158,6 +164,7 @@
     const run = {
       requestId,
       targetId: this.id,
+      version: this.version,
       startedAt,
       firstEvent,
       signature,
@@ -221,7 +228,7 @@
       if (!response.headersSent) {
         response.writeHead(STATUS_OK, this.#headers(run, { 'content-type': 'text/event-stream' }));
       }
-      const text = eventText(run.requestId, event, event);
+      const text = eventText(run.requestId, this.version, event, event);
       body += text;
       response.write(text);
     }
--- a/packages/stand-ins/src/platform/targetRun.ts
+++ b/packages/stand-ins/src/platform/targetRun.ts
@@ -13,6 +13,8 @@
 export interface TargetRun {
   readonly requestId: string;
   readonly targetId: string;
+  /** Version of the target's software. */
+  readonly version: string;
   readonly startedAt: number;
   /** First event that the run sends; 1 unless the run resumes a stream. */
   readonly firstEvent: number;
--- a/packages/stand-ins/tests/platformStoreStandIn.test.ts
+++ b/packages/stand-ins/tests/platformStoreStandIn.test.ts
@@ -41,7 +41,14 @@
 });
 
 test('a range returns the keys of a prefix', async () => {
-  const target = { service: 's', port: 1, slots: 1, availabilityZone: 'a', isLeaving: false };
+  const target = {
+    service: 's',
+    port: 1,
+    slots: 1,
+    availabilityZone: 'a',
+    isLeaving: false,
+    version: 'v1',
+  };
   ['b', 'a', 'gone'].forEach((id) => store.announceTarget({ ...target, id }));
   store.withdrawTarget('gone');
   store.configure({ version: 1 });
--- a/packages/stand-ins/tests/platformTargetStandIn.test.ts
+++ b/packages/stand-ins/tests/platformTargetStandIn.test.ts
@@ -16,6 +16,7 @@
     slots: 1,
     isStreaming,
     port: 0,
+    version: 'v1',
     record: (run) => runs.push(run),
   });
 };
@@ -79,7 +80,7 @@
 test('a stream resumes after the given last event', async () => {
   await start(true);
   const { outcome } = await send('/4x1', { 'last-event-id': '2' });
-  expect(outcome).toMatchObject({ kind: 'answered', body: eventText('r1', 3, 4) });
+  expect(outcome).toMatchObject({ kind: 'answered', body: eventText('r1', 'v1', 3, 4) });
   expect(runs[0]!.firstEvent).toBe(3);
 });
 
