Reproduce streams that hold events of two software versions, failing

In one answer: a target of v1 sends an event and breaks off, and the only other one has v2.

The stand-in of a target no longer starts again after it was stopped, which kept a test run from ending.

--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -13,12 +13,14 @@
 import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
+import type { FleetTarget } from '../../src/targets/fleetTarget';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
 import { CrashDetector } from '../../src/targets/crashDetector';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { callEnvelope } from './callEnvelope';
 import { fleetRoute } from './fleetRoute';
+import { fleetTarget } from './fleetTarget';
 import { singleInstanceLimits } from './singleInstanceLimits';
 
 const toNamedLimit = (text: string | undefined): NamedLimit =>
@@ -138,10 +140,9 @@
     id: string,
     address: string,
     state: 'serving' | 'leaving',
-    version: string | undefined = 'v1',
+    change: Partial<FleetTarget> = {},
   ): void {
-    const common = { service: 's', availabilityZone: 'a', slots: 4, version };
-    this.fleet.targets.put({ ...common, id, address, state });
+    this.fleet.targets.put(fleetTarget({ id, address, state, ...change }));
   }
 
   /** Runs one call from a caller over a real connection. */
--- a/packages/integration/src/signal-soak/soakFleet.ts
+++ b/packages/integration/src/signal-soak/soakFleet.ts
@@ -43,6 +43,8 @@
   /** Folder of the settings files. */
   readonly folder: string;
   readonly record: (run: TargetRun) => void;
+  /** Software versions of the targets of each service, repeated; `v1` if omitted. */
+  readonly versions?: readonly string[];
 }
 
 const getAvailabilityZone = (index: number): string =>
@@ -95,9 +97,11 @@
         const slots = isStreaming ? ENGINE_SLOTS : PLAIN_SLOTS;
         const availabilityZone = getAvailabilityZone(index);
         const name = `${service}-${index}`;
-        const { record } = options;
+        const { record, versions = ['v1'] } = options;
+        const version = versions[index % versions.length] ?? '';
         return new SoakTarget({
           name,
+          version,
           service,
           slots,
           isStreaming,
--- a/packages/integration/src/signal-soak/soakTarget.ts
+++ b/packages/integration/src/signal-soak/soakTarget.ts
@@ -18,6 +18,8 @@
   readonly availabilityZone: string;
   readonly store: PlatformStoreStandIn;
   readonly record: (run: TargetRun) => void;
+  /** Software version of the first incarnation. */
+  readonly version: string;
 }
 
 /** A target that ends and restarts, each time as a new incarnation that announces itself. */
@@ -31,11 +33,14 @@
 
   #isAway = false;
 
+  #isStopped = false;
+
   /** Software version of the incarnations that start from now on. */
-  version = 'v1';
+  version: string;
 
   constructor(options: SoakTargetOptions) {
     this.#options = options;
+    this.version = options.version;
   }
 
   async start(port = 0): Promise<void> {
@@ -85,6 +90,7 @@
 
   async stop(): Promise<void> {
     this.#isAway = true;
+    this.#isStopped = true;
     await this.#current?.end();
   }
 
@@ -99,6 +105,7 @@
     const { port } = target;
     await end(target);
     await delay(awayMilliseconds);
+    if (this.#isStopped) return;
     await this.start(keepsAddress ? port : 0);
     this.#isAway = false;
   }
