Don't take an error for the rest of a stream that has begun

Other operators saw the error of the next target in the middle of a stream, or as its end.

Cause: a success was taken for a stream, whatever it held, and whether a stream had begun was decided by the head that was sent, which is later for streams that are held back.

Change: the response to a resumed dispatch has to begin with an event that has an identifier, after comments at the most, and does not end the stream without one; whether a stream has begun is decided by its events.

--- a/packages/gateway/src/calls/eventStreamReader.ts
+++ b/packages/gateway/src/calls/eventStreamReader.ts
@@ -6,10 +6,14 @@
   readonly id: string | undefined;
   /** Whether the event has a `data` field, unlike a comment that keeps the connection alive. */
   readonly hasData: boolean;
+  /** Whether it has only comment lines. */
+  readonly isComment: boolean;
 }
 
 const ID_LINE = /^id:[ ]?(.*)$/m;
 const DATA_LINE = /^data(?::|\r?$)/m;
+/** A non-empty line that is not a comment. */
+const FIELD_LINE = /^[^:\r\n]/m;
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
 
@@ -26,7 +30,12 @@
 
 const parseEvent = (bytes: Buffer): StreamEvent => {
   const text = bytes.toString('utf8');
-  return { bytes, id: ID_LINE.exec(text)?.[1]?.trim(), hasData: DATA_LINE.test(text) };
+  return {
+    bytes,
+    id: ID_LINE.exec(text)?.[1]?.trim(),
+    hasData: DATA_LINE.test(text),
+    isComment: !FIELD_LINE.test(text),
+  };
 };
 
 /** Bytes before a chunk that may start a blank line that the chunk completes. */
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -4,6 +4,7 @@
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import { CallerStream } from './callerStream';
+import { ContinuationCheck } from './continuationCheck';
 import { EventStreamReader } from './eventStreamReader';
 import type { StreamEvent } from './eventStreamReader';
 import type { BufferLimiter } from './bufferLimiter';
@@ -45,7 +46,7 @@
   async relayBuffered(head: ResponseHead, targetResponse: TargetResponse): Promise<AttemptOutcome> {
     const { call, writer } = this.#parts;
     const body = await this.#bufferBody(targetResponse);
-    if (call.response.headersSent) {
+    if (call.eventCount > 0) {
       body.release();
       throw toBrokenError(`status ${head.status} for a resumed stream`);
     }
@@ -61,12 +62,14 @@
     call.stream ??= new CallerStream(call.response, writer, bufferLimiter);
     const { stream } = call;
     const eventCountBefore = call.eventCount;
+    const continuation = new ContinuationCheck(eventCountBefore > 0);
     const reader = new EventStreamReader();
     for await (const chunk of targetResponse.body) {
       const events = reader.push(chunk);
       // Occasional comments, or bytes of an incomplete event, do not count as progress.
       if (events.some(({ hasData }) => hasData)) progressMonitor.recordEvents();
       if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw toBrokenError('event too large');
+      events.forEach((event) => continuation.checkEvent(event));
       if (events.length > 0 && call.eventCount === eventCountBefore) this.#parts.onFirstEvent();
       events.forEach((event) => this.#relayEvent(stream, head, event));
       if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#waitForCaller();
@@ -75,6 +78,7 @@
     if (targetResponse.framing === 'until-close' && !reader.endsWithData) {
       throw toBrokenError('stream without a length ended without an event');
     }
+    continuation.checkEnd();
     stream.end(head);
     return { kind: 'delivered', status: head.status };
   }
--- a/packages/gateway/tests/calls/duplicateResponse.test.ts
+++ b/packages/gateway/tests/calls/duplicateResponse.test.ts
@@ -124,3 +124,30 @@
     expect([status, requests]).toEqual([502, 2]);
   },
 );
+
+// A target wrote its refusal of an earlier request once more, while it ran the next one.
+test.each(EXECUTIONS)(
+  'a refusal that is written once more does not decide the next request ($kind)',
+  async (execution) => {
+    const refusal = 'HTTP/1.1 503 Full\r\nx-id: first\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n';
+    const requests: string[] = [];
+    await harness.addTarget('t0', (request) => {
+      request.resume();
+      const id = String(request.headers['x-id']);
+      requests.push(id);
+      request.socket.write(requests.length <= 2 ? refusal : formatResponse(id));
+    });
+    await harness.addTarget('t1', (request, response) => {
+      request.resume();
+      requests.push(`other ${String(request.headers['x-id'])}`);
+      response.socket?.end(formatResponse(String(request.headers['x-id'])));
+    });
+    harness.fleet.targets.remove('t1');
+    await harness.run({ execution, maximumTargets: 2 }, 'first');
+    const next = await harness.run({ execution, maximumTargets: 2 }, 'next');
+    expect(requests.slice(0, 2)).toEqual(['first', 'next']);
+    expect(next.status).not.toBe(503);
+    const isRepeatable = execution.kind === 'idempotent' || execution === STREAM;
+    if (!isRepeatable) expect([next.status, requests.length]).toEqual([502, 2]);
+  },
+);
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -4,6 +4,7 @@
 import { once } from 'node:events';
 import { createServer, request as httpRequest } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
+import { connect } from 'node:net';
 import { ResponseWriter } from '../../src/calls/responseWriter';
 import { Call } from '../../src/calls/call';
 import type { CallEnvelope } from '../../src/calls/callEnvelope';
@@ -180,6 +181,20 @@
     };
   }
 
+  /** Runs one call from a caller of HTTP/1.0; returns the bytes that it received. */
+  async runFromOldCaller(route: Partial<FleetRoute>): Promise<string> {
+    const { server } = await this.#listen((_request, response) => {
+      void this.#serve(route, { id: 'r1' }, response);
+    });
+    const address = server.address();
+    const socket = connect(typeof address === 'object' && address ? address.port : 0, '127.0.0.1');
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+    socket.write('POST / HTTP/1.0\r\ncontent-length: 0\r\n\r\n');
+    await once(socket, 'close');
+    return Buffer.concat(chunks).toString();
+  }
+
   /** Closes the connections and targets that the test opened. */
   async close(): Promise<void> {
     await this.#connections.close();
