--- a/packages/integration/src/signal-soak/drawFaults.ts
+++ b/packages/integration/src/signal-soak/drawFaults.ts
@@ -133,7 +133,14 @@
 
 const changeTargetMode: Pattern = ({ random, targets }) => {
   const target = random.integer(0, targets - 1);
-  const mode = random.pick(['hang', 'hang', 'reset', 'slow', 'errors'] as const);
+  const mode = random.pick([
+    'hang',
+    'reset',
+    'slow',
+    'errors',
+    'until-close',
+    'until-close-reset',
+  ] as const);
   return [
     at(0, { kind: 'target-mode', target, mode }),
     at(random.integer(500, 5_000), { kind: 'target-mode', target, mode: 'sound' }),
--- a/packages/integration/src/signal-soak/runSignalSoak.ts
+++ b/packages/integration/src/signal-soak/runSignalSoak.ts
@@ -188,7 +188,12 @@
 export const runSignalSoak = async (options: SignalSoakOptions): Promise<SoakResult> => {
   const folder = await mkdtemp(join(tmpdir(), 'limpetnotch-soak-'));
   const runs: TargetRun[] = [];
-  const fleet = await SoakFleet.start({ ...options, folder, record: (run) => runs.push(run) });
+  const fleet = await SoakFleet.start({
+    ...options,
+    folder,
+    record: (run) => runs.push(run),
+    versions: ['v1', 'v2'],
+  });
   try {
     return await new SignalSoak(options, fleet, runs).run();
   } finally {
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -25,11 +25,17 @@
 const SILENCE_CHECK_MILLISECONDS = 20;
 /** Factor by which a slow target multiplies the time of each step. */
 const SLOW_FACTOR = 8;
+const EVENT_STREAM_HEADERS = { 'content-type': 'text/event-stream' } as const;
 /** Large enough for several packets, so that a response can be cut off in the middle. */
 const PLAIN_BODY_BYTES = 4_000;
 
-/** How a target handles requests: without faults, or with the fault that the mode names. */
-export type TargetMode = 'sound' | 'hang' | 'reset' | 'slow' | 'errors';
+/**
+ * How a target handles requests: without faults, or with the fault that the mode names. In the modes
+ * `until-close` and `until-close-reset`, responses have neither a length nor chunks; in the latter,
+ * their connection is reset halfway.
+ */
+export type TargetMode =
+  'sound' | 'hang' | 'reset' | 'slow' | 'errors' | 'until-close' | 'until-close-reset';
 
 /** Options of {@link PlatformTargetStandIn.start}. */
 export interface PlatformTargetOptions {
@@ -226,40 +232,66 @@
     for (let event = run.firstEvent; event <= steps; event += 1) {
       if (!(await this.#waitForStep(activeRun))) return;
       if (!response.headersSent) {
-        response.writeHead(STATUS_OK, this.#headers(run, { 'content-type': 'text/event-stream' }));
+        this.#writeHead(response, STATUS_OK, this.#headers(run, { ...EVENT_STREAM_HEADERS }));
       }
       const text = eventText(run.requestId, this.version, event, event);
       body += text;
       response.write(text);
+      if (this.mode === 'until-close-reset' && event * 2 >= steps) {
+        this.#reset(activeRun);
+        return;
+      }
+    }
+    if (!response.headersSent) {
+      this.#writeHead(response, STATUS_OK, this.#headers(run, { ...EVENT_STREAM_HEADERS }));
     }
-    if (!response.headersSent) response.writeHead(STATUS_OK, this.#headers(run, {}));
     this.#finish(activeRun, { kind: 'answered', status: STATUS_OK, body });
     response.end();
   }
 
   /** Waits for one step; resolves to whether the run continues. */
   async #waitForStep(activeRun: ActiveRun): Promise<boolean> {
-    const { run, response, stepMilliseconds } = activeRun;
+    const { run, stepMilliseconds } = activeRun;
     await waitMilliseconds(stepMilliseconds * (this.mode === 'slow' ? SLOW_FACTOR : 1));
     while (this.mode === 'hang' && this.#activeRuns.has(activeRun)) {
       run.wasSilent = true;
       await waitMilliseconds(SILENCE_CHECK_MILLISECONDS);
     }
-    if (this.mode === 'reset' && this.#activeRuns.has(activeRun)) {
-      this.#finish(activeRun, { kind: 'broken', cause: 'reset' });
-      response.socket?.resetAndDestroy();
-    }
+    if (this.mode === 'reset' && this.#activeRuns.has(activeRun)) this.#reset(activeRun);
     return this.#activeRuns.has(activeRun);
   }
 
   #respond(activeRun: ActiveRun, status: number, body: string): void {
     if (!this.#activeRuns.has(activeRun)) return;
+    const { response, run } = activeRun;
+    const headers = this.#headers(run, { 'content-length': String(body.length) });
+    this.#writeHead(response, status, headers);
+    if (this.mode === 'until-close-reset') {
+      response.write(body.slice(0, body.length / 2));
+      this.#reset(activeRun);
+      return;
+    }
     this.#finish(activeRun, { kind: 'answered', status, body });
-    activeRun.response.writeHead(
-      status,
-      this.#headers(activeRun.run, { 'content-length': String(body.length) }),
-    );
-    activeRun.response.end(body);
+    response.end(body);
+  }
+
+  /** Writes a head, without the framing of its body in the modes in which the connection ends it. */
+  #writeHead(response: ServerResponse, status: number, headers: OutgoingHttpHeaders): void {
+    if (this.mode !== 'until-close' && this.mode !== 'until-close-reset') {
+      response.writeHead(status, headers);
+      return;
+    }
+    const unframedResponse = response;
+    unframedResponse.shouldKeepAlive = false;
+    unframedResponse.useChunkedEncodingByDefault = false;
+    response.removeHeader('transfer-encoding');
+    const kept = Object.entries(headers).filter(([name]) => name !== 'content-length');
+    response.writeHead(status, { ...Object.fromEntries(kept), connection: 'close' });
+  }
+
+  #reset(activeRun: ActiveRun): void {
+    this.#finish(activeRun, { kind: 'broken', cause: 'reset' });
+    activeRun.response.socket?.resetAndDestroy();
   }
 
   #headers({ requestId, signature }: TargetRun, more: Record<string, string>): OutgoingHttpHeaders {
--- a/packages/stand-ins/tests/platformTargetStandIn.test.ts
+++ b/packages/stand-ins/tests/platformTargetStandIn.test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { get } from 'node:http';
 import type { IncomingMessage } from 'node:http';
+import { connect } from 'node:net';
 import type { CallerRecord, TargetRun } from '../src';
 import { CallerConnection, eventText, PlatformTargetStandIn } from '../src';
 
@@ -115,3 +116,40 @@
   const [{ headers }] = (await once(sent, 'response')) as [IncomingMessage];
   expect([headers['server-leaving'], headers.connection]).toEqual(['1', 'close']);
 });
+
+test.each([true, false])(
+  'a response may end with its connection (stream: %s)',
+  async (isStream) => {
+    await start(isStream);
+    target.mode = 'until-close';
+    const { outcome } = await send('/4x1');
+    expect(outcome).toMatchObject({ kind: 'answered', status: 200 });
+    expect(runs[0]!.end).toMatchObject({
+      kind: 'answered',
+      body: 'body' in outcome && outcome.body,
+    });
+  },
+);
+
+test.each([true, false])(
+  'a response has neither length nor chunks (stream: %s)',
+  async (isStream) => {
+    await start(isStream);
+    target.mode = 'until-close';
+    const socket = connect(target.port, '127.0.0.1');
+    socket.write('POST /2x1 HTTP/1.1\r\nhost: h\r\nrequest-id: r1\r\ncontent-length: 0\r\n\r\n');
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+    await once(socket, 'end');
+    const [head] = Buffer.concat(chunks).toString().split('\r\n\r\n');
+    expect(head).toMatch(/^HTTP\/1\.1 200 /);
+    expect(head).not.toMatch(/content-length|transfer-encoding/i);
+  },
+);
+
+test.each([true, false])('a response without a length is reset (stream: %s)', async (isStream) => {
+  await start(isStream);
+  target.mode = 'until-close-reset';
+  await send('/4x1');
+  expect(runs[0]!.end).toEqual({ kind: 'broken', cause: 'reset' });
+});
