--- a/packages/gateway/src/resumption/originTable.ts
+++ b/packages/gateway/src/resumption/originTable.ts
@@ -1,7 +1,7 @@
 import type { KeyedOrigin } from './keyedOrigin';
 import type { StreamOrigin } from './streamOrigin';
 
-/** Enough for minutes of streams at 100 a second, in about 4 MB. */
+/** Maximum number of origins; enough for minutes of streams at 100 a second. */
 const MAXIMUM_ORIGINS = 16_384;
 
 /** Origins of recent streams; the least recently recorded are evicted. */
--- a/packages/gateway/src/resumption/resumptionGate.ts
+++ b/packages/gateway/src/resumption/resumptionGate.ts
@@ -7,10 +7,10 @@
 import type { OriginSharing } from './originSharing';
 import type { ServiceVersions } from './serviceVersions';
 
-/** Shortest time for which another version excludes a stream of unknown origin. */
+/** Shortest time for which one version must have served alone to be taken for the origin. */
 const SHORTEST_OBSERVATION_MILLISECONDS = 60_000;
 
-/** An attempt and its resumption take at most the timeout of their route each. */
+/** The first attempt and its resumption last for at most the timeout of their route each. */
 const ATTEMPTS_OF_A_STREAM = 2;
 
 /** Resumptions within this time share one confirmation by the store. */
--- a/packages/gateway/src/targets/targetConnection.ts
+++ b/packages/gateway/src/targets/targetConnection.ts
@@ -33,7 +33,7 @@
     return this.#socket?.bytesRead ?? 0;
   }
 
-  /** Code of the error of the connection, of the client too; undefined if there was none. */
+  /** Code of the first error of the connection, even of the client's own; undefined if none. */
   get failureCode(): string | undefined {
     return this.#failureCode;
   }
