--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -17,7 +17,7 @@
 
 export const hasTrouble = process.env.TROUBLE !== '0';
 
-const PORTS = { frontend: 8_368, readiness: 8_369, control: 8_367, metrics: 9_464 };
+export const PORTS = { frontend: 8_368, readiness: 8_369, control: 8_367, metrics: 9_464 };
 const START_MILLISECONDS = 20_000;
 
 /** Everything that was sent, answered and run, written to `record.txt` at the end of a case. */
@@ -331,8 +331,12 @@
   const cleanUp = [];
   let code = 2;
   let verdict = [];
+  const failed = new Promise((_resolve, reject) => {
+    process.once('uncaughtException', reject);
+  });
   try {
-    const { breaks, summary, isValid = true } = await play(record, (end) => cleanUp.unshift(end));
+    const played = play(record, (end) => cleanUp.unshift(end));
+    const { breaks, summary, isValid = true } = await Promise.race([played, failed]);
     const isBroken = breaks.length > 0;
     if (isBroken) code = 1;
     else if (isValid) code = 0;
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -6,6 +6,9 @@
 import { randomBytes } from 'node:crypto';
 import { createServer } from 'node:http';
 
+/** A chunk with an empty event: a blank line. */
+const BLANK_CHUNK = '2\r\n\n\n\r\n';
+
 export class Runner {
   #options;
 
@@ -30,6 +33,9 @@
   /** Factor by which the runner is slower than usual. */
   slowness = 1;
 
+  /** Bytes a second of the blank lines that fill the bodies of a runner in trouble; 0 for none. */
+  blankBytesPerSecond = 0;
+
   constructor(options) {
     this.#options = { slots: 16, queue: 48, address: '', version: 'v1', ...options };
   }
@@ -180,6 +186,13 @@
     });
     const advance = () => {
       if (!this.#running.has(state)) return;
+      if (this.blankBytesPerSecond > 0) {
+        if (!response.headersSent) {
+          response.writeHead(200, { ...head(), 'content-type': 'text/event-stream' });
+        }
+        this.#sendBlankLines(state);
+        return;
+      }
       if (!isStream) {
         const body = `${id} ran at ${this.id}\n`;
         response.writeHead(200, { ...head(), 'content-length': Buffer.byteLength(body) });
@@ -204,6 +217,27 @@
     state.timer = setTimeout(advance, (isStream ? step : count * step) * this.slowness);
   }
 
+  /** Sends chunks of one blank line each, which are no events, until the caller closes. */
+  #sendBlankLines(run) {
+    const { response } = run;
+    response.flushHeaders();
+    const { socket } = response;
+    const timer = setInterval(() => {
+      if (!this.#running.has(run) || socket.destroyed) {
+        clearInterval(timer);
+        return;
+      }
+      if (this.blankBytesPerSecond === 0) {
+        clearInterval(timer);
+        response.destroy();
+        return;
+      }
+      const share = this.blankBytesPerSecond / 100 / this.#running.size;
+      if (socket.writableNeedDrain) return;
+      socket.write(BLANK_CHUNK.repeat(Math.ceil(share / BLANK_CHUNK.length)));
+    }, 10);
+  }
+
   #end(run, how) {
     if (!this.#running.delete(run)) return;
     clearTimeout(run.timer);
