Review: one spoilt status line stops an instance for seconds

Case 1 shows rule CONFIG broken: answers with the status 000 or an unasked 101 make an assertion of the HTTP client fail, and the runtime parses the whole bundle for its message.

--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -33,6 +33,11 @@
   /** Factor by which the runner is slower than usual. */
   slowness = 1;
 
+  /** Spoils each answer of this number of answers by a status that no response has; 0 for none. */
+  spoiltOneIn = 0;
+
+  #answers = 0;
+
   /** Bytes a second of the blank lines that fill the bodies of a runner in trouble; 0 for none. */
   blankBytesPerSecond = 0;
 
@@ -193,6 +198,12 @@
         this.#sendBlankLines(state);
         return;
       }
+      if (!isStream && this.#isSpoilt()) {
+        const start = `HTTP/1.1 ${this.#options.spoiltStatus}\r\nrequest-id: ${id}\r\n`;
+        response.socket.end(`${start}content-length: 0\r\n\r\n`);
+        this.#end(state, 'spoilt');
+        return;
+      }
       if (!isStream) {
         const body = `${id} ran at ${this.id}\n`;
         response.writeHead(200, { ...head(), 'content-length': Buffer.byteLength(body) });
@@ -217,6 +228,12 @@
     state.timer = setTimeout(advance, (isStream ? step : count * step) * this.slowness);
   }
 
+  #isSpoilt() {
+    if (this.spoiltOneIn === 0) return false;
+    this.#answers += 1;
+    return this.#answers % this.spoiltOneIn === 0;
+  }
+
   /** Sends chunks of one blank line each, which are no events, until the caller closes. */
   #sendBlankLines(run) {
     const { response } = run;
