--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node review/5/case.mjs
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -234,15 +234,16 @@
 }
 
 /** Starts the instances of a small fleet; each reaches the store through a port of its own. */
-export const startInstances = async ({ store, zones, record }) => {
+export const startInstances = async ({ store, zones, spareZones = [], record }) => {
   const folder = await mkdtemp(join(tmpdir(), 'limpetnotch-review-'));
   const command = await readRunCommand();
-  const hosts = await findHosts(zones.length);
-  const names = [...new Set(zones)];
-  const instances = [];
-  for (const [index, zone] of zones.entries()) {
+  const allZones = [...zones, ...spareZones];
+  const hosts = await findHosts(allZones.length);
+  const names = [...new Set(allZones)];
+  const all = [];
+  for (const [index, zone] of allZones.entries()) {
     const view = await store.open('127.0.0.1');
-    instances.push(
+    all.push(
       new Instance({
         name: `frontend-${zone}-${index + 1}`,
         host: hosts[index],
@@ -255,9 +256,11 @@
       }),
     );
   }
+  const instances = all.slice(0, zones.length);
+  const spares = all.slice(zones.length);
   await Promise.all(instances.map((instance) => instance.start()));
   const stop = async () => {
-    await Promise.all(instances.map((instance) => instance.stop()));
+    await Promise.all(all.map((instance) => instance.stop()));
     await rm(folder, { recursive: true, force: true });
   };
   const until = performance.now() + START_MILLISECONDS;
@@ -272,7 +275,7 @@
     await stop();
     throw error;
   }
-  return { instances, stop };
+  return { instances, spares, stop };
 };
 
 /**
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -33,6 +33,9 @@
   /** Factor by which the runner is slower than usual. */
   slowness = 1;
 
+  /** Requests a second that the runner names as its limit; 0 for none. */
+  limitPerSecond = 0;
+
   /** Spoils each answer of this number of answers by a status that no response has; 0 for none. */
   spoiltOneIn = 0;
 
@@ -61,9 +64,15 @@
     return this.#running.size + this.#queue.length;
   }
 
-  /** Starts a lifetime of the runner, at the same address as before if it had one. */
+  /**
+   * Starts a lifetime of the runner, at the same address as before if it had one. The changes may be
+   * a function of the time of its start.
+   */
   async start(changes = {}) {
-    this.#options = { ...this.#options, ...changes };
+    const bornMilliseconds = Date.now();
+    this.bornMilliseconds = bornMilliseconds;
+    const changed = typeof changes === 'function' ? changes(bornMilliseconds) : changes;
+    this.#options = { ...this.#options, ...changed };
     const [host, port] = (this.#options.address || `${this.#options.host}:0`).split(':');
     this.#server = createServer((request, response) => this.#handle(request, response));
     this.#server.keepAliveTimeout = 30_000;
@@ -77,7 +86,6 @@
       this.#server.listen(Number(port), host, resolve);
     });
     this.#options.address = `${host}:${this.#server.address().port}`;
-    this.bornMilliseconds = Date.now();
     this.#seq = 0;
     this.#state = 'ready';
     this.isUp = true;
@@ -188,6 +196,7 @@
       'request-id': id,
       'response-signature': state.signature,
       'server-load': this.#loadText,
+      ...(this.limitPerSecond > 0 && { 'server-limit': String(this.limitPerSecond) }),
     });
     const advance = () => {
       if (!this.#running.has(state)) return;
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -77,6 +77,20 @@
     if (mode === 'silent') this.#waiting.forEach((waiter) => waiter.view === view && waiter.drop());
   }
 
+  /** Lets the open connections of one machine go silent for good, without a reset; new ones work. */
+  // eslint-disable-next-line class-methods-use-this -- beside the other faults
+  silenceConnections(view) {
+    view.sockets.forEach((socket) => {
+      socket.pause();
+      Object.assign(socket, {
+        resume: () => socket,
+        write: () => false,
+        writev: () => false,
+        end: () => socket,
+      });
+    });
+  }
+
   /** Writes a value as the operator or a runner does; returns the revision. */
   put(key, value) {
     const text = typeof value === 'string' ? value : JSON.stringify(value);
