Log and measure stalls of the event loop

Logs and metrics did not say whether the process computed, was suspended or waited: the gap shows in no line.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,7 +3,7 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
-import { Supervisor } from '@limpetnotch/supervision';
+import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
 import { EscrowBudgets } from './budgets/escrowBudgets';
 import { createStartedProgramsTask } from './budgets/createStartedProgramsTask';
 import { ResponseWriter } from './calls/responseWriter';
@@ -361,7 +361,7 @@
   }
 
   async #start(): Promise<void> {
-    const { settings } = this.#parts;
+    const { settings, logger, metrics } = this.#parts;
     // The configuration is read while the servers start, so that it is available to the first
     // request.
     const tasks = [
@@ -370,6 +370,7 @@
       this.#quarantineLedger.task,
       this.#limitSharing.task,
       this.#pathChecker.task,
+      createEventLoopMonitor({ logger, metrics }),
     ];
     if (!settings.isFirstStart) tasks.push(createStartedProgramsTask(this.#budgets));
     for (const task of tasks) {
--- a/packages/server/src/instance/instance.ts
+++ b/packages/server/src/instance/instance.ts
@@ -8,7 +8,7 @@
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createScheduler, schedulerSettingsSchema, TargetProber } from '@limpetnotch/scheduling';
 import type { Scheduler } from '@limpetnotch/scheduling';
-import { delay, Supervisor } from '@limpetnotch/supervision';
+import { createEventLoopMonitor, delay, Supervisor } from '@limpetnotch/supervision';
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import { CallService } from '../entry/callService';
 import { CallRelay } from '../entry/callRelay';
@@ -192,6 +192,7 @@
       this.#createEngineMonitor(),
       this.#createProber().asChild(),
       ...memoryRelease.createChildren(),
+      createEventLoopMonitor(this.#getObservability()),
       {
         name: 'idle-programs',
         restart: 'always',
--- a/packages/supervision/src/index.ts
+++ b/packages/supervision/src/index.ts
@@ -1,4 +1,6 @@
 export type { ChildContext, ChildSpecification } from './childSpecification';
+export { createEventLoopMonitor } from './createEventLoopMonitor';
+export type { EventLoopMonitorOptions } from './createEventLoopMonitor';
 export { Deferred } from './deferred';
 export { delay } from './delay';
 export { ProcessReport } from './processReport';
