Grant a budget without the store once in all lifetimes of the instances

Cause: a new process took the list of the store for proof that it knew every program (loadStartedPrograms), but the store lists no grant that its process could not write before it ended. Such an instance granted again, and told others that it would know.

One test asked for the fault: that a restarted instance which has read the store makes offline grants, with all instances restarted. It now asks the same of instances that have learned the promises, and that a program of before gets none.

Both builds: sends no requester and makes no promise; what it asks about counts as started, and its answers are no promises (fleetPeers and escrowBudgets tests).

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -1,10 +1,14 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore } from '@limpetnotch/store';
-import { RecentKeys } from '../util/recentKeys';
 import type { BudgetDecision, BudgetGate, BudgetRequest } from './budgetGate';
 import { BudgetLedger, createInitialState } from './budgetLedger';
 import type { LedgerOutcome } from './budgetLedger';
+import type { GrantMemory } from './grantMemory';
+import type { GrantPeers } from './grantPeers';
 import type { Loan, LoanResponse, LoanRequest } from './loan';
+import { areMajority, meetEveryMajority } from './majorities';
+import type { MemberListsInForce } from './majorities';
+import type { MemberListHistory } from './memberListHistory';
 import type { ProgramBudget } from './programBudget';
 import { computePresumedTokens, computeOfflineGrantTokens } from './offlineGrant';
 import { toBudgetKey, createProgramBudget, serialise } from './programBudget';
@@ -42,21 +46,26 @@
 
 type AcquireOutcome = 'reserved' | 'spent' | 'unavailable';
 
+/** Tokens to take from the store. */
+interface StoreRequest {
+  readonly programId: string;
+  readonly turnTokens: number;
+  /** Process that the tokens are for and that has not granted any; this one if undefined. */
+  readonly requester?: string | undefined;
+}
+
 /** Parts of {@link EscrowBudgets}. */
 export interface EscrowBudgetsParts {
   readonly store: KeyValueStore;
   readonly logger: Logger;
   readonly metrics: Metrics;
-  /** Borrows tokens from the other instances if the store is unreachable or a peer may hold some. */
-  readonly borrow: (request: LoanRequest) => Promise<Loan>;
-  /** Notifies the other instances that a program has started here. */
-  readonly announce: (budgetKey: string) => void;
-  /** Makes the other instances return to the store what they hold of a budget. */
-  readonly recall: (budgetKey: string) => Promise<void>;
-  /** Whether no earlier process of this instance can have granted tokens to running programs. */
-  readonly isFirstProcess: () => boolean;
-  /** Number of instances that may grant tokens, including this one and absent ones. */
-  readonly memberCount: () => number;
+  /** Name of this instance, as in the lists of members. */
+  readonly instance: string;
+  readonly memory: GrantMemory;
+  readonly peers: GrantPeers;
+  readonly memberLists: MemberListHistory;
+  /** Time after which no program still runs that has had no turn since, in milliseconds. */
+  readonly programRetention: () => number;
 }
 
 /** Token budgets of programs in escrow, with one store key per program. */
@@ -68,10 +77,9 @@
   /** Budgets by key, least recently used first. */
   readonly #budgets = new Map<string, ProgramBudget>();
 
-  /** Budget keys of programs that have started, here or on another instance. */
-  readonly #startedPrograms = new RecentKeys(MAXIMUM_BUDGETS);
+  readonly #startedAtMilliseconds = performance.now();
 
-  #hasLoadedStartedPrograms = false;
+  #hasListedStore = false;
 
   #isUnavailable = false;
 
@@ -80,6 +88,16 @@
     this.#ledger = new BudgetLedger(parts);
   }
 
+  /** What this process knows about grants to programs. */
+  get memory(): GrantMemory {
+    return this.#parts.memory;
+  }
+
+  /** Lists of members, other than the current one, on which a grant that still matters may rest. */
+  get formerLists(): MemberListsInForce {
+    return this.#parts.memberLists.formerWithin(this.#parts.programRetention());
+  }
+
   /** Whether the last turn that needed tokens could obtain none from the store or a peer. */
   get isUnavailable(): boolean {
     return this.#isUnavailable;
@@ -104,7 +122,7 @@
 
   async hasProgramStarted(programId: string): Promise<boolean> {
     const key = toBudgetKey(programId);
-    if (this.#startedPrograms.has(key)) return true;
+    if (this.memory.mayHaveStarted(key)) return true;
     const budget = this.#getOrCreateBudget(key);
     if (budget.stored) return true;
     if (performance.now() < budget.absentUntilMilliseconds) return false;
@@ -121,22 +139,28 @@
 
   /** Records that a program has started on another instance. */
   recordProgramStart(key: string): void {
-    this.#startedPrograms.add(key);
+    this.memory.recordStart(key);
   }
 
   /**
-   * Reads from the store which programs have started, as an earlier process of this instance may
-   * have granted tokens; returns whether the store responded.
+   * Restores what earlier processes of this instance knew; returns whether the memory is complete.
+   * The store lists programs whose grants were recorded, and the other instances those that may have
+   * grants which were not. If too few of them know, the memory is complete only once no program of an
+   * earlier process still runs, as the store can't tell of grants that were lost with their process.
    */
-  async loadStartedPrograms(): Promise<boolean> {
-    const startedAtMilliseconds = performance.now();
-    const keys = await this.#ledger.listKeys();
-    if (!keys) return false;
-    keys.forEach((key) => this.#startedPrograms.add(key));
-    this.#hasLoadedStartedPrograms = true;
-    this.#parts.logger.info('budget.begun-learned', {
-      programs: keys.length,
-      milliseconds: Math.round(performance.now() - startedAtMilliseconds),
+  async restoreMemory(): Promise<boolean> {
+    if (this.memory.isComplete) return true;
+    const uptimeMilliseconds = performance.now() - this.#startedAtMilliseconds;
+    const hasExpired = uptimeMilliseconds > this.#parts.programRetention();
+    if (!this.#hasListedStore || hasExpired) {
+      this.#hasListedStore = await this.#learnStartedPrograms();
+      if (!this.#hasListedStore) return false;
+    }
+    const hasPromises = await this.#learnPromises();
+    if (!hasPromises && !hasExpired) return false;
+    this.memory.markComplete();
+    this.#parts.logger.info('budget.memory-complete', {
+      source: hasPromises ? 'peers' : 'retention',
     });
     return true;
   }
@@ -153,10 +177,12 @@
    * store.
    */
   async lend(request: LoanRequest): Promise<LoanResponse> {
-    const { budget: key, limitTokens, turnTokens, mayUseStore } = request;
+    const { budget: key, limitTokens, turnTokens, mayUseStore, wantsPromise } = request;
+    // A requester that still wants a promise has made no grant itself.
+    const requester = wantsPromise ? request.requester : undefined;
     const isHeld = (this.#budgets.get(key)?.account.heldTokens ?? 0) >= turnTokens;
     const canUseStore = this.#ledger.isReachable();
-    if (!isHeld && !(mayUseStore && canUseStore)) return this.#declineLoan(key);
+    if (!isHeld && !(mayUseStore && canUseStore)) return this.#declineLoan(request);
     const budget = this.#getOrCreateBudget(key);
     budget.limitTokens = limitTokens;
     return serialise(budget, async (): Promise<LoanResponse> => {
@@ -164,10 +190,10 @@
       const tokens = Math.max(turnTokens, Math.floor(account.heldTokens * LENT_SHARE));
       const obtained =
         mayUseStore && canUseStore
-          ? await this.#takeFromStore(budget, { programId: key, turnTokens: tokens })
+          ? await this.#takeFromStore(budget, { programId: key, turnTokens: tokens, requester })
           : this.#reserveHeld(budget, tokens);
       if (obtained === 'spent') return { kind: 'spent' };
-      if (obtained === 'unavailable') return this.#declineLoan(key);
+      if (obtained === 'unavailable') return this.#declineLoan(request);
       account.settle(tokens, tokens);
       budget.isShared = true;
       return { kind: 'lent', tokens };
@@ -209,9 +235,9 @@
     if (budget.hasGranted) return;
     const mutableBudget = budget;
     mutableBudget.hasGranted = true;
-    const isNewProgram = !this.#startedPrograms.has(budget.key);
-    this.#startedPrograms.add(budget.key);
-    if (isNewProgram) this.#parts.announce(budget.key);
+    const isNewProgram = !this.memory.mayHaveStarted(budget.key);
+    this.memory.recordStart(budget.key);
+    if (isNewProgram) this.#parts.peers.announceProgram(budget.key);
   }
 
   #toRefusal(reason: 'spent' | 'unavailable'): BudgetDecision {
@@ -220,31 +246,58 @@
       : { kind: 'unavailable', retryAfterSeconds: RETRY_AFTER_SECONDS };
   }
 
-  #declineLoan(key: string): LoanResponse {
+  #declineLoan({ budget: key, requester, wantsPromise }: LoanRequest): LoanResponse {
+    const isKnown = this.#isKnown(key, requester);
+    const isPromised = wantsPromise && !isKnown && this.memory.promise(key, requester);
+    // An instance without promises may grant tokens on this answer.
+    if (requester === '') this.memory.recordStart(key);
     return {
       kind: 'none',
-      isKnown: this.#isKnown(key),
-      isMemoryWhole: this.#knowsAllStartedPrograms,
+      isKnown,
+      isMemoryWhole: this.memory.isComplete,
       canUseStore: this.#ledger.isReachable(),
+      isPromised,
     };
   }
 
   /**
-   * Whether the program is registered here. This includes a program whose first turn is waiting, so
-   * that two instances never give it an offline grant at the same time.
+   * Whether the program may have started, other than by a grant to a certain process. This includes a
+   * program whose first turn is waiting, so that two instances never give it an offline grant at the
+   * same time.
    */
-  #isKnown(key: string): boolean {
+  #isKnown(key: string, requester?: string): boolean {
     const budget = this.#budgets.get(key);
-    if (this.#startedPrograms.has(key)) return true;
+    if (this.memory.mayHaveStarted(key, requester)) return true;
     return budget !== undefined && (budget.waitingTurns > 0 || budget.stored !== undefined);
   }
 
-  /**
-   * Whether this process has a record of every program to which this instance, in this or an earlier
-   * process, has granted tokens.
-   */
-  get #knowsAllStartedPrograms(): boolean {
-    return this.#hasLoadedStartedPrograms || this.#parts.isFirstProcess();
+  /** All lists of members on which a grant that still matters may rest. */
+  get #listsInForce(): MemberListsInForce {
+    return this.#parts.memberLists.within(this.#parts.programRetention());
+  }
+
+  async #learnStartedPrograms(): Promise<boolean> {
+    const startedAtMilliseconds = performance.now();
+    const keys = await this.#ledger.listKeys();
+    if (!keys) return false;
+    keys.forEach((key) => this.memory.recordStart(key));
+    this.#parts.logger.info('budget.begun-learned', {
+      programs: keys.length,
+      milliseconds: Math.round(performance.now() - startedAtMilliseconds),
+    });
+    return true;
+  }
+
+  /** Learns the promises of the other instances; returns whether none can be missing. */
+  async #learnPromises(): Promise<boolean> {
+    const { peers, memberLists } = this.#parts;
+    const replies = await peers.listPromises();
+    replies.forEach(({ budgetKeys, formerLists }) => {
+      budgetKeys.forEach((key) => this.memory.recordStart(key));
+      memberLists.learn(formerLists);
+    });
+    const complete = replies.filter(({ isComplete }) => isComplete).map(({ name }) => name);
+    return meetEveryMajority(this.#listsInForce, new Set(complete));
   }
 
   #reserveHeld({ account }: ProgramBudget, tokens: number): 'reserved' | 'unavailable' {
@@ -259,7 +312,7 @@
     const { account } = budget;
     if (account.reserve(request.turnTokens)) return 'reserved';
     const hasMoved =
-      !budget.hasGranted && (request.isContinuation || this.#startedPrograms.has(budget.key));
+      !budget.hasGranted && (request.isContinuation || this.memory.mayHaveStarted(budget.key));
     if (hasMoved || budget.isShared) {
       if (await this.#borrowHeld(budget, request.turnTokens)) return 'reserved';
     }
@@ -274,15 +327,22 @@
       case 'spent':
         return 'spent';
       case 'none':
-        return loan.mayHaveStarted
-          ? 'unavailable'
-          : this.#grantOffline(budget, request, loan.responseCount);
+        return this.#grantOffline(budget, request, loan.promisers);
     }
   }
 
   async #borrow(budget: ProgramBudget, turnTokens: number, mayUseStore: boolean): Promise<Loan> {
     const { key, limitTokens, account } = budget;
-    const loan = await this.#parts.borrow({ budget: key, limitTokens, turnTokens, mayUseStore });
+    const { peers, memory } = this.#parts;
+    const loan = await peers.borrowBudget({
+      budget: key,
+      limitTokens,
+      turnTokens,
+      mayUseStore,
+      requester: memory.process,
+      wantsPromise: mayUseStore && this.#mayGrantOffline(budget),
+    });
+    if (loan.kind === 'none' && loan.isKnown) memory.recordStart(key);
     if (loan.kind === 'lent') {
       account.deposit(loan.tokens);
       const mutableBudget = budget;
@@ -299,31 +359,37 @@
     return budget.account.reserve(turnTokens);
   }
 
+  /** Whether nothing known here excludes that a program is new. */
+  #mayGrantOffline({ key, stored }: ProgramBudget): boolean {
+    return this.memory.isComplete && !this.memory.mayHaveStarted(key) && stored === undefined;
+  }
+
   /**
-   * Grants a part of a program's budget without the store if a majority of the members responded and
-   * none has seen the program: members that can't reach this majority are too few to grant as well.
-   * The grant is recorded once the store is reachable again. If every instance with a record of it
-   * stops before that, the grant is presumed to have been made.
+   * Grants a part of a program's budget without the store if a majority of the members promised not
+   * to. Two majorities share a member, and a member promises only once, so that a program gets one
+   * such grant. It is recorded once the store is reachable again. If every instance with a record of
+   * it stops before that, the grant is presumed to have been made.
    */
   #grantOffline(
     budget: ProgramBudget,
     { programId, limitTokens, turnTokens }: BudgetRequest,
-    responseCount: number,
+    promisers: readonly string[],
   ): 'reserved' | 'unavailable' {
-    const isNew = !this.#startedPrograms.has(budget.key) && budget.stored === undefined;
-    if (!isNew || !this.#knowsAllStartedPrograms) return 'unavailable';
-    const members = Math.max(1, this.#parts.memberCount());
+    const { instance, memory, logger } = this.#parts;
     const tokens = computeOfflineGrantTokens(limitTokens, turnTokens);
-    if (2 * (responseCount + 1) <= members || tokens < turnTokens) return 'unavailable';
+    const isPossible = this.#mayGrantOffline(budget) && tokens >= turnTokens;
+    if (!isPossible || !areMajority(this.#listsInForce, new Set([instance, ...promisers]))) {
+      return 'unavailable';
+    }
+    if (!memory.promise(budget.key)) return 'unavailable';
     const mutableBudget = budget;
     mutableBudget.unrecordedTokens = tokens;
     budget.account.deposit(tokens);
-    this.#parts.logger.info('budget.granted-on-trust', {
+    logger.info('budget.granted-on-trust', {
       program: programId,
       limitTokens,
       tokens,
-      answers: responseCount,
-      members,
+      promises: promisers.length,
     });
     return this.#reserveHeld(budget, turnTokens);
   }
@@ -331,10 +397,10 @@
   /** Takes tokens from the store until the turn's tokens are reserved or the budget is spent. */
   async #takeFromStore(
     budget: ProgramBudget,
-    { programId, turnTokens }: { readonly programId: string; readonly turnTokens: number },
+    { programId, turnTokens, requester }: StoreRequest,
   ): Promise<AcquireOutcome> {
     const { account } = budget;
-    this.#presumeOfflineGrant(budget, turnTokens);
+    this.#presumeOfflineGrant(budget, turnTokens, requester);
     let hasRecalled = false;
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (account.reserve(turnTokens)) return 'reserved';
@@ -344,7 +410,7 @@
       if (plan.kind === 'exhausted') {
         if (hasRecalled) return this.#recordSpent(programId, budget, turnTokens);
         hasRecalled = true;
-        await this.#parts.recall(budget.key);
+        await this.#parts.peers.releaseBudget(budget.key);
         if (!(await this.#ledger.refresh(budget))) return 'unavailable';
       }
       if (plan.kind === 'take') {
@@ -362,17 +428,17 @@
   }
 
   /**
-   * Presumes an offline grant by another process where that can't be ruled out: the program has
-   * started on a peer, or an earlier process of this instance may have granted it. The maximum of
-   * such a grant is then counted in the store, unless the store already has the program.
+   * Presumes an offline grant by another process where that can't be ruled out: the program may have
+   * started, or this process may not know of it. The maximum of such a grant is then counted in the
+   * store, unless the store already has the program. Tokens borrowed from a peer don't rule it out.
    */
-  #presumeOfflineGrant(budget: ProgramBudget, turnTokens: number): void {
+  #presumeOfflineGrant(budget: ProgramBudget, turnTokens: number, requester?: string): void {
     const mayHaveOfflineGrant =
-      this.#startedPrograms.has(budget.key) || !this.#parts.isFirstProcess();
-    const hasGrantedHere = budget.hasGranted || budget.unrecordedTokens > 0;
+      this.memory.mayHaveStarted(budget.key, requester) || !this.memory.isComplete;
+    const isOwnGrant = budget.unrecordedTokens > 0;
     const mutableBudget = budget;
     mutableBudget.presumedTokens =
-      mayHaveOfflineGrant && !hasGrantedHere
+      mayHaveOfflineGrant && !isOwnGrant
         ? computePresumedTokens(budget.limitTokens, turnTokens)
         : 0;
   }
--- a/packages/gateway/src/budgets/loan.ts
+++ b/packages/gateway/src/budgets/loan.ts
@@ -8,6 +8,10 @@
   readonly turnTokens: number;
   /** Whether the lender may take tokens from the store, which the borrower cannot reach. */
   readonly mayUseStore: boolean;
+  /** Process that asks; empty if it is of a version that grants without promises. */
+  readonly requester: string;
+  /** Whether the requester grants tokens without the store if a majority promises not to. */
+  readonly wantsPromise: boolean;
 }
 
 /** Result of borrowing tokens of a program's budget from peers. */
@@ -18,13 +22,10 @@
   | { readonly kind: 'spent' }
   | {
       readonly kind: 'none';
-      /**
-       * Whether an instance that responded has the program registered, or may have lost its record
-       * in a restart.
-       */
-      readonly mayHaveStarted: boolean;
-      /** Number of other members that responded. */
-      readonly responseCount: number;
+      /** Whether an instance that responded knows that the program may have started. */
+      readonly isKnown: boolean;
+      /** Names of the instances that leave grants without the store to the requester. */
+      readonly promisers: readonly string[];
     };
 
 /** Response of an instance to a peer's request for tokens. */
@@ -37,4 +38,6 @@
       readonly isMemoryWhole: boolean;
       /** Whether the instance can reach the store. */
       readonly canUseStore: boolean;
+      /** Whether it leaves grants of the budget without the store to the requester. */
+      readonly isPromised: boolean;
     };
--- a/packages/gateway/src/configuration/fleetConfiguration.ts
+++ b/packages/gateway/src/configuration/fleetConfiguration.ts
@@ -47,6 +47,8 @@
   maximumTargets: z.number().int().min(1),
   isOpenToAll: z.boolean(),
   hasSessionAffinity: z.boolean(),
+  /** Time for which a program may return after its last turn; unknown if absent. */
+  retentionMilliseconds: z.number().min(0).optional(),
 });
 
 /** A model engine behind a service. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,11 +1,14 @@
+import { randomUUID } from 'node:crypto';
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
+import { computeProgramRetention } from './budgets/computeProgramRetention';
+import { createMemoryTask } from './budgets/createMemoryTask';
 import { EscrowBudgets } from './budgets/escrowBudgets';
-import { createStartedProgramsTask } from './budgets/createStartedProgramsTask';
+import { GrantMemory } from './budgets/grantMemory';
 import { ResponseWriter } from './calls/responseWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
@@ -47,12 +50,6 @@
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
 
-/**
- * Uptime after which no program of an earlier process still runs; programs may return within a
- * minute of their last turn.
- */
-const PROGRAM_RETENTION_MILLISECONDS = 90_000;
-
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
 
@@ -236,11 +233,12 @@
       store: parts.store,
       logger,
       metrics,
-      recall: (budgetKey) => this.#peers.releaseBudget(budgetKey),
-      borrow: (request) => this.#peers.borrowBudget(request),
-      announce: (budgetKey) => this.#peers.announceProgram(budgetKey),
-      isFirstProcess: () => this.#isFirstProcess,
-      memberCount: () => this.#membership.others.length + 1,
+      instance: settings.instance,
+      memory: new GrantMemory(`${settings.instance}/${randomUUID()}`, settings.isFirstStart),
+      peers: this.#peers,
+      memberLists: this.#membership.history,
+      programRetention: () =>
+        computeProgramRetention(this.#fleet.index?.configuration.routes ?? []),
     });
     this.#origins = new OriginSharing({ table: new OriginTable(), peers: this.#peers });
     const retirementReporter = new RetirementReporter({
@@ -372,7 +370,7 @@
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
     ];
-    if (!settings.isFirstStart) tasks.push(createStartedProgramsTask(this.#budgets));
+    if (!settings.isFirstStart) tasks.push(createMemoryTask(this.#budgets));
     for (const task of tasks) {
       await this.#supervisor.startChild(task);
     }
@@ -423,15 +421,6 @@
     response.end();
   }
 
-  /**
-   * Whether no earlier process of this instance can have served programs that are still running.
-   */
-  get #isFirstProcess(): boolean {
-    const hasRetentionExpired =
-      process.uptime() * MILLISECONDS_PER_SECOND > PROGRAM_RETENTION_MILLISECONDS;
-    return this.#parts.settings.isFirstStart || hasRetentionExpired;
-  }
-
   /** Whether programs that started before this process may still be under way. */
   get #mayHaveEarlierPrograms(): boolean {
     return process.uptime() * MILLISECONDS_PER_SECOND < LONGEST_PROGRAM_MILLISECONDS;
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -67,9 +67,18 @@
           isKnown: loan.isKnown,
           isMemoryWhole: loan.isMemoryWhole,
           canUseStore: loan.canUseStore,
+          isPromised: loan.isPromised,
         };
     }
   },
+  listPromises: async () => {
+    const { promisedKeys, isComplete } = budgets.memory;
+    return {
+      budgets: [...promisedKeys],
+      isMemoryWhole: isComplete,
+      formerLists: budgets.formerLists.map((members) => ({ members: [...members] })),
+    };
+  },
   announcePrograms: async ({ budgets: keys }) => {
     keys.forEach((key) => budgets.recordProgramStart(key));
     return {};
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -11,6 +11,7 @@
 import type {
   AnnounceLimitsResponse,
   LendBudgetResponse,
+  ListPromisesResponse,
   ShareQuarantineResponse,
 } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
@@ -25,6 +26,7 @@
 import type { KeyedLimitState, LimitPeers, TokenReply, TokenRequest } from '../limits/limitPeers';
 import type { QuarantinePeers } from '../quarantine/quarantinePeers';
 import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
+import type { GrantPeers, PeerPromises } from '../budgets/grantPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
 import type { KeyedOrigin } from '../resumption/keyedOrigin';
 import type { OriginPeers } from '../resumption/originPeers';
@@ -145,7 +147,14 @@
 
 /** Clients of the other instances. */
 export class FleetPeers
-  implements QuotaPeers, QuarantinePeers, LimitPeers, OriginPeers, PathPeers, ForwardingPeers
+  implements
+    GrantPeers,
+    QuotaPeers,
+    QuarantinePeers,
+    LimitPeers,
+    OriginPeers,
+    PathPeers,
+    ForwardingPeers
 {
   readonly #logger: Logger;
 
@@ -247,8 +256,31 @@
       if (reply?.answer.outcome === LendOutcome.SPENT) return { kind: 'spent' };
       if (reply && reply.answer.tokens > 0) return { kind: 'lent', tokens: reply.answer.tokens };
     }
-    const mayHaveStarted = replies.some(({ answer }) => answer.isKnown || !answer.isMemoryWhole);
-    return { kind: 'none', mayHaveStarted, responseCount: replies.length };
+    return {
+      kind: 'none',
+      isKnown: replies.some(({ answer }) => answer.isKnown),
+      promisers: replies.filter(({ answer }) => answer.isPromised).map(({ name }) => name),
+    };
+  }
+
+  /** Asks all peers for their promises; those that don't respond are left out. */
+  async listPromises(): Promise<readonly PeerPromises[]> {
+    const names = [...this.#peers.keys()];
+    const replies: Reply<ListPromisesResponse>[] = [];
+    while (names.length > 0) {
+      const asked = names.splice(0, CONCURRENT_BROADCAST_CALLS);
+      replies.push(
+        ...(await this.#callEach(asked, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
+          client.listPromises({}, options),
+        )),
+      );
+    }
+    return replies.map(({ name, answer }) => ({
+      name,
+      budgetKeys: answer.budgets,
+      isComplete: answer.isMemoryWhole,
+      formerLists: answer.formerLists.map(({ members }) => members),
+    }));
   }
 
   /**
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -4,6 +4,7 @@
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import { z } from 'zod';
+import { MemberListHistory } from '../budgets/memberListHistory';
 import { WatchStatus } from '../fleet/watchStatus';
 import type { LimitMembership } from '../limits/limitPeers';
 import { MemberLists } from '../limits/memberLists';
@@ -79,6 +80,8 @@
 
   readonly #lists = new MemberLists();
 
+  readonly #history = new MemberListHistory();
+
   #storeRespondedAtMilliseconds = -Infinity;
 
   #isReadingMembers = false;
@@ -139,6 +142,11 @@
     });
   }
 
+  /** Lists of members on which tokens may have been granted without the store. */
+  get history(): MemberListHistory {
+    return this.#history;
+  }
+
   /** Names of the other members, including absent ones. */
   get others(): readonly string[] {
     return this.#lists.current.filter((name) => name !== this.#parts.instance);
@@ -236,6 +244,7 @@
       return;
     }
     this.#lists.record(list.members);
+    this.#history.record(list.members);
     this.#membersRevision = entry.revision;
     this.#parts.logger.info('membership.members', {
       members: list.members.length,
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -1,14 +1,28 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { EscrowBudgets } from '../../src/budgets/escrowBudgets';
+import { GrantMemory } from '../../src/budgets/grantMemory';
+import type { PeerPromises } from '../../src/budgets/grantPeers';
 import type { Loan, LoanRequest } from '../../src/budgets/loan';
+import { MemberListHistory } from '../../src/budgets/memberListHistory';
 import { MemoryStore } from '../support/memoryStore';
 
+/** Time after which a program without turns does not return. */
+export const RETENTION_MILLISECONDS = 60_000;
+
+interface Process {
+  readonly budgets: EscrowBudgets;
+  readonly lists: MemberListHistory;
+}
+
+/** Longer than a list of members takes to settle. */
+const SETTLE_MILLISECONDS = 3_000;
+
+const toName = (index: number): string => `i${index}`;
+
 /** Instances in one process whose budgets share a store and query each other. */
 export class BudgetFleet {
   readonly store = new MemoryStore();
 
-  readonly instances: EscrowBudgets[];
-
   /** Indices of instances that respond to no peer. */
   readonly unresponsive = new Set<number>();
 
@@ -18,50 +32,118 @@
   /** Whether the first and the second half can't reach each other. */
   isSplit = false;
 
+  readonly #processes: Process[] = [];
+
+  #processCount = 0;
+
+  #skippedMilliseconds = 0;
+
+  /** Creates a fleet that has run for longer than its list of members takes to settle. */
   constructor(count: number) {
-    this.instances = Array.from({ length: count }, (_value, index) => this.#start(index, true));
+    const now = performance.now.bind(performance);
+    jest.spyOn(performance, 'now').mockImplementation(() => now() + this.#skippedMilliseconds);
+    for (let index = 0; index < count; index += 1) this.#processes.push(this.#start(index, true));
+    this.#recordMembers();
+    this.settleMembers();
+  }
+
+  /** Skips the time in which a list of members settles. */
+  settleMembers(): void {
+    this.skip(SETTLE_MILLISECONDS);
+  }
+
+  /** Skips time; timers don't run meanwhile. */
+  skip(milliseconds: number): void {
+    this.#skippedMilliseconds += milliseconds;
+  }
+
+  get instances(): readonly EscrowBudgets[] {
+    return this.#processes.map(({ budgets }) => budgets);
   }
 
   /** Replaces an instance by a new process without any state. */
   restart(index: number): void {
-    this.instances[index] = this.#start(index, false);
+    this.#processes[index] = this.#start(index, false);
+    this.#recordMembers();
+  }
+
+  /** Adds an instance, which becomes a member if the store is up. */
+  add(): void {
+    this.#processes.push(this.#start(this.#processes.length, false));
+    this.#recordMembers();
+  }
+
+  /** Ends an outage of the store: instances read the members and record their grants. */
+  async endOutage(): Promise<void> {
+    this.store.isDown = false;
+    this.#recordMembers();
+    await Promise.all(
+      this.instances
+        .filter((_one, index) => !this.unresponsive.has(index))
+        .map((budgets) => budgets.recordGrants()),
+    );
+  }
+
+  #recordMembers(): void {
+    if (this.store.isDown) return;
+    const names = this.#processes.map((_process, index) => toName(index));
+    this.#processes.forEach(({ lists }) => lists.record(names));
   }
 
-  #start(index: number, isFirstProcess: boolean): EscrowBudgets {
-    return new EscrowBudgets({
+  #start(index: number, isFirstProcess: boolean): Process {
+    this.#processCount += 1;
+    const lists = new MemberListHistory();
+    const budgets = new EscrowBudgets({
       store: this.store.client,
       logger: silentLogger,
       metrics: new MemoryMetrics(),
-      recall: async (key) => {
-        await Promise.all(this.#peersOf(index).map((peer) => peer.release(key)));
+      instance: toName(index),
+      memory: new GrantMemory(`${toName(index)}/${this.#processCount}`, isFirstProcess),
+      peers: {
+        releaseBudget: async (key) => {
+          await Promise.all(this.#peersOf(index).map(([, peer]) => peer.release(key)));
+        },
+        borrowBudget: (request) => this.#borrow(index, request),
+        announceProgram: (key) => {
+          this.announced.push(key);
+          this.#peersOf(index).forEach(([, peer]) => peer.recordProgramStart(key));
+        },
+        listPromises: async () => this.#listPromises(index),
       },
-      borrow: (request) => this.#borrow(index, request),
-      announce: (key) => {
-        this.announced.push(key);
-        this.#peersOf(index).forEach((peer) => peer.recordProgramStart(key));
-      },
-      isFirstProcess: () => isFirstProcess,
-      memberCount: () => this.instances.length,
+      memberLists: lists,
+      programRetention: () => RETENTION_MILLISECONDS,
     });
+    return { budgets, lists };
   }
 
-  #peersOf(index: number): readonly EscrowBudgets[] {
-    const half = this.instances.length / 2;
-    return this.instances.filter((_one, other) => {
+  #peersOf(index: number): readonly (readonly [string, EscrowBudgets])[] {
+    const half = this.#processes.length / 2;
+    return this.instances.flatMap((budgets, other) => {
       const isReached = !this.isSplit || index < half === other < half;
-      return other !== index && isReached && !this.unresponsive.has(other);
+      const isAsked = other !== index && isReached && !this.unresponsive.has(other);
+      return isAsked ? [[toName(other), budgets] as const] : [];
     });
   }
 
+  #listPromises(index: number): readonly PeerPromises[] {
+    return this.#peersOf(index).map(([name, { memory, formerLists }]) => ({
+      name,
+      budgetKeys: memory.promisedKeys,
+      isComplete: memory.isComplete,
+      formerLists,
+    }));
+  }
+
   /** Borrows from the reachable peers, as the connections between instances do. */
   async #borrow(index: number, request: LoanRequest): Promise<Loan> {
-    let mayHaveStarted = false;
-    const peers = this.#peersOf(index);
-    for (const peer of peers) {
+    let isKnown = false;
+    const promisers: string[] = [];
+    for (const [name, peer] of this.#peersOf(index)) {
       const answer = await peer.lend(request);
       if (answer.kind !== 'none') return answer;
-      mayHaveStarted ||= answer.isKnown || !answer.isMemoryWhole;
+      isKnown ||= answer.isKnown;
+      if (answer.isPromised) promisers.push(name);
     }
-    return { kind: 'none', mayHaveStarted, responseCount: peers.length };
+    return { kind: 'none', isKnown, promisers };
   }
 }
--- a/packages/gateway/tests/budgets/createStartedProgramsTask.test.ts
+++ b/packages/gateway/tests/budgets/createMemoryTask.test.ts
@@ -1,4 +1,4 @@
-import { createStartedProgramsTask } from '../../src/budgets/createStartedProgramsTask';
+import { createMemoryTask } from '../../src/budgets/createMemoryTask';
 
 beforeEach(() => jest.useFakeTimers());
 afterEach(() => jest.useRealTimers());
@@ -11,7 +11,7 @@
   };
   const controller = new AbortController();
   const { signal } = controller;
-  void createStartedProgramsTask({ loadStartedPrograms: learnBegun }).run({
+  void createMemoryTask({ restoreMemory: learnBegun }).run({
     signal,
     ready: () => undefined,
   });
--- a/packages/gateway/tests/budgets/escrowBudgets.test.ts
+++ b/packages/gateway/tests/budgets/escrowBudgets.test.ts
@@ -13,6 +13,10 @@
   isContinuation,
 });
 
+afterEach(() => {
+  jest.restoreAllMocks();
+});
+
 const spendAll = async (
   reserve: () => Promise<BudgetDecision>,
   usedTokens: number,
@@ -133,7 +137,7 @@
   fleet.store.isDown = false;
   let rest = 0;
   for (let index = 0; index < 4; index += 1) {
-    await fleet.instances[index]!.loadStartedPrograms();
+    await fleet.instances[index]!.restoreMemory();
     rest += await spendAll(
       () => fleet.instances[index]!.reserve(createRequest(4_000)),
       TURN_TOKENS,
@@ -151,18 +155,118 @@
   expect(decision.kind).toBe('unavailable');
 });
 
-test('a restarted instance that has read the store makes offline grants to new programs', async () => {
-  const fleet = new BudgetFleet(2);
+test('a restarted instance that has learned the promises makes offline grants', async () => {
+  const fleet = new BudgetFleet(4);
   await fleet.instances[0]!.reserve({ ...createRequest(4_000), programId: 'organisation/old' });
-  fleet.restart(0);
   fleet.restart(1);
-  expect(await fleet.instances[0]!.loadStartedPrograms()).toBe(true);
-  expect(await fleet.instances[1]!.loadStartedPrograms()).toBe(true);
+  fleet.restart(2);
+  fleet.settleMembers();
+  expect(await fleet.instances[1]!.restoreMemory()).toBe(true);
+  expect(await fleet.instances[2]!.restoreMemory()).toBe(true);
   fleet.store.isDown = true;
-  const fresh = await fleet.instances[0]!.reserve(createRequest(4_000));
+  const fresh = await fleet.instances[1]!.reserve(createRequest(4_000));
   expect(fresh.kind).toBe('reserved');
+  fleet.unresponsive.add(0);
   const old = { ...createRequest(4_000), programId: 'organisation/old' };
-  expect((await fleet.instances[1]!.reserve(old)).kind).toBe('unavailable');
+  expect((await fleet.instances[2]!.reserve(old)).kind).toBe('unavailable');
+});
+
+// Half of a budget was granted in each of two outages: the first grant was lost with all processes,
+// and the store does not list what was never recorded.
+test('a grant that was lost with all processes is not made again', async () => {
+  const fleet = new BudgetFleet(4);
+  const limit = 8 * TURN_TOKENS;
+  const spend = () =>
+    spendAll(() => fleet.instances[0]!.reserve(createRequest(limit)), TURN_TOKENS);
+  fleet.store.isDown = true;
+  let spent = await spend();
+  expect(spent).toBe(limit / 2);
+  [0, 1, 2, 3].forEach((index) => fleet.restart(index));
+  await fleet.endOutage();
+  fleet.settleMembers();
+  await Promise.all(fleet.instances.map((instance) => instance.restoreMemory()));
+  fleet.store.isDown = true;
+  spent += await spend();
+  await fleet.endOutage();
+  await delay(PROBE_MILLISECONDS);
+  await fleet.instances[0]!.reserve(createRequest(limit));
+  await delay(1);
+  spent += await spend();
+  expect(spent).toBeLessThanOrEqual(limit + TURN_TOKENS);
+});
+
+// Two turns were granted to a program whose budget is less than two turns.
+test('a small budget is granted once without the store', async () => {
+  const fleet = new BudgetFleet(4);
+  const limit = TURN_TOKENS;
+  fleet.store.isDown = true;
+  const spend = () =>
+    spendAll(() => fleet.instances[0]!.reserve(createRequest(limit)), TURN_TOKENS);
+  let spent = await spend();
+  expect(spent).toBe(TURN_TOKENS);
+  [0, 1, 2, 3].forEach((index) => fleet.restart(index));
+  await fleet.endOutage();
+  fleet.settleMembers();
+  await Promise.all(fleet.instances.map((instance) => instance.restoreMemory()));
+  fleet.store.isDown = true;
+  spent += await spend();
+  expect(spent).toBe(TURN_TOKENS);
+});
+
+// The lender of an unrecorded grant ended, and the borrower took the whole budget from the store.
+test('a grant is presumed by an instance that has borrowed a part of it', async () => {
+  const fleet = new BudgetFleet(3);
+  const limit = 8 * TURN_TOKENS;
+  fleet.store.isDown = true;
+  let spent = 0;
+  const take = async (index: number): Promise<void> => {
+    const decision = await fleet.instances[index]!.reserve(createRequest(limit));
+    if (decision.kind !== 'reserved') return;
+    decision.settle(TURN_TOKENS);
+    spent += TURN_TOKENS;
+  };
+  await take(0);
+  await take(1);
+  await take(0);
+  expect(spent).toBe(3 * TURN_TOKENS);
+  fleet.unresponsive.add(0);
+  fleet.unresponsive.add(2);
+  fleet.store.isDown = false;
+  await delay(PROBE_MILLISECONDS);
+  for (let turn = 0; turn < 10; turn += 1) {
+    await take(1);
+    await delay(1);
+  }
+  expect(spent).toBeLessThanOrEqual(limit + TURN_TOKENS);
+});
+
+// Each of two halves took the other's instances for absent and granted on its own list of members.
+test('a grant needs a majority of the members before and after an addition', async () => {
+  const fleet = new BudgetFleet(3);
+  fleet.add();
+  fleet.add();
+  fleet.settleMembers();
+  await fleet.instances[3]!.restoreMemory();
+  await fleet.instances[4]!.restoreMemory();
+  fleet.store.isDown = true;
+  fleet.unresponsive.add(1);
+  fleet.unresponsive.add(2);
+  expect((await fleet.instances[3]!.reserve(createRequest(4_000))).kind).toBe('unavailable');
+});
+
+// An instance of an earlier version grants on an answer alone, so that the answer must be the last.
+test('a program is known after an instance of an earlier version has asked', async () => {
+  const { instances } = new BudgetFleet(3);
+  const request = {
+    budget: 'budgets/key',
+    limitTokens: 900,
+    turnTokens: TURN_TOKENS,
+    mayUseStore: false,
+    requester: '',
+    wantsPromise: false,
+  };
+  expect(await instances[0]!.lend(request)).toMatchObject({ isKnown: false, isMemoryWhole: true });
+  expect(await instances[0]!.lend(request)).toMatchObject({ isKnown: true });
 });
 
 test('a turn is not delayed while the store is unreachable', async () => {
--- a/packages/gateway/tests/peers/fleetPeers.test.ts
+++ b/packages/gateway/tests/peers/fleetPeers.test.ts
@@ -1,6 +1,9 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
-import { FleetService } from '@limpetnotch/peer-protocol';
+import {
+  FleetService,
+  LendBudgetResponse_Outcome as LendOutcome,
+} from '@limpetnotch/peer-protocol';
 import { HttpListener } from '../../src/ingress/httpListener';
 import { FleetPeers } from '../../src/peers/fleetPeers';
 
@@ -25,3 +28,32 @@
   for (let call = 0; call < 4; call += 1) expect(await peers.listLimits('old')).toBeUndefined();
   expect(await peers.takeTokens('organisation', 1)).toBe(1);
 });
+
+// Answers of an instance that makes no promises, counted as promises, let two instances grant.
+test('an answer of an earlier version is no promise, and its promises are not listed', async () => {
+  listener = await HttpListener.start({
+    host: '127.0.0.1',
+    port: 0,
+    listener: connectNodeAdapter({
+      routes: (router) =>
+        router.service(FleetService, {
+          lendBudget: async () => ({ outcome: LendOutcome.UNAVAILABLE, isMemoryWhole: true }),
+        }),
+    }),
+  });
+  peers.setPeers(new Map([['old', `127.0.0.1:${listener.port}`]]));
+  const request = {
+    budget: 'budgets/key',
+    limitTokens: 900,
+    turnTokens: 288,
+    mayUseStore: true,
+    requester: 'new/1',
+    wantsPromise: true,
+  };
+  expect(await peers.borrowBudget(request)).toEqual({
+    kind: 'none',
+    isKnown: false,
+    promisers: [],
+  });
+  expect(await peers.listPromises()).toEqual([]);
+});
