Bound what one target's endless answers cost an instance

Cause: what arrives was counted by its payload. A chunk of one byte cost as much as a large one and was counted as a byte; each blank line or comment became an object and a write of its own; all that a chunk held was handled before the loop went on, and unread bytes were looked at only then; a stream without data cost what it liked; an answer that was too large was fetched again from its target.

Change: chunks count with their overhead and are joined before they are read; 10,000 tiny chunks end an answer, 1,000 events without data (or 64 KB) in a row a stream; 4 KB are handled at once, in one write, and work yields after 5 ms of a turn; unread bytes are looked at after each piece; a target's buffered answers have a sum of 16 MB, and 1 MB for 10 s once it was exceeded; such an outcome is 'excessive': no evidence of a crash, and no reason to ask the target again.

Events with data without end last until the timeout of their route.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -14,9 +14,9 @@
 import { AttemptEndedError, toBrokenError } from './attemptEndedError';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
-import type { BufferLimiter } from './bufferLimiter';
 import { PROGRESS_CHECK_MILLISECONDS, ProgressMonitor } from './progressMonitor';
 import type { InactivityTimeout } from './inactivityTimeout';
+import type { TargetBuffers } from './targetBuffers';
 import type { ResponseHead, WireCodec } from './wireCodec';
 
 /** Received bytes that belong to no response, above which the attempt counts as broken. */
@@ -31,7 +31,7 @@
   readonly loads: TargetLoads;
   readonly limits: TargetLimits;
   readonly writer: ResponseWriter;
-  readonly bufferLimiter: BufferLimiter;
+  readonly buffers: TargetBuffers;
   readonly origins: Pick<OriginSharing, 'record'>;
   readonly logger: Logger;
 }
@@ -204,7 +204,7 @@
     );
     const progressCheck = setInterval(() => {
       if (exchange.unparsedBytes > MAXIMUM_UNUSED_BYTES) {
-        abort({ kind: 'broken', detail: 'bytes that belong to no response' });
+        abort({ kind: 'excessive', detail: 'bytes that belong to no response' });
       } else if (this.#isWaitingInVain(exchange)) {
         abort({ kind: 'no-path', detail: 'no connection', wasSent: false });
       } else if (this.#isLost && this.#mayGiveUp(exchange)) {
@@ -251,12 +251,12 @@
     if (head.load) this.#parts.loads.recordReport(this.#options.target.id, head.load);
     this.#checkHead(head, exchange);
     const { call } = this.#options;
-    const { writer, bufferLimiter } = this.#parts;
+    const { writer, buffers } = this.#parts;
     const abortSignal = this.#abortController.signal;
     const relay = new ResponseRelay({
       call,
       writer,
-      bufferLimiter,
+      bufferLimiter: buffers.limiterOf(this.#options.target.id),
       progressMonitor: this.#progressMonitor,
       abortSignal,
       onFirstEvent: () => this.#recordOrigin(),
@@ -319,6 +319,7 @@
     switch (reason.kind) {
       case 'not-sent':
       case 'broken':
+      case 'excessive':
         return reason;
       case 'aborted':
         return { kind: 'broken', detail: reason.detail };
--- a/packages/gateway/src/calls/attemptEndedError.ts
+++ b/packages/gateway/src/calls/attemptEndedError.ts
@@ -13,3 +13,7 @@
 /** Returns the error for a response that is lost or does not belong to the request. */
 export const toBrokenError = (detail: string): AttemptEndedError =>
   new AttemptEndedError({ kind: 'broken', detail });
+
+/** Returns the error for a response that costs more than one may. */
+export const toExcessiveError = (detail: string): AttemptEndedError =>
+  new AttemptEndedError({ kind: 'excessive', detail });
--- a/packages/gateway/src/calls/attemptOutcome.ts
+++ b/packages/gateway/src/calls/attemptOutcome.ts
@@ -20,6 +20,8 @@
   | { readonly kind: 'no-path'; readonly detail: string; readonly wasSent: boolean }
   /** The request may have run; its response is lost, or the received one is not valid for it. */
   | { readonly kind: 'broken'; readonly detail: string }
+  /** As `broken`: the response cost more than one may. Another one of the target would as well. */
+  | { readonly kind: 'excessive'; readonly detail: string }
   /** The target became unresponsive. */
   | { readonly kind: 'stalled'; readonly detail: string }
   /** The caller closed its connection. */
--- a/packages/gateway/src/calls/bufferedBody.ts
+++ b/packages/gateway/src/calls/bufferedBody.ts
@@ -1,8 +1,11 @@
-import type { BufferLimiter } from './bufferLimiter';
+import type { TargetBufferLimiter } from './targetBufferLimiter';
+
+/** Memory that a chunk takes beside its payload. */
+const CHUNK_OVERHEAD_BYTES = 256;
 
 /** Body of a response that is sent only when it is complete. */
 export class BufferedBody {
-  readonly #limiter: BufferLimiter;
+  readonly #limiter: TargetBufferLimiter;
 
   readonly #maximumBytes: number;
 
@@ -10,7 +13,7 @@
 
   #bytes = 0;
 
-  constructor(limiter: BufferLimiter, maximumBytes: number) {
+  constructor(limiter: TargetBufferLimiter, maximumBytes: number) {
     this.#limiter = limiter;
     this.#maximumBytes = maximumBytes;
   }
@@ -22,9 +25,10 @@
 
   /** Appends a chunk; returns false if this body, or all buffered ones together, are too large. */
   append(chunk: Buffer): boolean {
-    if (this.#bytes + chunk.length > this.#maximumBytes) return false;
-    if (!this.#limiter.tryReserve(chunk.length)) return false;
-    this.#bytes += chunk.length;
+    const bytes = chunk.length + CHUNK_OVERHEAD_BYTES;
+    if (this.#bytes + bytes > this.#maximumBytes) return false;
+    if (!this.#limiter.tryReserve(bytes)) return false;
+    this.#bytes += bytes;
     this.#chunks.push(chunk);
     return true;
   }
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -78,6 +78,7 @@
 const isTargetFailure = (outcome: AttemptOutcome): boolean => {
   switch (outcome.kind) {
     case 'broken':
+    case 'excessive':
     case 'stalled':
       return true;
     case 'timed-out':
@@ -333,6 +334,7 @@
         if (call.isRepeatable && call.history.runs < MAXIMUM_RUNS) return undefined;
         return this.#giveUp(call, outcome, { kind: 'outcome-unknown', reason: outcome.detail });
       case 'broken':
+      case 'excessive':
       case 'stalled':
         if (call.isRepeatable && call.history.runs < MAXIMUM_RUNS) return undefined;
         return this.#giveUp(call, outcome, { kind: 'outcome-unknown', reason: outcome.detail });
--- a/packages/gateway/src/calls/callerStream.ts
+++ b/packages/gateway/src/calls/callerStream.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from 'node:http';
 import type { ResponseWriter } from './responseWriter';
-import type { BufferLimiter } from './bufferLimiter';
+import type { TargetBufferLimiter } from './targetBufferLimiter';
 import { BufferedBody } from './bufferedBody';
 import type { ResponseHead } from './wireCodec';
 
@@ -17,7 +17,7 @@
    */
   | { readonly kind: 'held'; readonly body: BufferedBody };
 
-const chooseDelivery = ({ req }: ServerResponse, bufferLimiter: BufferLimiter): Delivery => {
+const chooseDelivery = ({ req }: ServerResponse, bufferLimiter: TargetBufferLimiter): Delivery => {
   const takesChunks = req.httpVersionMajor > 1 || req.httpVersionMinor > 0;
   if (takesChunks) return { kind: 'streamed' };
   return { kind: 'held', body: new BufferedBody(bufferLimiter, MAXIMUM_BUFFERED_STREAM_BYTES) };
@@ -34,7 +34,11 @@
   /** Head of the first target's response, used for the complete stream. */
   #head: ResponseHead | undefined;
 
-  constructor(response: ServerResponse, writer: ResponseWriter, bufferLimiter: BufferLimiter) {
+  constructor(
+    response: ServerResponse,
+    writer: ResponseWriter,
+    bufferLimiter: TargetBufferLimiter,
+  ) {
     this.#response = response;
     this.#writer = writer;
     this.#delivery = chooseDelivery(response, bufferLimiter);
--- a/packages/gateway/src/calls/decideDispatch.ts
+++ b/packages/gateway/src/calls/decideDispatch.ts
@@ -70,6 +70,8 @@
       return remainingMilliseconds > FULL_PAUSE_MILLISECONDS
         ? repeatAfter(FULL_PAUSE_MILLISECONDS, target)
         : giveUp('full');
+    case 'excessive':
+      return giveUp('repeated');
     case 'ended':
       return giveUp('no-target');
   }
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -12,6 +12,8 @@
   | { readonly kind: 'unreachable' }
   /** It accepted the request, and declined a later dispatch of it. */
   | { readonly kind: 'full' }
+  /** Its response cost more than one may, and another one would as well. */
+  | { readonly kind: 'excessive' }
   | { readonly kind: 'ended'; readonly evidence: CrashEvidence };
 
 /** A target that may have run a request. */
@@ -39,6 +41,7 @@
     case 'silent':
     case 'unreachable':
     case 'full':
+    case 'excessive':
       return { kind: 'unreachable' };
   }
 };
@@ -59,6 +62,8 @@
         : { kind: 'unreachable' };
     case 'stalled':
       return { kind: 'silent' };
+    case 'excessive':
+      return { kind: 'excessive' };
     case 'delivered':
     case 'broken':
     case 'caller-gone':
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -1,13 +1,15 @@
 import type { TargetResponse } from '../targets/targetResponse';
 import type { ResponseWriter } from './responseWriter';
-import { toBrokenError } from './attemptEndedError';
+import { loopTurn } from '../util/loopTurn';
+import { toBrokenError, toExcessiveError } from './attemptEndedError';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import { CallerStream } from './callerStream';
 import { ContinuationCheck } from './continuationCheck';
+import { SilentCost } from './silentCost';
 import { EventStreamReader } from './eventStreamReader';
 import type { StreamEvent } from './eventStreamReader';
-import type { BufferLimiter } from './bufferLimiter';
+import type { TargetBufferLimiter } from './targetBufferLimiter';
 import type { ProgressMonitor } from './progressMonitor';
 import { waitUntilWritable } from './waitUntilWritable';
 import { BufferedBody } from './bufferedBody';
@@ -16,17 +18,36 @@
 /** Size up to which a plain response is buffered before it is sent; a larger one is broken. */
 const MAXIMUM_RESPONSE_BYTES = 16 * 1024 * 1024;
 
+/** Bytes of a stream that are handled at once. */
+const PIECE_BYTES = 4 * 1024;
+
 /** Maximum size of one event of a stream; a larger one breaks the stream. */
 const MAXIMUM_EVENT_BYTES = 1024 * 1024;
 
 /** Bytes that a caller has not read yet, above which reading from the target pauses. */
 const MAXIMUM_UNREAD_BYTES = 256 * 1024;
 
+function* splitIntoPieces(chunk: Buffer): Generator<Buffer> {
+  for (let start = 0; start < chunk.length; start += PIECE_BYTES) {
+    yield chunk.subarray(start, start + PIECE_BYTES);
+  }
+}
+
+/** Throws if a response declares that it is larger than one may be. */
+const checkDeclaredLength = ({ rawHeaders }: TargetResponse): void => {
+  const index = rawHeaders.findIndex(
+    (name, position) => position % 2 === 0 && name.toLowerCase() === 'content-length',
+  );
+  if (index >= 0 && Number(rawHeaders[index + 1]) > MAXIMUM_RESPONSE_BYTES) {
+    throw toExcessiveError('declared length too large');
+  }
+};
+
 /** Dependencies of a {@link ResponseRelay}. */
 export interface ResponseRelayParts {
   readonly call: Call;
   readonly writer: ResponseWriter;
-  readonly bufferLimiter: BufferLimiter;
+  readonly bufferLimiter: TargetBufferLimiter;
   readonly progressMonitor: ProgressMonitor;
   /** Aborts when the attempt is given up. */
   readonly abortSignal: AbortSignal;
@@ -64,15 +85,21 @@
     const eventCountBefore = call.eventCount;
     const continuation = new ContinuationCheck(eventCountBefore > 0);
     const reader = new EventStreamReader();
+    const silentCost = new SilentCost();
     for await (const chunk of targetResponse.body) {
-      const events = reader.push(chunk);
-      // Occasional comments, or bytes of an incomplete event, do not count as progress.
-      if (events.some(({ hasData }) => hasData)) progressMonitor.recordEvents();
-      if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw toBrokenError('event too large');
-      events.forEach((event) => continuation.checkEvent(event));
-      if (events.length > 0 && call.eventCount === eventCountBefore) this.#parts.onFirstEvent();
-      events.forEach((event) => this.#relayEvent(stream, head, event));
-      if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#waitForCaller();
+      for (const piece of splitIntoPieces(chunk)) {
+        await loopTurn.yieldIfLong();
+        const events = reader.push(piece);
+        events.forEach((event) => silentCost.record(event));
+        if (silentCost.isExceeded) throw toExcessiveError('too many events without data');
+        // Occasional comments, or bytes of an incomplete event, do not count as progress.
+        if (events.some(({ hasData }) => hasData)) progressMonitor.recordEvents();
+        if (reader.pendingBytes > MAXIMUM_EVENT_BYTES) throw toExcessiveError('event too large');
+        events.forEach((event) => continuation.checkEvent(event));
+        if (events.length > 0 && call.eventCount === eventCountBefore) this.#parts.onFirstEvent();
+        this.#relayEvents(stream, head, events);
+        if (stream.unreadBytes > MAXIMUM_UNREAD_BYTES) await this.#waitForCaller();
+      }
     }
     if (reader.isInsideEvent) throw toBrokenError('stream ended within an event');
     if (targetResponse.framing === 'until-close' && !reader.endsWithData) {
@@ -84,11 +111,13 @@
   }
 
   async #bufferBody(targetResponse: TargetResponse): Promise<BufferedBody> {
+    if (this.#parts.call.envelope.method !== 'HEAD') checkDeclaredLength(targetResponse);
     const body = new BufferedBody(this.#parts.bufferLimiter, MAXIMUM_RESPONSE_BYTES);
     try {
       for await (const chunk of targetResponse.body) {
+        await loopTurn.yieldIfLong();
         this.#parts.progressMonitor.recordProgress();
-        if (!body.append(chunk)) throw toBrokenError('response too large');
+        if (!body.append(chunk)) throw toExcessiveError('response too large');
       }
       return body;
     } catch (error) {
@@ -97,11 +126,16 @@
     }
   }
 
-  #relayEvent(stream: CallerStream, head: ResponseHead, event: StreamEvent): void {
+  /** Sends the events of one piece in one write. */
+  #relayEvents(stream: CallerStream, head: ResponseHead, events: readonly StreamEvent[]): void {
     const { call } = this.#parts;
+    const [first] = events;
+    if (!first) return;
     if (call.eventCount === 0) call.answeredAtMilliseconds = call.ageMilliseconds;
-    if (!stream.write(head, event.bytes)) throw toBrokenError('stream too large to buffer');
-    call.recordEvent(event);
+    const bytes =
+      events.length === 1 ? first.bytes : Buffer.concat(events.map((event) => event.bytes));
+    if (!stream.write(head, bytes)) throw toExcessiveError('stream too large to buffer');
+    events.forEach((event) => call.recordEvent(event));
   }
 
   /** Waits until the caller has read the pending bytes or has left, or the attempt is given up. */
--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -218,6 +218,7 @@
         return failed(error.isRefused ? 'refused' : 'not-sent', detail);
       }
       case 'broken':
+      case 'excessive':
       case 'aborted':
         return failed('broken', detail);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
 import { CallRunner } from './calls/callRunner';
 import { BufferLimiter } from './calls/bufferLimiter';
 import { OpenCalls } from './calls/openCalls';
+import { TargetBuffers } from './calls/targetBuffers';
 import type { WireCodec } from './calls/wireCodec';
 import type { FleetConfiguration } from './configuration/fleetConfiguration';
 import type { FleetCodec } from './fleet/fleetCodec';
@@ -59,6 +60,9 @@
  */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
 
+/** Maximum size of the buffered responses of one target, which may be faulty. */
+const MAXIMUM_BUFFERED_TARGET_BYTES = 16 * 1024 * 1024;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Settings that may change while an instance runs. */
@@ -84,6 +88,11 @@
 
   readonly #connections = new TargetConnections();
 
+  readonly #buffers = new TargetBuffers(
+    MAXIMUM_BUFFERED_TARGET_BYTES,
+    new BufferLimiter(MAXIMUM_BUFFERED_RESPONSE_BYTES),
+  );
+
   readonly #loads = new TargetLoads();
 
   readonly #prefixes = new PrefixDirectory();
@@ -281,7 +290,7 @@
       prefixes: this.#prefixes,
       speeds: this.#speeds,
       writer,
-      bufferLimiter: new BufferLimiter(MAXIMUM_BUFFERED_RESPONSE_BYTES),
+      buffers: this.#buffers,
       fleet: this.#fleet,
       availabilityZone: settings.availabilityZone,
       logger,
@@ -440,6 +449,7 @@
     const isKnown = (id: string): boolean => this.#fleet.targets.get(id) !== undefined;
     this.#connections.retain(isKnown);
     this.#loads.retain(isKnown);
+    this.#buffers.retain(isKnown);
     this.#speeds.retain(isKnown);
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
     [this.#limits, this.#limitGate, this.#limitSharing, this.#paths].forEach((part) =>
--- a/packages/gateway/src/quarantine/interruption.ts
+++ b/packages/gateway/src/quarantine/interruption.ts
@@ -15,6 +15,7 @@
     case 'caller-gone':
     case 'declined':
     case 'delivered':
+    case 'excessive':
     case 'no-path':
     case 'not-sent':
     case 'shutting-down':
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -22,12 +22,27 @@
     [value ?? []].flat().flatMap((one) => [name, one]),
   );
 
-/** Unread bytes of a response beyond which reading from the connection is paused. */
+/** Cost of unread chunks of a response, in bytes, beyond which reading is paused. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
+/** Chunks below this size are tiny; a legitimate event is larger. */
+const TINY_CHUNK_BYTES = 16;
+
+/** Maximum number of tiny chunks in one response. */
+const MAXIMUM_TINY_CHUNKS = 10_000;
+
+/** Memory that a chunk takes beside its payload; a chunk may have a single byte. */
+const CHUNK_OVERHEAD_BYTES = 256;
+
 /** Maximum number of 1xx responses before the final one; legitimate targets send fewer. */
 const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
 
+/** Joins chunks, so that a reader handles many small ones at once. */
+const joinChunks = (chunks: readonly Buffer[]): Buffer => {
+  const [first] = chunks;
+  return first && chunks.length === 1 ? first : Buffer.concat(chunks);
+};
+
 /** The connection on which an exchange is sent, as far as the exchange uses it. */
 export interface ConnectionHandle {
   readonly connection: {
@@ -48,6 +63,8 @@
 
   #bufferedBytes = 0;
 
+  #tinyChunks = 0;
+
   #informationalResponses = 0;
 
   /** Bytes read from the connection when the last part of the response was parsed. */
@@ -137,6 +154,7 @@
     if (status < 200) {
       this.#informationalResponses += 1;
       if (this.#informationalResponses <= MAXIMUM_INFORMATIONAL_RESPONSES) return;
+      this.#fail({ kind: 'excessive', detail: 'too many informational responses' });
       controller.abort(new Error('too many informational responses'));
       return;
     }
@@ -150,8 +168,14 @@
 
   onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this.#recordPart();
+    if (chunk.length < TINY_CHUNK_BYTES) this.#tinyChunks += 1;
+    if (this.#tinyChunks > MAXIMUM_TINY_CHUNKS) {
+      this.#fail({ kind: 'excessive', detail: 'too many tiny chunks' });
+      controller.abort(new Error('too many tiny chunks'));
+      return;
+    }
     this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
+    this.#bufferedBytes += chunk.length + CHUNK_OVERHEAD_BYTES;
     if (this.#bufferedBytes > MAXIMUM_BUFFERED_BYTES) controller.pause();
     this.#wakeReader?.();
   }
@@ -210,7 +234,7 @@
       const chunks = this.#chunks;
       this.#chunks = [];
       this.#bufferedBytes = 0;
-      yield* chunks;
+      if (chunks.length > 0) yield joinChunks(chunks);
       this.#controller?.resume();
       if (this.#chunks.length === 0) {
         if (this.#failure) throw new AnswerBrokenError(this.#failure);
--- a/packages/gateway/src/targets/exchangeError.ts
+++ b/packages/gateway/src/targets/exchangeError.ts
@@ -11,6 +11,8 @@
     }
   /** The request may have run: the connection broke, or the response did not match the request. */
   | { readonly kind: 'broken'; readonly detail: string }
+  /** The request may have run: the response cost more than one may. */
+  | { readonly kind: 'excessive'; readonly detail: string }
   /** This instance aborted the exchange. */
   | { readonly kind: 'aborted'; readonly detail: string };
 
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -11,6 +11,7 @@
 import type { CallResult } from '../../src/calls/callRunner';
 import { CallRunner } from '../../src/calls/callRunner';
 import { BufferLimiter } from '../../src/calls/bufferLimiter';
+import { TargetBuffers } from '../../src/calls/targetBuffers';
 import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
@@ -125,7 +126,7 @@
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
-      bufferLimiter: this.bufferLimiter,
+      buffers: new TargetBuffers(16 * 1024 * 1024, this.bufferLimiter),
       fleet: this.fleet,
       availabilityZone: 'a',
       logger,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -8,6 +8,7 @@
 import { CallGateway } from '../../src/calls/callGateway';
 import { CallRunner } from '../../src/calls/callRunner';
 import { BufferLimiter } from '../../src/calls/bufferLimiter';
+import { TargetBuffers } from '../../src/calls/targetBuffers';
 import { OpenCalls } from '../../src/calls/openCalls';
 import type { FleetOrganisation, FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
@@ -164,7 +165,7 @@
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
-      bufferLimiter: new BufferLimiter(32 * 1024 * 1024),
+      buffers: new TargetBuffers(16 * 1024 * 1024, new BufferLimiter(32 * 1024 * 1024)),
       fleet,
       availabilityZone: 'a',
       logger: this.#logger,
