--- a/packages/integration/tests/signals/stagedProgram.ts
+++ b/packages/integration/tests/signals/stagedProgram.ts
@@ -26,7 +26,7 @@
 const PEER_PORT = 7780;
 
 /** Nothing listens at the store's address, so the entry responds with 503. */
-const formatSettings = (host: string): string => `
+const formatSettings = (host: string, graceSeconds = 8): string => `
 nodeName = "frontend-a-1"
 ipAddress = "${host}"
 zone = "a"
@@ -35,7 +35,7 @@
 frontend = "${host}:${ENTRY_PORT}"
 readiness = "${host}:${READINESS_PORT}"
 [bounds]
-graceS = 8
+graceS = ${graceSeconds}
 [platform]
 address = "${host}:8362"
 `;
@@ -152,6 +152,11 @@
     this.#pipe = undefined;
   }
 
+  /** Replaces the settings file of an entry by one with another grace period. */
+  async changeGrace(graceSeconds: number): Promise<void> {
+    await this.#writeSettings(graceSeconds);
+  }
+
   async waitUntilServing(): Promise<void> {
     switch (this.#program) {
       case 'entry':
@@ -247,9 +252,9 @@
     return (server.address() as AddressInfo).port;
   }
 
-  async #writeSettings(): Promise<void> {
+  async #writeSettings(graceSeconds?: number): Promise<void> {
     const path = join(this.#folder, 'written.toml');
-    await writeFile(path, formatSettings(this.#host));
+    await writeFile(path, formatSettings(this.#host, graceSeconds));
     await rename(path, this.#settingsPath);
   }
 
