Count only unfinished answers against a target, and restrict it for one second

A target's buffered answers shared 16 MB until their callers had read them, and a target that exceeded that got 1 MB for 10 s: callers that read large answers slowly would have left their target no room. Now a complete answer counts only towards the 32 MB of all, and the restriction is 4 MB for 1 s, which is enough for the other endless answers of the moment.

--- a/packages/gateway/src/calls/bufferedBody.ts
+++ b/packages/gateway/src/calls/bufferedBody.ts
@@ -13,6 +13,8 @@
 
   #bytes = 0;
 
+  #isFinished = false;
+
   constructor(limiter: TargetBufferLimiter, maximumBytes: number) {
     this.#limiter = limiter;
     this.#maximumBytes = maximumBytes;
@@ -33,8 +35,16 @@
     return true;
   }
 
+  /** Records that the body is complete or given up; further calls have no effect. */
+  finish(): void {
+    if (this.#isFinished) return;
+    this.#isFinished = true;
+    this.#limiter.finish(this.#bytes);
+  }
+
   /** Releases the buffered bytes; further calls have no effect. */
   release(): void {
+    this.finish();
     this.#limiter.release(this.#bytes);
     this.#bytes = 0;
     this.#chunks.length = 0;
--- a/packages/gateway/src/calls/callerStream.ts
+++ b/packages/gateway/src/calls/callerStream.ts
@@ -69,6 +69,7 @@
         this.#response.end();
         return;
       case 'held':
+        this.#delivery.body.finish();
         this.#writer.writeResponse(
           this.#response,
           status,
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -119,6 +119,7 @@
         this.#parts.progressMonitor.recordProgress();
         if (!body.append(chunk)) throw toExcessiveError('response too large');
       }
+      body.finish();
       return body;
     } catch (error) {
       body.release();
--- a/packages/gateway/src/calls/targetBufferLimiter.ts
+++ b/packages/gateway/src/calls/targetBufferLimiter.ts
@@ -1,18 +1,21 @@
 import type { BufferLimiter } from './bufferLimiter';
 
 /** Limit of a target that has recently exceeded its usual one. */
-const RESTRICTED_BYTES = 1024 * 1024;
+const RESTRICTED_BYTES = 4 * 1024 * 1024;
 
 /** Time for which a target is restricted, so that the rest of its endless responses ends soon. */
-const RESTRICTION_MILLISECONDS = 10_000;
+const RESTRICTION_MILLISECONDS = 1_000;
 
-/** Limits the bytes that are buffered of one target's responses, as part of those of all targets. */
+/**
+ * Limits the bytes that are buffered of one target's unfinished responses, as part of those of all
+ * targets. A complete response that its caller reads slowly says nothing about the target.
+ */
 export class TargetBufferLimiter {
   readonly #maximumBytes: number;
 
   readonly #total: BufferLimiter;
 
-  #bytes = 0;
+  #unfinishedBytes = 0;
 
   #restrictedUntilMilliseconds = -Infinity;
 
@@ -21,9 +24,9 @@
     this.#total = total;
   }
 
-  /** Bytes buffered now. */
-  get bytes(): number {
-    return this.#bytes;
+  /** Bytes of unfinished responses. */
+  get unfinishedBytes(): number {
+    return this.#unfinishedBytes;
   }
 
   /**
@@ -31,19 +34,24 @@
    * exceeds its own limit is restricted for a while.
    */
   tryReserve(bytes: number): boolean {
-    if (this.#bytes + bytes > this.#maximumBytes) {
+    const wanted = this.#unfinishedBytes + bytes;
+    if (wanted > this.#maximumBytes) {
       this.#restrictedUntilMilliseconds = performance.now() + RESTRICTION_MILLISECONDS;
     }
     const isRestricted = performance.now() < this.#restrictedUntilMilliseconds;
-    if (isRestricted && this.#bytes + bytes > RESTRICTED_BYTES) return false;
+    if (isRestricted && wanted > RESTRICTED_BYTES) return false;
     if (!this.#total.tryReserve(bytes)) return false;
-    this.#bytes += bytes;
+    this.#unfinishedBytes = wanted;
     return true;
   }
 
-  /** Releases reserved bytes. */
+  /** Records that a response with so many reserved bytes is complete; they stay reserved. */
+  finish(bytes: number): void {
+    this.#unfinishedBytes -= bytes;
+  }
+
+  /** Releases the reserved bytes of a complete response. */
   release(bytes: number): void {
-    this.#bytes -= bytes;
     this.#total.release(bytes);
   }
 }
--- a/packages/gateway/src/calls/targetBuffers.ts
+++ b/packages/gateway/src/calls/targetBuffers.ts
@@ -1,7 +1,7 @@
 import type { BufferLimiter } from './bufferLimiter';
 import { TargetBufferLimiter } from './targetBufferLimiter';
 
-/** Limits the bytes that are buffered of each target's responses, and of all together. */
+/** Limits the bytes that are buffered of each target's unfinished responses, and of all responses. */
 export class TargetBuffers {
   readonly #maximumBytes: number;
 
@@ -22,10 +22,10 @@
     return limiter;
   }
 
-  /** Forgets unregistered targets of whose responses nothing is buffered. */
+  /** Forgets unregistered targets without unfinished responses. */
   retain(isRegistered: (targetId: string) => boolean): void {
     this.#limiters.forEach((limiter, id) => {
-      if (limiter.bytes === 0 && !isRegistered(id)) this.#limiters.delete(id);
+      if (limiter.unfinishedBytes === 0 && !isRegistered(id)) this.#limiters.delete(id);
     });
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,7 +60,7 @@
  */
 const MAXIMUM_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
 
-/** Maximum size of the buffered responses of one target, which may be faulty. */
+/** Maximum size of the buffered, unfinished responses of one target, which may be faulty. */
 const MAXIMUM_BUFFERED_TARGET_BYTES = 16 * 1024 * 1024;
 
 const MILLISECONDS_PER_SECOND = 1_000;
--- a/packages/gateway/tests/shutdown/lateInGrace.test.ts
+++ b/packages/gateway/tests/shutdown/lateInGrace.test.ts
@@ -26,6 +26,15 @@
   return socket;
 };
 
+/** Stops the instance while half a request is there; resolves late in the grace period. */
+const stopWithHalfRequest = async (socket: Socket): Promise<{ stopped: Promise<void> }> => {
+  socket.write(`${HEAD}1234`);
+  while (instance.openCalls.size === 0) await delay(5);
+  const stopped = instance.shutDown();
+  await delay(LATE_MILLISECONDS);
+  return { stopped };
+};
+
 /** Keeps the event loop from running, as a process does that gets no processor. */
 const pauseProcess = (milliseconds: number): void => {
   const until = performance.now() + milliseconds;
@@ -36,10 +45,7 @@
 test('a request whose body arrives late is served if it fits into the grace period', async () => {
   const socket = await start(700);
   const answer = text(socket);
-  socket.write(`${HEAD}1234`);
-  while (instance.openCalls.size === 0) await delay(5);
-  const stopped = instance.shutDown();
-  await delay(LATE_MILLISECONDS);
+  const { stopped } = await stopWithHalfRequest(socket);
   socket.write('56789');
   expect(await answer).toMatch(/^HTTP\/1\.1 200 /);
   await stopped;
@@ -48,10 +54,7 @@
 test('a request whose body arrives late is refused at once if it does not fit', async () => {
   const socket = await start(60_000);
   const answer = text(socket);
-  socket.write(`${HEAD}1234`);
-  while (instance.openCalls.size === 0) await delay(5);
-  const stopped = instance.shutDown();
-  await delay(LATE_MILLISECONDS);
+  const { stopped } = await stopWithHalfRequest(socket);
   const sentAt = performance.now();
   socket.write('56789');
   expect(await answer).toMatch(/^HTTP\/1\.1 503 /);
