--- a/packages/integration/src/endless-answers/runEndlessAnswers.ts
+++ b/packages/integration/src/endless-answers/runEndlessAnswers.ts
@@ -36,7 +36,7 @@
 /** What callers of one instance saw while one target sent bytes without end. */
 export interface EndlessAnswersResult {
   readonly shape: string;
-  /** Longest time in which the instance said whether it is ready, in milliseconds. */
+  /** Longest response time of the readiness check, in milliseconds. */
   readonly longestReadinessMilliseconds: number;
   /** Orders at a sound target that were answered with success. */
   readonly answeredOrders: number;
