--- a/packages/integration/src/endless-answers/runEndlessAnswers.ts
+++ b/packages/integration/src/endless-answers/runEndlessAnswers.ts
@@ -2,9 +2,11 @@
 import { Agent, get } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import type { CallerRecord } from '@limpetnotch/stand-ins';
+import type { CallerRecord, EndlessShape } from '@limpetnotch/stand-ins';
 import {
   CallerConnection,
+  endlessShapes,
+  EndlessTarget,
   PLATFORM_PORTS,
   platformConfiguration,
   platformRequestHeaders,
@@ -16,9 +18,6 @@
 import { delay } from '@limpetnotch/supervision';
 import { ManagedProcess } from '../fleet/managedProcess';
 import { waitUntil } from '../fleet/waitUntil';
-import type { EndlessShape } from './endlessShapes';
-import { endlessShapes } from './endlessShapes';
-import { EndlessTarget } from './endlessTarget';
 
 const HOST = 'shop.example';
 const KEY = 'key';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -21,6 +21,9 @@
 export { ProgramRunner } from './load/programRunner';
 export type { ConversationMessage, FinishedStep, ProgramRunnerOptions } from './load/programRunner';
 export type { PlannedProgram, ProgramStep } from './load/programShape';
+export { endlessShapes } from './network/endlessShapes';
+export type { EndlessShape } from './network/endlessShapes';
+export { EndlessTarget } from './network/endlessTarget';
 export type { LinkMode } from './network/linkMode';
 export { TargetLinks } from './network/targetLinks';
 export { CallerConnection } from './platform/callerConnection';
