--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,6 +53,9 @@
 import { getIncarnationKey } from './targets/getIncarnationKey';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
+import { CountedStore } from './work/countedStore';
+import { createWorkReport } from './work/createWorkReport';
+import { WorkCounts } from './work/workCounts';
 
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
@@ -124,6 +127,8 @@
 
   readonly #quarantineSharing: QuarantineSharing;
 
+  readonly #counts: WorkCounts;
+
   readonly #peers: FleetPeers;
 
   readonly #membership: Membership;
@@ -169,7 +174,9 @@
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
     this.#limits = new TargetLimits({ logger, metrics });
-    this.#peers = new FleetPeers(logger, metrics);
+    this.#counts = new WorkCounts(metrics);
+    const store = new CountedStore(parts.store, this.#counts);
+    this.#peers = new FleetPeers({ logger, metrics, counts: this.#counts });
     this.#paths = new TargetPaths({ targets: () => this.#fleet.targets.all, logger, metrics });
     this.#pathChecker = new PathChecker({
       paths: this.#paths,
@@ -211,7 +218,7 @@
       metrics,
     });
     this.#quarantineLedger = new QuarantineLedger({
-      store: parts.store,
+      store,
       quarantine: this.#quarantine,
       logger,
     });
@@ -221,7 +228,7 @@
       ledger: this.#quarantineLedger,
     });
     this.#membership = new Membership({
-      store: parts.store,
+      store,
       instance: settings.instance,
       address: `${settings.peer.host}:${settings.peer.port}`,
       availabilityZone: settings.availabilityZone,
@@ -245,7 +252,7 @@
       metrics,
     });
     this.#budgets = new EscrowBudgets({
-      store: parts.store,
+      store,
       logger,
       metrics,
       instance: settings.instance,
@@ -257,13 +264,13 @@
     });
     this.#origins = new OriginSharing({ table: new OriginTable(), peers: this.#peers });
     const retirementReporter = new RetirementReporter({
-      store: parts.store,
+      store,
       codec: parts.fleetCodec,
       logger,
       rank: () => this.#membership.rank,
     });
     this.#follower = new FleetFollower({
-      store: parts.store,
+      store,
       codec: parts.fleetCodec,
       state: this.#fleet,
       logger,
@@ -318,7 +325,7 @@
       resumptions: new ResumptionGate({
         sharing: this.#origins,
         versions: this.#fleet.versions,
-        store: parts.store,
+        store,
         codec: parts.fleetCodec,
         logger,
         metrics,
@@ -391,6 +398,7 @@
       this.#limitSharing.task,
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
+      createWorkReport({ counts: this.#counts, logger }),
       this.#ingressLoad.task,
     ];
     if (!settings.isFirstStart) tasks.push(createMemoryTask(this.#budgets));
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -31,6 +31,7 @@
 import type { KeyedOrigin } from '../resumption/keyedOrigin';
 import type { OriginPeers } from '../resumption/originPeers';
 import type { StreamOrigin } from '../resumption/streamOrigin';
+import type { WorkCounts } from '../work/workCounts';
 import {
   fromCheckResult,
   fromPartMessage,
@@ -117,6 +118,20 @@
 
 type Send<Answer> = (client: Peer['client'], options: { timeoutMs: number }) => Promise<Answer>;
 
+/** A call to a peer, with the name by which it is counted. */
+interface PeerCall<Answer> {
+  readonly call: keyof Client<typeof FleetService>;
+  readonly deadlineMilliseconds: number;
+  readonly send: Send<Answer>;
+}
+
+/** Parts of {@link FleetPeers}. */
+export interface FleetPeersParts {
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly counts: WorkCounts;
+}
+
 const createPeerClient = (address: string, agent: Agent): Client<typeof FleetService> => {
   const transport = createConnectTransport({
     baseUrl: `http://${address}`,
@@ -156,9 +171,7 @@
     PathPeers,
     ForwardingPeers
 {
-  readonly #logger: Logger;
-
-  readonly #metrics: Metrics;
+  readonly #parts: FleetPeersParts;
 
   readonly #peers = new Map<string, Peer>();
 
@@ -173,9 +186,8 @@
   /** Peer names in query order; a peer that gave tokens moves to the front. */
   #order: string[] = [];
 
-  constructor(logger: Logger, metrics: Metrics) {
-    this.#logger = logger;
-    this.#metrics = metrics;
+  constructor(parts: FleetPeersParts) {
+    this.#parts = parts;
   }
 
   get names(): readonly string[] {
@@ -191,12 +203,12 @@
       this.#leftAgents.push(peer.forwardingAgent);
       if (this.#leftAgents.length > MAXIMUM_LEFT_AGENTS) this.#leftAgents.shift()?.destroy();
       this.#peers.delete(name);
-      this.#logger.info('peers.left', { peer: name });
+      this.#parts.logger.info('peers.left', { peer: name });
     });
     addresses.forEach((address, name) => {
       if (this.#peers.has(name)) return;
       this.#peers.set(name, createPeer(address));
-      this.#logger.info('peers.joined', { peer: name, address });
+      this.#parts.logger.info('peers.joined', { peer: name, address });
     });
     this.#order = [...this.#peers.keys()];
   }
@@ -210,9 +222,11 @@
     for (const name of this.#order.slice(0, PEERS_PER_ROUND)) {
       const missing = wanted - received;
       if (missing <= 0) break;
-      const response = await this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
-        client.takeTokens({ organisation, wanted: missing }, options),
-      );
+      const response = await this.#call(name, {
+        call: 'takeTokens',
+        deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
+        send: (client, options) => client.takeTokens({ organisation, wanted: missing }, options),
+      });
       received += Math.min(missing, response?.given ?? 0);
       this.#reorder(name, (response?.given ?? 0) > 0);
     }
@@ -221,11 +235,11 @@
 
   /** Queries all peers in parallel for their view of an organisation's programs. */
   async describeDemand(organisation: string, program: string): Promise<readonly PeerDemand[]> {
-    const replies = await this.#callEach(
-      [...this.#peers.keys()],
-      TOKENS_DEADLINE_MILLISECONDS,
-      (client, options) => client.describeDemand({ organisation, program }, options),
-    );
+    const replies = await this.#callEach([...this.#peers.keys()], {
+      call: 'describeDemand',
+      deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.describeDemand({ organisation, program }, options),
+    });
     return replies.map(({ answer }) => answer);
   }
 
@@ -234,11 +248,11 @@
    * or timed out.
    */
   async releaseBudget(budget: string): Promise<void> {
-    await this.#callEach(
-      [...this.#peers.keys()],
-      RELEASE_DEADLINE_MILLISECONDS,
-      (client, options) => client.releaseBudget({ budget }, options),
-    );
+    await this.#callEach([...this.#peers.keys()], {
+      call: 'releaseBudget',
+      deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.releaseBudget({ budget }, options),
+    });
   }
 
   /**
@@ -270,9 +284,11 @@
     while (names.length > 0) {
       const asked = names.splice(0, CONCURRENT_BROADCAST_CALLS);
       replies.push(
-        ...(await this.#callEach(asked, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
-          client.listPromises({}, options),
-        )),
+        ...(await this.#callEach(asked, {
+          call: 'listPromises',
+          deadlineMilliseconds: LOAN_DEADLINE_MILLISECONDS,
+          send: (client, options) => client.listPromises({}, options),
+        })),
       );
     }
     return replies.map(({ name, answer }) => ({
@@ -325,9 +341,11 @@
       limit: toLimitMessage(request),
       membersRevision: BigInt(request.membersRevision),
     };
-    const reply = await this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
-      client.takeTargetTokens(message, options),
-    );
+    const reply = await this.#call(name, {
+      call: 'takeTargetTokens',
+      deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.takeTargetTokens(message, options),
+    });
     if (!reply) return undefined;
     const { given, remaining, nextMilliseconds, isHolder, limit, membersRevision } = reply;
     return {
@@ -351,24 +369,31 @@
   }
 
   async listLimits(name: string): Promise<readonly KeyedLimitState[] | undefined> {
-    const reply = await this.#call(name, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
-      client.listLimits({}, options),
-    );
+    const reply = await this.#call(name, {
+      call: 'listLimits',
+      deadlineMilliseconds: LIMITS_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.listLimits({}, options),
+    });
     return reply?.limits.map(fromLimitMessage);
   }
 
   async recordOrigins(name: string, origins: readonly KeyedOrigin[]): Promise<void> {
-    await this.#call(name, ORIGINS_DEADLINE_MILLISECONDS, (client, options) =>
-      client.recordOrigins({ origins: origins.map(toOriginMessage) }, options),
-    );
+    await this.#call(name, {
+      call: 'recordOrigins',
+      deadlineMilliseconds: ORIGINS_DEADLINE_MILLISECONDS,
+      send: (client, options) =>
+        client.recordOrigins({ origins: origins.map(toOriginMessage) }, options),
+    });
   }
 
   async findOrigin(names: readonly string[], streamKey: string): Promise<StreamOrigin | undefined> {
     const found = new Deferred<StreamOrigin | undefined>();
     const asked = names.map(async (name) => {
-      const reply = await this.#call(name, TOKENS_DEADLINE_MILLISECONDS, (client, options) =>
-        client.findOrigin({ streamKey }, options),
-      );
+      const reply = await this.#call(name, {
+        call: 'findOrigin',
+        deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
+        send: (client, options) => client.findOrigin({ streamKey }, options),
+      });
       if (reply?.origin) found.resolve(fromOriginMessage(reply.origin).origin);
     });
     void Promise.all(asked).then(() => found.resolve(undefined));
@@ -377,9 +402,11 @@
 
   async checkTarget(name: string, target: FleetTarget): Promise<ConnectionCheck | undefined> {
     const message = { target: toTargetMessage(target) };
-    const reply = await this.#call(name, CHECK_DEADLINE_MILLISECONDS, (client, options) =>
-      client.checkTarget(message, options),
-    );
+    const reply = await this.#call(name, {
+      call: 'checkTarget',
+      deadlineMilliseconds: CHECK_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.checkTarget(message, options),
+    });
     return reply && fromCheckResult(reply.result);
   }
 
@@ -414,9 +441,11 @@
     entries: readonly QuarantineEntry[],
   ): Promise<readonly Reply<ShareQuarantineResponse>[]> {
     const message = { entries: entries.map(quarantineMessage) };
-    return this.#callEach(names, QUARANTINE_DEADLINE_MILLISECONDS, (client, options) =>
-      client.shareQuarantine(message, options),
-    );
+    return this.#callEach(names, {
+      call: 'shareQuarantine',
+      deadlineMilliseconds: QUARANTINE_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.shareQuarantine(message, options),
+    });
   }
 
   #announceLimitsTo(
@@ -424,27 +453,33 @@
     limits: readonly KeyedLimitState[],
   ): Promise<readonly Reply<AnnounceLimitsResponse>[]> {
     const message = { limits: limits.map(toLimitMessage) };
-    return this.#callEach(names, LIMITS_DEADLINE_MILLISECONDS, (client, options) =>
-      client.announceLimits(message, options),
-    );
+    return this.#callEach(names, {
+      call: 'announceLimits',
+      deadlineMilliseconds: LIMITS_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.announceLimits(message, options),
+    });
   }
 
   #sendAnnouncements(): void {
     const budgets = this.#announcements;
     this.#announcements = [];
     const names = [...this.#peers.keys()].slice(0, PEERS_PER_ANNOUNCEMENT);
-    void this.#callEach(names, RELEASE_DEADLINE_MILLISECONDS, (client, options) =>
-      client.announcePrograms({ budgets }, options),
-    );
+    void this.#callEach(names, {
+      call: 'announcePrograms',
+      deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.announcePrograms({ budgets }, options),
+    });
   }
 
   #requestLoans(
     names: readonly string[],
     request: LoanRequest,
   ): Promise<readonly Reply<LendBudgetResponse>[]> {
-    return this.#callEach(names, LOAN_DEADLINE_MILLISECONDS, (client, options) =>
-      client.lendBudget(request, options),
-    );
+    return this.#callEach(names, {
+      call: 'lendBudget',
+      deadlineMilliseconds: LOAN_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.lendBudget(request, options),
+    });
   }
 
   #reorder(name: string, hasGivenTokens: boolean): void {
@@ -455,13 +490,12 @@
   /** Makes the same call to peers in parallel; those that don't respond in time are left out. */
   async #callEach<Answer>(
     names: readonly string[],
-    deadlineMilliseconds: number,
-    send: Send<Answer>,
+    peerCall: PeerCall<Answer>,
   ): Promise<readonly Reply<Answer>[]> {
     const replies = await Promise.all(
       names.map(async (name) => ({
         name,
-        answer: await this.#call(name, deadlineMilliseconds, send),
+        answer: await this.#call(name, peerCall),
       })),
     );
     return replies.flatMap(({ name, answer }) => (answer ? [{ name, answer }] : []));
@@ -469,11 +503,11 @@
 
   async #call<Answer>(
     name: string,
-    deadlineMilliseconds: number,
-    send: Send<Answer>,
+    { call, deadlineMilliseconds, send }: PeerCall<Answer>,
   ): Promise<Answer | undefined> {
     const peer = this.#peers.get(name);
     if (!peer || performance.now() < peer.suspendedUntilMilliseconds) return undefined;
+    this.#parts.counts.record('peer', call);
     try {
       const answer = await send(peer.client, { timeoutMs: deadlineMilliseconds });
       peer.failures = 0;
@@ -487,9 +521,9 @@
       }
       // Callers query again later what a peer can't provide now; tokens in a lost response are
       // dropped.
-      this.#metrics.increment('peers.failed-calls', 1, { peer: name });
+      this.#parts.metrics.increment('peers.failed-calls', 1, { peer: name });
       const detail = error instanceof Error ? error.message : String(error);
-      this.#logger.debug('peers.call-failed', { peer: name, detail });
+      this.#parts.logger.debug('peers.call-failed', { peer: name, detail });
       return undefined;
     }
   }
--- a/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
+++ b/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
@@ -1,14 +1,13 @@
 import { once } from 'node:events';
 import type { IncomingMessage, RequestListener, ServerResponse } from 'node:http';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { FleetService } from '@limpetnotch/peer-protocol';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import type { ForwardedPart } from '../../src/forwarding/forwardedPart';
 import type { ForwardedRequest } from '../../src/forwarding/forwardedRequest';
 import { HttpListener } from '../../src/ingress/httpListener';
-import { FleetPeers } from '../../src/peers/fleetPeers';
 import { callEnvelope } from '../support/callEnvelope';
+import { createFleetPeers } from '../support/createFleetPeers';
 import { ForwarderFleet } from './forwarderFleet';
 
 let fleet: ForwarderFleet;
@@ -290,7 +289,7 @@
     port: 0,
     listener: connectNodeAdapter({ routes: (router) => router.service(FleetService, {}) }),
   });
-  const peers = new FleetPeers(silentLogger, new MemoryMetrics());
+  const peers = createFleetPeers();
   peers.setPeers(new Map([['earlier', `127.0.0.1:${listener.port}`]]));
   const kinds: ForwardedPart[] = [];
   const { signal } = new AbortController();
--- a/packages/gateway/tests/forwarding/forwarderFleet.ts
+++ b/packages/gateway/tests/forwarding/forwarderFleet.ts
@@ -16,6 +16,7 @@
 import { fromForwardedRequestMessage, toPartMessage } from '../../src/peers/forwardingMessage';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { TargetLoads } from '../../src/targets/targetLoads';
+import { WorkCounts } from '../../src/work/workCounts';
 import { callEnvelope } from '../support/callEnvelope';
 import { fleetTarget } from '../support/fleetTarget';
 
@@ -76,7 +77,7 @@
     this.target = target;
     this.fleet.targets.put(target);
     this.paths = new TargetPaths({ targets: () => this.fleet.targets.all, logger, metrics });
-    this.peers = new FleetPeers(logger, metrics);
+    this.peers = new FleetPeers({ logger, metrics, counts: new WorkCounts(metrics) });
     this.forwarder = new ExchangeForwarder({
       fleet: this.fleet,
       codec,
--- a/packages/gateway/tests/peers/fleetPeers.test.ts
+++ b/packages/gateway/tests/peers/fleetPeers.test.ts
@@ -1,15 +1,14 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
-import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import {
   FleetService,
   LendBudgetResponse_Outcome as LendOutcome,
 } from '@limpetnotch/peer-protocol';
 import { HttpListener } from '../../src/ingress/httpListener';
-import { FleetPeers } from '../../src/peers/fleetPeers';
+import { createFleetPeers } from '../support/createFleetPeers';
 
 let listener: HttpListener | undefined;
 
-const peers = new FleetPeers(silentLogger, new MemoryMetrics());
+const peers = createFleetPeers();
 
 afterEach(async () => {
   peers.close();
--- a/packages/supervision/src/createEventLoopMonitor.ts
+++ b/packages/supervision/src/createEventLoopMonitor.ts
@@ -1,6 +1,7 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { ChildSpecification } from './childSpecification';
 import { delay } from './delay';
+import { readOwnProcessorMilliseconds } from './readOwnProcessorMilliseconds';
 
 /** Interval between two checks of the event loop. */
 const CHECK_MILLISECONDS = 250;
@@ -11,8 +12,6 @@
 /** Share of a stall that the process must have computed for, to count as busy. */
 const BUSY_SHARE = 0.5;
 
-const MICROSECONDS_PER_MILLISECOND = 1_000;
-
 /** Options of {@link createEventLoopMonitor}. */
 export interface EventLoopMonitorOptions {
   readonly logger: Logger;
@@ -24,11 +23,6 @@
 /** Why the event loop did not run: its own work, or the process itself did not run. */
 type StallCause = 'busy' | 'paused';
 
-const readOwnProcessorMilliseconds = (): number => {
-  const { user, system } = process.cpuUsage();
-  return (user + system) / MICROSECONDS_PER_MILLISECOND;
-};
-
 const toCause = (stallMilliseconds: number, processorMilliseconds: number): StallCause =>
   processorMilliseconds >= BUSY_SHARE * stallMilliseconds ? 'busy' : 'paused';
 
--- a/packages/supervision/src/index.ts
+++ b/packages/supervision/src/index.ts
@@ -3,6 +3,7 @@
 export type { EventLoopMonitorOptions } from './createEventLoopMonitor';
 export { Deferred } from './deferred';
 export { delay } from './delay';
+export { readOwnProcessorMilliseconds } from './readOwnProcessorMilliseconds';
 export { ProcessReport } from './processReport';
 export type { ReceivedSignal, ReportSinks } from './processReport';
 export { ProcessSignals } from './processSignals';
