List instances that start together in few swaps, and read watches in pauses

Cause: each of n instances swapped the list of members by itself.

Change: an instance first lists the members and announces its presence, waits for 0.3 to 0.8 s (spread by a hash of its name) to be listed by another one, and then lists itself and all that are present. Watches pause after changes, 0.2 s for the members, 0.1 s for targets and the configuration, so that changes that come together are read together; the peers are told once for all of them.

--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -12,6 +12,9 @@
  */
 const WATCH_SILENCE_MILLISECONDS = 3_000;
 
+/** Changes within this time are read together, as while many targets start. */
+const WATCH_PAUSE_MILLISECONDS = 100;
+
 /**
  * Targets whose announcements expired during an outage reappear about 2 s after the store recovers.
  */
@@ -63,7 +66,15 @@
         ready();
         const { store } = this.#parts;
         const silenceMilliseconds = WATCH_SILENCE_MILLISECONDS;
-        await followPrefix({ store, prefix, listener, signal, silenceMilliseconds });
+        const pauseMilliseconds = WATCH_PAUSE_MILLISECONDS;
+        await followPrefix({
+          store,
+          prefix,
+          listener,
+          signal,
+          silenceMilliseconds,
+          pauseMilliseconds,
+        });
       },
     };
   }
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -2,7 +2,7 @@
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
 import { compareAndSwapUntilKnown, followPrefix, parseJson } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
-import { delay } from '@limpetnotch/supervision';
+import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
 import { z } from 'zod';
 import { MemberListHistory } from '../budgets/memberListHistory';
 import { WatchStatus } from '../fleet/watchStatus';
@@ -11,6 +11,7 @@
 import type { QuarantineLedger } from '../quarantine/quarantineLedger';
 import { QUARANTINE_PREFIX } from '../quarantine/quarantineLedger';
 import type { RateShare } from '../quotas/rateShare';
+import { HASH_RANGE, hash32 } from '../util/hash32';
 
 const PREFIX = 'limpetnotch/';
 const PRESENCE_PREFIX = `${PREFIX}instances/`;
@@ -38,6 +39,16 @@
 
 const RETRY_MILLISECONDS = 300;
 
+/** Changes of the members or presences within this time are read together. */
+const WATCH_PAUSE_MILLISECONDS = 200;
+
+/**
+ * Time that a new instance waits to be listed by another one before it lists itself, and the spread
+ * of this time over the instances. Instances of one fleet start within 300 ms.
+ */
+const LISTING_WAIT_MILLISECONDS = 300;
+const LISTING_SPREAD_MILLISECONDS = 500;
+
 /**
  * Time for which the list of members counts as confirmed after the store responded; two renewals of
  * the presence lease.
@@ -96,6 +107,11 @@
 
   readonly #watchStatus: WatchStatus;
 
+  /** Resolves once the members and presences were listed for the first time in this process. */
+  readonly #listed = new Deferred<void>();
+
+  #isChangePending = false;
+
   constructor(parts: MembershipParts) {
     this.#parts = parts;
     this.#watchStatus = new WatchStatus(parts.logger, PREFIX);
@@ -187,6 +203,7 @@
       listener: this.#listener(),
       signal,
       silenceMilliseconds: WATCH_SILENCE_MILLISECONDS,
+      pauseMilliseconds: WATCH_PAUSE_MILLISECONDS,
     });
   }
 
@@ -198,6 +215,7 @@
         entries.filter(({ key }) => !isQuarantineKey(key)).forEach((entry) => this.#apply(entry));
         this.#recordAbsences();
         this.#parts.onChange();
+        this.#listed.resolve(undefined);
       },
       put: (entry) => {
         if (isQuarantineKey(entry.key)) {
@@ -205,8 +223,7 @@
           return;
         }
         this.#apply(entry);
-        this.#recordAbsences();
-        this.#parts.onChange();
+        this.#scheduleChange();
       },
       removed: (key) => {
         if (isQuarantineKey(key)) {
@@ -214,8 +231,7 @@
           return;
         }
         this.#present.delete(key.slice(PRESENCE_PREFIX.length));
-        this.#recordAbsences();
-        this.#parts.onChange();
+        this.#scheduleChange();
       },
       confirmed: () => {
         this.#storeRespondedAtMilliseconds = performance.now();
@@ -252,6 +268,17 @@
     });
   }
 
+  /** Applies the changes that one response of the store brings together. */
+  #scheduleChange(): void {
+    if (this.#isChangePending) return;
+    this.#isChangePending = true;
+    setImmediate(() => {
+      this.#isChangePending = false;
+      this.#recordAbsences();
+      this.#parts.onChange();
+    });
+  }
+
   #recordAbsences(): void {
     const now = performance.now();
     this.#lists.current.forEach((name) => {
@@ -260,15 +287,20 @@
     });
   }
 
-  /** Joins the members and renews the presence lease. */
+  /** Announces this instance, joins the members and renews the presence lease. */
   async #keepPresence({ signal, ready }: ChildContext): Promise<void> {
     ready();
-    await this.#join(signal);
-    let leaseId: string | undefined;
+    await Promise.race([this.#listed.promise, untilAborted(signal)]);
+    // Only now: once this instance is present, another one may list it.
+    const isNew = !this.#isMember;
+    let leaseId = await this.#registerPresence();
+    const joined = this.#join(signal, isNew);
     while (!signal.aborted) {
-      leaseId = leaseId === undefined ? await this.#registerPresence() : await this.#renew(leaseId);
       await delay(leaseId === undefined ? RETRY_MILLISECONDS : RENEWAL_MILLISECONDS, signal);
+      if (signal.aborted) break;
+      leaseId = leaseId === undefined ? await this.#registerPresence() : await this.#renew(leaseId);
     }
+    await joined;
     if (leaseId !== undefined) await this.#parts.store.revokeLease(leaseId);
   }
 
@@ -311,23 +343,34 @@
     this.#parts.onChange();
   }
 
-  async #join(signal: AbortSignal): Promise<void> {
-    const { instance, logger } = this.#parts;
-    while (!signal.aborted) {
-      let isNew = false;
-      const isMember = await this.#changeMembers(signal, (members) => {
-        isNew = !members.includes(instance);
-        return isNew ? [...members, instance].sort() : members;
-      });
-      if (isMember) {
-        logger.info('membership.joined', { members: this.#lists.current.length, isNew });
-        if (isNew) await delay(JOIN_DELAY_MILLISECONDS, signal);
-        this.#hasShare = true;
-        this.#parts.onChange();
-        return;
-      }
-      await delay(RETRY_MILLISECONDS, signal);
+  get #isMember(): boolean {
+    return this.#lists.current.includes(this.#parts.instance);
+  }
+
+  /** Joins the members; a new member uses its share only once the others have been notified. */
+  async #join(signal: AbortSignal, isNew: boolean): Promise<void> {
+    const { logger } = this.#parts;
+    if (isNew) {
+      await delay(LISTING_WAIT_MILLISECONDS + this.#listingSpreadMilliseconds, signal);
     }
+    while (!signal.aborted && !this.#isMember) {
+      await this.#changeMembers(signal, (members) => this.#withPresent(members));
+      if (!this.#isMember) await delay(RETRY_MILLISECONDS, signal);
+    }
+    if (signal.aborted) return;
+    logger.info('membership.joined', { members: this.#lists.current.length, isNew });
+    if (isNew) await delay(JOIN_DELAY_MILLISECONDS, signal);
+    this.#hasShare = true;
+    this.#parts.onChange();
+  }
+
+  get #listingSpreadMilliseconds(): number {
+    return (LISTING_SPREAD_MILLISECONDS * hash32(this.#parts.instance)) / HASH_RANGE;
+  }
+
+  /** Returns the members and all present instances, as instances that start together also join. */
+  #withPresent(members: readonly string[]): readonly string[] {
+    return [...new Set([...members, ...this.#present.keys(), this.#parts.instance])].sort();
   }
 
   /** Changes the list of members; returns whether the list is then as requested. */
--- a/packages/store/src/followPrefix.ts
+++ b/packages/store/src/followPrefix.ts
@@ -32,6 +32,11 @@
   readonly signal: AbortSignal;
   /** Time without any event on a watch after which its connection counts as silent. */
   readonly silenceMilliseconds: number;
+  /**
+   * Time after changes before further ones are read, so that changes that come together are read
+   * together; none by default.
+   */
+  readonly pauseMilliseconds?: number;
 }
 
 interface WatchResult {
@@ -49,8 +54,9 @@
   revision: number,
   hasFailed: boolean,
 ): Promise<WatchResult> => {
-  const { store, prefix, listener, signal, silenceMilliseconds } = options;
+  const { store, prefix, listener, signal, silenceMilliseconds, pauseMilliseconds = 0 } = options;
   let lastRevision = revision;
+  let hasChanges = false;
   try {
     const watch = store.watch({
       prefix,
@@ -59,6 +65,7 @@
       silenceMilliseconds: hasFailed ? SILENCE_AFTER_FAILURE_MILLISECONDS : silenceMilliseconds,
     });
     for await (const event of watch) {
+      hasChanges ||= event.kind !== 'progress';
       if (event.kind === 'put') listener.put(event.entry);
       if (event.kind === 'removed') listener.removed(event.key);
       lastRevision = Math.max(
@@ -69,6 +76,10 @@
       const completeRevision = event.kind === 'progress' ? lastRevision : lastRevision - 1;
       listener.confirmed(completeRevision);
       if (hasFailed) return { revision: completeRevision, hasResponded: true };
+      if (event.kind === 'progress' && hasChanges && pauseMilliseconds > 0) {
+        hasChanges = false;
+        await delay(pauseMilliseconds, signal);
+      }
     }
   } catch (error) {
     if (!(error instanceof WatchError)) throw error;
