Let four chosen members hold an organisation's rate, where equal parts are thin

Cause: each of n instances held an n-th of every rate. At 23 instances and 18 requests a second that is less than a token; a request asked up to four of 22 others in up to four rounds and did not find those that were left, and each program start near the rate asked all others, which was nearly each. The class: work of a request that grows with the instances while what is shared gets thinner.

Ruled out: rates really exceeded (the refused organisations had used 0.2 of their window).

Change: with more than eight members, four of them, chosen by rendezvous hashing for each organisation, hold its rate. Others ask them, the last that gave first, and take tokens for half a second ahead while more than half of a part is unspent. The first holder decides on programs (AdmitProgram, one call, which also brings the first tokens) and counts them for all instances. A holder without tokens answers when it has the next one. Up to eight members hold equal parts as before.

Two builds: the list of members and the presences say who can choose holders; an instance of an earlier version makes all go back to equal parts. While that changes, each holds the smaller one of its two parts for 1.5 s, and then counts its larger part as spent. An instance that was removed from the list while it was away, or whose mark an earlier version dropped, lists itself again.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -13,6 +13,15 @@
 /** Time within which a transferred token must be spent; the giver relies on it. */
 const TRANSFERRED_TOKEN_LIFETIME_MILLISECONDS = 150;
 
+/** Lifetime of tokens that are transferred before they are needed. */
+const AHEAD_TOKEN_LIFETIME_MILLISECONDS = 1_000;
+
+/**
+ * Unspent fraction of a part above which tokens are transferred before they are needed, as those that
+ * expire unspent are lost for a window.
+ */
+const AHEAD_UNSPENT_FRACTION = 0.5;
+
 /** Maximum transfer time of a token; longer than an instance waits for its peers. */
 const MAXIMUM_TRANSFER_MILLISECONDS = 100;
 
@@ -55,6 +64,9 @@
   /** Tokens that other instances gave, until they expire. */
   readonly #received = new ReleaseQueue();
 
+  /** Tokens that other instances gave before they were needed, until they expire. */
+  readonly #receivedAhead = new ReleaseQueue();
+
   #bucketTokens = 0;
 
   #demandPerSecond = 0;
@@ -69,7 +81,7 @@
   /** Number of tokens that this instance may spend now. */
   get tokens(): number {
     this.#advance();
-    return this.#ownTokens + this.#received.size;
+    return this.#ownTokens + this.#receivedTokens;
   }
 
   /** Recent demand at this instance, in requests per second. */
@@ -97,11 +109,16 @@
   /** Returns the time until the given number of tokens is free, in seconds. */
   secondsToTokens(tokens: number): number {
     const now = this.#advance();
-    const missing = tokens - this.#received.size;
+    const missing = tokens - this.#receivedTokens;
     if (missing <= 0) return 0;
     const missingInWindow = missing - this.#windowTokens;
     const releasedAt =
-      missingInWindow <= 0 ? now : (this.#spent.getReleaseTime(missingInWindow) ?? Infinity);
+      missingInWindow <= 0
+        ? now
+        : Math.min(
+            this.#spent.getReleaseTime(missingInWindow) ?? Infinity,
+            this.#given.getReleaseTime(missingInWindow) ?? Infinity,
+          );
     const missingInBucket = missing - this.#bucketTokens;
     const inBucket = missingInBucket <= 0 ? 0 : missingInBucket / this.#refillPerSecond;
     return Math.max(0, (releasedAt - now) / MILLISECONDS_PER_SECOND, inBucket);
@@ -116,6 +133,13 @@
     this.#bucketTokens = Math.min(this.#bucketTokens, this.#depth);
   }
 
+  /** Applies another part, of which an unknown number of tokens was spent elsewhere. */
+  restart(part: RatePart): void {
+    const isFirst = this.#part.holders === 0;
+    this.setPart(part);
+    if (!isFirst) this.#assumeAllSpent();
+  }
+
   /** Counts a request for the demand average. */
   recordRequest(): void {
     this.#advance();
@@ -127,6 +151,8 @@
     const now = this.#advance();
     if (this.#received.size > 0) {
       this.#received.cancel(1);
+    } else if (this.#receivedAhead.size > 0) {
+      this.#receivedAhead.cancel(1);
     } else if (this.#ownTokens >= 1) {
       this.#spent.add(1, now + this.#windowMilliseconds);
       this.#bucketTokens -= 1;
@@ -148,12 +174,39 @@
     this.#received.add(tokens, this.#advance() + TRANSFERRED_TOKEN_LIFETIME_MILLISECONDS);
   }
 
+  /** Adds tokens that another instance has just given up before they are needed. */
+  receiveAhead(tokens: number): void {
+    this.#receivedAhead.add(tokens, this.#advance() + AHEAD_TOKEN_LIFETIME_MILLISECONDS);
+  }
+
   /** Gives up whole tokens that this instance's own demand does not need; returns their number. */
   give(wanted: number): number {
-    const now = this.#advance();
-    const spare = Math.floor(this.#ownTokens - this.#demandPerSecond * OWN_DEMAND_RESERVE_SECONDS);
-    const given = Math.max(0, Math.min(wanted, spare));
-    const expiresAt = now + MAXIMUM_TRANSFER_MILLISECONDS + TRANSFERRED_TOKEN_LIFETIME_MILLISECONDS;
+    this.#advance();
+    return this.#give(Math.min(wanted, this.#spareTokens), TRANSFERRED_TOKEN_LIFETIME_MILLISECONDS);
+  }
+
+  /** Gives up whole tokens before they are needed while most are unspent; returns their number. */
+  giveAhead(wanted: number): number {
+    this.#advance();
+    const dispensable = Math.floor(this.#windowTokens - this.#partTokens * AHEAD_UNSPENT_FRACTION);
+    return this.#give(
+      Math.min(wanted, dispensable, this.#spareTokens),
+      AHEAD_TOKEN_LIFETIME_MILLISECONDS,
+    );
+  }
+
+  /** Whole tokens that this instance's own demand does not need. */
+  get #spareTokens(): number {
+    return Math.floor(this.#ownTokens - this.#demandPerSecond * OWN_DEMAND_RESERVE_SECONDS);
+  }
+
+  get #receivedTokens(): number {
+    return this.#received.size + this.#receivedAhead.size;
+  }
+
+  #give(tokens: number, lifetimeMilliseconds: number): number {
+    const given = Math.max(0, tokens);
+    const expiresAt = performance.now() + MAXIMUM_TRANSFER_MILLISECONDS + lifetimeMilliseconds;
     this.#given.add(given, expiresAt + this.#windowMilliseconds);
     this.#bucketTokens -= given;
     return given;
@@ -214,6 +267,7 @@
     this.#spent.release(now);
     this.#given.release(now);
     this.#received.release(now);
+    this.#receivedAhead.release(now);
     const decay = Math.exp(-seconds / DEMAND_WINDOW_SECONDS);
     this.#demandPerSecond *= decay;
     this.#bucketTokens = Math.min(
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -305,7 +305,6 @@
         tokens: Math.floor(quota.tokens),
         demandPerSecond: Math.round(quota.demandPerSecond),
         programs: quota.demand?.programs,
-        requestsPerProgramSecond: quota.demand?.requestsPerProgramSecond,
         unspentTokens: quota.demand && Math.floor(quota.demand.unspentTokens),
         retryAfterSeconds,
       });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -245,7 +245,8 @@
     this.#limitSharing = new LimitSharing({ ...limitParts, gate: this.#limitGate });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
-      rateShare: () => this.#membership.rateShare,
+      instance: settings.instance,
+      rateLayout: () => this.#membership.rateLayout,
       windowSeconds: () => this.#reloadableSettings.quotaWindowSeconds,
       hasProgramStarted: async (programKey) =>
         this.#mayHaveEarlierPrograms && (await this.#budgets.hasProgramStarted(programKey)),
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -25,6 +25,7 @@
 } from './forwardingMessage';
 import { fromLimitMessage, toLimitMessage } from './limitMessage';
 import { fromOriginMessage, toOriginMessage } from './originMessage';
+import { fromAdmissionRequestMessage, toAdmissionMessage, toTokensMessage } from './quotaMessage';
 
 /** Handlers of the calls of other instances. */
 export interface FleetListenerParts {
@@ -50,9 +51,10 @@
   pathChecker,
   forwarder,
 }: FleetListenerParts): Partial<ServiceImpl<typeof FleetService>> => ({
-  takeTokens: async ({ organisation, wanted }) => ({
-    given: quotas.transferTokens(organisation, wanted),
-  }),
+  takeTokens: async ({ organisation, ...wanted }) =>
+    toTokensMessage(quotas.transferTokens(organisation, wanted)),
+  admitProgram: async (request) =>
+    toAdmissionMessage(await quotas.admitProgram(fromAdmissionRequestMessage(request))),
   describeDemand: async ({ organisation, program }) => quotas.describeDemand(organisation, program),
   lendBudget: async (request) => {
     const loan = await budgets.lend(request);
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -25,7 +25,14 @@
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { KeyedLimitState, LimitPeers, TokenReply, TokenRequest } from '../limits/limitPeers';
 import type { QuarantinePeers } from '../quarantine/quarantinePeers';
-import type { PeerDemand, QuotaPeers } from '../quotas/quotaPeers';
+import type {
+  PeerDemand,
+  ProgramAdmission,
+  ProgramAdmissionRequest,
+  QuotaPeers,
+  TokensGiven,
+  TokensWanted,
+} from '../quotas/quotaPeers';
 import type { GrantPeers, PeerPromises } from '../budgets/grantPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
 import type { KeyedOrigin } from '../resumption/keyedOrigin';
@@ -40,6 +47,12 @@
 } from './forwardingMessage';
 import { fromLimitMessage, toLimitMessage } from './limitMessage';
 import { fromOriginMessage, toOriginMessage } from './originMessage';
+import {
+  addTokens,
+  fromAdmissionMessage,
+  toAdmissionRequestMessage,
+  toTokensGiven,
+} from './quotaMessage';
 
 /**
  * Deadline of requests on which a call waits; a peer in the same availability zone responds
@@ -213,29 +226,35 @@
     this.#order = [...this.#peers.keys()];
   }
 
-  /**
-   * Requests tokens of an organisation's rate from one peer after another; returns the number
-   * received.
-   */
-  async takeTokens(organisation: string, wanted: number): Promise<number> {
-    let received = 0;
-    for (const name of this.#order.slice(0, PEERS_PER_ROUND)) {
-      const missing = wanted - received;
+  /** Requests tokens of an organisation's rate from one peer after another until one gives enough. */
+  async takeTokens(
+    organisation: string,
+    { wanted, ahead }: TokensWanted,
+    names: readonly string[] = this.#order.slice(0, PEERS_PER_ROUND),
+  ): Promise<TokensGiven> {
+    let received: TokensGiven = { given: 0, ahead: 0, nextMilliseconds: undefined };
+    for (const name of names) {
+      const missing = wanted - received.given;
       if (missing <= 0) break;
       const response = await this.#call(name, {
         call: 'takeTokens',
         deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
-        send: (client, options) => client.takeTokens({ organisation, wanted: missing }, options),
+        send: (client, options) =>
+          client.takeTokens({ organisation, wanted: missing, ahead }, options),
       });
-      received += Math.min(missing, response?.given ?? 0);
       this.#reorder(name, (response?.given ?? 0) > 0);
+      if (response) received = addTokens(received, toTokensGiven(response, missing));
     }
     return received;
   }
 
-  /** Queries all peers in parallel for their view of an organisation's programs. */
-  async describeDemand(organisation: string, program: string): Promise<readonly PeerDemand[]> {
-    const replies = await this.#callEach([...this.#peers.keys()], {
+  /** Queries peers in parallel for their view of an organisation's programs. */
+  async describeDemand(
+    organisation: string,
+    program: string,
+    names: readonly string[] = [...this.#peers.keys()],
+  ): Promise<readonly PeerDemand[]> {
+    const replies = await this.#callEach(names, {
       call: 'describeDemand',
       deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
       send: (client, options) => client.describeDemand({ organisation, program }, options),
@@ -243,6 +262,18 @@
     return replies.map(({ answer }) => answer);
   }
 
+  async admitProgram(
+    name: string,
+    request: ProgramAdmissionRequest,
+  ): Promise<ProgramAdmission | undefined> {
+    const reply = await this.#call(name, {
+      call: 'admitProgram',
+      deadlineMilliseconds: TOKENS_DEADLINE_MILLISECONDS,
+      send: (client, options) => client.admitProgram(toAdmissionRequestMessage(request), options),
+    });
+    return reply && fromAdmissionMessage(reply);
+  }
+
   /**
    * Makes all peers return what they hold of a budget to the store; resolves when all have responded
    * or timed out.
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -10,7 +10,8 @@
 import { MemberLists } from '../limits/memberLists';
 import type { QuarantineLedger } from '../quarantine/quarantineLedger';
 import { QUARANTINE_PREFIX } from '../quarantine/quarantineLedger';
-import type { RateShare } from '../quotas/rateShare';
+import type { RateLayout } from '../quotas/rateLayout';
+import { RateLayouts } from '../quotas/rateLayouts';
 import { HASH_RANGE, hash32 } from '../util/hash32';
 
 const PREFIX = 'limpetnotch/';
@@ -59,11 +60,19 @@
   address: z.string(),
   /** Absent from instances of earlier versions. */
   availabilityZone: z.string().optional(),
+  /** Whether the instance can share rates among chosen holders; absent from earlier versions. */
+  choosesHolders: z.boolean().optional(),
 });
 
 type Presence = z.infer<typeof presenceSchema>;
 
-const membersSchema = z.object({ members: z.array(z.string()) });
+const membersSchema = z.object({
+  members: z.array(z.string()),
+  /** Members that can share rates among chosen holders; absent if an earlier version wrote it. */
+  choosingMembers: z.array(z.string()).default([]),
+});
+
+type MemberList = Readonly<Record<keyof z.infer<typeof membersSchema>, readonly string[]>>;
 
 const isQuarantineKey = (key: string): boolean => key.startsWith(QUARANTINE_PREFIX);
 
@@ -99,7 +108,9 @@
 
   #membersRevision = 0;
 
-  #hasShare = false;
+  #choosingMembers: ReadonlySet<string> = new Set();
+
+  readonly #layouts: RateLayouts;
 
   readonly #present = new Map<string, Presence>();
 
@@ -112,8 +123,11 @@
 
   #isChangePending = false;
 
+  #hasJoined = false;
+
   constructor(parts: MembershipParts) {
     this.#parts = parts;
+    this.#layouts = new RateLayouts(parts.instance, parts.onChange);
     this.#watchStatus = new WatchStatus(parts.logger, PREFIX);
   }
 
@@ -125,13 +139,9 @@
     ];
   }
 
-  /**
-   * This instance's share of every rate; empty for a new member until the others have been notified.
-   */
-  get rateShare(): RateShare {
-    const rank = this.#lists.current.indexOf(this.#parts.instance);
-    if (!this.#hasShare || rank === -1) return { rank: 0, holders: 0 };
-    return { rank, holders: this.#lists.current.length };
+  /** How rates are shared, and which part this instance holds. */
+  get rateLayout(): RateLayout {
+    return this.#layouts.current;
   }
 
   get instance(): string {
@@ -213,6 +223,7 @@
         this.#present.clear();
         this.#parts.ledger.replaceAll(entries.filter(({ key }) => isQuarantineKey(key)));
         entries.filter(({ key }) => !isQuarantineKey(key)).forEach((entry) => this.#apply(entry));
+        this.#updateLayout();
         this.#recordAbsences();
         this.#parts.onChange();
         this.#listed.resolve(undefined);
@@ -261,19 +272,32 @@
     }
     this.#lists.record(list.members);
     this.#history.record(list.members);
+    this.#choosingMembers = new Set(list.choosingMembers);
     this.#membersRevision = entry.revision;
+    this.#updateLayout();
     this.#parts.logger.info('membership.members', {
       members: list.members.length,
       revision: entry.revision,
     });
   }
 
+  /** Rates are shared among chosen holders only if all members can, present ones by their own word. */
+  #updateLayout(): void {
+    const members = this.#lists.current;
+    const canAllChoose = members.every((name) => {
+      const presence = this.#present.get(name);
+      return this.#choosingMembers.has(name) && (!presence || presence.choosesHolders === true);
+    });
+    this.#layouts.update(members, canAllChoose);
+  }
+
   /** Applies the changes that one response of the store brings together. */
   #scheduleChange(): void {
     if (this.#isChangePending) return;
     this.#isChangePending = true;
     setImmediate(() => {
       this.#isChangePending = false;
+      this.#updateLayout();
       this.#recordAbsences();
       this.#parts.onChange();
     });
@@ -291,16 +315,18 @@
   async #keepPresence({ signal, ready }: ChildContext): Promise<void> {
     ready();
     await Promise.race([this.#listed.promise, untilAborted(signal)]);
-    // Only now: once this instance is present, another one may list it.
+    // Before its presence is announced, as another one may list it then.
     const isNew = !this.#isMember;
     let leaseId = await this.#registerPresence();
-    const joined = this.#join(signal, isNew);
+    let joining = this.#join(signal, isNew);
     while (!signal.aborted) {
       await delay(leaseId === undefined ? RETRY_MILLISECONDS : RENEWAL_MILLISECONDS, signal);
       if (signal.aborted) break;
       leaseId = leaseId === undefined ? await this.#registerPresence() : await this.#renew(leaseId);
+      // Others remove a member that was absent, and earlier versions don't keep who chooses holders.
+      if (this.#hasJoined && !this.#isListed) joining = this.#join(signal, !this.#isMember);
     }
-    await joined;
+    await joining;
     if (leaseId !== undefined) await this.#parts.store.revokeLease(leaseId);
   }
 
@@ -313,7 +339,11 @@
     }
     const { leaseId } = lease.value;
     const key = `${PRESENCE_PREFIX}${instance}`;
-    const value = JSON.stringify({ address, availabilityZone } satisfies Presence);
+    const value = JSON.stringify({
+      address,
+      availabilityZone,
+      choosesHolders: true,
+    } satisfies Presence);
     let expectedRevision = 0;
     for (let attempt = 0; attempt < 3; attempt += 1) {
       const written = await store.compareAndSwap({ key, value, expectedRevision, leaseId });
@@ -347,20 +377,27 @@
     return this.#lists.current.includes(this.#parts.instance);
   }
 
+  /** Whether this instance is a member that is known to choose holders. */
+  get #isListed(): boolean {
+    return this.#isMember && this.#choosingMembers.has(this.#parts.instance);
+  }
+
   /** Joins the members; a new member uses its share only once the others have been notified. */
   async #join(signal: AbortSignal, isNew: boolean): Promise<void> {
-    const { logger } = this.#parts;
-    if (isNew) {
+    this.#hasJoined = false;
+    if (!isNew) this.#layouts.grantShare();
+    if (!this.#isListed) {
       await delay(LISTING_WAIT_MILLISECONDS + this.#listingSpreadMilliseconds, signal);
     }
-    while (!signal.aborted && !this.#isMember) {
+    while (!signal.aborted && !this.#isListed) {
       await this.#changeMembers(signal, (members) => this.#withPresent(members));
-      if (!this.#isMember) await delay(RETRY_MILLISECONDS, signal);
+      if (!this.#isListed) await delay(RETRY_MILLISECONDS, signal);
     }
     if (signal.aborted) return;
-    logger.info('membership.joined', { members: this.#lists.current.length, isNew });
+    this.#parts.logger.info('membership.joined', { members: this.#lists.current.length, isNew });
     if (isNew) await delay(JOIN_DELAY_MILLISECONDS, signal);
-    this.#hasShare = true;
+    this.#layouts.grantShare();
+    this.#hasJoined = true;
     this.#parts.onChange();
   }
 
@@ -373,6 +410,12 @@
     return [...new Set([...members, ...this.#present.keys(), this.#parts.instance])].sort();
   }
 
+  #canChooseHolders(name: string): boolean {
+    if (name === this.#parts.instance) return true;
+    const presence = this.#present.get(name);
+    return presence ? presence.choosesHolders === true : this.#choosingMembers.has(name);
+  }
+
   /** Changes the list of members; returns whether the list is then as requested. */
   async #changeMembers(
     signal: AbortSignal,
@@ -383,8 +426,15 @@
     if (read.isErr()) return false;
     if (read.value) this.#setMembers(read.value);
     const wanted = change(read.value ? this.#lists.current : []);
-    if (read.value && wanted.join() === this.#lists.current.join()) return true;
-    const value = JSON.stringify({ members: wanted });
+    const choosing = wanted.filter((name) => this.#canChooseHolders(name));
+    const isAsWanted =
+      wanted.join() === this.#lists.current.join() &&
+      choosing.length === wanted.filter((name) => this.#choosingMembers.has(name)).length;
+    if (read.value && isAsWanted) return true;
+    const value = JSON.stringify({
+      members: wanted,
+      choosingMembers: choosing,
+    } satisfies MemberList);
     const written = await compareAndSwapUntilKnown({
       store,
       request: { key: MEMBERS_KEY, expectedRevision: read.value?.revision ?? 0, value },
--- a/packages/gateway/src/quotas/quotaGate.ts
+++ b/packages/gateway/src/quotas/quotaGate.ts
@@ -13,8 +13,8 @@
       readonly tokens: number;
       /** Requests per second of the organisation on this instance. */
       readonly demandPerSecond: number;
-      /** Demand reported by all instances; undefined if they weren't queried. */
-      readonly demand: OrganisationDemand | undefined;
+      /** Demand by which a program was refused; undefined if the request found no token. */
+      readonly demand: Pick<OrganisationDemand, 'programs' | 'unspentTokens'> | undefined;
     };
 
 /** Stage of the program to which a request belongs. */
--- a/packages/gateway/src/quotas/rateShare.ts
+++ b/packages/gateway/src/quotas/rateShare.ts
@@ -1,4 +1,5 @@
-import type { RatePart } from '@limpetnotch/admission';
-
-/** Share of an instance in the rate of every organisation. */
-export type RateShare = Pick<RatePart, 'holders' | 'rank'>;
+/** This instance's part of a rate: its rank among a number of equal holders, 0 if it holds none. */
+export interface RateShare {
+  readonly rank: number;
+  readonly holders: number;
+}
--- /dev/null
+++ b/packages/gateway/src/quotas/tokenTaker.ts
@@ -0,0 +1,132 @@
+import type { Metrics } from '@limpetnotch/observability';
+import { delay } from '@limpetnotch/supervision';
+import type { OrganisationRate } from './organisationRate';
+import type { QuotaPeers, TokensGiven, TokensWanted } from './quotaPeers';
+
+/** Delay before peers are queried again after a round that brought no tokens. */
+const EMPTY_ROUND_PAUSE_MILLISECONDS = 75;
+
+/**
+ * Maximum rounds of peer queries per request; other requests may take the tokens of earlier rounds.
+ */
+const MAXIMUM_PEER_ROUNDS = 4;
+
+/** Maximum time an admitted request waits for its organisation's next token. */
+const LONGEST_WAIT_MILLISECONDS = 300;
+
+/** Time for whose demand tokens are requested ahead. */
+const AHEAD_SECONDS = 0.5;
+
+/** Maximum number of tokens requested ahead. */
+const MAXIMUM_AHEAD_TOKENS = 8;
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Parts of a {@link TokenTaker}. */
+export interface TokenTakerParts {
+  readonly peers: QuotaPeers;
+  readonly metrics: Metrics;
+}
+
+/** Takes tokens of organisations' rates, held here or by other instances. */
+export class TokenTaker {
+  readonly #parts: TokenTakerParts;
+
+  constructor(parts: TokenTakerParts) {
+    this.#parts = parts;
+  }
+
+  /** Takes a token held here or one of a peer, or waits a short time for the next one. */
+  async take(entry: OrganisationRate): Promise<boolean> {
+    if (entry.queuedRequests === 0 && entry.rate.tryAcquire()) return true;
+    const mutableEntry = entry;
+    mutableEntry.requestsWithoutToken += 1;
+    const isObtained = await this.#requestToken(entry);
+    mutableEntry.requestsWithoutToken -= 1;
+    return isObtained || this.#waitForToken(entry);
+  }
+
+  /** Returns the tokens to ask for: those that requests wait for, and those expected to be needed. */
+  computeWanted(entry: OrganisationRate): TokensWanted {
+    const ahead = Math.ceil(entry.rate.demandPerSecond * AHEAD_SECONDS);
+    return {
+      wanted: Math.max(1, entry.requestsWithoutToken),
+      ahead: entry.askedHolders ? Math.min(MAXIMUM_AHEAD_TOKENS, ahead) : 0,
+    };
+  }
+
+  /** Adds tokens that a peer has just given up. */
+  receive(entry: OrganisationRate, { given, ahead }: TokensGiven): void {
+    entry.rate.receive(given);
+    entry.rate.receiveAhead(ahead);
+    this.#parts.metrics.increment('quota.tokens-received', given + ahead);
+  }
+
+  /** Queries peers until this request gets a token or a round brings none. */
+  async #requestToken(entry: OrganisationRate): Promise<boolean> {
+    for (let round = 0; round < MAXIMUM_PEER_ROUNDS; round += 1) {
+      if (performance.now() < entry.nextPeerRequestAtMilliseconds) return false;
+      await this.#sharePeerRequest(entry);
+      if (entry.rate.tryAcquire()) return true;
+    }
+    return false;
+  }
+
+  /** Waits in the queue for a token; returns false immediately if the queue is too long. */
+  async #waitForToken(entry: OrganisationRate): Promise<boolean> {
+    const { rate } = entry;
+    const expectedMilliseconds = this.#computeWait(entry, entry.queuedRequests + 1);
+    if (expectedMilliseconds > LONGEST_WAIT_MILLISECONDS) return false;
+    const mutableEntry = entry;
+    mutableEntry.queuedRequests += 1;
+    const wait = entry.queueTail.then(() => delay(this.#computeWait(entry, 1)));
+    mutableEntry.queueTail = wait;
+    await wait;
+    mutableEntry.queuedRequests -= 1;
+    return rate.tryAcquire() || (entry.askedHolders !== undefined && this.#requestToken(entry));
+  }
+
+  /** Time until a number of tokens is free here or, if this instance holds none, one at a holder. */
+  #computeWait({ rate, holders, secondsToPeerToken }: OrganisationRate, tokens: number): number {
+    const seconds = holders > 0 ? rate.secondsToTokens(tokens) : secondsToPeerToken;
+    return seconds * MILLISECONDS_PER_SECOND;
+  }
+
+  #sharePeerRequest(entry: OrganisationRate): Promise<void> {
+    if (entry.peerRequest) return entry.peerRequest;
+    // The entry is shared by all requests of the organisation that wait for the same response.
+    const mutableEntry = entry;
+    mutableEntry.peerRequest = this.#requestFromPeers(entry).finally(() => {
+      mutableEntry.peerRequest = undefined;
+    });
+    return mutableEntry.peerRequest;
+  }
+
+  async #requestFromPeers(entry: OrganisationRate): Promise<void> {
+    const { name } = entry.organisation;
+    const wanted = this.computeWanted(entry);
+    const received = await (entry.askedHolders
+      ? this.#requestFromHolders(entry, entry.askedHolders, wanted)
+      : this.#parts.peers.takeTokens(name, wanted));
+    this.receive(entry, received);
+    entry.recordPeerAnswer(received, EMPTY_ROUND_PAUSE_MILLISECONDS);
+  }
+
+  /** Asks one holder after another until one gives tokens. */
+  async #requestFromHolders(
+    entry: OrganisationRate,
+    names: readonly string[],
+    wanted: TokensWanted,
+  ): Promise<TokensGiven> {
+    let nextMilliseconds: number | undefined;
+    for (const name of names) {
+      const reply = await this.#parts.peers.takeTokens(entry.organisation.name, wanted, [name]);
+      if (reply.given > 0) {
+        entry.prefer(name);
+        return reply;
+      }
+      nextMilliseconds = Math.min(nextMilliseconds ?? Infinity, reply.nextMilliseconds ?? Infinity);
+    }
+    return { given: 0, ahead: 0, nextMilliseconds };
+  }
+}
--- a/packages/gateway/tests/support/watchedStore.ts
+++ b/packages/gateway/tests/support/watchedStore.ts
@@ -64,6 +64,11 @@
     };
   }
 
+  /** Writes a value as another process would. */
+  overwrite(key: string, value: string): void {
+    this.#swap({ key, value, expectedRevision: this.#entries.get(key)?.revision ?? 0 });
+  }
+
   read(key: string): string | undefined {
     return this.#entries.get(key)?.value;
   }
