Recall and borrow budgets only where they are held, and remember spent ones longer

What callers saw: turns of programs under way waited for, and were crowded out by, programs that had run away.

Nothing said who held tokens.

Change: the store's key of a budget names the instances that took tokens from it, and each of them knows whom it lent some; tokens are borrowed and recalled from those. A turn that was refused because the budget is spent is refused without any call for 0.5 s, doubled up to 8 s, and before it takes a token of the organisation's rate.

Two builds: an earlier version writes the key without names and answers without them; then all are asked, as before.

What remains: an instance that lent tokens and has restarted since doesn't know of them, so a program may be told that its budget is spent while the borrower still holds some.

--- a/packages/gateway/src/budgets/budgetGate.ts
+++ b/packages/gateway/src/budgets/budgetGate.ts
@@ -24,6 +24,8 @@
 /** Enforces the token budgets of programs across all instances. */
 export interface BudgetGate {
   reserve(request: BudgetRequest): Promise<BudgetDecision>;
+  /** Whether a turn of this size was refused a short time ago, as the budget is spent. */
+  isKnownSpent(programId: string, turnTokens: number): boolean;
   /** Whether any instance has granted tokens to a turn of the program. */
   hasProgramStarted(programId: string): Promise<boolean>;
 }
--- a/packages/gateway/src/budgets/budgetLedger.ts
+++ b/packages/gateway/src/budgets/budgetLedger.ts
@@ -27,11 +27,19 @@
   limitTokens,
   grantedTokens: presumedTokens,
   presumedTokens,
+  holders: [],
 });
 
+const addHolder = (
+  holders: readonly string[] | undefined,
+  instance: string,
+): readonly string[] | undefined => holders && [...new Set([...holders, instance])];
+
 /** Parts of a {@link BudgetLedger}. */
 export interface BudgetLedgerParts {
   readonly store: KeyValueStore;
+  /** Name of this instance, as in the lists of members. */
+  readonly instance: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -82,14 +90,16 @@
    * to the granted tokens in one compare-and-swap.
    */
   async change(budget: ProgramBudget, tokens: number): Promise<LedgerOutcome> {
-    const { store, metrics, logger } = this.#parts;
+    const { store, metrics, logger, instance } = this.#parts;
     const before = budget.stored?.state ?? createInitialState(budget);
     const presumed = Math.min(before.presumedTokens, budget.unrecordedTokens);
     const granted = before.grantedTokens - presumed + budget.unrecordedTokens + tokens;
+    const holders = addHolder(before.holders, instance);
     const state: StoredBudget = {
       limitTokens: before.limitTokens,
       grantedTokens: Math.max(0, granted),
       presumedTokens: before.presumedTokens - presumed,
+      ...(holders && { holders: [...holders] }),
       writeId: randomUUID(),
     };
     metrics.increment('budget.writes');
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -4,7 +4,7 @@
 import { BudgetLedger, createInitialState } from './budgetLedger';
 import type { LedgerOutcome } from './budgetLedger';
 import type { GrantMemory } from './grantMemory';
-import type { GrantPeers } from './grantPeers';
+import type { BudgetRelease, GrantPeers } from './grantPeers';
 import type { Loan, LoanResponse, LoanRequest } from './loan';
 import { areMajority, meetEveryMajority } from './majorities';
 import type { MemberListsInForce } from './majorities';
@@ -27,10 +27,15 @@
 const RETRY_AFTER_SECONDS = 0.5;
 
 /**
- * Time for which a spent budget is refused without querying the store again. Runaway programs retry
- * many times a second; turns under way may release tokens in the meantime.
+ * Time for which a spent budget is refused without querying the store again, doubled up to a maximum
+ * each time it is found spent again. Turns under way may release tokens in the meantime; programs
+ * that go on after that run away.
  */
 const SPENT_CACHE_MILLISECONDS = 500;
+const MAXIMUM_SPENT_CACHE_MILLISECONDS = 8_000;
+
+/** Instances asked for tokens of a budget that they share. */
+const MAXIMUM_LENDERS = 4;
 
 /**
  * Time for which a program that was not in the store is treated as new without another query; its
@@ -44,6 +49,14 @@
 /** Budgets without turns for this long are evicted; programs may return after a minute. */
 const BUDGET_IDLE_MILLISECONDS = 120_000;
 
+/** Records the instance of a process, whose name precedes its last slash. */
+const recordBorrower = (budget: ProgramBudget, requester: string): void => {
+  const end = requester.lastIndexOf('/');
+  const mutableBudget = budget;
+  if (end > 0) budget.sharers.add(requester.slice(0, end));
+  else mutableBudget.hasUnknownSharers = true;
+};
+
 type AcquireOutcome = 'reserved' | 'spent' | 'unavailable';
 
 /** Tokens to take from the store. */
@@ -120,6 +133,12 @@
     };
   }
 
+  isKnownSpent(programId: string, turnTokens: number): boolean {
+    const budget = this.#budgets.get(toBudgetKey(programId));
+    if (!budget) return false;
+    return budget.account.heldTokens < turnTokens && this.#isSpent(budget, turnTokens);
+  }
+
   async hasProgramStarted(programId: string): Promise<boolean> {
     const key = toBudgetKey(programId);
     if (this.memory.mayHaveStarted(key)) return true;
@@ -166,10 +185,13 @@
   }
 
   /** Returns to the store the tokens of a budget that this instance holds. */
-  async release(key: string): Promise<void> {
+  async release(key: string): Promise<Omit<BudgetRelease, 'name'>> {
     const budget = this.#budgets.get(key);
-    if (!budget || budget.account.heldTokens === 0) return;
-    await serialise(budget, () => this.#returnHeldTokens(budget));
+    if (!budget) return { sharers: [], hasAllSharers: true };
+    if (budget.account.heldTokens > 0) {
+      await serialise(budget, () => this.#returnHeldTokens(budget));
+    }
+    return { sharers: [...budget.sharers], hasAllSharers: !budget.hasUnknownSharers };
   }
 
   /**
@@ -196,6 +218,7 @@
       if (obtained === 'unavailable') return this.#declineLoan(request);
       account.settle(tokens, tokens);
       budget.isShared = true;
+      recordBorrower(budget, request.requester);
       return { kind: 'lent', tokens };
     });
   }
@@ -311,6 +334,7 @@
   async #acquire(budget: ProgramBudget, request: BudgetRequest): Promise<AcquireOutcome> {
     const { account } = budget;
     if (account.reserve(request.turnTokens)) return 'reserved';
+    if (this.#isSpent(budget, request.turnTokens)) return 'spent';
     const hasMoved =
       !budget.hasGranted && (request.isContinuation || this.memory.mayHaveStarted(budget.key));
     if (hasMoved || budget.isShared) {
@@ -334,27 +358,60 @@
   async #borrow(budget: ProgramBudget, turnTokens: number, mayUseStore: boolean): Promise<Loan> {
     const { key, limitTokens, account } = budget;
     const { peers, memory } = this.#parts;
-    const loan = await peers.borrowBudget({
+    const request = {
       budget: key,
       limitTokens,
       turnTokens,
       mayUseStore,
       requester: memory.process,
       wantsPromise: mayUseStore && this.#mayGrantOffline(budget),
-    });
+    };
+    const loan = await (mayUseStore
+      ? peers.borrowBudget(request)
+      : peers.borrowBudget(request, this.#findLenders(budget)));
     if (loan.kind === 'none' && loan.isKnown) memory.recordStart(key);
     if (loan.kind === 'lent') {
       account.deposit(loan.tokens);
       const mutableBudget = budget;
       mutableBudget.isShared = true;
+      loan.lenders.forEach((name) => budget.sharers.add(name));
     }
     return loan;
   }
 
+  /** Other instances that may hold tokens of a budget; undefined if they aren't known. */
+  #findLenders({ stored, sharers }: ProgramBudget): readonly string[] | undefined {
+    const holders = stored?.state.holders;
+    if (!holders && sharers.size === 0) return undefined;
+    const names = new Set([...sharers, ...(holders ?? [])]);
+    names.delete(this.#parts.instance);
+    return [...names].slice(0, MAXIMUM_LENDERS);
+  }
+
+  /** Makes the instances that share a budget return their tokens, all if not all sharers are known. */
+  async #recall({ key, stored, sharers, hasUnknownSharers }: ProgramBudget): Promise<void> {
+    const { peers, instance } = this.#parts;
+    const holders = stored?.state.holders;
+    const asked = new Set([instance]);
+    let names = [...new Set([...(holders ?? []), ...sharers])].filter((name) => !asked.has(name));
+    let areAllKnown = holders !== undefined && !hasUnknownSharers;
+    while (areAllKnown && names.length > 0) {
+      names.forEach((name) => asked.add(name));
+      const replies = await peers.releaseBudget(key, names);
+      areAllKnown = replies.every(({ hasAllSharers }) => hasAllSharers);
+      names = [...new Set(replies.flatMap((reply) => reply.sharers))].filter(
+        (name) => !asked.has(name),
+      );
+    }
+    if (!areAllKnown) await peers.releaseBudget(key);
+  }
+
   /**
    * Borrows the tokens that a peer holds of a program that has moved here, which needs no store call.
    */
   async #borrowHeld(budget: ProgramBudget, turnTokens: number): Promise<boolean> {
+    // One read tells who holds tokens.
+    if (!budget.stored && this.#ledger.isReachable()) await this.#ledger.refresh(budget);
     await this.#borrow(budget, turnTokens, false);
     return budget.account.reserve(turnTokens);
   }
@@ -410,7 +467,7 @@
       if (plan.kind === 'exhausted') {
         if (hasRecalled) return this.#recordSpent(programId, budget, turnTokens);
         hasRecalled = true;
-        await this.#parts.peers.releaseBudget(budget.key);
+        await this.#recall(budget);
         if (!(await this.#ledger.refresh(budget))) return 'unavailable';
       }
       if (plan.kind === 'take') {
@@ -453,9 +510,13 @@
 
   #recordSpent(programId: string, budget: ProgramBudget, turnTokens: number): 'spent' {
     const mutableBudget = budget;
+    const cacheMilliseconds = budget.spent
+      ? Math.min(MAXIMUM_SPENT_CACHE_MILLISECONDS, 2 * budget.spent.cacheMilliseconds)
+      : SPENT_CACHE_MILLISECONDS;
     mutableBudget.spent = {
       turnTokens,
-      untilMilliseconds: performance.now() + SPENT_CACHE_MILLISECONDS,
+      untilMilliseconds: performance.now() + cacheMilliseconds,
+      cacheMilliseconds,
     };
     this.#parts.logger.info('budget.spent', {
       program: programId,
--- a/packages/gateway/src/budgets/loan.ts
+++ b/packages/gateway/src/budgets/loan.ts
@@ -17,7 +17,7 @@
 /** Result of borrowing tokens of a program's budget from peers. */
 export type Loan =
   /** Tokens that peers transferred. */
-  | { readonly kind: 'lent'; readonly tokens: number }
+  | { readonly kind: 'lent'; readonly tokens: number; readonly lenders: readonly string[] }
   /** A peer that can reach the store found the budget spent. */
   | { readonly kind: 'spent' }
   | {
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -36,10 +36,20 @@
   hasGranted: boolean;
   /** Whether another instance holds tokens of this budget or held some recently. */
   isShared: boolean;
+  /** Instances that lent tokens to this one or borrowed some from it. */
+  readonly sharers: Set<string>;
+  /** Whether an instance of an unknown name borrowed tokens. */
+  hasUnknownSharers: boolean;
   /** Number of turns that wait for tokens. */
   waitingTurns: number;
   /** Time until which turns of this size or larger are refused without querying the store. */
-  spent: { readonly untilMilliseconds: number; readonly turnTokens: number } | undefined;
+  spent:
+    | {
+        readonly untilMilliseconds: number;
+        readonly turnTokens: number;
+        readonly cacheMilliseconds: number;
+      }
+    | undefined;
 }
 
 /** Creates the empty local state of a program's budget. */
@@ -55,6 +65,8 @@
   absentUntilMilliseconds: 0,
   hasGranted: false,
   isShared: false,
+  sharers: new Set(),
+  hasUnknownSharers: false,
   waitingTurns: 0,
   spent: undefined,
 });
--- a/packages/gateway/src/budgets/storedBudget.ts
+++ b/packages/gateway/src/budgets/storedBudget.ts
@@ -9,6 +9,8 @@
    * Part of the granted tokens that some instance may have granted while the store was unreachable.
    */
   presumedTokens: z.number().int().default(0),
+  /** Instances that took tokens from the store; absent once an earlier version has written. */
+  holders: z.array(z.string()).optional(),
   /**
    * Identifies the write, so that a writer that lost the store's response recognises its own write.
    */
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -288,6 +288,8 @@
 
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
+    // Otherwise a program that runs away takes tokens of the rate that others need.
+    if (this.#isKnownSpent(call)) return { kind: 'refused', refusal: { kind: 'budget-spent' } };
     if (!organisation?.rate) return this.#runWithinBudget(call);
     const programKey = call.envelope.program && toProgramKey(call);
     const stage = this.#getProgramStage(call);
@@ -324,6 +326,12 @@
     return { kind: 'new-program', expectedMilliseconds: objective * EXPECTED_OBJECTIVE_RATIO };
   }
 
+  #isKnownSpent(call: Call): boolean {
+    const { program, prompt } = call.envelope;
+    if (program?.tokenBudget === undefined || !prompt) return false;
+    return this.#parts.budgets.isKnownSpent(toProgramKey(call), prompt.maximumOutputTokens);
+  }
+
   async #runWithinBudget(call: Call): Promise<CallResult> {
     const { program, prompt } = call.envelope;
     if (program?.tokenBudget === undefined || !prompt) return this.#parts.runner.run(call);
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -132,8 +132,8 @@
     for await (const part of forwarder.forward(request, signal)) yield toPartMessage(part);
   },
   releaseBudget: async ({ budget }) => {
-    await budgets.release(budget);
-    return {};
+    const { sharers, hasAllSharers } = await budgets.release(budget);
+    return { sharers: [...sharers], hasAllSharers };
   },
 });
 
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -33,7 +33,7 @@
   TokensGiven,
   TokensWanted,
 } from '../quotas/quotaPeers';
-import type { GrantPeers, PeerPromises } from '../budgets/grantPeers';
+import type { BudgetRelease, GrantPeers, PeerPromises } from '../budgets/grantPeers';
 import type { Loan, LoanRequest } from '../budgets/loan';
 import type { KeyedOrigin } from '../resumption/keyedOrigin';
 import type { OriginPeers } from '../resumption/originPeers';
@@ -275,31 +275,46 @@
   }
 
   /**
-   * Makes all peers return what they hold of a budget to the store; resolves when all have responded
-   * or timed out.
+   * Makes peers return what they hold of a budget to the store; resolves when all have responded or
+   * timed out.
    */
-  async releaseBudget(budget: string): Promise<void> {
-    await this.#callEach([...this.#peers.keys()], {
+  async releaseBudget(
+    budget: string,
+    names: readonly string[] = [...this.#peers.keys()],
+  ): Promise<readonly BudgetRelease[]> {
+    const replies = await this.#callEach(names, {
       call: 'releaseBudget',
       deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
       send: (client, options) => client.releaseBudget({ budget }, options),
     });
+    return replies.map(({ name, answer: { sharers, hasAllSharers } }) => ({
+      name,
+      sharers,
+      hasAllSharers,
+    }));
   }
 
   /**
    * Borrows tokens of a budget from peers: first from all that may hold some, in parallel; then, if
    * none lends and the request allows it, from those that can reach the store, one after another.
    */
-  async borrowBudget(request: LoanRequest): Promise<Loan> {
-    const names = request.mayUseStore ? [...this.#order] : this.#order.slice(0, PEERS_PER_ROUND);
+  async borrowBudget(
+    request: LoanRequest,
+    names: readonly string[] = request.mayUseStore
+      ? [...this.#order]
+      : this.#order.slice(0, PEERS_PER_ROUND),
+  ): Promise<Loan> {
     const replies = await this.#requestLoans(names, { ...request, mayUseStore: false });
-    const lent = replies.reduce((sum, { answer }) => sum + answer.tokens, 0);
-    if (lent > 0) return { kind: 'lent', tokens: lent };
+    const lenders = replies.filter(({ answer }) => answer.tokens > 0);
+    const lent = lenders.reduce((sum, { answer }) => sum + answer.tokens, 0);
+    if (lent > 0) return { kind: 'lent', tokens: lent, lenders: lenders.map(({ name }) => name) };
     const withStoreAccess = replies.filter(({ answer }) => answer.canUseStore);
     for (const { name } of request.mayUseStore ? withStoreAccess : []) {
       const [reply] = await this.#requestLoans([name], request);
       if (reply?.answer.outcome === LendOutcome.SPENT) return { kind: 'spent' };
-      if (reply && reply.answer.tokens > 0) return { kind: 'lent', tokens: reply.answer.tokens };
+      if (reply && reply.answer.tokens > 0) {
+        return { kind: 'lent', tokens: reply.answer.tokens, lenders: [name] };
+      }
     }
     return {
       kind: 'none',
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -29,6 +29,9 @@
   /** Keys of the budgets that instances have announced, in order. */
   readonly announced: string[] = [];
 
+  /** Number of requests for tokens between instances. */
+  calls = 0;
+
   /** Whether the first and the second half can't reach each other. */
   isSplit = false;
 
@@ -100,10 +103,14 @@
       instance: toName(index),
       memory: new GrantMemory(`${toName(index)}/${this.#processCount}`, isFirstProcess),
       peers: {
-        releaseBudget: async (key) => {
-          await Promise.all(this.#peersOf(index).map(([, peer]) => peer.release(key)));
+        releaseBudget: (key, names) => {
+          const peers = this.#peersOf(index, names);
+          this.calls += peers.length;
+          return Promise.all(
+            peers.map(async ([name, peer]) => ({ name, ...(await peer.release(key)) })),
+          );
         },
-        borrowBudget: (request) => this.#borrow(index, request),
+        borrowBudget: (request, names) => this.#borrow(index, request, names),
         announceProgram: (key) => {
           this.announced.push(key);
           this.#peersOf(index).forEach(([, peer]) => peer.recordProgramStart(key));
@@ -116,12 +123,17 @@
     return { budgets, lists };
   }
 
-  #peersOf(index: number): readonly (readonly [string, EscrowBudgets])[] {
+  #peersOf(
+    index: number,
+    names?: readonly string[],
+  ): readonly (readonly [string, EscrowBudgets])[] {
     const half = this.#processes.length / 2;
     return this.instances.flatMap((budgets, other) => {
       const isReached = !this.isSplit || index < half === other < half;
-      const isAsked = other !== index && isReached && !this.unresponsive.has(other);
-      return isAsked ? [[toName(other), budgets] as const] : [];
+      const isAsked = other !== index && (!names || names.includes(toName(other)));
+      return isAsked && isReached && !this.unresponsive.has(other)
+        ? [[toName(other), budgets] as const]
+        : [];
     });
   }
 
@@ -135,12 +147,14 @@
   }
 
   /** Borrows from the reachable peers, as the connections between instances do. */
-  async #borrow(index: number, request: LoanRequest): Promise<Loan> {
+  async #borrow(index: number, request: LoanRequest, names?: readonly string[]): Promise<Loan> {
     let isKnown = false;
     const promisers: string[] = [];
-    for (const [name, peer] of this.#peersOf(index)) {
+    for (const [name, peer] of this.#peersOf(index, names)) {
+      this.calls += 1;
       const answer = await peer.lend(request);
-      if (answer.kind !== 'none') return answer;
+      if (answer.kind === 'lent') return { ...answer, lenders: [name] };
+      if (answer.kind === 'spent') return answer;
       isKnown ||= answer.isKnown;
       if (answer.isPromised) promisers.push(name);
     }
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -187,6 +187,7 @@
       },
       budgets: {
         reserve: async () => ({ kind: 'reserved', settle: () => undefined }),
+        isKnownSpent: () => false,
         hasProgramStarted: async () => false,
       },
       runner,
