Reserve a turn's budget before it takes a token of the rate

Cause: a request took a token of the rate first and reserved its budget then. A program that has run away comes to ten and more instances; at each, the token that it took from a holder was lost for a window when the budget turned out to be spent, as tokens of others can't be given back.

Change: a program is admitted by its rate, then the turn's budget is reserved, and the token of the rate is taken last; a turn that finds none gives its reservation back.

--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -5,7 +5,7 @@
 import type { FleetState } from '../fleet/fleetState';
 import type { ProgramStarts } from '../limits/programStarts';
 import type { LoadShedding } from '../overload/loadShedding';
-import type { ProgramStage, QuotaGate } from '../quotas/quotaGate';
+import type { ProgramStage, QuotaGate, QuotaRefusal, QuotaRequest } from '../quotas/quotaGate';
 import type { ResumptionGate } from '../resumption/resumptionGate';
 import type { RequestQuarantine } from '../quarantine/requestQuarantine';
 import type { DrainAdmission } from '../shutdown/admitDuringDrain';
@@ -286,39 +286,54 @@
     });
   }
 
+  /**
+   * Admits a program by its rate, then reserves its budget, and takes a token of the rate last, so
+   * that programs which run away don't use up the rate.
+   */
   async #runWithinRate(call: Call): Promise<CallResult> {
     const { organisation } = call;
-    // Otherwise a program that runs away takes tokens of the rate that others need.
     if (this.#isKnownSpent(call)) return { kind: 'refused', refusal: { kind: 'budget-spent' } };
-    if (!organisation?.rate) return this.#runWithinBudget(call);
+    if (!organisation?.rate) return this.#runWithinBudget(call, () => this.#parts.runner.run(call));
     const programKey = call.envelope.program && toProgramKey(call);
-    const stage = this.#getProgramStage(call);
-    const quota = await this.#parts.quotas.take({ organisation, programKey, stage });
-    if (quota.kind === 'refused') {
-      const { retryAfterSeconds } = quota;
-      this.#parts.logger.info('quota.refused', {
-        request: call.envelope.id,
-        program: call.envelope.program?.id,
-        organisation: organisation.name,
-        stage: stage.kind,
-        reason: quota.reason,
-        perSecond: organisation.rate.perSecond,
-        burst: organisation.rate.burst,
-        tokens: Math.floor(quota.tokens),
-        demandPerSecond: Math.round(quota.demandPerSecond),
-        programs: quota.demand?.programs,
-        unspentTokens: quota.demand && Math.floor(quota.demand.unspentTokens),
-        retryAfterSeconds,
-      });
-      return { kind: 'refused', refusal: { kind: 'over-rate', retryAfterSeconds } };
-    }
+    const request = { organisation, programKey, stage: this.#getProgramStage(call) };
+    const admission = await this.#parts.quotas.admit(request);
+    if (admission.kind === 'refused') return this.#refuseOverRate(call, request, admission);
+    return this.#runWithinBudget(call, () => this.#takeTokenAndRun(call, request));
+  }
+
+  async #takeTokenAndRun(call: Call, request: QuotaRequest): Promise<CallResult> {
+    const quota = await this.#parts.quotas.take(request);
+    if (quota.kind === 'refused') return this.#refuseOverRate(call, request, quota);
     const admitted = call;
     admitted.quotaAtMilliseconds = call.ageMilliseconds;
-    const result = await this.#runWithinBudget(call);
+    const result = await this.#parts.runner.run(call);
     if (call.history.runs === 0) quota.returnToken();
     return result;
   }
 
+  #refuseOverRate(
+    call: Call,
+    { organisation, stage }: QuotaRequest,
+    refusal: QuotaRefusal,
+  ): CallResult {
+    const { retryAfterSeconds } = refusal;
+    this.#parts.logger.info('quota.refused', {
+      request: call.envelope.id,
+      program: call.envelope.program?.id,
+      organisation: organisation.name,
+      stage: stage.kind,
+      reason: refusal.reason,
+      perSecond: organisation.rate?.perSecond,
+      burst: organisation.rate?.burst,
+      tokens: Math.floor(refusal.tokens),
+      demandPerSecond: Math.round(refusal.demandPerSecond),
+      programs: refusal.demand?.programs,
+      unspentTokens: refusal.demand && Math.floor(refusal.demand.unspentTokens),
+      retryAfterSeconds,
+    });
+    return { kind: 'refused', refusal: { kind: 'over-rate', retryAfterSeconds } };
+  }
+
   /** Only a turn of a program's main session can be its first; its other requests come later. */
   #getProgramStage(call: Call): ProgramStage {
     if (!isMainLineTurn(call.envelope)) return { kind: 'under-way' };
@@ -332,9 +347,9 @@
     return this.#parts.budgets.isKnownSpent(toProgramKey(call), prompt.maximumOutputTokens);
   }
 
-  async #runWithinBudget(call: Call): Promise<CallResult> {
+  async #runWithinBudget(call: Call, run: () => Promise<CallResult>): Promise<CallResult> {
     const { program, prompt } = call.envelope;
-    if (program?.tokenBudget === undefined || !prompt) return this.#parts.runner.run(call);
+    if (program?.tokenBudget === undefined || !prompt) return run();
     const decision = await this.#parts.budgets.reserve({
       programId: toProgramKey(call),
       limitTokens: program.tokenBudget,
@@ -354,7 +369,7 @@
       case 'reserved': {
         const reserved = call;
         reserved.budgetAtMilliseconds = call.ageMilliseconds;
-        const result = await this.#parts.runner.run(call);
+        const result = await run();
         decision.settle(call.eventCount * (call.service.engine?.tokensPerEvent ?? 0));
         return result;
       }
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -54,7 +54,7 @@
   takeTokens: async ({ organisation, ...wanted }) =>
     toTokensMessage(quotas.transferTokens(organisation, wanted)),
   admitProgram: async (request) =>
-    toAdmissionMessage(await quotas.admitProgram(fromAdmissionRequestMessage(request))),
+    toAdmissionMessage(await quotas.decideProgram(fromAdmissionRequestMessage(request))),
   describeDemand: async ({ organisation, program }) => quotas.describeDemand(organisation, program),
   lendBudget: async (request) => {
     const loan = await budgets.lend(request);
--- a/packages/gateway/src/quotas/quotaGate.ts
+++ b/packages/gateway/src/quotas/quotaGate.ts
@@ -1,21 +1,26 @@
 import type { OrganisationDemand } from '@limpetnotch/admission';
 import type { FleetOrganisation } from '../configuration/fleetConfiguration';
 
+/** Refusal of a request by its organisation's rate. */
+export interface QuotaRefusal {
+  readonly kind: 'refused';
+  readonly reason: 'no-token' | 'programs-need-the-rate' | 'window-is-spent';
+  readonly retryAfterSeconds: number;
+  /** Tokens available on this instance. */
+  readonly tokens: number;
+  /** Requests per second of the organisation on this instance. */
+  readonly demandPerSecond: number;
+  /** Demand by which a program was refused; undefined if the request found no token. */
+  readonly demand: Pick<OrganisationDemand, 'programs' | 'unspentTokens'> | undefined;
+}
+
+/** Whether the program of a request may start or go on. */
+export type ProgramQuotaDecision = { readonly kind: 'admitted' } | QuotaRefusal;
+
 /** Result of taking a token of an organisation's rate for one request. */
 export type QuotaDecision =
   /** A token was taken; it is returned if the request never runs. */
-  | { readonly kind: 'taken'; readonly returnToken: () => void }
-  | {
-      readonly kind: 'refused';
-      readonly reason: 'no-token' | 'programs-need-the-rate' | 'window-is-spent';
-      readonly retryAfterSeconds: number;
-      /** Tokens available on this instance. */
-      readonly tokens: number;
-      /** Requests per second of the organisation on this instance. */
-      readonly demandPerSecond: number;
-      /** Demand by which a program was refused; undefined if the request found no token. */
-      readonly demand: Pick<OrganisationDemand, 'programs' | 'unspentTokens'> | undefined;
-    };
+  { readonly kind: 'taken'; readonly returnToken: () => void } | QuotaRefusal;
 
 /** Stage of the program to which a request belongs. */
 export type ProgramStage =
@@ -37,5 +42,8 @@
 
 /** Enforces the rate of each organisation across all instances. */
 export interface QuotaGate {
+  /** Decides on a request that may start its program; others are admitted. */
+  admit(request: QuotaRequest): Promise<ProgramQuotaDecision>;
+  /** Takes a token for a request that was admitted. */
   take(request: QuotaRequest): Promise<QuotaDecision>;
 }
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -13,7 +13,14 @@
   TokensGiven,
   TokensWanted,
 } from './quotaPeers';
-import type { ProgramStage, QuotaDecision, QuotaGate, QuotaRequest } from './quotaGate';
+import type {
+  ProgramQuotaDecision,
+  ProgramStage,
+  QuotaDecision,
+  QuotaGate,
+  QuotaRefusal,
+  QuotaRequest,
+} from './quotaGate';
 import { TokenTaker } from './tokenTaker';
 
 /**
@@ -48,7 +55,7 @@
 
 type NewProgram = Extract<ProgramStage, { kind: 'new-program' }>;
 
-type Refused = Extract<QuotaDecision, { kind: 'refused' }>;
+const ADMITTED = { kind: 'admitted' } as const;
 
 const clampRetryAfter = (seconds: number): number =>
   Math.min(LONGEST_RETRY_AFTER_SECONDS, Math.max(SHORTEST_RETRY_AFTER_SECONDS, seconds));
@@ -89,14 +96,27 @@
     });
   }
 
-  async take({ organisation, programKey, stage }: QuotaRequest): Promise<QuotaDecision> {
+  async admit({ organisation, programKey, stage }: QuotaRequest): Promise<ProgramQuotaDecision> {
     const entry = this.#getRate(organisation);
     entry.rate.recordRequest();
+    if (programKey === undefined || !this.#mayStartProgram(programKey, stage)) return ADMITTED;
+    const { expectedMilliseconds } = stage;
+    const program = { key: programKey, expectedMilliseconds };
+    const { decision, demand } = await this.#admissions.admit(entry, program);
+    if (decision.kind === 'admitted') return decision;
+    return {
+      kind: 'refused',
+      reason: decision.reason,
+      retryAfterSeconds: clampRetryAfter(entry.programs.secondsToNextEnd ?? 0),
+      tokens: entry.rate.tokens,
+      demandPerSecond: entry.rate.demandPerSecond,
+      demand,
+    };
+  }
+
+  async take({ organisation, programKey, stage }: QuotaRequest): Promise<QuotaDecision> {
+    const entry = this.#getRate(organisation);
     const newProgram = this.#mayStartProgram(programKey, stage) ? stage : undefined;
-    if (newProgram && programKey !== undefined) {
-      const refused = await this.#admitProgram(entry, programKey, newProgram);
-      if (refused) return refused;
-    }
     if (!(await this.#tokens.take(entry))) return this.#refuseWithoutToken(entry);
     if (newProgram) this.#recordProgram(entry, newProgram);
     if (programKey !== undefined) {
@@ -130,14 +150,13 @@
   }
 
   /** Decides on a program for a peer, as a holder of the organisation's rate. */
-  async admitProgram(request: ProgramAdmissionRequest): Promise<ProgramAdmission> {
+  async decideProgram(request: ProgramAdmissionRequest): Promise<ProgramAdmission> {
     const entry = this.#rates.get(request.organisation);
     const retryAfterSeconds = clampRetryAfter(entry?.programs.secondsToNextEnd ?? 0);
-    const admitted = { decision: { kind: 'admitted' }, demand: undefined } as const;
     const { program: key, expectedMilliseconds } = request;
     const decided =
       !entry || this.#seenPrograms.has(key)
-        ? admitted
+        ? { decision: ADMITTED, demand: undefined }
         : await this.#admissions.decideAsHolder(entry, { key, expectedMilliseconds });
     if (decided.decision.kind === 'refused') {
       return { ...decided, tokens: NO_TOKENS, retryAfterSeconds };
@@ -155,30 +174,13 @@
     return !this.#seenPrograms.has(programKey);
   }
 
-  async #admitProgram(
-    entry: OrganisationRate,
-    key: string,
-    { expectedMilliseconds }: NewProgram,
-  ): Promise<Refused | undefined> {
-    const { decision, demand } = await this.#admissions.admit(entry, { key, expectedMilliseconds });
-    if (decision.kind === 'admitted') return undefined;
-    return {
-      kind: 'refused',
-      reason: decision.reason,
-      retryAfterSeconds: clampRetryAfter(entry.programs.secondsToNextEnd ?? 0),
-      tokens: entry.rate.tokens,
-      demandPerSecond: entry.rate.demandPerSecond,
-      demand,
-    };
-  }
-
   #recordProgram({ programs, chosenHolders }: OrganisationRate, program: NewProgram): void {
     // Chosen holders count a program when they admit it.
     if (!chosenHolders) programs.add(program.expectedMilliseconds);
     this.#load.recordProgram(program.expectedMilliseconds);
   }
 
-  #refuseWithoutToken({ rate, secondsToPeerToken }: OrganisationRate): Refused {
+  #refuseWithoutToken({ rate, secondsToPeerToken }: OrganisationRate): QuotaRefusal {
     return {
       kind: 'refused',
       reason: 'no-token',
--- a/packages/gateway/tests/quotas/programCallers.ts
+++ b/packages/gateway/tests/quotas/programCallers.ts
@@ -136,7 +136,7 @@
         : program.instance;
       const elapsed = performance.now() - program.startedAtMilliseconds;
       const expectedMilliseconds = Math.max(0, program.objectiveMilliseconds - elapsed) * 0.6;
-      const decision = await this.#fleet.instances[instance]!.take({
+      const decision = await this.#fleet.take(this.#fleet.instances[instance]!, {
         organisation: this.#organisation,
         programKey: program.key,
         stage:
--- a/packages/gateway/tests/quotas/quotaFleet.ts
+++ b/packages/gateway/tests/quotas/quotaFleet.ts
@@ -1,6 +1,7 @@
 import { MemoryMetrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
 import type { FleetOrganisation } from '../../src/configuration/fleetConfiguration';
+import type { QuotaDecision, QuotaRequest } from '../../src/quotas/quotaGate';
 import type { QuotaPeers } from '../../src/quotas/quotaPeers';
 import { SharedQuotas } from '../../src/quotas/sharedQuotas';
 
@@ -55,6 +56,12 @@
     );
   }
 
+  /** Has an instance admit a request and take a token for it. */
+  async take(instance: SharedQuotas, request: QuotaRequest): Promise<QuotaDecision> {
+    const admission = await instance.admit(request);
+    return admission.kind === 'refused' ? admission : instance.take(request);
+  }
+
   #peersOf(rank: number): QuotaPeers {
     const ask = async (names?: readonly string[]): Promise<readonly SharedQuotas[]> => {
       const asked = this.instances.filter(
@@ -88,7 +95,7 @@
         (await ask(names)).map((other) => other.describeDemand(name, program)),
       admitProgram: async (name, request) => {
         const [other] = await ask([name]);
-        return other?.admitProgram(request);
+        return other?.decideProgram(request);
       },
     };
   }
--- a/packages/gateway/tests/quotas/sharedQuotas.test.ts
+++ b/packages/gateway/tests/quotas/sharedQuotas.test.ts
@@ -72,7 +72,7 @@
   await jest.advanceTimersByTimeAsync(2 * WINDOW_SECONDS * 1_000);
   const request = { organisation, programKey: undefined, stage: { kind: 'under-way' } } as const;
   const decisions = Promise.all(
-    Array.from({ length: 60 }, () => fleet.instances[0]!.take(request)),
+    Array.from({ length: 60 }, () => fleet.take(fleet.instances[0]!, request)),
   );
   await jest.advanceTimersByTimeAsync(1_000);
   const taken = (await decisions).filter(({ kind }) => kind === 'taken');
--- a/packages/gateway/tests/quotas/thinParts.test.ts
+++ b/packages/gateway/tests/quotas/thinParts.test.ts
@@ -32,7 +32,7 @@
   const runProgram = async (index: number): Promise<void> => {
     const instance = random.pick(callers);
     for (let request = 0; request < PROGRAM_REQUESTS; request += 1) {
-      const decision = await instance.take({
+      const decision = await fleet.take(instance, {
         organisation,
         programKey: `program-${index}`,
         stage:
--- a/packages/gateway/tests/shutdown/gatewayDrain.test.ts
+++ b/packages/gateway/tests/shutdown/gatewayDrain.test.ts
@@ -226,6 +226,7 @@
     organisations: [{ name: 'o', keys: ['k'], priority: 0, rate: { perSecond: 1, burst: 1 } }],
     route: { isOpenToAll: false },
     quotas: {
+      admit: async () => ({ kind: 'admitted' }),
       take: async () => {
         waiting.resolve(undefined);
         return new Deferred<QuotaDecision>().promise;
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -13,6 +13,7 @@
 import type { FleetOrganisation, FleetRoute } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
 import { IngressServer } from '../../src/ingress/ingressServer';
+import type { BudgetGate } from '../../src/budgets/budgetGate';
 import type { QuotaGate } from '../../src/quotas/quotaGate';
 import type { DrainTimes } from '../../src/shutdown/drainTimes';
 import { GatewayDrain } from '../../src/shutdown/gatewayDrain';
@@ -32,6 +33,7 @@
   readonly route?: Partial<FleetRoute>;
   readonly organisations?: readonly FleetOrganisation[];
   readonly quotas?: QuotaGate;
+  readonly budgets?: BudgetGate;
 }
 
 /** One log line. */
@@ -183,9 +185,10 @@
       },
       programStarts: { admit: () => ({ kind: 'admitted' }) },
       quotas: this.#options.quotas ?? {
+        admit: async () => ({ kind: 'admitted' }),
         take: async () => ({ kind: 'taken', returnToken: () => undefined }),
       },
-      budgets: {
+      budgets: this.#options.budgets ?? {
         reserve: async () => ({ kind: 'reserved', settle: () => undefined }),
         isKnownSpent: () => false,
         hasProgramStarted: async () => false,
--- a/packages/gateway/tests/support/testWireCodec.ts
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from 'node:http';
+import type { ProgramReference, PromptShape } from '../../src/calls/callEnvelope';
 import type { ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import { callEnvelope } from './callEnvelope';
 
@@ -7,13 +8,33 @@
   return typeof value === 'string' ? value : undefined;
 };
 
-/** Codec for headers that only tests use: `x-id`, `x-key`, `x-patience` and, of targets, `x-signed`. */
+const PROMPT: PromptShape = {
+  inputTokens: 10,
+  maximumOutputTokens: 10,
+  expectedOutputTokens: undefined,
+  parts: [],
+};
+
+/** Returns a program whose turns may generate a few tokens. */
+const toProgram = (id: string): ProgramReference => ({
+  id,
+  session: undefined,
+  finishMilliseconds: undefined,
+  tokenBudget: 100,
+});
+
+/**
+ * Codec for headers that only tests use: `x-id`, `x-key`, `x-patience`, `x-program` and, of targets,
+ * `x-signed`.
+ */
 export const testWireCodec: WireCodec = {
   decodeRequest: (request) => {
     const id = getHeader(request, 'x-id');
     if (id === undefined) return { kind: 'malformed-request', detail: 'no id' };
     const patience = getHeader(request, 'x-patience');
+    const program = getHeader(request, 'x-program');
     return callEnvelope({
+      ...(program !== undefined && { program: toProgram(program), prompt: PROMPT }),
       id,
       method: request.method ?? 'GET',
       pathAndQuery: request.url ?? '/',
