Announce a program once, to three peers chosen by its key

Cause: every instance that a program came to announced it, to the same first six peers of all.

Change: only the instance that made the first grant announces it, to three peers chosen by rendezvous hashing of its key. What rests on it: a grant without the store needs the promises of a majority either way, and a grant by the store is in the store; the announcement adds what a third instance may know if the store goes down and the granting one ends at the same time. budgetInvariant now plays with the same choice of peers.

--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -258,9 +258,8 @@
     if (budget.hasGranted) return;
     const mutableBudget = budget;
     mutableBudget.hasGranted = true;
-    const isNewProgram = !this.memory.mayHaveStarted(budget.key);
     this.memory.recordStart(budget.key);
-    if (isNewProgram) this.#parts.peers.announceProgram(budget.key);
+    if (budget.isFirstGrantOwn) this.#parts.peers.announceProgram(budget.key);
   }
 
   #toRefusal(reason: 'spent' | 'unavailable'): BudgetDecision {
@@ -441,6 +440,7 @@
     if (!memory.promise(budget.key)) return 'unavailable';
     const mutableBudget = budget;
     mutableBudget.unrecordedTokens = tokens;
+    mutableBudget.isFirstGrantOwn = true;
     budget.account.deposit(tokens);
     logger.info('budget.granted-on-trust', {
       program: programId,
@@ -473,7 +473,11 @@
       if (plan.kind === 'take') {
         const wasAbsent = budget.stored === undefined;
         const written = await this.#ledger.change(budget, plan.tokens);
-        if (written === 'done') account.deposit(plan.tokens);
+        if (written === 'done') {
+          account.deposit(plan.tokens);
+          const mutableBudget = budget;
+          mutableBudget.isFirstGrantOwn ||= wasAbsent;
+        }
         if (written === 'failed') return 'unavailable';
         // The program has started on a peer, which usually holds enough tokens for both instances.
         if (written === 'conflict' && wasAbsent && (await this.#borrowHeld(budget, turnTokens))) {
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -34,6 +34,8 @@
   absentUntilMilliseconds: number;
   /** Whether this instance has granted tokens to a turn. */
   hasGranted: boolean;
+  /** Whether this instance made the first grant to the program. */
+  isFirstGrantOwn: boolean;
   /** Whether another instance holds tokens of this budget or held some recently. */
   isShared: boolean;
   /** Instances that lent tokens to this one or borrowed some from it. */
@@ -64,6 +66,7 @@
   presumedTokens: 0,
   absentUntilMilliseconds: 0,
   hasGranted: false,
+  isFirstGrantOwn: false,
   isShared: false,
   sharers: new Set(),
   hasUnknownSharers: false,
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -17,6 +17,7 @@
 } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
 import { Deferred } from '@limpetnotch/supervision';
+import { chooseInformedPeers } from '../budgets/chooseInformedPeers';
 import { chooseCountingInstances } from '../quarantine/chooseCountingInstances';
 import type { ForwardedPart } from '../forwarding/forwardedPart';
 import type { ForwardedRequest } from '../forwarding/forwardedRequest';
@@ -100,9 +101,6 @@
 /** Concurrent calls to all peers, as each may need a connection of its own. */
 const CONCURRENT_BROADCAST_CALLS = 16;
 
-/** Peers notified of each program, enough to tolerate the loss of some. */
-const PEERS_PER_ANNOUNCEMENT = 6;
-
 /** Consecutive failures after which calls to a peer are suspended. */
 const FAILURES_BEFORE_SUSPENSION = 2;
 
@@ -513,13 +511,20 @@
   }
 
   #sendAnnouncements(): void {
-    const budgets = this.#announcements;
+    const names = [...this.#peers.keys()];
+    const byPeer = new Map<string, string[]>();
+    this.#announcements.forEach((budget) =>
+      chooseInformedPeers(budget, names).forEach((name) =>
+        byPeer.set(name, [...(byPeer.get(name) ?? []), budget]),
+      ),
+    );
     this.#announcements = [];
-    const names = [...this.#peers.keys()].slice(0, PEERS_PER_ANNOUNCEMENT);
-    void this.#callEach(names, {
-      call: 'announcePrograms',
-      deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
-      send: (client, options) => client.announcePrograms({ budgets }, options),
+    byPeer.forEach((budgets, name) => {
+      void this.#call(name, {
+        call: 'announcePrograms',
+        deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
+        send: (client, options) => client.announcePrograms({ budgets }, options),
+      });
     });
   }
 
--- a/packages/gateway/tests/budgets/budgetCalls.test.ts
+++ b/packages/gateway/tests/budgets/budgetCalls.test.ts
@@ -45,6 +45,7 @@
     expect(await turn(Math.floor(size / 2), true)).toBe('reserved');
     expect(fleet.calls).toBeLessThanOrEqual(4);
     expect(fleet.store.writes).toBeLessThanOrEqual(3);
+    expect(fleet.announced).toHaveLength(1);
   },
 );
 
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -1,4 +1,5 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { chooseInformedPeers } from '../../src/budgets/chooseInformedPeers';
 import { EscrowBudgets } from '../../src/budgets/escrowBudgets';
 import { GrantMemory } from '../../src/budgets/grantMemory';
 import type { PeerPromises } from '../../src/budgets/grantPeers';
@@ -113,7 +114,9 @@
         borrowBudget: (request, names) => this.#borrow(index, request, names),
         announceProgram: (key) => {
           this.announced.push(key);
-          this.#peersOf(index).forEach(([, peer]) => peer.recordProgramStart(key));
+          const names = this.#processes.map((_process, other) => toName(other));
+          const informed = chooseInformedPeers(key, names.toSpliced(index, 1));
+          this.#peersOf(index, informed).forEach(([, peer]) => peer.recordProgramStart(key));
         },
         listPromises: async () => this.#listPromises(index),
       },
