Keep a part of the bucket from tokens ahead, and ask holders when they expect tokens

Cause: tokens ahead emptied the bucket of a holder, which for a rate of 13 a second is three tokens; those that expired were lost for a window. A request that found no token waited once, and asked all holders again although they had told when they would have one.

Change: a quarter of the bucket is kept from tokens ahead; a request without a token asks holders only at the times that they told, for up to 300 ms.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -17,10 +17,11 @@
 const AHEAD_TOKEN_LIFETIME_MILLISECONDS = 1_000;
 
 /**
- * Unspent fraction of a part above which tokens are transferred before they are needed, as those that
- * expire unspent are lost for a window.
+ * Fractions of a part and of its bucket that are kept from transfers before tokens are needed, as
+ * those that expire unspent are lost for a window.
  */
-const AHEAD_UNSPENT_FRACTION = 0.5;
+const KEPT_PART_FRACTION = 0.5;
+const KEPT_BUCKET_FRACTION = 0.25;
 
 /** Maximum transfer time of a token; longer than an instance waits for its peers. */
 const MAXIMUM_TRANSFER_MILLISECONDS = 100;
@@ -188,11 +189,10 @@
   /** Gives up whole tokens before they are needed while most are unspent; returns their number. */
   giveAhead(wanted: number): number {
     this.#advance();
-    const dispensable = Math.floor(this.#windowTokens - this.#partTokens * AHEAD_UNSPENT_FRACTION);
-    return this.#give(
-      Math.min(wanted, dispensable, this.#spareTokens),
-      AHEAD_TOKEN_LIFETIME_MILLISECONDS,
-    );
+    const inWindow = this.#windowTokens - this.#partTokens * KEPT_PART_FRACTION;
+    const inBucket = this.#bucketTokens - this.#depth * KEPT_BUCKET_FRACTION;
+    const dispensable = Math.floor(Math.min(inWindow, inBucket, this.#spareTokens));
+    return this.#give(Math.min(wanted, dispensable), AHEAD_TOKEN_LIFETIME_MILLISECONDS);
   }
 
   /** Whole tokens that this instance's own demand does not need. */
--- a/packages/gateway/src/quotas/organisationRate.ts
+++ b/packages/gateway/src/quotas/organisationRate.ts
@@ -5,7 +5,8 @@
 import type { TokensGiven } from './quotaPeers';
 import type { RateLayout } from './rateLayout';
 
-const MILLISECONDS_PER_SECOND = 1_000;
+/** Time until a holder that doesn't tell its next token, or doesn't respond, is asked again. */
+const UNKNOWN_NEXT_MILLISECONDS = 75;
 
 /** What this instance knows of an organisation's rate. */
 export class OrganisationRate {
@@ -28,18 +29,18 @@
 
   nextPeerRequestAtMilliseconds = 0;
 
-  /** When a chosen holder that had no token expects the next one. */
-  #peerTokenAtMilliseconds = Infinity;
-
   /** Number of equal holders that the part of this instance is based on; 0 without a part. */
   holders = 0;
 
   /** Members that hold the rate; undefined if all do. */
   #chosenHolders: readonly string[] | undefined;
 
-  /** Other holders, the last one that gave tokens first. */
+  /** Chosen holders other than this instance, the last one that gave tokens first. */
   #askedHolders: readonly string[] = [];
 
+  /** When a holder that had no token expects the next one, by its name. */
+  readonly #nextTokenAt = new Map<string, number>();
+
   #hasSettled = false;
 
   constructor(organisation: FleetOrganisation) {
@@ -52,11 +53,6 @@
     return this.#chosenHolders;
   }
 
-  /** Other members to ask for tokens, in order; undefined if all hold some. */
-  get askedHolders(): readonly string[] | undefined {
-    return this.#chosenHolders && this.#askedHolders;
-  }
-
   /** Applies the configuration and the layout in force. */
   apply(organisation: FleetOrganisation, layout: RateLayout, windowSeconds: number): void {
     this.organisation = organisation;
@@ -71,25 +67,27 @@
     this.#chooseHolders(layout);
   }
 
-  /** Time until a chosen holder may have a token, in seconds; infinite if that is unknown. */
-  get secondsToPeerToken(): number {
-    if (!this.#chosenHolders) return Infinity;
-    const milliseconds = this.#peerTokenAtMilliseconds - performance.now();
-    return Math.max(0, milliseconds) / MILLISECONDS_PER_SECOND;
+  /** Other holders that may have a token now, in the order in which to ask them. */
+  get dueHolders(): readonly string[] {
+    const now = performance.now();
+    return this.#askedHolders.filter((name) => (this.#nextTokenAt.get(name) ?? 0) <= now);
   }
 
-  /** Asks a holder first from now on, as it may have more tokens. */
-  prefer(name: string): void {
-    this.#askedHolders = [name, ...this.#askedHolders.filter((other) => other !== name)];
+  /** Time until another holder may have a token, in milliseconds; infinite if there is none. */
+  get millisecondsToHolderToken(): number {
+    const times = this.#askedHolders.map((name) => this.#nextTokenAt.get(name) ?? 0);
+    return Math.max(0, Math.min(Infinity, ...times) - performance.now());
   }
 
-  /** Records the answer of peers; after one without tokens they aren't queried for a pause. */
-  recordPeerAnswer({ given, nextMilliseconds }: TokensGiven, pauseMilliseconds: number): void {
-    if (given > 0) return;
-    const now = performance.now();
-    this.nextPeerRequestAtMilliseconds =
-      now + Math.min(pauseMilliseconds, nextMilliseconds ?? Infinity);
-    this.#peerTokenAtMilliseconds = now + (nextMilliseconds ?? Infinity);
+  /** Records what a holder gave; one with tokens is asked first from now on. */
+  recordHolderAnswer(name: string, { given, nextMilliseconds }: TokensGiven): void {
+    if (given === 0) {
+      const milliseconds = nextMilliseconds ?? UNKNOWN_NEXT_MILLISECONDS;
+      this.#nextTokenAt.set(name, performance.now() + milliseconds);
+      return;
+    }
+    this.#nextTokenAt.delete(name);
+    this.#askedHolders = [name, ...this.#askedHolders.filter((other) => other !== name)];
   }
 
   #chooseHolders(layout: RateLayout): void {
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -180,11 +180,16 @@
     this.#load.recordProgram(program.expectedMilliseconds);
   }
 
-  #refuseWithoutToken({ rate, secondsToPeerToken }: OrganisationRate): QuotaRefusal {
+  #refuseWithoutToken(entry: OrganisationRate): QuotaRefusal {
+    const { rate, chosenHolders, millisecondsToHolderToken } = entry;
+    const secondsToHolderToken = millisecondsToHolderToken / MILLISECONDS_PER_SECOND;
+    const seconds = chosenHolders
+      ? Math.min(rate.secondsToNextToken, secondsToHolderToken)
+      : rate.secondsToNextToken;
     return {
       kind: 'refused',
       reason: 'no-token',
-      retryAfterSeconds: clampRetryAfter(Math.min(rate.secondsToNextToken, secondsToPeerToken)),
+      retryAfterSeconds: clampRetryAfter(seconds),
       tokens: rate.tokens,
       demandPerSecond: rate.demandPerSecond,
       demand: undefined,
--- a/packages/gateway/src/quotas/tokenTaker.ts
+++ b/packages/gateway/src/quotas/tokenTaker.ts
@@ -14,8 +14,11 @@
 /** Maximum time an admitted request waits for its organisation's next token. */
 const LONGEST_WAIT_MILLISECONDS = 300;
 
+/** Minimum wait for a token, as several requests may wait for the same one. */
+const SHORTEST_WAIT_MILLISECONDS = 10;
+
 /** Time for whose demand tokens are requested ahead. */
-const AHEAD_SECONDS = 0.5;
+const AHEAD_SECONDS = 1;
 
 /** Maximum number of tokens requested ahead. */
 const MAXIMUM_AHEAD_TOKENS = 8;
@@ -51,7 +54,7 @@
     const ahead = Math.ceil(entry.rate.demandPerSecond * AHEAD_SECONDS);
     return {
       wanted: Math.max(1, entry.requestsWithoutToken),
-      ahead: entry.askedHolders ? Math.min(MAXIMUM_AHEAD_TOKENS, ahead) : 0,
+      ahead: entry.chosenHolders ? Math.min(MAXIMUM_AHEAD_TOKENS, ahead) : 0,
     };
   }
 
@@ -66,30 +69,45 @@
   async #requestToken(entry: OrganisationRate): Promise<boolean> {
     for (let round = 0; round < MAXIMUM_PEER_ROUNDS; round += 1) {
       if (performance.now() < entry.nextPeerRequestAtMilliseconds) return false;
+      if (entry.chosenHolders && entry.dueHolders.length === 0) return false;
       await this.#sharePeerRequest(entry);
       if (entry.rate.tryAcquire()) return true;
     }
     return false;
   }
 
+  /** Waits for a token of the own part or, without one, of a holder. */
+  #waitForToken(entry: OrganisationRate): Promise<boolean> {
+    return entry.chosenHolders && entry.holders === 0
+      ? this.#waitForHolder(entry)
+      : this.#waitInQueue(entry);
+  }
+
+  /** Asks holders at the times at which they expect tokens; returns false if that is too late. */
+  async #waitForHolder(entry: OrganisationRate): Promise<boolean> {
+    const until = performance.now() + LONGEST_WAIT_MILLISECONDS;
+    while (performance.now() + entry.millisecondsToHolderToken <= until) {
+      await delay(Math.max(SHORTEST_WAIT_MILLISECONDS, entry.millisecondsToHolderToken));
+      if (entry.rate.tryAcquire() || (await this.#requestToken(entry))) return true;
+    }
+    return false;
+  }
+
   /** Waits in the queue for a token; returns false immediately if the queue is too long. */
-  async #waitForToken(entry: OrganisationRate): Promise<boolean> {
+  async #waitInQueue(entry: OrganisationRate): Promise<boolean> {
     const { rate } = entry;
-    const expectedMilliseconds = this.#computeWait(entry, entry.queuedRequests + 1);
+    const expectedMilliseconds =
+      rate.secondsToTokens(entry.queuedRequests + 1) * MILLISECONDS_PER_SECOND;
     if (expectedMilliseconds > LONGEST_WAIT_MILLISECONDS) return false;
     const mutableEntry = entry;
     mutableEntry.queuedRequests += 1;
-    const wait = entry.queueTail.then(() => delay(this.#computeWait(entry, 1)));
+    const wait = entry.queueTail.then(() =>
+      delay(rate.secondsToNextToken * MILLISECONDS_PER_SECOND),
+    );
     mutableEntry.queueTail = wait;
     await wait;
     mutableEntry.queuedRequests -= 1;
-    return rate.tryAcquire() || (entry.askedHolders !== undefined && this.#requestToken(entry));
-  }
-
-  /** Time until a number of tokens is free here or, if this instance holds none, one at a holder. */
-  #computeWait({ rate, holders, secondsToPeerToken }: OrganisationRate, tokens: number): number {
-    const seconds = holders > 0 ? rate.secondsToTokens(tokens) : secondsToPeerToken;
-    return seconds * MILLISECONDS_PER_SECOND;
+    return rate.tryAcquire();
   }
 
   #sharePeerRequest(entry: OrganisationRate): Promise<void> {
@@ -103,30 +121,27 @@
   }
 
   async #requestFromPeers(entry: OrganisationRate): Promise<void> {
-    const { name } = entry.organisation;
     const wanted = this.computeWanted(entry);
-    const received = await (entry.askedHolders
-      ? this.#requestFromHolders(entry, entry.askedHolders, wanted)
-      : this.#parts.peers.takeTokens(name, wanted));
+    if (entry.chosenHolders) {
+      await this.#requestFromHolders(entry, wanted);
+      return;
+    }
+    const received = await this.#parts.peers.takeTokens(entry.organisation.name, wanted);
     this.receive(entry, received);
-    entry.recordPeerAnswer(received, EMPTY_ROUND_PAUSE_MILLISECONDS);
+    const mutableEntry = entry;
+    if (received.given === 0) {
+      mutableEntry.nextPeerRequestAtMilliseconds =
+        performance.now() + EMPTY_ROUND_PAUSE_MILLISECONDS;
+    }
   }
 
   /** Asks one holder after another until one gives tokens. */
-  async #requestFromHolders(
-    entry: OrganisationRate,
-    names: readonly string[],
-    wanted: TokensWanted,
-  ): Promise<TokensGiven> {
-    let nextMilliseconds: number | undefined;
-    for (const name of names) {
+  async #requestFromHolders(entry: OrganisationRate, wanted: TokensWanted): Promise<void> {
+    for (const name of entry.dueHolders) {
       const reply = await this.#parts.peers.takeTokens(entry.organisation.name, wanted, [name]);
-      if (reply.given > 0) {
-        entry.prefer(name);
-        return reply;
-      }
-      nextMilliseconds = Math.min(nextMilliseconds ?? Infinity, reply.nextMilliseconds ?? Infinity);
+      this.receive(entry, reply);
+      entry.recordHolderAnswer(name, reply);
+      if (reply.given > 0) return;
     }
-    return { given: 0, ahead: 0, nextMilliseconds };
   }
 }
