Create no error for messages that are complete

A profile of an instance at ten requests a second showed 1.2% of its time in the construction of errors that nobody saw: the close of each message made one.

--- a/packages/peer-protocol/src/unary/collectBytes.ts
+++ b/packages/peer-protocol/src/unary/collectBytes.ts
@@ -18,5 +18,8 @@
     });
     incoming.once('end', () => resolve(Buffer.concat(chunks)));
     incoming.on('error', reject);
-    incoming.once('close', () => reject(new ConnectError('the message broke off', Code.Aborted)));
+    incoming.once('close', () => {
+      // An error object is costly, and most messages are complete.
+      if (!incoming.complete) reject(new ConnectError('the message broke off', Code.Aborted));
+    });
   });
