Don't copy log fields to mask secrets that they never hold

Cause: the logger copied and searched the fields of each line for keys to mask, seen in a profile of an instance. Fields are flat and hold no credentials (LogFields).

--- a/packages/observability/src/createLogger.ts
+++ b/packages/observability/src/createLogger.ts
@@ -38,6 +38,8 @@
     type: 'hidden',
     minLevel: MINIMUM_LEVELS[level],
     hideLogPositionForProduction: true,
+    // Fields are flat and hold no secrets; masking would copy each of them.
+    maskValuesOfKeys: [],
   });
   sink.attachTransport((line) => write(formatLine(line as unknown as LoggedLine)));
   const addInstance = (message: LogMessageId, fields: LogFields = {}): LogFields => ({
