Tell instances that wait for a token different times

What callers saw: programs under way were refused for a rate that had tokens again a moment later.

Change: a holder tells each waiting instance the next token that none was told of, at most 0.3 s ahead; later times are told as they are, so that the caller is refused at once with a time to return.

--- a/packages/admission/src/shared/sharedRate.ts
+++ b/packages/admission/src/shared/sharedRate.ts
@@ -107,6 +107,11 @@
     return this.#partTokens === 0 ? 0 : this.unspentTokens / this.#partTokens;
   }
 
+  /** Mean time between two tokens of this part, in seconds; infinite without a part. */
+  get secondsPerToken(): number {
+    return this.#refillPerSecond === 0 ? Infinity : 1 / this.#refillPerSecond;
+  }
+
   /** Returns the time until the given number of tokens is free, in seconds. */
   secondsToTokens(tokens: number): number {
     const now = this.#advance();
--- a/packages/gateway/src/quotas/organisationRate.ts
+++ b/packages/gateway/src/quotas/organisationRate.ts
@@ -5,6 +5,8 @@
 import type { TokensGiven } from './quotaPeers';
 import type { RateLayout } from './rateLayout';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 /** Time until a holder that doesn't tell its next token, or doesn't respond, is asked again. */
 const UNKNOWN_NEXT_MILLISECONDS = 75;
 
@@ -41,6 +43,9 @@
   /** When a holder that had no token expects the next one, by its name. */
   readonly #nextTokenAt = new Map<string, number>();
 
+  /** When the last token is expected that a waiting instance was told of. */
+  #promisedAtMilliseconds = -Infinity;
+
   #hasSettled = false;
 
   constructor(organisation: FleetOrganisation) {
@@ -67,6 +72,19 @@
     this.#chooseHolders(layout);
   }
 
+  /**
+   * Returns the time until the next token that no waiting instance was told of, in milliseconds;
+   * instances wait for it if that is short enough, and are told different times.
+   */
+  promiseToken(longestMilliseconds: number): number {
+    const now = performance.now();
+    const readyAt = now + this.rate.secondsToNextToken * MILLISECONDS_PER_SECOND;
+    const interval = this.rate.secondsPerToken * MILLISECONDS_PER_SECOND;
+    const at = Math.max(readyAt, this.#promisedAtMilliseconds + interval);
+    if (at - now <= longestMilliseconds) this.#promisedAtMilliseconds = at;
+    return at - now;
+  }
+
   /** Other holders that may have a token now, in the order in which to ask them. */
   get dueHolders(): readonly string[] {
     const now = performance.now();
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -2,6 +2,7 @@
 import type { Metrics } from '@limpetnotch/observability';
 import { RecentKeys } from '../util/recentKeys';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
+import { LONGEST_TOKEN_WAIT_MILLISECONDS } from './longestTokenWait';
 import { OrganisationRate } from './organisationRate';
 import { ProgramAdmissions } from './programAdmissions';
 import type { RateLayout } from './rateLayout';
@@ -131,11 +132,14 @@
     const entry = this.#rates.get(organisationName);
     if (!entry) return NO_TOKENS;
     const given = entry.rate.give(wanted);
-    const next = entry.rate.secondsToNextToken * MILLISECONDS_PER_SECOND;
+    if (given === wanted) {
+      return { given, ahead: entry.rate.giveAhead(ahead), nextMilliseconds: undefined };
+    }
+    const nextMilliseconds = entry.promiseToken(LONGEST_TOKEN_WAIT_MILLISECONDS);
     return {
       given,
-      ahead: given < wanted ? 0 : entry.rate.giveAhead(ahead),
-      nextMilliseconds: Number.isFinite(next) ? next : undefined,
+      ahead: 0,
+      nextMilliseconds: Number.isFinite(nextMilliseconds) ? nextMilliseconds : undefined,
     };
   }
 
--- a/packages/gateway/src/quotas/tokenTaker.ts
+++ b/packages/gateway/src/quotas/tokenTaker.ts
@@ -1,5 +1,6 @@
 import type { Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
+import { LONGEST_TOKEN_WAIT_MILLISECONDS } from './longestTokenWait';
 import type { OrganisationRate } from './organisationRate';
 import type { QuotaPeers, TokensGiven, TokensWanted } from './quotaPeers';
 
@@ -11,9 +12,6 @@
  */
 const MAXIMUM_PEER_ROUNDS = 4;
 
-/** Maximum time an admitted request waits for its organisation's next token. */
-const LONGEST_WAIT_MILLISECONDS = 300;
-
 /** Minimum wait for a token, as several requests may wait for the same one. */
 const SHORTEST_WAIT_MILLISECONDS = 10;
 
@@ -85,7 +83,7 @@
 
   /** Asks holders at the times at which they expect tokens; returns false if that is too late. */
   async #waitForHolder(entry: OrganisationRate): Promise<boolean> {
-    const until = performance.now() + LONGEST_WAIT_MILLISECONDS;
+    const until = performance.now() + LONGEST_TOKEN_WAIT_MILLISECONDS;
     while (performance.now() + entry.millisecondsToHolderToken <= until) {
       await delay(Math.max(SHORTEST_WAIT_MILLISECONDS, entry.millisecondsToHolderToken));
       if (entry.rate.tryAcquire() || (await this.#requestToken(entry))) return true;
@@ -98,7 +96,7 @@
     const { rate } = entry;
     const expectedMilliseconds =
       rate.secondsToTokens(entry.queuedRequests + 1) * MILLISECONDS_PER_SECOND;
-    if (expectedMilliseconds > LONGEST_WAIT_MILLISECONDS) return false;
+    if (expectedMilliseconds > LONGEST_TOKEN_WAIT_MILLISECONDS) return false;
     const mutableEntry = entry;
     mutableEntry.queuedRequests += 1;
     const wait = entry.queueTail.then(() =>
