--- a/packages/gateway/tests/peers/membershipStart.test.ts
+++ b/packages/gateway/tests/peers/membershipStart.test.ts
@@ -140,3 +140,21 @@
   await jest.advanceTimersByTimeAsync(8_000);
   expect(instance?.membership.rateLayout).toMatchObject({ kind: 'holders', stage: 'settled' });
 });
+
+test('an instance that was removed while it was away joins again, and waits for its share', async () => {
+  const store = new WatchedStore();
+  const instances = await startFleet(4, store);
+  const { membership } = instances[3]!;
+  const {others} = membership;
+  store.overwrite(
+    'limpetnotch/members',
+    JSON.stringify({ members: others, choosingMembers: others }),
+  );
+  await jest.advanceTimersByTimeAsync(300);
+  expect(membership.rateLayout.kind).toBe('none');
+  await jest.advanceTimersByTimeAsync(2_500);
+  expect(JSON.parse(store.read('limpetnotch/members') ?? '').members).toContain('instance-3');
+  expect(membership.rateLayout.kind).toBe('none');
+  await jest.advanceTimersByTimeAsync(2_500);
+  expect(membership.rateLayout.kind).toBe('equal-parts');
+});
