--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -127,7 +127,7 @@
 
   constructor(parts: MembershipParts) {
     this.#parts = parts;
-    this.#layouts = new RateLayouts(parts.instance, parts.onChange);
+    this.#layouts = new RateLayouts(parts);
     this.#watchStatus = new WatchStatus(parts.logger, PREFIX);
   }
 
--- a/packages/gateway/src/quotas/rateLayouts.ts
+++ b/packages/gateway/src/quotas/rateLayouts.ts
@@ -1,3 +1,4 @@
+import type { Logger } from '@limpetnotch/observability';
 import type { RateLayout } from './rateLayout';
 
 /** Members up to which each holds an equal part of every rate. */
@@ -11,14 +12,20 @@
   | { readonly kind: 'unused' | 'settled' }
   | { readonly kind: 'settling'; readonly timer: NodeJS.Timeout };
 
+/** Parts of {@link RateLayouts}. */
+export interface RateLayoutsParts {
+  readonly instance: string;
+  /** Called when the layout has changed by itself. */
+  readonly onChange: () => void;
+  readonly logger: Logger;
+}
+
 /**
  * Chooses how the members share rates. While it changes, each instance holds the smaller one of its
  * former and its next part.
  */
 export class RateLayouts {
-  readonly #instance: string;
-
-  readonly #onChange: () => void;
+  readonly #parts: RateLayoutsParts;
 
   #members: readonly string[] = [];
 
@@ -28,20 +35,20 @@
 
   #usesHolders = false;
 
-  constructor(instance: string, onChange: () => void) {
-    this.#instance = instance;
-    this.#onChange = onChange;
+  constructor(parts: RateLayoutsParts) {
+    this.#parts = parts;
   }
 
   get current(): RateLayout {
+    const { instance } = this.#parts;
     const members = this.#members;
-    const hasShare = this.#hasShare && members.includes(this.#instance);
+    const hasShare = this.#hasShare && members.includes(instance);
     if (this.#stage.kind === 'unused') {
-      const rank = members.indexOf(this.#instance);
+      const rank = members.indexOf(instance);
       return hasShare ? { kind: 'equal-parts', rank, members } : { kind: 'none' };
     }
     const stage = hasShare ? this.#stage.kind : 'waiting';
-    return { kind: 'holders', instance: this.#instance, members, stage };
+    return { kind: 'holders', instance, members, stage };
   }
 
   /** Lets this instance hold a part. */
@@ -56,7 +63,7 @@
   update(members: readonly string[], canAllChoose: boolean): void {
     const isFirst = this.#members.length === 0;
     this.#members = members;
-    if (!members.includes(this.#instance)) this.#hasShare = false;
+    if (!members.includes(this.#parts.instance)) this.#hasShare = false;
     const usesHolders = canAllChoose && members.length > EQUAL_PARTS_MEMBERS;
     if (usesHolders === this.#usesHolders) return;
     this.#usesHolders = usesHolders;
@@ -66,11 +73,20 @@
     }
     if (this.#stage.kind === 'settling') clearTimeout(this.#stage.timer);
     const timer = setTimeout(() => this.#settle(), SETTLE_MILLISECONDS).unref();
-    this.#stage = { kind: 'settling', timer };
+    this.#setStage({ kind: 'settling', timer });
   }
 
   #settle(): void {
-    this.#stage = { kind: this.#usesHolders ? 'settled' : 'unused' };
-    this.#onChange();
+    this.#setStage({ kind: this.#usesHolders ? 'settled' : 'unused' });
+    this.#parts.onChange();
+  }
+
+  #setStage(stage: HolderStage): void {
+    this.#stage = stage;
+    this.#parts.logger.info('quota.layout', {
+      usesHolders: this.#usesHolders,
+      stage: stage.kind,
+      members: this.#members.length,
+    });
   }
 }
