--- a/packages/gateway/tests/peers/membershipStart.test.ts
+++ b/packages/gateway/tests/peers/membershipStart.test.ts
@@ -145,7 +145,7 @@
   const store = new WatchedStore();
   const instances = await startFleet(4, store);
   const { membership } = instances[3]!;
-  const {others} = membership;
+  const { others } = membership;
   store.overwrite(
     'limpetnotch/members',
     JSON.stringify({ members: others, choosingMembers: others }),
