--- a/packages/gateway/src/budgets/budgetLedger.ts
+++ b/packages/gateway/src/budgets/budgetLedger.ts
@@ -30,11 +30,6 @@
   holders: [],
 });
 
-const addHolder = (
-  holders: readonly string[] | undefined,
-  instance: string,
-): readonly string[] | undefined => holders && [...new Set([...holders, instance])];
-
 /** Parts of a {@link BudgetLedger}. */
 export interface BudgetLedgerParts {
   readonly store: KeyValueStore;
@@ -94,12 +89,12 @@
     const before = budget.stored?.state ?? createInitialState(budget);
     const presumed = Math.min(before.presumedTokens, budget.unrecordedTokens);
     const granted = before.grantedTokens - presumed + budget.unrecordedTokens + tokens;
-    const holders = addHolder(before.holders, instance);
+    const holders = before.holders && [...new Set([...before.holders, instance])];
     const state: StoredBudget = {
       limitTokens: before.limitTokens,
       grantedTokens: Math.max(0, granted),
       presumedTokens: before.presumedTokens - presumed,
-      ...(holders && { holders: [...holders] }),
+      ...(holders && { holders }),
       writeId: randomUUID(),
     };
     metrics.increment('budget.writes');
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -57,6 +57,10 @@
   else mutableBudget.hasUnknownSharers = true;
 };
 
+/** Whether another instance holds tokens of a budget or held some. */
+const isShared = ({ sharers, hasUnknownSharers }: ProgramBudget): boolean =>
+  sharers.size > 0 || hasUnknownSharers;
+
 type AcquireOutcome = 'reserved' | 'spent' | 'unavailable';
 
 /** Tokens to take from the store. */
@@ -217,7 +221,6 @@
       if (obtained === 'spent') return { kind: 'spent' };
       if (obtained === 'unavailable') return this.#declineLoan(request);
       account.settle(tokens, tokens);
-      budget.isShared = true;
       recordBorrower(budget, request.requester);
       return { kind: 'lent', tokens };
     });
@@ -336,7 +339,7 @@
     if (this.#isSpent(budget, request.turnTokens)) return 'spent';
     const hasMoved =
       !budget.hasGranted && (request.isContinuation || this.memory.mayHaveStarted(budget.key));
-    if (hasMoved || budget.isShared) {
+    if (hasMoved || isShared(budget)) {
       if (await this.#borrowHeld(budget, request.turnTokens)) return 'reserved';
     }
     if (this.#ledger.isReachable()) {
@@ -371,29 +374,31 @@
     if (loan.kind === 'none' && loan.isKnown) memory.recordStart(key);
     if (loan.kind === 'lent') {
       account.deposit(loan.tokens);
-      const mutableBudget = budget;
-      mutableBudget.isShared = true;
       loan.lenders.forEach((name) => budget.sharers.add(name));
     }
     return loan;
   }
 
   /** Other instances that may hold tokens of a budget; undefined if they aren't known. */
-  #findLenders({ stored, sharers }: ProgramBudget): readonly string[] | undefined {
-    const holders = stored?.state.holders;
-    if (!holders && sharers.size === 0) return undefined;
-    const names = new Set([...sharers, ...(holders ?? [])]);
+  #findLenders(budget: ProgramBudget): readonly string[] | undefined {
+    if (!budget.stored?.state.holders && budget.sharers.size === 0) return undefined;
+    return this.#listSharers(budget).slice(0, MAXIMUM_LENDERS);
+  }
+
+  /** Other instances that took tokens of a budget from the store or share some with this one. */
+  #listSharers({ stored, sharers }: ProgramBudget): readonly string[] {
+    const names = new Set([...sharers, ...(stored?.state.holders ?? [])]);
     names.delete(this.#parts.instance);
-    return [...names].slice(0, MAXIMUM_LENDERS);
+    return [...names];
   }
 
   /** Makes the instances that share a budget return their tokens, all if not all sharers are known. */
-  async #recall({ key, stored, sharers, hasUnknownSharers }: ProgramBudget): Promise<void> {
+  async #recall(budget: ProgramBudget): Promise<void> {
     const { peers, instance } = this.#parts;
-    const holders = stored?.state.holders;
+    const { key, stored, hasUnknownSharers } = budget;
     const asked = new Set([instance]);
-    let names = [...new Set([...(holders ?? []), ...sharers])].filter((name) => !asked.has(name));
-    let areAllKnown = holders !== undefined && !hasUnknownSharers;
+    let names = this.#listSharers(budget);
+    let areAllKnown = stored?.state.holders !== undefined && !hasUnknownSharers;
     while (areAllKnown && names.length > 0) {
       names.forEach((name) => asked.add(name));
       const replies = await peers.releaseBudget(key, names);
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -36,8 +36,6 @@
   hasGranted: boolean;
   /** Whether this instance made the first grant to the program. */
   isFirstGrantOwn: boolean;
-  /** Whether another instance holds tokens of this budget or held some recently. */
-  isShared: boolean;
   /** Instances that lent tokens to this one or borrowed some from it. */
   readonly sharers: Set<string>;
   /** Whether an instance of an unknown name borrowed tokens. */
@@ -67,7 +65,6 @@
   absentUntilMilliseconds: 0,
   hasGranted: false,
   isFirstGrantOwn: false,
-  isShared: false,
   sharers: new Set(),
   hasUnknownSharers: false,
   waitingTurns: 0,
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -40,6 +40,8 @@
 import type { KeyedOrigin } from '../resumption/keyedOrigin';
 import type { OriginPeers } from '../resumption/originPeers';
 import type { StreamOrigin } from '../resumption/streamOrigin';
+import { NO_TOKENS } from '../quotas/noTokens';
+import { groupByInstance } from '../util/groupByInstance';
 import type { WorkCounts } from '../work/workCounts';
 import {
   fromCheckResult,
@@ -236,7 +238,7 @@
     { wanted, ahead }: TokensWanted,
     names: readonly string[] = this.#order.slice(0, PEERS_PER_ROUND),
   ): Promise<TokensGiven> {
-    let received: TokensGiven = { given: 0, ahead: 0, nextMilliseconds: undefined };
+    let received = NO_TOKENS;
     for (const name of names) {
       const missing = wanted - received.given;
       if (missing <= 0) break;
@@ -361,11 +363,8 @@
 
   async notifyCountingInstances(entries: readonly QuarantineEntry[]): Promise<ReadonlySet<string>> {
     const names = [...this.#peers.keys()];
-    const byPeer = new Map<string, QuarantineEntry[]>();
-    entries.forEach((entry) =>
-      chooseCountingInstances(entry.requestDigest, names).forEach((name) =>
-        byPeer.set(name, [...(byPeer.get(name) ?? []), entry]),
-      ),
+    const byPeer = groupByInstance(entries, ({ requestDigest }) =>
+      chooseCountingInstances(requestDigest, names),
     );
     const accepted = await Promise.all(
       [...byPeer].map(async ([name, sharedEntries]) =>
@@ -512,18 +511,15 @@
 
   #sendAnnouncements(): void {
     const names = [...this.#peers.keys()];
-    const byPeer = new Map<string, string[]>();
-    this.#announcements.forEach((budget) =>
-      chooseInformedPeers(budget, names).forEach((name) =>
-        byPeer.set(name, [...(byPeer.get(name) ?? []), budget]),
-      ),
+    const byPeer = groupByInstance(this.#announcements, (budget) =>
+      chooseInformedPeers(budget, names),
     );
     this.#announcements = [];
     byPeer.forEach((budgets, name) => {
       void this.#call(name, {
         call: 'announcePrograms',
         deadlineMilliseconds: RELEASE_DEADLINE_MILLISECONDS,
-        send: (client, options) => client.announcePrograms({ budgets }, options),
+        send: (client, options) => client.announcePrograms({ budgets: [...budgets] }, options),
       });
     });
   }
--- a/packages/gateway/src/peers/quotaMessage.ts
+++ b/packages/gateway/src/peers/quotaMessage.ts
@@ -8,6 +8,7 @@
   TakeTokensResponse,
   TakeTokensResponseSchema,
 } from '@limpetnotch/peer-protocol';
+import { NO_TOKENS } from '../quotas/noTokens';
 import type { ProgramAdmission, ProgramAdmissionRequest, TokensGiven } from '../quotas/quotaPeers';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -99,9 +100,7 @@
   unspentTokens,
 }: AdmitProgramResponse): ProgramAdmission => ({
   decision: toDecision(outcome),
-  tokens: tokens
-    ? toTokensGiven(tokens, tokens.given)
-    : { given: 0, ahead: 0, nextMilliseconds: undefined },
+  tokens: tokens ? toTokensGiven(tokens, tokens.given) : NO_TOKENS,
   retryAfterSeconds: retryAfterMilliseconds / MILLISECONDS_PER_SECOND,
   demand: outcome === Outcome.ADMITTED ? undefined : { programs, unspentTokens },
 });
--- a/packages/gateway/src/quotas/decideRateShare.ts
+++ b/packages/gateway/src/quotas/decideRateShare.ts
@@ -3,7 +3,7 @@
 import type { RateLayout } from './rateLayout';
 import type { RateShare } from './rateShare';
 
-const NO_SHARE: RateShare = { rank: 0, holders: 0 };
+const NO_SHARE: RateShare = { rank: 0, holders: 0, chosenHolders: undefined };
 
 /**
  * Decides which part of an organisation's rate this instance holds. Load pattern: organisations of
@@ -16,14 +16,16 @@
     case 'equal-parts': {
       const holders = layout.members.length;
       // The rank varies, so that single tokens are spread evenly.
-      return { rank: (layout.rank + hash32(organisation)) % holders, holders };
+      const rank = (layout.rank + hash32(organisation)) % holders;
+      return { rank, holders, chosenHolders: undefined };
     }
     case 'holders': {
       const { instance, members, stage } = layout;
-      const holders = chooseRateHolders(organisation, members);
-      const rank = holders.indexOf(instance);
-      if (rank === -1 || stage === 'waiting') return NO_SHARE;
-      return { rank, holders: stage === 'settling' ? members.length : holders.length };
+      const chosenHolders = chooseRateHolders(organisation, members);
+      const rank = chosenHolders.indexOf(instance);
+      if (rank === -1 || stage === 'waiting') return { ...NO_SHARE, chosenHolders };
+      const holders = stage === 'settling' ? members.length : chosenHolders.length;
+      return { rank, holders, chosenHolders };
     }
   }
 };
--- a/packages/gateway/src/quotas/organisationRate.ts
+++ b/packages/gateway/src/quotas/organisationRate.ts
@@ -61,7 +61,7 @@
   /** Applies the configuration and the layout in force. */
   apply(organisation: FleetOrganisation, layout: RateLayout, windowSeconds: number): void {
     this.organisation = organisation;
-    const { rank, holders } = decideRateShare(layout, organisation.name);
+    const { rank, holders, chosenHolders } = decideRateShare(layout, organisation.name);
     this.holders = holders;
     const part = this.#toPart(rank, holders, windowSeconds);
     const hasSettled = layout.kind === 'holders' && layout.stage === 'settled';
@@ -69,7 +69,10 @@
     if (hasSettled && !this.#hasSettled) this.rate.restart(part);
     else this.rate.setPart(part);
     this.#hasSettled = hasSettled;
-    this.#chooseHolders(layout);
+    this.#chosenHolders = chosenHolders;
+    if (layout.kind === 'holders' && chosenHolders) {
+      this.#orderHolders(layout.instance, chosenHolders);
+    }
   }
 
   /**
@@ -108,15 +111,10 @@
     this.#askedHolders = [name, ...this.#askedHolders.filter((other) => other !== name)];
   }
 
-  #chooseHolders(layout: RateLayout): void {
-    if (layout.kind !== 'holders') {
-      this.#chosenHolders = undefined;
-      return;
-    }
-    this.#chosenHolders = chooseRateHolders(this.organisation.name, layout.members);
-    // Instances begin with different holders, so that their requests are spread.
-    const own = chooseRateHolders(layout.instance, this.#chosenHolders);
-    this.#askedHolders = own.filter((name) => name !== layout.instance);
+  /** Orders the holders to ask; instances begin with different ones, so that requests are spread. */
+  #orderHolders(instance: string, chosenHolders: readonly string[]): void {
+    const ordered = chooseRateHolders(instance, chosenHolders);
+    this.#askedHolders = ordered.filter((name) => name !== instance);
   }
 
   #toPart(rank: number, holders: number, windowSeconds: number) {
--- a/packages/gateway/src/quotas/rateShare.ts
+++ b/packages/gateway/src/quotas/rateShare.ts
@@ -2,4 +2,6 @@
 export interface RateShare {
   readonly rank: number;
   readonly holders: number;
+  /** Members that hold the rate, the one that decides on programs first; undefined if all do. */
+  readonly chosenHolders: readonly string[] | undefined;
 }
--- a/packages/gateway/src/quotas/sharedQuotas.ts
+++ b/packages/gateway/src/quotas/sharedQuotas.ts
@@ -3,6 +3,7 @@
 import { RecentKeys } from '../util/recentKeys';
 import type { FleetConfiguration, FleetOrganisation } from '../configuration/fleetConfiguration';
 import { LONGEST_TOKEN_WAIT_MILLISECONDS } from './longestTokenWait';
+import { NO_TOKENS } from './noTokens';
 import { OrganisationRate } from './organisationRate';
 import { ProgramAdmissions } from './programAdmissions';
 import type { RateLayout } from './rateLayout';
@@ -39,8 +40,6 @@
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
-const NO_TOKENS: TokensGiven = { given: 0, ahead: 0, nextMilliseconds: undefined };
-
 /** Parts of {@link SharedQuotas}. */
 export interface SharedQuotasParts {
   readonly peers: QuotaPeers;
--- a/packages/gateway/src/resumption/originSharing.ts
+++ b/packages/gateway/src/resumption/originSharing.ts
@@ -1,3 +1,4 @@
+import { groupByInstance } from '../util/groupByInstance';
 import { rankInstances } from '../util/rankInstances';
 import type { KeyedOrigin } from './keyedOrigin';
 import type { OriginPeers } from './originPeers';
@@ -61,11 +62,8 @@
     const { peers } = this.#parts;
     const unsent = this.#unsent;
     this.#unsent = [];
-    const byPeer = new Map<string, KeyedOrigin[]>();
-    unsent.forEach((keyedOrigin) =>
-      rankInstances(keyedOrigin.streamKey, peers.names)
-        .slice(0, COPIES)
-        .forEach((name) => byPeer.set(name, [...(byPeer.get(name) ?? []), keyedOrigin])),
+    const byPeer = groupByInstance(unsent, ({ streamKey }) =>
+      rankInstances(streamKey, peers.names).slice(0, COPIES),
     );
     byPeer.forEach((origins, name) => {
       void peers.recordOrigins(name, origins);
