--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -11,6 +11,7 @@
 import { fleetRoute } from './support/fleetRoute';
 import { KeepAliveConnection } from './support/keepAliveConnection';
 import type { CallerOutcome } from './support/keepAliveConnection';
+import { platformLimits } from './support/platformLimits';
 import { testWireCodec } from './support/testWireCodec';
 
 const servers: Server[] = [];
@@ -123,6 +124,7 @@
       isFirstStart: false,
       graceMilliseconds: 20_000,
       quotaWindowSeconds: 5,
+      ...platformLimits,
     },
     store: createStore(),
     wireCodec: testWireCodec,
--- a/packages/peer-protocol/src/index.ts
+++ b/packages/peer-protocol/src/index.ts
@@ -3,6 +3,7 @@
 export * from './generated/limpetnotch/fleet/v1/fleet_pb';
 export * from './generated/limpetnotch/peer/v1/peer_pb';
 export * from './generated/limpetnotch/turns/v1/turn_pb';
+export * from './generated/limpetnotch/turns/v1/turn_service_pb';
 export type { PeerCallError } from './peerCallError';
 export { PeerClient } from './peerClient';
 export { PeerClients } from './peerClients';
--- a/packages/turn-log/tests/support/createTurn.ts
+++ b/packages/turn-log/tests/support/createTurn.ts
@@ -10,6 +10,7 @@
     parentId: '',
     expiresAtMilliseconds: 1_000_000,
     input: Buffer.from(`input of ${id}`),
-    output: Buffer.from(`output of ${id}`),
+    program: 'program',
+  output: Buffer.from(`output of ${id}`),
     ...change,
   });
