--- a/packages/turn-log/tests/support/createTurn.ts
+++ b/packages/turn-log/tests/support/createTurn.ts
@@ -11,6 +11,6 @@
     expiresAtMilliseconds: 1_000_000,
     input: Buffer.from(`input of ${id}`),
     program: 'program',
-  output: Buffer.from(`output of ${id}`),
+    output: Buffer.from(`output of ${id}`),
     ...change,
   });
