Read the earlier turns of a chain before a call runs, and store a turn before its response ends

An entry instance now reads the chain from its cache or the storage instances, sends it before the input, collects the data of the events, and ends the response only once enough storage instances in enough availability zones have acknowledged the turn. A turn that does not exist is 404 only if the instances that answered prove it; otherwise 503.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -148,7 +148,7 @@
         priority,
       });
     const { method, pathAndQuery } = envelope;
-    const request = { method, pathAndQuery, headers, body: call.body };
+    const request = { method, pathAndQuery, headers, body: call.dispatchBody };
     const { connections } = this.#parts;
     call.forwarder = undefined;
     switch (connection.kind) {
@@ -169,7 +169,7 @@
 
   #createForwardedRequest(): ForwardedRequest {
     const { call, target, priority } = this.#options;
-    const { envelope, body, organisation, remainingMilliseconds } = call;
+    const { envelope, dispatchBody: body, organisation, remainingMilliseconds } = call;
     return {
       target,
       envelope: { ...envelope, lastEventId: call.lastEventId ?? envelope.lastEventId },
--- a/packages/gateway/src/calls/attemptOutcome.ts
+++ b/packages/gateway/src/calls/attemptOutcome.ts
@@ -24,6 +24,8 @@
   | { readonly kind: 'excessive'; readonly detail: string }
   /** The target became unresponsive. */
   | { readonly kind: 'stalled'; readonly detail: string }
+  /** The response is complete, but its turn could not be stored in time. */
+  | { readonly kind: 'not-retained' }
   /** The caller closed its connection. */
   | { readonly kind: 'caller-gone' }
   /** The instance ends its last calls during a shutdown. */
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -10,6 +10,7 @@
 import { requestDigest } from '../quarantine/requestDigest';
 import type { StreamOrigin } from '../resumption/streamOrigin';
 import type { ResponseFraming } from '../targets/responseFraming';
+import type { RetainedTurn } from '../turns/retainedTurn';
 import { DispatchHistory } from './dispatchHistory';
 
 /** Limit of a target under which a call was dispatched. */
@@ -59,6 +60,9 @@
   /** The streamed response; undefined until a target has started one. */
   stream: CallerStream | undefined;
 
+  /** The turn that the system retains of this call; undefined if its route retains none. */
+  retainedTurn: RetainedTurn | undefined;
+
   #digest: string | undefined;
 
   #lastEventId: string | undefined;
@@ -111,6 +115,11 @@
     this.endSignal = parts.endSignal;
   }
 
+  /** What targets receive: the body of the caller, after the earlier turns if these are retained. */
+  get dispatchBody(): Buffer {
+    return this.retainedTurn?.dispatchBody ?? this.body;
+  }
+
   /** Digest of the content and the organisation, equal for calls that repeat a request. */
   get digest(): string {
     const { method, host, pathAndQuery } = this.envelope;
--- a/packages/gateway/src/calls/callEnvelope.ts
+++ b/packages/gateway/src/calls/callEnvelope.ts
@@ -37,6 +37,8 @@
   readonly lastEventId: string | undefined;
   /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
   readonly resumedRequestId: string | undefined;
+  /** Identifier of the turn that this one continues; undefined at the start of a chain. */
+  readonly previousTurnId: string | undefined;
   /** Headers that are passed to a target unchanged, as alternating names and values. */
   readonly passedHeaders: readonly string[];
 }
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -20,6 +20,7 @@
 import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
+import type { TurnRetention } from '../turns/turnRetention';
 import type { WireCodec } from './wireCodec';
 
 /** Share of its objective that a program is expected to take on idle targets. */
@@ -39,6 +40,7 @@
   readonly openCalls: OpenCalls;
   readonly quarantine: RequestQuarantine;
   readonly resumptions: Pick<ResumptionGate, 'admit'>;
+  readonly turnRetention: Pick<TurnRetention, 'begin'>;
   readonly programStarts: Pick<ProgramStarts, 'admit'>;
   readonly shedding: Pick<LoadShedding, 'isActive' | 'admit' | 'recordServed'>;
   /** Decides during a shutdown whether a request with this remaining time may still start. */
@@ -218,6 +220,8 @@
     if (this.#parts.quarantine.stageOf(call.digest) === 'quarantined') {
       return { kind: 'refused', refusal: { kind: 'quarantined', digest: call.digest } };
     }
+    const retention = await this.#parts.turnRetention.begin(call);
+    if (retention.kind === 'refused') return retention;
     const resumption = await this.#admitResumption(call);
     if (resumption.kind === 'refused') return resumption;
     const start = this.#admitProgram(call);
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -88,6 +88,7 @@
     case 'caller-gone':
     case 'declined':
     case 'no-path':
+    case 'not-retained':
     case 'not-sent':
     case 'shutting-down':
       return false;
@@ -323,6 +324,8 @@
         return toRefusedResult(this.#toExpiredRefusal(call));
       case 'shutting-down':
         return this.#giveUp(call, outcome, this.#toShutdownRefusal(call));
+      case 'not-retained':
+        return this.#giveUp(call, outcome, { kind: 'outcome-unknown', reason: outcome.kind });
       case 'declined':
         if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target);
         return undefined;
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -68,6 +68,7 @@
     case 'broken':
     case 'caller-gone':
     case 'no-path':
+    case 'not-retained':
     case 'shutting-down':
     case 'timed-out':
       return { kind: 'reached' };
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -3,6 +3,8 @@
   | { readonly kind: 'malformed'; readonly detail: string }
   | { readonly kind: 'unknown-key' }
   | { readonly kind: 'unknown-route' }
+  /** The turn that the request continues does not exist; the request has not run. */
+  | { readonly kind: 'unknown-turn' }
   | { readonly kind: 'body-too-large' }
   /** The rate limit of the organisation is exceeded; the request has not run. */
   | { readonly kind: 'over-rate'; readonly retryAfterSeconds: number }
@@ -27,6 +29,7 @@
     case 'budget-spent':
       return 402;
     case 'unknown-route':
+    case 'unknown-turn':
       return 404;
     case 'body-too-large':
       return 413;
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -1,7 +1,7 @@
 import type { TargetResponse } from '../targets/targetResponse';
 import type { ResponseWriter } from './responseWriter';
 import { loopTurn } from '../util/loopTurn';
-import { toBrokenError, toExcessiveError } from './attemptEndedError';
+import { AttemptEndedError, toBrokenError, toExcessiveError } from './attemptEndedError';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import { CallerStream } from './callerStream';
@@ -106,6 +106,7 @@
       throw toBrokenError('stream without a length ended without an event');
     }
     continuation.checkEnd();
+    await this.#retainTurn();
     stream.end(head);
     return { kind: 'delivered', status: head.status };
   }
@@ -136,7 +137,20 @@
     const bytes =
       events.length === 1 ? first.bytes : Buffer.concat(events.map((event) => event.bytes));
     if (!stream.write(head, bytes)) throw toExcessiveError('stream too large to buffer');
-    events.forEach((event) => call.recordEvent(event));
+    events.forEach((event) => {
+      call.recordEvent(event);
+      call.retainedTurn?.recordEvent(event.bytes);
+    });
+  }
+
+  /** Stores the turn before its response ends, as a complete response means that it is retained. */
+  async #retainTurn(): Promise<void> {
+    const { call, progressMonitor } = this.#parts;
+    if (!call.retainedTurn) return;
+    progressMonitor.setWaitingForCaller(true);
+    const isKept = await call.retainedTurn.keep(call.remainingMilliseconds);
+    progressMonitor.setWaitingForCaller(false);
+    if (!isKept) throw new AttemptEndedError({ kind: 'not-retained' });
   }
 
   /** Waits until the caller has read the pending bytes or has left, or the attempt is given up. */
--- a/packages/gateway/src/configuration/fleetConfiguration.ts
+++ b/packages/gateway/src/configuration/fleetConfiguration.ts
@@ -17,7 +17,7 @@
 
 /** Where the history that a program's turns build on is kept. */
 export const routeContextSchema = z.discriminatedUnion('kind', [
-  /** Limpetnotch keeps the history in a partition with one owner. */
+  /** Each request carries only its new input; storage instances retain the turns before it. */
   z.object({ kind: z.literal('held') }),
   /** Each request carries its complete prompt; the instance that received it runs it. */
   z.object({ kind: z.literal('carried') }),
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
+import { RetainedTurns, StorageDirectory } from '@limpetnotch/turns';
 import { computeProgramRetention } from './budgets/computeProgramRetention';
 import { createMemoryTask } from './budgets/createMemoryTask';
 import { EscrowBudgets } from './budgets/escrowBudgets';
@@ -53,6 +54,7 @@
 import { getIncarnationKey } from './targets/getIncarnationKey';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
+import { TurnRetention } from './turns/turnRetention';
 import { CountedStore } from './work/countedStore';
 import { createWorkReport } from './work/createWorkReport';
 import { WorkCounts } from './work/workCounts';
@@ -69,6 +71,9 @@
 /** Maximum size of the buffered, unfinished responses of one target, which may be faulty. */
 const MAXIMUM_BUFFERED_TARGET_BYTES = 16 * 1024 * 1024;
 
+/** Share of the instance's memory that retained turns may be cached in. */
+const TURN_CACHE_SHARE = 0.06;
+
 /** In a large fleet, two instances may have no call for a while; a connection costs as much as one. */
 const PEER_IDLE_MILLISECONDS = 65_000;
 
@@ -148,6 +153,8 @@
 
   readonly #openCalls = new OpenCalls();
 
+  readonly #turns: RetainedTurns;
+
   readonly #drain: GatewayDrain;
 
   readonly #ingressLoad: IngressLoad;
@@ -230,8 +237,17 @@
       peers: this.#peers,
       ledger: this.#quarantineLedger,
     });
+    const storage = new StorageDirectory({ logger });
+    this.#turns = new RetainedTurns({
+      directory: storage,
+      toleratedLosses: settings.toleratedLosses,
+      cacheBytes: settings.memoryBytes * TURN_CACHE_SHARE,
+      logger,
+      metrics,
+    });
     this.#membership = new Membership({
       store,
+      storage,
       instance: settings.instance,
       address: `${settings.peer.host}:${settings.peer.port}`,
       availabilityZone: settings.availabilityZone,
@@ -334,6 +350,7 @@
         logger,
         metrics,
       }),
+      turnRetention: new TurnRetention(this.#turns),
       programStarts: new ProgramStarts({
         fleet: this.#fleet,
         gate: this.#limitGate,
@@ -444,6 +461,7 @@
       this.#peerListener?.close(),
     ]);
     this.#peers.close();
+    this.#turns.close();
   }
 
   async #serveReadiness(request: IncomingMessage, response: ServerResponse): Promise<void> {
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -3,6 +3,7 @@
 import { compareAndSwapUntilKnown, followPrefix, parseJson } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
+import { StorageDirectory } from '@limpetnotch/turns';
 import { z } from 'zod';
 import { MemberListHistory } from '../budgets/memberListHistory';
 import { WatchStatus } from '../fleet/watchStatus';
@@ -86,6 +87,8 @@
   readonly logger: Logger;
   /** Called when the members or the instances that are present have changed. */
   readonly onChange: () => void;
+  /** Receives the entries of storage instances, which share the prefix as well. */
+  readonly storage: Pick<StorageDirectory, 'replaceAll' | 'put' | 'remove'>;
   /** Receives the quarantine entries, which share the prefix and so the watch of the membership. */
   readonly ledger: Pick<QuarantineLedger, 'replaceAll' | 'read' | 'forget'>;
 }
@@ -222,6 +225,7 @@
       replaced: (entries) => {
         this.#present.clear();
         this.#parts.ledger.replaceAll(entries.filter(({ key }) => isQuarantineKey(key)));
+        this.#parts.storage.replaceAll(entries.filter(({ key }) => StorageDirectory.owns(key)));
         entries.filter(({ key }) => !isQuarantineKey(key)).forEach((entry) => this.#apply(entry));
         this.#updateLayout();
         this.#recordAbsences();
@@ -233,6 +237,10 @@
           this.#parts.ledger.read(entry);
           return;
         }
+        if (StorageDirectory.owns(entry.key)) {
+          this.#parts.storage.put(entry);
+          return;
+        }
         this.#apply(entry);
         this.#scheduleChange();
       },
@@ -241,6 +249,10 @@
           this.#parts.ledger.forget(key);
           return;
         }
+        if (StorageDirectory.owns(key)) {
+          this.#parts.storage.remove(key);
+          return;
+        }
         this.#present.delete(key.slice(PRESENCE_PREFIX.length));
         this.#scheduleChange();
       },
--- a/packages/gateway/src/quarantine/interruption.ts
+++ b/packages/gateway/src/quarantine/interruption.ts
@@ -18,6 +18,7 @@
     case 'excessive':
     case 'no-path':
     case 'not-sent':
+    case 'not-retained':
     case 'shutting-down':
       return undefined;
   }
--- a/packages/gateway/tests/peers/membershipStart.test.ts
+++ b/packages/gateway/tests/peers/membershipStart.test.ts
@@ -1,5 +1,6 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import { Supervisor } from '@limpetnotch/supervision';
+import { StorageDirectory } from '@limpetnotch/turns';
 import { Membership } from '../../src/peers/membership';
 import { CountedStore } from '../../src/work/countedStore';
 import { WorkCounts } from '../../src/work/workCounts';
@@ -35,6 +36,7 @@
     logger: silentLogger,
     onChange: () => undefined,
     ledger,
+    storage: new StorageDirectory({ logger: silentLogger }),
   });
   const supervisor = new Supervisor({ name, logger: silentLogger, metrics });
   for (const task of membership.tasks) await supervisor.startChild(task);
--- a/packages/gateway/tests/support/callEnvelope.ts
+++ b/packages/gateway/tests/support/callEnvelope.ts
@@ -11,6 +11,7 @@
   program: undefined,
   prompt: undefined,
   lastEventId: undefined,
+  previousTurnId: undefined,
   resumedRequestId: undefined,
   passedHeaders: [],
   ...change,
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -85,6 +85,9 @@
 
   readonly bufferLimiter = new BufferLimiter(32 * 1024 * 1024);
 
+  /** Changes a call before it runs. */
+  prepareCall: (call: Call) => void = () => undefined;
+
   /** Maximum number of connections to one target. */
   connectionLimit = 8;
 
@@ -228,6 +231,7 @@
       response,
       arrivedAtMilliseconds: performance.now(),
     });
+    this.prepareCall(call);
     const result = await this.#runner.run(call);
     if (result.kind === 'refused') this.#writer.refuse(response, undefined, result.refusal);
     return result;
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -180,6 +180,7 @@
       codec: testWireCodec,
       fleet,
       quarantine,
+      turnRetention: { begin: async () => ({ kind: 'admitted' }) },
       resumptions: {
         admit: async () => ({ kind: 'refused', reason: 'unobserved' }) as const,
       },
