Keep a mocked clock of the budget tests within its test file

The tests now replace the object in the global scope of their own file. budgetCalls and escrowBudgets pass (31 tests); the whole run was not repeated yet.

--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -44,8 +44,13 @@
 
   /** Creates a fleet that has run for longer than its list of members takes to settle. */
   constructor(count: number) {
-    const now = performance.now.bind(performance);
-    jest.spyOn(performance, 'now').mockImplementation(() => now() + this.#skippedMilliseconds);
+    // All test files of a worker share the object, so a mocked method would reach the next file if a
+    // test of this one still ran at its end.
+    const clock = performance;
+    jest.replaceProperty(globalThis, 'performance', {
+      ...clock,
+      now: () => clock.now() + this.#skippedMilliseconds,
+    });
     for (let index = 0; index < count; index += 1) this.#processes.push(this.#start(index, true));
     this.#recordMembers();
     this.settleMembers();
