Add the decisions of retained turns

The placement of copies, the judgement of absence and the end of a retirement are shared by entry and storage instances. They are modules without input or output, with the schema of the presence value.

--- /dev/null
+++ b/packages/turns/src/decisions/storageInstance.ts
@@ -0,0 +1,29 @@
+import { z } from 'zod';
+
+/** Presence value of a storage instance, under {@link STORAGE_PREFIX} and its name. */
+export const storageInstanceSchema = z.object({
+  /** Host and port of its service. */
+  address: z.string().min(1),
+  availabilityZone: z.string().min(1),
+  /** Identifies the process; differs for each start. */
+  incarnation: z.string().min(1),
+  /** An instance that is leaving accepts no turns and is no holder. */
+  state: z.enum(['serving', 'leaving']),
+  /** Whether the instance holds every turn that it should hold. */
+  isWhole: z.boolean(),
+  /** Absent instances without which this instance has completed a repair, for their retirement. */
+  repairedWithout: z.array(z.string()).default([]),
+});
+
+/** Presence value of a storage instance. */
+export type StoragePresence = z.output<typeof storageInstanceSchema>;
+
+/** A storage instance as other instances see it. */
+export interface StorageInstance {
+  readonly name: string;
+  readonly address: string;
+  readonly availabilityZone: string;
+  readonly incarnation: string;
+  readonly state: 'serving' | 'leaving';
+  readonly isWhole: boolean;
+}
--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export { chooseHolders } from './decisions/chooseHolders';
+export { countCopies } from './decisions/countCopies';
+export { isRetired } from './decisions/isRetired';
+export type { RetirementEvidence } from './decisions/isRetired';
+export { judgeAbsence } from './decisions/judgeAbsence';
+export type { AbsenceAnswer, AbsenceEvidence } from './decisions/judgeAbsence';
+export type { ProgramKey } from './decisions/programKey';
+export { rankHolders } from './decisions/rankHolders';
+export { storageInstanceSchema } from './decisions/storageInstance';
+export type { StorageInstance, StoragePresence } from './decisions/storageInstance';
+export { STORAGE_PREFIX } from './decisions/storagePrefix';
+export type { ToleratedLosses } from './decisions/toleratedLosses';
