Let the turn log list its turns and keep a chain as long as its youngest turn

Repair and retirement need the keys of all turns, and a chain was removed turn by turn while it was still continued. The index now has program and parent of each turn, extends the lifetime of ancestors, also when the log is opened or the parent arrives later, and reports missing parents. A damaged record leaves the index, so that the turn can be stored again.

--- a/packages/turn-log/src/turnLog.ts
+++ b/packages/turn-log/src/turnLog.ts
@@ -9,7 +9,7 @@
 import { SegmentWriter } from './segmentWriter';
 import type { AppendPosition } from './segmentWriter';
 import { TurnIndex } from './turnIndex';
-import type { TurnLocation } from './turnIndex';
+import type { IndexedTurn } from './turnIndex';
 import type { TurnLogError } from './turnLogError';
 import type { ScannedRecords } from './turnRecord';
 import { decodeRecord, encodeRecord, scanRecords } from './turnRecord';
@@ -28,6 +28,13 @@
   readonly logger: Logger;
   /** Maximum size of a segment, 8 MiB by default; an append that exceeds it starts a new segment. */
   readonly segmentBytes?: number;
+  /**
+   * Delay between the expiry of the last turn of a segment and its removal, 10 s by default; on a full
+   * disk it is 10 s.
+   */
+  readonly expiryMarginMilliseconds?: number;
+  /** Called when the record of a stored turn turned out to be unreadable. */
+  readonly onDamage?: () => void;
 }
 
 /** A turn that is waiting to be written. */
@@ -52,7 +59,9 @@
 
   readonly #writer: SegmentWriter;
 
-  readonly #index = new TurnIndex();
+  readonly #index = new TurnIndex({
+    onLifetime: (segment, expiresAt) => this.#extendSegment(segment, expiresAt),
+  });
 
   /** When the last turn of each segment expires, by the segment's sequence. */
   readonly #segmentExpiries: Map<number, number>;
@@ -63,6 +72,8 @@
 
   #isClosed = false;
 
+  #hasLostRecords = false;
+
   private constructor(options: TurnLogOptions, sequences: readonly number[]) {
     this.#options = options;
     this.#segmentExpiries = new Map(sequences.map((sequence) => [sequence, -Infinity]));
@@ -97,6 +108,38 @@
     return this.#index.size;
   }
 
+  /** Whether records may have been lost: some bytes were unreadable when the log was opened, or since. */
+  get hasLostRecords(): boolean {
+    return this.#hasLostRecords;
+  }
+
+  /** Parents that stored turns continue but that are not stored here. */
+  get missingParents(): readonly (readonly [organisation: string, id: string])[] {
+    return this.#index.missingParents;
+  }
+
+  /** Stops reporting a missing parent. */
+  forgetMissingParent(organisation: string, id: string): void {
+    this.#index.forgetMissingParent(organisation, id);
+  }
+
+  /** Whether the log has a turn. */
+  has(organisation: string, id: string): boolean {
+    return this.#index.get(organisation, id) !== undefined;
+  }
+
+  /** Returns turns that have not expired, in the order of their addition, after an ordinal. */
+  *listAfter(ordinal: number, nowMilliseconds: number): Generator<IndexedTurn> {
+    for (const turn of this.#index.listAfter(ordinal)) {
+      if (this.#index.getLifetime(turn.organisation, turn.id) > nowMilliseconds) yield turn;
+    }
+  }
+
+  /** Returns the bytes of the record of a turn; 0 if it is not stored. */
+  getRecordBytes(organisation: string, id: string): number {
+    return this.#index.get(organisation, id)?.location.length ?? 0;
+  }
+
   /** Number of segments on the disk. */
   get segments(): number {
     return this.#segmentExpiries.size;
@@ -105,49 +148,47 @@
   /** Stores a turn; resolves when it is durable, that is, survives a power loss. */
   async append(turn: Turn): Promise<Result<void, TurnLogError>> {
     if (this.#isClosed) return err({ kind: 'closed' });
-    if (this.#index.get(turn.organisation, turn.id)) return ok(undefined);
+    if (this.has(turn.organisation, turn.id)) {
+      this.#index.extend(turn.organisation, turn.id, turn.expiresAtMilliseconds);
+      return ok(undefined);
+    }
     const written = new Deferred<Result<void, TurnLogError>>();
     this.#pendingTurns.push({ turn, record: encodeRecord(turn), written });
     this.#writing ??= this.#writePendingTurns();
     return written.promise;
   }
 
-  /** Returns a turn; `undefined` if the log has no turn with that id. */
+  /**
+   * Returns a turn, with its lifetime as extended by its descendants; `undefined` if the log has no
+   * turn with that id. A turn whose record is damaged is removed, so that it can be stored again.
+   */
   async read(organisation: string, id: string): Promise<Result<Turn | undefined, TurnLogError>> {
-    const location = this.#index.get(organisation, id);
+    const location = this.#index.get(organisation, id)?.location;
     if (!location) return ok(undefined);
     const { segment, offset, length } = location;
     try {
       const bytes = await this.#options.files.read(segmentName(segment), offset, length);
       const turn = decodeRecord(bytes, 0)?.turn;
-      if (turn?.organisation === organisation && turn.id === id) return ok(turn);
+      if (turn?.organisation === organisation && turn.id === id) return ok(this.#extend(turn));
     } catch (error) {
+      // The segment may have expired in the meantime.
+      if (!this.#segmentExpiries.has(segment)) return ok(undefined);
       return err(toTurnLogError(error));
     }
+    if (!this.#segmentExpiries.has(segment)) return ok(undefined);
     this.#options.logger.error('turn-log.record-damaged', { turn: id, segment, offset });
+    if (this.#index.get(organisation, id)?.location === location) {
+      this.#index.delete(organisation, id);
+    }
+    this.#hasLostRecords = true;
+    this.#options.onDamage?.();
     return err({ kind: 'damaged', detail: `segment ${segment} at ${offset}` });
   }
 
   /** Removes the segments whose turns have all expired; returns the number of removed segments. */
-  async removeExpired(nowMilliseconds: number): Promise<Result<number, TurnLogError>> {
-    const expired = [...this.#segmentExpiries].filter(
-      ([sequence, expiresAt]) =>
-        sequence !== this.#writer.activeSequence &&
-        expiresAt + EXPIRY_MARGIN_MILLISECONDS < nowMilliseconds,
-    );
-    try {
-      for (const [sequence] of expired) {
-        this.#segmentExpiries.delete(sequence);
-        this.#index.deleteSegment(sequence);
-        await this.#options.files.remove(segmentName(sequence));
-      }
-    } catch (error) {
-      return err(toTurnLogError(error));
-    }
-    if (expired.length > 0) {
-      this.#options.logger.info('turn-log.expired', { segments: expired.length, turns: this.size });
-    }
-    return ok(expired.length);
+  removeExpired(nowMilliseconds: number): Promise<Result<number, TurnLogError>> {
+    const { expiryMarginMilliseconds = EXPIRY_MARGIN_MILLISECONDS } = this.#options;
+    return this.#removeEndedBefore(nowMilliseconds - expiryMarginMilliseconds);
   }
 
   /** Writes the pending turns, and closes the log. */
@@ -160,9 +201,10 @@
   async #loadSegment(sequence: number): Promise<void> {
     const { lostBytes, records } = await this.#scanSegment(sequence);
     records.forEach(({ turn, offset, length }) =>
-      this.#indexTurn(turn, { segment: sequence, offset, length }),
+      this.#index.add(turn, { segment: sequence, offset, length }),
     );
     if (lostBytes === 0) return;
+    this.#hasLostRecords = true;
     const turns = records.length;
     this.#options.logger.warn('turn-log.bytes-lost', { segment: sequence, lostBytes, turns });
   }
@@ -173,15 +215,42 @@
     } catch (error) {
       const detail = getErrorMessage(error);
       this.#options.logger.error('turn-log.segment-unreadable', { segment: sequence, detail });
+      this.#hasLostRecords = true;
       return { records: [], lostBytes: 0 };
     }
   }
 
-  #indexTurn(turn: Turn, location: TurnLocation): void {
-    const { segment } = location;
+  #extend(turn: Turn): Turn {
+    const lifetime = this.#index.getLifetime(turn.organisation, turn.id);
+    return Object.assign(turn, {
+      expiresAtMilliseconds: Math.max(lifetime, turn.expiresAtMilliseconds),
+    });
+  }
+
+  #extendSegment(segment: number, expiresAtMilliseconds: number): void {
     const expiresAt = this.#segmentExpiries.get(segment) ?? -Infinity;
-    this.#segmentExpiries.set(segment, Math.max(expiresAt, turn.expiresAtMilliseconds));
-    this.#index.add(turn.organisation, turn.id, location);
+    this.#segmentExpiries.set(segment, Math.max(expiresAt, expiresAtMilliseconds));
+  }
+
+  async #removeEndedBefore(milliseconds: number): Promise<Result<number, TurnLogError>> {
+    const expired = [...this.#segmentExpiries].filter(
+      ([sequence, expiresAt]) =>
+        sequence !== this.#writer.activeSequence && expiresAt < milliseconds,
+    );
+    try {
+      for (const [sequence] of expired) {
+        this.#segmentExpiries.delete(sequence);
+        this.#index.deleteSegment(sequence);
+        await this.#options.files.remove(segmentName(sequence));
+      }
+    } catch (error) {
+      return err(toTurnLogError(error));
+    }
+    this.#index.deleteLifetimes(milliseconds);
+    if (expired.length > 0) {
+      this.#options.logger.info('turn-log.expired', { segments: expired.length, turns: this.size });
+    }
+    return ok(expired.length);
   }
 
   async #writePendingTurns(): Promise<void> {
@@ -212,7 +281,7 @@
       const { segment, offset } = await this.#appendBytes(bytes);
       let position = offset;
       batch.forEach(({ turn, record }) => {
-        this.#indexTurn(turn, { segment, offset: position, length: record.length });
+        this.#index.add(turn, { segment, offset: position, length: record.length });
         position += record.length;
       });
       return ok(undefined);
@@ -229,7 +298,7 @@
       return await this.#writer.append(bytes);
     } catch (error) {
       if (toTurnLogError(error).kind !== 'disk-full') throw error;
-      const removed = await this.removeExpired(Date.now());
+      const removed = await this.#removeEndedBefore(Date.now() - EXPIRY_MARGIN_MILLISECONDS);
       if (removed.unwrapOr(0) === 0) throw error;
       return this.#writer.append(bytes);
     }
--- a/packages/turn-log/tests/turnLog.test.ts
+++ b/packages/turn-log/tests/turnLog.test.ts
@@ -179,3 +179,81 @@
   await open();
   expect(await files.list()).toContain('notes.txt');
 });
+
+// Without this, the first turns of a long chain are removed while the chain is still continued.
+test('a turn lives as long as the youngest turn that continues it', async () => {
+  const log = await open();
+  await append(log, '1', '2', '3');
+  const child = { parentId: '1', expiresAtMilliseconds: 2_000_000 };
+  await log.append(createTurn('4', child));
+  await append(log, '5', '6', '7');
+  await log.removeExpired(1_500_000);
+  expect(await findReadable(log, '1', '4')).toEqual(['1', '4']);
+  const next = await open();
+  await next.removeExpired(1_500_000);
+  expect(await findReadable(next, '1', '4')).toEqual(['1', '4']);
+  const first = (await next.read('north', '1'))._unsafeUnwrap();
+  expect(first?.expiresAtMilliseconds).toBe(2_000_000);
+  await next.removeExpired(2_020_000);
+  expect(await findReadable(next, '1', '4')).toEqual([]);
+});
+
+test('a parent that is stored after its child lives as long as the child', async () => {
+  const log = await open();
+  await log.append(createTurn('2', { parentId: '1', expiresAtMilliseconds: 2_000_000 }));
+  expect(log.missingParents).toEqual([['north', '1']]);
+  await append(log, '1', '3', '4', '5', '6');
+  expect(log.missingParents).toEqual([]);
+  await log.removeExpired(1_500_000);
+  expect(await findReadable(log, '1', '2')).toEqual(['1', '2']);
+});
+
+test('a missing parent is forgotten once its descendants have expired', async () => {
+  const log = await open();
+  await log.append(createTurn('2', { parentId: '1' }));
+  await append(log, '3', '4', '5', '6');
+  await log.removeExpired(1_020_000);
+  expect(log.missingParents).toEqual([]);
+});
+
+test('turns that name each other as parents are stored', async () => {
+  const log = await open();
+  await log.append(createTurn('1', { parentId: '2' }));
+  await log.append(createTurn('2', { parentId: '1', expiresAtMilliseconds: 2_000_000 }));
+  await log.append(createTurn('3', { parentId: '3' }));
+  expect(await findReadable(log, '1', '2', '3')).toEqual(['1', '2', '3']);
+});
+
+test('turns are listed in pages, without those that have expired', async () => {
+  const log = await open();
+  await append(log, '1', '2');
+  await log.append(createTurn('3', { expiresAtMilliseconds: 10 }));
+  await append(log, '4');
+  const [first, ...others] = log.listAfter(0, 500);
+  expect(first).toMatchObject({ organisation: 'north', id: '1', program: 'program' });
+  expect(others.map(({ id }) => id)).toEqual(['2', '4']);
+  expect([...log.listAfter(others[0]!.ordinal, 500)].map(({ id }) => id)).toEqual(['4']);
+});
+
+test('a damaged turn is reported, and can be stored again', async () => {
+  let reports = 0;
+  const onDamage = (): void => {
+    reports += 1;
+  };
+  const log = (await TurnLog.open({ files, logger, onDamage }))._unsafeUnwrap();
+  await append(log, '1');
+  files.stored.values().next().value!.bytes[30]! += 1;
+  expect((await log.read('north', '1')).isErr()).toBe(true);
+  expect([reports, log.hasLostRecords, log.has('north', '1')]).toEqual([1, true, false]);
+  await append(log, '1');
+  expect(await findReadable(log, '1')).toEqual(['1']);
+});
+
+test('bytes that were lost before a start are reported', async () => {
+  const log = await open();
+  await append(log, '1', '2');
+  expect(log.hasLostRecords).toBe(false);
+  const [file] = files.stored.values();
+  file!.bytes[30]! += 1;
+  expect((await open()).hasLostRecords).toBe(true);
+});
