Tell damage of the turn log from the remains of unfinished writes

After a power loss a torn end is normal and loses no acknowledged turn, while damage means that an instance must fetch turns again. Each record now has the number of bytes of its segment that were durable before it; only lost bytes before the largest such number are damage. The random power loss test checks that it never reports a loss.

--- a/packages/turn-log/src/segmentWriter.ts
+++ b/packages/turn-log/src/segmentWriter.ts
@@ -46,13 +46,15 @@
   }
 
   /**
-   * Appends bytes, and resolves when they are durable on the disk. After a failure the content of the
+   * Appends bytes, which may contain how many bytes of the segment are durable before them, and
+   * resolves when they are durable on the disk. After a failure the content of the
    * segment is unknown, so the next append starts a new segment.
    */
-  async append(bytes: Buffer): Promise<AppendPosition> {
-    const active = await this.#getSegmentWithRoom(bytes.length);
+  async append(length: number, encode: (durableBytes: number) => Buffer): Promise<AppendPosition> {
+    const active = await this.#getSegmentWithRoom(length);
     const position = { segment: active.sequence, offset: active.bytes };
     try {
+      const bytes = encode(active.bytes);
       active.bytes += bytes.length;
       await active.file.append(bytes);
       await active.file.sync();
--- a/packages/turn-log/src/turnLog.ts
+++ b/packages/turn-log/src/turnLog.ts
@@ -1,5 +1,7 @@
 import type { Logger } from '@limpetnotch/observability';
+import { toBinary } from '@bufbuild/protobuf';
 import type { Turn } from '@limpetnotch/peer-protocol';
+import { TurnSchema } from '@limpetnotch/peer-protocol';
 import { Deferred } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
 import { err, ok } from 'neverthrow';
@@ -12,7 +14,7 @@
 import type { IndexedTurn } from './turnIndex';
 import type { TurnLogError } from './turnLogError';
 import type { ScannedRecords } from './turnRecord';
-import { decodeRecord, encodeRecord, scanRecords } from './turnRecord';
+import { computeRecordBytes, decodeRecord, encodeRecord, scanRecords } from './turnRecord';
 
 const DEFAULT_SEGMENT_BYTES = 8 * 1024 * 1024;
 
@@ -40,7 +42,9 @@
 /** A turn that is waiting to be written. */
 interface PendingTurn {
   readonly turn: Turn;
-  readonly record: Buffer;
+  readonly payload: Uint8Array;
+  /** Bytes of the record. */
+  readonly length: number;
   readonly written: Deferred<Result<void, TurnLogError>>;
 }
 
@@ -108,7 +112,10 @@
     return this.#index.size;
   }
 
-  /** Whether records may have been lost: some bytes were unreadable when the log was opened, or since. */
+  /**
+   * Whether stored records were lost: bytes that had been durable were unreadable when the log was
+   * opened, or since.
+   */
   get hasLostRecords(): boolean {
     return this.#hasLostRecords;
   }
@@ -153,7 +160,8 @@
       return ok(undefined);
     }
     const written = new Deferred<Result<void, TurnLogError>>();
-    this.#pendingTurns.push({ turn, record: encodeRecord(turn), written });
+    const payload = toBinary(TurnSchema, turn);
+    this.#pendingTurns.push({ turn, payload, length: computeRecordBytes(payload), written });
     this.#writing ??= this.#writePendingTurns();
     return written.promise;
   }
@@ -199,14 +207,14 @@
   }
 
   async #loadSegment(sequence: number): Promise<void> {
-    const { lostBytes, records } = await this.#scanSegment(sequence);
+    const { lostBytes, damagedBytes, records } = await this.#scanSegment(sequence);
     records.forEach(({ turn, offset, length }) =>
       this.#index.add(turn, { segment: sequence, offset, length }),
     );
     if (lostBytes === 0) return;
-    this.#hasLostRecords = true;
-    const turns = records.length;
-    this.#options.logger.warn('turn-log.bytes-lost', { segment: sequence, lostBytes, turns });
+    this.#hasLostRecords ||= damagedBytes > 0;
+    const fields = { segment: sequence, lostBytes, damagedBytes, turns: records.length };
+    this.#options.logger.warn('turn-log.bytes-lost', fields);
   }
 
   async #scanSegment(sequence: number): Promise<ScannedRecords> {
@@ -216,7 +224,7 @@
       const detail = getErrorMessage(error);
       this.#options.logger.error('turn-log.segment-unreadable', { segment: sequence, detail });
       this.#hasLostRecords = true;
-      return { records: [], lostBytes: 0 };
+      return { records: [], lostBytes: 0, damagedBytes: 0 };
     }
   }
 
@@ -263,8 +271,8 @@
   /** Dequeues pending turns up to the size of one write, but at least one turn. */
   #dequeueBatch(): readonly PendingTurn[] {
     let bytes = 0;
-    const end = this.#pendingTurns.findIndex(({ record }, position) => {
-      bytes += record.length;
+    const end = this.#pendingTurns.findIndex(({ length }, position) => {
+      bytes += length;
       return position > 0 && bytes > MAXIMUM_BATCH_BYTES;
     });
     return this.#pendingTurns.splice(0, end < 0 ? this.#pendingTurns.length : end);
@@ -277,12 +285,11 @@
 
   async #appendBatch(batch: readonly PendingTurn[]): Promise<Result<void, TurnLogError>> {
     try {
-      const bytes = Buffer.concat(batch.map(({ record }) => record));
-      const { segment, offset } = await this.#appendBytes(bytes);
+      const { segment, offset } = await this.#appendRecords(batch);
       let position = offset;
-      batch.forEach(({ turn, record }) => {
-        this.#index.add(turn, { segment, offset: position, length: record.length });
-        position += record.length;
+      batch.forEach(({ turn, length }) => {
+        this.#index.add(turn, { segment, offset: position, length });
+        position += length;
       });
       return ok(undefined);
     } catch (error) {
@@ -293,14 +300,17 @@
   }
 
   /** Retries once on a full disk if removing expired segments may have freed space. */
-  async #appendBytes(bytes: Buffer): Promise<AppendPosition> {
+  async #appendRecords(batch: readonly PendingTurn[]): Promise<AppendPosition> {
+    const bytes = batch.reduce((sum, { length }) => sum + length, 0);
+    const encode = (durableBytes: number): Buffer =>
+      Buffer.concat(batch.map(({ payload }) => encodeRecord(payload, durableBytes)));
     try {
-      return await this.#writer.append(bytes);
+      return await this.#writer.append(bytes, encode);
     } catch (error) {
       if (toTurnLogError(error).kind !== 'disk-full') throw error;
       const removed = await this.#removeEndedBefore(Date.now() - EXPIRY_MARGIN_MILLISECONDS);
       if (removed.unwrapOr(0) === 0) throw error;
-      return this.#writer.append(bytes);
+      return this.#writer.append(bytes, encode);
     }
   }
 }
--- a/packages/turn-log/tests/powerLoss.test.ts
+++ b/packages/turn-log/tests/powerLoss.test.ts
@@ -82,8 +82,12 @@
     }
   }
 
-  /** Checks that every acknowledged turn is found, and that every found turn has its own text. */
+  /**
+   * Checks that every acknowledged turn is found, that every found turn has its own text, and that
+   * the remains of unfinished writes do not count as lost turns.
+   */
   async check(): Promise<void> {
+    if (this.#log!.hasLostRecords) throw new Error('a loss was reported');
     for (const id of this.#requestedIds) {
       const read = (await this.#log!.read('north', id))._unsafeUnwrap();
       if (this.#acknowledgedIds.includes(id) && !read) throw new Error(`turn ${id} was lost`);
--- a/packages/turn-log/tests/turnLog.test.ts
+++ b/packages/turn-log/tests/turnLog.test.ts
@@ -257,3 +257,12 @@
   file!.bytes[30]! += 1;
   expect((await open()).hasLostRecords).toBe(true);
 });
+
+// Otherwise an instance would distrust its whole log after each power loss.
+test('a torn end does not count as a loss', async () => {
+  const log = await open();
+  await append(log, '1', '2');
+  const [file] = files.stored.values();
+  file!.bytes = file!.bytes.subarray(0, -5);
+  expect((await open()).hasLostRecords).toBe(false);
+});
--- a/packages/turn-log/tests/turnRecord.test.ts
+++ b/packages/turn-log/tests/turnRecord.test.ts
@@ -1,10 +1,16 @@
+import { toBinary } from '@bufbuild/protobuf';
+import type { Turn } from '@limpetnotch/peer-protocol';
+import { TurnSchema } from '@limpetnotch/peer-protocol';
 import fc from 'fast-check';
 import { encodeRecord, scanRecords } from '../src/turnRecord';
 import { createTurn } from './support/createTurn';
 
+const encode = (turn: Turn, durableBytes = 0): Buffer =>
+  encodeRecord(toBinary(TurnSchema, turn), durableBytes);
+
 const idsOf = (bytes: Buffer): string[] => scanRecords(bytes).records.map(({ turn }) => turn.id);
 
-const RECORDS = ['1', '2', '3'].map((id) => encodeRecord(createTurn(id)));
+const RECORDS = ['1', '2', '3'].map((id) => encode(createTurn(id)));
 
 test('records are found in order', () => {
   expect(idsOf(Buffer.concat(RECORDS))).toEqual(['1', '2', '3']);
@@ -19,8 +25,8 @@
 });
 
 test('a text that looks like a record is not decoded as one', () => {
-  const inner = encodeRecord(createTurn('inner'));
-  const outer = encodeRecord(createTurn('outer', { output: inner }));
+  const inner = encode(createTurn('inner'));
+  const outer = encode(createTurn('outer', { output: inner }));
   expect(idsOf(outer)).toEqual(['outer']);
 });
 
@@ -46,3 +52,15 @@
   });
   fc.assert(property, { numRuns: 500, seed: 5 });
 });
+
+test('lost bytes count as damage only if a later record shows that they were durable', () => {
+  const first = encode(createTurn('1'));
+  const second = encode(createTurn('2'), first.length);
+  const third = encode(createTurn('3'), first.length);
+  const bytes = Buffer.concat([first, second, third]);
+  bytes[first.length + 30]! += 1;
+  expect(scanRecords(bytes)).toMatchObject({ lostBytes: second.length, damagedBytes: 0 });
+  bytes[30]! += 1;
+  const lostBytes = first.length + second.length;
+  expect(scanRecords(bytes)).toMatchObject({ lostBytes, damagedBytes: first.length });
+});
--- a/packages/turns/src/decisions/storageInstance.ts
+++ b/packages/turns/src/decisions/storageInstance.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 
-/** Presence value of a storage instance, under {@link STORAGE_PREFIX} and its name. */
+/** Presence value of a storage instance, under `STORAGE_PREFIX` and its name. */
 export const storageInstanceSchema = z.object({
   /** Host and port of its service. */
   address: z.string().min(1),
@@ -11,7 +11,9 @@
   state: z.enum(['serving', 'leaving']),
   /** Whether the instance holds every turn that it should hold. */
   isWhole: z.boolean(),
-  /** Absent instances without which this instance has completed a repair, for their retirement. */
+  /** Whether the instance lost turns that it acknowledged, and has not found all of them yet. */
+  hasLost: z.boolean().default(false),
+  /** Absences of other members without which this instance has completed a repair. */
   repairedWithout: z.array(z.string()).default([]),
 });
 
