--- a/packages/turns/src/storage/completeness.ts
+++ b/packages/turns/src/storage/completeness.ts
@@ -92,8 +92,13 @@
     this.#changeMarker('write');
   }
 
-  /** Resolves when all changes of the marker have ended. */
-  async settle(): Promise<void> {
+  /**
+   * Removes the marker of an instance that is empty and to be removed, so that it accepts no turns
+   * after a restart before it has read from the store that it is leaving.
+   */
+  async retire(): Promise<void> {
+    if (this.#startedWithMarker || this.isComplete) this.#changeMarker('remove');
+    this.#startedWithMarker = false;
     await this.#markerWrites;
   }
 
--- a/packages/turns/src/storage/ownRetirement.ts
+++ b/packages/turns/src/storage/ownRetirement.ts
@@ -8,6 +8,7 @@
 import { BATCH_BYTES } from './batchBytes';
 import { EXPIRY_MARGIN_MILLISECONDS } from './expiryMargin';
 import { HolderTable } from './holderTable';
+import { isProcess } from './isProcess';
 import { splitBatches } from './splitBatches';
 import type { StorageCodec } from './storageCodec';
 import type { StorageView, ViewedInstance } from './storageView';
@@ -34,7 +35,7 @@
   readonly metrics: Metrics;
   /** Number of calls that are storing turns here. */
   readonly countWrites: () => number;
-  /** Removes this instance from the members. */
+  /** Ends the membership of this instance, so that it accepts no turns after a restart either. */
   readonly resign: () => Promise<boolean>;
 }
 
@@ -122,19 +123,18 @@
     const { clients, log } = this.#parts;
     const position = toPosition(other);
     if (this.#copies.has(position)) return;
+    const client = clients.to(other.address);
     const copies = new Set<string>();
     try {
       let cursor = '';
       do {
-        const page = await clients
-          .to(other.address)
-          .listTurns({ cursor }, { timeoutMs: LIST_MILLISECONDS });
+        const page = await client.listTurns({ cursor }, { timeoutMs: LIST_MILLISECONDS });
         page.keys
           .filter(({ organisation, id }) => log.has(organisation, id))
           .forEach((key) => copies.add(toText(key)));
         cursor = page.nextCursor;
       } while (cursor !== '');
-      this.#copies.set(position, copies);
+      if (await isProcess(client, other.incarnation)) this.#copies.set(position, copies);
     } catch (error) {
       this.#recordFailure(other, error);
     }
--- a/packages/turns/src/storage/presence.ts
+++ b/packages/turns/src/storage/presence.ts
@@ -53,6 +53,8 @@
 
   #isMember = false;
 
+  #isReleased = false;
+
   constructor(options: PresenceOptions) {
     this.#options = options;
   }
@@ -64,7 +66,7 @@
 
   /** Maintains the presence until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    while (!signal.aborted) {
+    while (!signal.aborted && !this.#isReleased) {
       const isPublished = this.#options.mayRegister() && (await this.#maintain());
       await delay(isPublished ? TICK_MILLISECONDS : RETRY_MILLISECONDS, signal);
     }
@@ -74,6 +76,7 @@
   async release(): Promise<void> {
     const leaseId = this.#leaseId;
     this.#leaseId = undefined;
+    this.#isReleased = true;
     if (leaseId === undefined) return;
     await boundStoreCall(this.#options.store.revokeLease(leaseId), CALL_MILLISECONDS);
   }
@@ -99,12 +102,13 @@
 
   async #register(): Promise<boolean> {
     const { store, logger, instance } = this.#options;
-    if (!(await this.#registerMember())) return false;
+    if (!(await this.#registerMember()) || this.#isReleased) return false;
     const granted = await boundStoreCall(store.grantLease(LEASE_MILLISECONDS), CALL_MILLISECONDS);
     if (granted.isErr()) return this.#countFailure(granted.error);
     this.#renewedAt = performance.now();
     this.#publishedValue = '';
     if (!(await this.#publish(granted.value.leaseId))) return false;
+    if (this.#isReleased) return false;
     this.#leaseId = granted.value.leaseId;
     logger.info('storage.registered', { instance });
     return true;
--- a/packages/turns/src/storage/repair.ts
+++ b/packages/turns/src/storage/repair.ts
@@ -3,6 +3,7 @@
 import type { TurnLog } from '@limpetnotch/turn-log';
 import { isRepairConclusive } from '../decisions/isRepairConclusive';
 import type { ToleratedLosses } from '../decisions/toleratedLosses';
+import { isProcess } from './isProcess';
 import type { Completeness } from './completeness';
 import { HolderTable } from './holderTable';
 import { Pace } from './pace';
@@ -84,14 +85,19 @@
     const others = instances.filter(({ name }) => name !== instance);
     const answers = await Promise.all(others.map((other) => this.#poll(other)));
     const hasParents = await this.#fetchMissingParents(others);
-    const isCurrent = describeInstances(view.listCounted()) === description;
+    const current = view.listCounted();
+    const isCurrent = describeInstances(current) === description;
     const isPresent = others.length < instances.length;
     if (!answers.every(Boolean) || !hasParents || !isCurrent || !isPresent) return false;
-    const otherLosses = others.filter(({ hasLost }) => hasLost).length;
+    const losses = new Set(
+      [...instances, ...current].filter(({ hasLost }) => hasLost).map(({ name }) => name),
+    );
+    if (completeness.hasLost) losses.add(instance);
+    else losses.delete(instance);
     const isConclusive = isRepairConclusive({
       serving: instances.filter(({ state }) => state === 'serving').length,
       absent: absent.filter(({ revision, isForgotten }) => revision > 0 && !isForgotten).length,
-      lost: otherLosses + (completeness.hasLost ? 1 : 0),
+      lost: losses.size,
       toleratedLosses,
     });
     completeness.recordRepair(isConclusive);
@@ -118,7 +124,7 @@
         const page = await client.listTurns({ cursor }, { timeoutMs: LIST_MILLISECONDS });
         const wanted = page.keys.filter((key) => this.#isWanted(key));
         if (wanted.length > 0 && !(await this.#fetch(address, wanted))) return false;
-        if (page.nextCursor === '') return true;
+        if (page.nextCursor === '') return await isProcess(client, incarnation);
         this.#cursors.set(position, page.nextCursor);
       }
     } catch (error) {
@@ -180,8 +186,9 @@
       }
       const isMissing = !log.has(organisation, id);
       if (isMissing && answers < others.length) haveAllAnswered = false;
-      else if (isMissing && view.listAbsent().length === 0)
+      else if (isMissing && view.listAbsent().length === 0) {
         log.forgetMissingParent(organisation, id);
+      }
     }
     return haveAllAnswered;
   }
--- a/packages/turns/src/storage/storageInstanceProcess.ts
+++ b/packages/turns/src/storage/storageInstanceProcess.ts
@@ -2,22 +2,19 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
-import { delay, settleWithin, Supervisor } from '@limpetnotch/supervision';
+import { delay, settleWithin, Supervisor, untilAborted } from '@limpetnotch/supervision';
 import type { SegmentFiles } from '@limpetnotch/turn-log';
 import { TurnLog } from '@limpetnotch/turn-log';
-import { AbsenceReporter } from './absenceReporter';
 import { Completeness } from './completeness';
 import type { CompletenessMarker } from './completenessMarker';
 import { EXPIRY_MARGIN_MILLISECONDS } from './expiryMargin';
-import { OwnRetirement } from './ownRetirement';
-import { Presence } from './presence';
-import { Repair } from './repair';
 import type { StorageCodec } from './storageCodec';
+import { StorageComponents } from './storageComponents';
 import type { StorageSettings } from './storageSettings';
 import { StorageView } from './storageView';
 import { TurnClients } from './turnClients';
 import { TurnListener } from './turnListener';
-import { TurnServiceHandlers } from './turnServiceHandlers';
+import type { TurnServiceHandlers } from './turnServiceHandlers';
 import { WakeSignal } from './wakeSignal';
 
 /** Interval of the rounds of repair, which find turns that were stored elsewhere meanwhile. */
@@ -85,23 +82,29 @@
     const log = await this.#openLog(signal);
     if (!log) return;
     await this.#completeness.start(log);
-    const { handlers, presence, tasks } = this.#createTasks(log);
-    this.#listener = await this.#listen(handlers, signal);
+    const components = this.#createComponents(log);
+    this.#listener = await this.#listen(components.handlers, signal);
     const supervisor = new Supervisor({
       name: 'storage',
       logger,
       metrics,
       maximumRestarts: MAXIMUM_RESTARTS,
     });
-    await supervisor.startChildren(tasks, signal);
+    await supervisor.startChildren(this.#createTasks(log, components), signal);
     logger.info('storage.started', { port: this.port, turns: log.size });
-    await supervisor.run(signal);
-    const milliseconds = settings.graceMilliseconds * STOP_FRACTION;
-    await settleWithin(presence.release(), milliseconds, () => undefined);
-    await this.#listener?.close(milliseconds);
-    this.#clients.close();
-    await settleWithin(log.close(), milliseconds, () => undefined);
-    logger.info('storage.stopped', {});
+    const running = supervisor.run(signal);
+    try {
+      await Promise.race([running, untilAborted(signal)]);
+    } finally {
+      // The tasks may be waiting for calls, so their end is not awaited before the presence ends.
+      const milliseconds = settings.graceMilliseconds * STOP_FRACTION;
+      await settleWithin(components.presence.release(), milliseconds, () => undefined);
+      await this.#listener?.close(milliseconds);
+      this.#clients.close();
+      await settleWithin(log.close(), milliseconds, () => undefined);
+      await settleWithin(running, milliseconds, () => undefined);
+      logger.info('storage.stopped', {});
+    }
   }
 
   async #openLog(signal: AbortSignal): Promise<TurnLog | undefined> {
@@ -146,72 +149,22 @@
     return undefined;
   }
 
-  #createTasks(log: TurnLog) {
-    const { settings, store, codec, logger, metrics } = this.#parts;
-    const { instance, toleratedLosses, availabilityZone, host } = settings;
-    const view = this.#view;
-    const clients = this.#clients;
-    const completeness = this.#completeness;
-    const common = { instance, log, store, codec, view, clients, toleratedLosses, logger, metrics };
-    const repair = new Repair({ ...common, completeness });
-    const isWhole = (): boolean =>
-      view.isKnown && completeness.isComplete && !view.hasUncertainAbsence();
-    const retirement: OwnRetirement = new OwnRetirement({
-      ...common,
-      countWrites: () => handlers.writes,
-      resign: () => presence.resign(),
-    });
-    const presence: Presence = new Presence({
-      store,
-      instance,
-      incarnation: this.#incarnation,
-      logger,
-      metrics,
-      mayRegister: () => view.isKnown,
-      isLeaving: () => retirement.isLeaving,
-      isSeen: () => view.presentNames.includes(instance),
-      onRegistered: (wasMember) => completeness.recordRegistration(wasMember),
-      describe: () => ({
-        address: `${host}:${this.port}`,
-        availabilityZone,
-        incarnation: this.#incarnation,
-        state: retirement.isLeaving ? 'leaving' : 'serving',
-        isWhole: isWhole(),
-        hasLost: completeness.hasLost,
-        repairedWithout: [...repair.repairedWithout],
-      }),
-    });
-    const handlers: TurnServiceHandlers = new TurnServiceHandlers({
+  #createComponents(log: TurnLog): StorageComponents {
+    return new StorageComponents({
+      ...this.#parts,
       log,
       incarnation: this.#incarnation,
-      logger,
-      metrics,
-      isWhole,
-      acceptsTurns: () =>
-        !retirement.isLeaving && (presence.isMember || completeness.startedWithMarker),
-      onMissingParent: () => this.#wake.wake(),
+      view: this.#view,
+      completeness: this.#completeness,
+      clients: this.#clients,
+      getPort: () => this.port,
+      wakeRepair: () => this.#wake.wake(),
     });
-    const absences = new AbsenceReporter({ ...common, repair });
-    return {
-      handlers,
-      presence,
-      tasks: this.#specify(log, { repair, retirement, presence, absences }),
-    };
   }
 
-  #specify(
+  #createTasks(
     log: TurnLog,
-    {
-      repair,
-      retirement,
-      presence,
-      absences,
-    }: {
-      readonly repair: Repair;
-      readonly retirement: OwnRetirement;
-      readonly presence: Presence;
-      readonly absences: AbsenceReporter;
-    },
+    { repair, retirement, presence, absences }: StorageComponents,
   ): readonly ChildSpecification[] {
     const create = (
       name: string,
