Merge the storage instances of retained turns

Entry instances count absent members of the storage instances as silent, so that a list that is read while few are present does not make existing turns 404.

--- a/packages/turns/src/entry/chainReader.ts
+++ b/packages/turns/src/entry/chainReader.ts
@@ -5,9 +5,9 @@
 import { rankHolders } from '../decisions/rankHolders';
 import type { StorageInstance } from '../decisions/storageInstance';
 import type { ToleratedLosses } from '../decisions/toleratedLosses';
+import type { TurnClients } from '../storage/turnClients';
 import type { ChainCache } from './chainCache';
 import type { StorageDirectory } from './storageDirectory';
-import type { TurnClients } from './turnClients';
 
 /** Time after which the next instance is asked as well. */
 const READ_MILLISECONDS = 150;
@@ -117,8 +117,7 @@
     const answers = replies.flatMap(({ instance, response }): AbsenceAnswer[] =>
       response ? [{ instance: instance.name, isWhole: response.isWhole }] : [],
     );
-    const known = directory.known.map(({ name }) => name);
-    const verdict = judgeAbsence({ known, answers, toleratedLosses });
+    const verdict = judgeAbsence({ known: directory.possibleHolders, answers, toleratedLosses });
     return verdict === 'absent' ? { kind: 'absent' } : { kind: 'unsure', missing: reference.id };
   }
 
@@ -163,7 +162,9 @@
   ): Promise<ReadChainResponse | undefined> {
     const { clients, directory, logger } = this.#parts;
     try {
-      const response = await clients.get(instance).readChain({ organisation, id }, { timeoutMs });
+      const response = await clients
+        .to(instance.address)
+        .readChain({ organisation, id }, { timeoutMs });
       directory.recordSuccess(instance.name);
       return response;
     } catch (error) {
--- a/packages/turns/src/entry/retainedTurns.ts
+++ b/packages/turns/src/entry/retainedTurns.ts
@@ -3,11 +3,11 @@
 import type { Result } from 'neverthrow';
 import { countCopies } from '../decisions/countCopies';
 import type { ToleratedLosses } from '../decisions/toleratedLosses';
+import { TurnClients } from '../storage/turnClients';
 import { ChainCache } from './chainCache';
 import type { ChainReading, TurnReference } from './chainReader';
 import { ChainReader } from './chainReader';
 import type { StorageDirectory } from './storageDirectory';
-import { TurnClients } from './turnClients';
 import type { KeepError } from './turnKeeper';
 import { TurnKeeper } from './turnKeeper';
 
--- a/packages/turns/src/entry/storageDirectory.ts
+++ b/packages/turns/src/entry/storageDirectory.ts
@@ -4,6 +4,7 @@
 import type { StorageInstance } from '../decisions/storageInstance';
 import { storageInstanceSchema } from '../decisions/storageInstance';
 import { STORAGE_PREFIX } from '../decisions/storagePrefix';
+import { STORAGE_MEMBER_PREFIX } from '../storage/storageMember';
 
 /**
  * Time for which an instance that is no longer listed still counts as one that may hold turns: its
@@ -27,6 +28,9 @@
 
   readonly #instances = new Map<string, StorageInstance>();
 
+  /** Instances that may hold turns, whether or not they are present. */
+  readonly #members = new Set<string>();
+
   /** When each instance that is no longer listed was removed from the list. */
   readonly #unlistedAt = new Map<string, number>();
 
@@ -40,7 +44,7 @@
 
   /** Whether a key of the store belongs to this directory. */
   static owns(key: string): boolean {
-    return key.startsWith(STORAGE_PREFIX);
+    return key.startsWith(STORAGE_PREFIX) || key.startsWith(STORAGE_MEMBER_PREFIX);
   }
 
   /** Whether the list has been read since the process started. */
@@ -57,6 +61,11 @@
     );
   }
 
+  /** Names of all instances that may hold turns, including absent ones. */
+  get possibleHolders(): readonly string[] {
+    return [...new Set([...this.#members, ...this.known.map(({ name }) => name)])];
+  }
+
   /** Whether requests to an instance failed recently, or it is no longer listed. */
   isDoubtful(name: string): boolean {
     return this.#unlistedAt.has(name) || (this.#suspendedUntil.get(name) ?? 0) > performance.now();
@@ -64,7 +73,10 @@
 
   /** Applies a complete listing. */
   replaceAll(entries: readonly StoreEntry[]): void {
-    const listed = new Set(entries.map(({ key }) => toName(key)));
+    const listed = new Set(
+      entries.flatMap(({ key }) => (key.startsWith(STORAGE_PREFIX) ? toName(key) : [])),
+    );
+    this.#members.clear();
     [...this.#instances.keys()]
       .filter((name) => !listed.has(name))
       .forEach((name) => this.#markUnlisted(name));
@@ -74,6 +86,10 @@
 
   /** Applies the entry of one instance. */
   put({ key, value }: StoreEntry): void {
+    if (key.startsWith(STORAGE_MEMBER_PREFIX)) {
+      this.#members.add(key.slice(STORAGE_MEMBER_PREFIX.length));
+      return;
+    }
     const presence = parseJson(storageInstanceSchema, value);
     const name = toName(key);
     if (!presence) {
@@ -97,6 +113,10 @@
 
   /** Records that an instance is no longer listed. */
   remove(key: string): void {
+    if (key.startsWith(STORAGE_MEMBER_PREFIX)) {
+      this.#members.delete(key.slice(STORAGE_MEMBER_PREFIX.length));
+      return;
+    }
     const name = toName(key);
     if (!this.#instances.has(name)) return;
     this.#markUnlisted(name);
--- a/packages/turns/src/entry/turnKeeper.ts
+++ b/packages/turns/src/entry/turnKeeper.ts
@@ -6,10 +6,10 @@
 import { err, ok } from 'neverthrow';
 import { rankHolders } from '../decisions/rankHolders';
 import type { StorageInstance } from '../decisions/storageInstance';
+import type { TurnClients } from '../storage/turnClients';
 import type { CopyRequirement } from './copyPlan';
 import { CopyPlan } from './copyPlan';
 import type { StorageDirectory } from './storageDirectory';
-import type { TurnClients } from './turnClients';
 
 /**
  * Time without a response after which a turn is also sent to the next instance. A sync takes up to
@@ -126,7 +126,9 @@
     const { directory, clients, logger } = this.#parts;
     const timeoutMs = Math.min(MAXIMUM_CALL_MILLISECONDS, Math.max(1, deadlineMilliseconds));
     try {
-      const { results } = await clients.get(instance).storeTurns({ turns: [turn] }, { timeoutMs });
+      const { results } = await clients
+        .to(instance.address)
+        .storeTurns({ turns: [turn] }, { timeoutMs });
       if (results[0] === StoreResult.STORED) {
         directory.recordSuccess(instance.name);
         plan.recordStored(instance);
--- a/packages/turns/tests/entry/retainedTurns.test.ts
+++ b/packages/turns/tests/entry/retainedTurns.test.ts
@@ -1,12 +1,17 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import type { Turn } from '@limpetnotch/peer-protocol';
 import { rankHolders } from '../../src/decisions/rankHolders';
 import { RetainedTurns } from '../../src/entry/retainedTurns';
 import { StorageDirectory } from '../../src/entry/storageDirectory';
-import { createTurn } from '../support/createTurn';
+import { createTurn as createAnyTurn } from '../support/createTurn';
 import { FakeStorage } from '../support/fakeStorage';
 
 const KEY = { organisation: 'north', program: 'p1' };
 
+/** Creates a turn of the program of these tests. */
+const createTurn = (id: string, parentId = ''): Turn =>
+  createAnyTurn(id, { parentId, program: KEY.program });
+
 /** Longer than any test takes. */
 const DEADLINE_MILLISECONDS = 3_000;
 
@@ -149,6 +154,15 @@
   expect(await read(openTurns(), 'unknown')).toBe('unsure');
 });
 
+test('an absent member that may hold the turn counts as silent', async () => {
+  await startStorages(3);
+  storages[0]!.mode = 'silent';
+  directory.put({ key: 'limpetnotch/storage-member/s9', value: '{}', revision: 2 });
+  expect(await read(openTurns(), 'unknown')).toBe('unsure');
+  directory.remove('limpetnotch/storage-member/s9');
+  expect(await read(openTurns(), 'unknown')).toBe('absent');
+});
+
 test('an instance that lost its disk does not prove that a turn is absent', async () => {
   await startStorages(3);
   storages[0]!.mode = 'silent';
--- a/packages/turns/tests/support/createTurn.ts
+++ b/packages/turns/tests/support/createTurn.ts
@@ -1,15 +1,20 @@
 import { create } from '@bufbuild/protobuf';
+import type { MessageInitShape } from '@bufbuild/protobuf';
 import type { Turn } from '@limpetnotch/peer-protocol';
 import { TurnSchema } from '@limpetnotch/peer-protocol';
 
-/** Creates a turn of one program that does not expire during a test. */
-export const createTurn = (id: string, parentId = ''): Turn =>
-  create(TurnSchema, {
-    organisation: 'north',
-    id,
-    parentId,
-    program: 'p1',
-    expiresAtMilliseconds: Date.now() + 60_000,
-    input: Buffer.from(`input of ${id}`),
-    output: Buffer.from(`output of ${id}\n`),
-  });
+const LIFETIME_MILLISECONDS = 60_000;
+
+/** Creates a turn of its own program that expires in a minute. */
+export const createTurn = (id: string, change: MessageInitShape<typeof TurnSchema> = {}): Turn =>
+  Object.assign(
+    create(TurnSchema, {
+      organisation: 'north',
+      id,
+      program: `program of ${id}`,
+      expiresAtMilliseconds: Date.now() + LIFETIME_MILLISECONDS,
+      input: Buffer.from(`input of ${id}`),
+      output: Buffer.from(`output of ${id}`),
+    }),
+    change,
+  );
