--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -17,3 +17,6 @@
 export type { StorageInstanceParts } from './storage/storageInstanceProcess';
 export { STORAGE_MEMBER_PREFIX } from './storage/storageMember';
 export type { StorageSettings } from './storage/storageSettings';
+export { openSegmentFiles } from '@limpetnotch/turn-log';
+export type { SegmentFiles } from '@limpetnotch/turn-log';
+export { STORAGE_KEYS_PREFIX } from './storage/storageKeysPrefix';
--- a/packages/turns/src/storage/storageView.ts
+++ b/packages/turns/src/storage/storageView.ts
@@ -5,11 +5,9 @@
 import { storageInstanceSchema } from '../decisions/storageInstance';
 import { STORAGE_PREFIX } from '../decisions/storagePrefix';
 import type { StorageCodec } from './storageCodec';
+import { STORAGE_KEYS_PREFIX } from './storageKeysPrefix';
 import { STORAGE_MEMBER_PREFIX } from './storageMember';
 
-/** Common prefix of presence entries and members, so that one watch reports both. */
-const COMMON_PREFIX = 'limpetnotch/storage';
-
 /** Time for which an instance still counts after its presence ended: it may only be restarting. */
 const HOLD_MILLISECONDS = 3_000;
 
@@ -132,7 +130,11 @@
     const { store, codec } = this.#options;
     const options = { store, signal, silenceMilliseconds: SILENCE_MILLISECONDS };
     await Promise.all([
-      followPrefix({ ...options, prefix: COMMON_PREFIX, listener: this.#createInstanceListener() }),
+      followPrefix({
+        ...options,
+        prefix: STORAGE_KEYS_PREFIX,
+        listener: this.#createInstanceListener(),
+      }),
       followPrefix({
         ...options,
         prefix: codec.retirementPrefix,
--- a/packages/turns/tests/support/storageFleet.ts
+++ b/packages/turns/tests/support/storageFleet.ts
@@ -206,7 +206,7 @@
   }
 
   #run(instance: RunningInstance, isFirstStart: boolean): void {
-    const {files} = instance;
+    const { files } = instance;
     const connection = { isDown: false };
     const stop = new AbortController();
     const metrics = new MemoryMetrics();
