--- a/packages/turns/src/index.ts
+++ b/packages/turns/src/index.ts
@@ -22,3 +22,6 @@
 export type { RetainedTurnsOptions } from './entry/retainedTurns';
 export { StorageDirectory } from './entry/storageDirectory';
 export type { KeepError } from './entry/turnKeeper';
+export { openSegmentFiles } from '@limpetnotch/turn-log';
+export type { SegmentFiles } from '@limpetnotch/turn-log';
+export { STORAGE_KEYS_PREFIX } from './storage/storageKeysPrefix';
