Exclude targets of evacuated zones and of regions that are not allowed

Requests went to every serving target. Operators can now evacuate an availability zone by a key in the store, and restrict routes and organisations to regions. Both are decided in one place without input or output (scheduling/src/eligibility) before placement, and again for requests that wait for a connection, for repeats and for exchanges of other instances, whose bodies pass only through allowed regions. A request whose targets are all ineligible is refused at once, with the time in which a change by operators comes into force.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -53,6 +53,10 @@
   readonly priority: number | undefined;
   /** Inactivity of the target, on all connections, after which the attempt may be given up. */
   readonly inactivityTimeout: InactivityTimeout;
+  /** Whether a request that waits for a connection may still be sent to the target. */
+  readonly mayBeSent: () => boolean;
+  /** Whether the body may be sent to another instance in an availability zone. */
+  readonly mayPassThrough: (availabilityZone: string | undefined) => boolean;
   /** Whether giving up an unresponsive target now is better for the caller than waiting. */
   readonly mayGiveUpUnresponsive: () => boolean;
 }
@@ -157,13 +161,13 @@
       case 'own':
         return connections.sendOnNewConnection(target, request);
       case 'forwarded':
-        return this.#parts.access.forward(
-          target,
-          () => this.#createForwardedRequest(),
-          (name) => {
+        return this.#parts.access.forward(target, {
+          createRequest: () => this.#createForwardedRequest(),
+          mayPassThrough: this.#options.mayPassThrough,
+          onForwarder: (name) => {
             call.forwarder = name;
           },
-        );
+        });
     }
   }
 
@@ -205,6 +209,8 @@
     const progressCheck = setInterval(() => {
       if (exchange.unparsedBytes > MAXIMUM_UNUSED_BYTES) {
         abort({ kind: 'excessive', detail: 'bytes that belong to no response' });
+      } else if (!exchange.wasSent && !this.#options.mayBeSent()) {
+        abort({ kind: 'no-path', detail: 'target became ineligible', wasSent: false });
       } else if (this.#isWaitingInVain(exchange)) {
         abort({ kind: 'no-path', detail: 'no connection', wasSent: false });
       } else if (this.#isLost && this.#mayGiveUp(exchange)) {
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,11 +1,6 @@
 import type { LogFields, Metrics } from '@limpetnotch/observability';
-import {
-  estimateEngineMilliseconds,
-  filterTargetsByTrials,
-  placeRequest,
-  turnPriority,
-} from '@limpetnotch/scheduling';
-import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { turnPriority } from '@limpetnotch/scheduling';
+import type { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { LimitedDispatch } from '../limits/limitedDispatch';
 import { LimitWait } from '../limits/limitWait';
@@ -17,11 +12,14 @@
 import { Attempt } from './attempt';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
+import type { CallEligibility } from './callEligibility';
+import { CallPlacement } from './callPlacement';
 import { decideDispatch } from './decideDispatch';
 import type { DispatchSituation, GiveUpReason } from './decideDispatch';
 import type { Refusal } from './refusal';
 import { computeInactivityTimeout } from './inactivityTimeout';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
+import type { TargetChoice } from './targetChoice';
 
 /** Maximum dispatches of one request, including declined ones. */
 const MAXIMUM_DISPATCHES = 6;
@@ -29,9 +27,6 @@
 /** Maximum runs of one request; one that fails this often may itself be crashing its targets. */
 const MAXIMUM_RUNS = 3;
 
-/** Duration of a turn that is assumed until one was measured. */
-const DEFAULT_TURN_MILLISECONDS = 200;
-
 /** Callers retry after the time in which a full target frees a slot. */
 const FULL_RETRY_AFTER_SECONDS = 0.25;
 
@@ -52,28 +47,11 @@
   readonly metrics: Metrics;
   readonly quarantine: RequestQuarantine;
   readonly limitedDispatch: LimitedDispatch;
+  readonly eligibility: CallEligibility;
   /** Returns the number of instances that share the connections of a target. */
   readonly instanceCount: () => number;
 }
 
-/** Target of the next dispatch, or the reason why there is none. */
-type TargetChoice =
-  | {
-      readonly kind: 'target';
-      readonly target: FleetTarget;
-      /** Targets that may get the call instead, and the chosen one. */
-      readonly candidates: readonly FleetTarget[];
-      /** Whether the target may have run the call before. */
-      readonly isRepeat: boolean;
-      readonly connection: AttemptConnection;
-      readonly pauseMilliseconds: number;
-    }
-  | {
-      readonly kind: 'none';
-      readonly reason: GiveUpReason;
-      readonly retryAfterSeconds?: number;
-    };
-
 /** Whether the outcome of an attempt counts as a failure of its target. */
 const isTargetFailure = (outcome: AttemptOutcome): boolean => {
   switch (outcome.kind) {
@@ -125,8 +103,15 @@
 
   readonly #trials = new TrialRuns();
 
+  readonly #placement: CallPlacement;
+
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
+    this.#placement = new CallPlacement({
+      ...parts,
+      trials: this.#trials,
+      isOnTrial: (call) => this.#isOnTrial(call),
+    });
   }
 
   /** Runs a call until it ends. */
@@ -207,6 +192,8 @@
       connection: this.#parts.access.isForwarded(target) ? { kind: 'forwarded' } : connection,
       priority: this.#computePriority(call),
       inactivityTimeout: computeInactivityTimeout(call.route),
+      mayBeSent: () => this.#parts.eligibility.isEligible(call, target),
+      mayPassThrough: (zone) => this.#parts.eligibility.mayReceiveBody(call, zone),
       mayGiveUpUnresponsive: () => this.#mayGiveUpUnresponsive(call, target, repeatCount),
     });
     const endTrial = this.#isOnTrial(call) ? this.#trials.begin(target.id) : undefined;
@@ -365,9 +352,12 @@
 
   #getDispatchSituation(call: Call, repeatCount: number): DispatchSituation {
     const { formerTargets, stallCount, excludedTargetIds } = call.history;
-    const { targets } = this.#parts.fleet;
+    const { eligibility, fleet } = this.#parts;
+    const { targets } = fleet;
     const mayContinueAt = (target: FleetTarget | undefined): boolean =>
       target !== undefined && maySendEvents(call.origin, target);
+    const mayRepeatAt = (target: FleetTarget | undefined): boolean =>
+      target !== undefined && mayContinueAt(target) && eligibility.isEligible(call, target);
     const findFormer = (id: string): FleetTarget | undefined =>
       formerTargets.find(({ target }) => target.id === id)?.target;
     return {
@@ -376,10 +366,12 @@
       formerTargets,
       stallCount,
       repeatCount,
-      servingTargets: targets.getServing(call.service.name).filter(mayContinueAt),
+      servingTargets: eligibility
+        .filter(call, targets.getServing(call.service.name))
+        .filter(mayContinueAt),
       excludedTargetIds,
       mayRepeat: (targetId) =>
-        targets.mayRetry(targetId) && mayContinueAt(targets.get(targetId) ?? findFormer(targetId)),
+        targets.mayRetry(targetId) && mayRepeatAt(targets.get(targetId) ?? findFormer(targetId)),
     };
   }
 
@@ -387,7 +379,7 @@
     const decision = decideDispatch(this.#getDispatchSituation(call, repeatCount));
     switch (decision.kind) {
       case 'dispatch':
-        return this.#placeCall(call, decision.candidates);
+        return this.#placement.place(call, decision.candidates);
       case 'repeat':
         return {
           ...decision,
@@ -397,71 +389,14 @@
           connection: { kind: 'own' },
         };
       case 'give-up':
-        return { kind: 'none', reason: decision.reason };
+        return this.#explainGivingUp(call, decision.reason);
     }
   }
 
-  #placeCall(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
-    const { fleet, availabilityZone, limitedDispatch } = this.#parts;
-    const parts = call.envelope.prompt?.parts ?? [];
-    const placement = placeRequest(
-      { availabilityZone, work: this.#toPlacementWork(call) },
-      filterTargetsByTrials(
-        limitedDispatch
-          .filterByRoom(call, candidates, (target) => this.#estimateEngineCost(call, target))
-          .map((target) => ({
-            ...target,
-            estimatedLoad: this.#parts.loads.estimateInFlight(target.id),
-            trials: this.#trials.countAt(target.id),
-          })),
-        this.#isOnTrial(call),
-      ).map((target) => ({
-        id: target.id,
-        availabilityZone: target.availabilityZone,
-        slots: target.slots,
-        estimatedLoad: target.estimatedLoad,
-        slowness: this.#parts.speeds.slowness(target.id),
-        cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
-      })),
-    );
-    const target = placement && fleet.targets.get(placement.targetId);
-    if (!target) return { kind: 'none', reason: 'no-target' };
-    const placed = call;
-    placed.placement = placement.reason;
-    placed.target = target.id;
-    const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
-    const connectionLimit = Math.max(1, Math.floor(share));
-    const connection = { kind: 'shared', connectionLimit } as const;
-    return {
-      kind: 'target',
-      target,
-      candidates,
-      isRepeat: false,
-      connection,
-      pauseMilliseconds: 0,
-    };
-  }
-
-  /** Estimates the time for which a call occupies a model engine, in milliseconds. */
-  #estimateEngineCost({ envelope: { prompt } }: Call, { id, slots }: FleetTarget): number {
-    if (!prompt) return 0;
-    const uncachedTokens = prompt.inputTokens - this.#parts.prefixes.cachedTokens(id, prompt.parts);
-    return estimateEngineMilliseconds({
-      uncachedTokens,
-      outputTokens: prompt.expectedOutputTokens ?? prompt.maximumOutputTokens,
-      slots,
-    });
-  }
-
-  #toPlacementWork({ envelope: { prompt, program }, route }: Call): PlacementWork {
-    if (!prompt || !route.hasSessionAffinity) return { kind: 'plain' };
-    return {
-      kind: 'model',
-      affinityKey: program?.id ?? prompt.parts.at(-1)?.id,
-      promptTokens: prompt.inputTokens,
-      usualMilliseconds:
-        this.#parts.speeds.usualMilliseconds(route.name) ?? DEFAULT_TURN_MILLISECONDS,
-    };
+  #explainGivingUp(call: Call, reason: GiveUpReason): TargetChoice {
+    const retryAfterSeconds = this.#parts.eligibility.explainRefusal(call);
+    if (retryAfterSeconds === undefined) return { kind: 'none', reason };
+    return { kind: 'none', reason: 'ineligible', retryAfterSeconds };
   }
 
   #toExpiredRefusal(call: Call): Refusal {
@@ -491,6 +426,7 @@
 
   #describeUnavailability({ origin }: Call, reason: GiveUpReason): string {
     if (reason === 'limited') return 'targets are at their limits';
+    if (reason === 'ineligible') return 'all targets are evacuated or outside the allowed regions';
     if (origin === undefined) return 'no target accepted the request';
     return `no target of version ${origin.version ?? 'unknown'} accepted the resumption`;
   }
--- a/packages/gateway/src/calls/decideDispatch.ts
+++ b/packages/gateway/src/calls/decideDispatch.ts
@@ -35,7 +35,14 @@
 
 /** Why a request is not dispatched again. */
 export type GiveUpReason =
-  'no-target' | 'repeated' | 'silent' | 'unreachable' | 'departed' | 'full' | 'limited';
+  | 'no-target'
+  | 'repeated'
+  | 'silent'
+  | 'unreachable'
+  | 'departed'
+  | 'full'
+  | 'limited'
+  | 'ineligible';
 
 /** Where a request is dispatched next. */
 export type DispatchDecision =
--- a/packages/gateway/src/configuration/configurationIndex.ts
+++ b/packages/gateway/src/configuration/configurationIndex.ts
@@ -17,11 +17,19 @@
   /** Organisations by the SHA-256 digest of each of their keys. */
   readonly #organisationsByKeyDigest = new Map<string, FleetOrganisation>();
 
+  readonly #routes: ReadonlyMap<string, FleetRoute>;
+
+  readonly #organisations: ReadonlyMap<string, FleetOrganisation>;
+
   readonly #services: ReadonlyMap<string, TargetService>;
 
   constructor(configuration: FleetConfiguration) {
     this.configuration = configuration;
     this.#services = new Map(configuration.services.map((service) => [service.name, service]));
+    this.#routes = new Map(configuration.routes.map((route) => [route.name, route]));
+    this.#organisations = new Map(
+      configuration.organisations?.map((organisation) => [organisation.name, organisation]),
+    );
     configuration.routes.forEach((route) => {
       const host = route.host.toLowerCase();
       this.#routesByHost.set(host, [...(this.#routesByHost.get(host) ?? []), route]);
@@ -48,6 +56,15 @@
     return this.#organisationsByKeyDigest.get(digestOf(key));
   }
 
+  /** Returns the route that has a name in this version of the configuration. */
+  findRouteByName(name: string): FleetRoute | undefined {
+    return this.#routes.get(name);
+  }
+
+  findOrganisationByName(name: string): FleetOrganisation | undefined {
+    return this.#organisations.get(name);
+  }
+
   /** Whether organisations are configured, so that callers present keys. */
   get hasOrganisations(): boolean {
     return this.configuration.organisations !== undefined;
--- a/packages/gateway/src/configuration/fleetConfiguration.ts
+++ b/packages/gateway/src/configuration/fleetConfiguration.ts
@@ -49,6 +49,8 @@
   hasSessionAffinity: z.boolean(),
   /** Time for which a program may return after its last turn; unknown if absent. */
   retentionMilliseconds: z.number().min(0).optional(),
+  /** Regions of the targets and instances that requests may reach; unrestricted if absent or empty. */
+  allowedRegions: z.array(z.string().min(1)).optional(),
 });
 
 /** A model engine behind a service. */
@@ -80,6 +82,8 @@
   keys: z.array(z.string().min(1)),
   /** Rank among organisations; 0 is the highest. */
   priority: z.number().int().min(0),
+  /** Regions that its requests may reach, as for a route; both restrictions apply. */
+  allowedRegions: z.array(z.string().min(1)).optional(),
   /** Limit in requests per second; absent if there is none. */
   rate: z.object({ perSecond: z.number().positive(), burst: z.number().min(0) }).optional(),
 });
--- a/packages/gateway/src/fleet/fleetCodec.ts
+++ b/packages/gateway/src/fleet/fleetCodec.ts
@@ -30,6 +30,8 @@
   decodeOperatorEntry(entry: StoreEntry): OperatorEntry;
   decodeTarget(entry: StoreEntry): TargetEntry;
   targetIdOf(key: string): string;
+  /** Returns the availability zone that an operator evacuates by a key; undefined for other keys. */
+  decodeEvacuatedZone(key: string): string | undefined;
   /** Encodes the report that a storage instance is empty. */
   encodeRetired(instance: string): KeyedValue;
 }
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -1,8 +1,9 @@
-import type { Logger } from '@limpetnotch/observability';
+import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
 import { followPrefix } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
+import { EvacuationFollower } from './evacuationFollower';
 import type { FleetCodec } from './fleetCodec';
 import type { FleetState } from './fleetState';
 import { WatchStatus } from './watchStatus';
@@ -29,6 +30,7 @@
   readonly codec: FleetCodec;
   readonly state: FleetState;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly onConfiguration: (configuration: FleetConfiguration) => void;
   readonly onTargetsChanged: () => void;
   readonly onRetirement: (instance: string) => void;
@@ -39,12 +41,16 @@
 export class FleetFollower {
   readonly #parts: FleetFollowerParts;
 
+  readonly #evacuations: EvacuationFollower;
+
   readonly #operatorWatchStatus: WatchStatus;
 
   readonly #targetWatchStatus: WatchStatus;
 
   constructor(parts: FleetFollowerParts) {
     this.#parts = parts;
+    const { evacuations } = parts.state;
+    this.#evacuations = new EvacuationFollower({ ...parts, evacuations });
     this.#operatorWatchStatus = new WatchStatus(parts.logger, parts.codec.operatorPrefix);
     this.#targetWatchStatus = new WatchStatus(parts.logger, parts.codec.targetPrefix);
   }
@@ -83,9 +89,16 @@
     const watchStatus = this.#operatorWatchStatus;
     const { state } = this.#parts;
     return {
-      replaced: (entries) => entries.forEach((entry) => this.#applyOperatorEntry(entry)),
-      put: (entry) => this.#applyOperatorEntry(entry),
-      removed: () => undefined,
+      replaced: (entries) => {
+        // Evacuations come first, so that the first configuration admits no request without them.
+        this.#evacuations.replaced(entries);
+        entries.forEach((entry) => this.#applyOperatorEntry(entry));
+      },
+      put: (entry) => {
+        this.#evacuations.put(entry);
+        this.#applyOperatorEntry(entry);
+      },
+      removed: (key) => this.#evacuations.removed(key),
       confirmed: () => {
         state.isConfigurationUnconfirmed = false;
         if (watchStatus.recordRecovery() > 0) this.#parts.onStoreRegained();
--- a/packages/gateway/src/fleet/fleetState.ts
+++ b/packages/gateway/src/fleet/fleetState.ts
@@ -2,11 +2,14 @@
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
 import { ServiceVersions } from '../resumption/serviceVersions';
 import { TargetDirectory } from '../targets/targetDirectory';
+import { Evacuations } from './evacuations';
 
 /** This instance's view of the fleet: the configuration in force and the targets. */
 export class FleetState {
   readonly targets = new TargetDirectory();
 
+  readonly evacuations = new Evacuations();
+
   readonly versions = new ServiceVersions();
 
   /**
--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -47,6 +47,8 @@
   detail,
 });
 
+const TARGET_EVACUATED = failed('target-unavailable', 'evacuated');
+
 const TARGET_UNKNOWN = failed('target-unavailable', 'unknown target');
 
 /**
@@ -126,6 +128,7 @@
     if (this.#underWay >= MAXIMUM_EXCHANGES) return failed('declined', 'full');
     if (!target) return TARGET_UNKNOWN;
     if (paths.isCut(target)) return failed('target-unavailable', 'no path');
+    if (this.#isEvacuated(target)) return TARGET_EVACUATED;
     const isServing = fleet.targets.isServing(target);
     return isServing || (isRepeat && fleet.targets.mayRetry(target.id))
       ? undefined
@@ -157,7 +160,10 @@
   ): AsyncGenerator<ForwardedPart> {
     const head = yield* this.#waitFor(exchange.head, exchange, target);
     if (head.isErr()) {
-      const failure = await this.#toFailure(head.error, target);
+      const failure =
+        !exchange.wasSent && this.#isEvacuated(target)
+          ? TARGET_EVACUATED
+          : await this.#toFailure(head.error, target);
       this.#record(request, failure.failure, failure.detail);
       yield failure;
       return;
@@ -194,10 +200,15 @@
       const settled = await settleWithin(arrived, PROGRESS_MILLISECONDS, () => undefined);
       if (settled) return settled.value;
       if (this.#parts.paths.isSilent(target)) exchange.abort('no path to the target');
+      if (!exchange.wasSent && this.#isEvacuated(target)) exchange.abort('evacuated');
       yield { kind: 'progress' };
     }
   }
 
+  #isEvacuated({ availabilityZone }: FleetTarget): boolean {
+    return this.#parts.fleet.evacuations.has(availabilityZone);
+  }
+
   /** Notes what a response says about its target, as responses to this instance's own requests. */
   #observeHead(target: FleetTarget, { status, rawHeaders }: TargetResponse): void {
     const { codec, loads, fleet } = this.#parts;
--- a/packages/gateway/src/forwarding/forwarding.ts
+++ b/packages/gateway/src/forwarding/forwarding.ts
@@ -13,6 +13,16 @@
 /** Time for which an instance is avoided that was lost during an exchange. */
 const LOST_MILLISECONDS = 2_000;
 
+/** Options of one exchange through other instances. */
+export interface ForwardingOptions {
+  /** Called for each instance that is tried, as the remaining time differs. */
+  readonly createRequest: () => ForwardedRequest;
+  /** Whether the request may be sent to an instance in an availability zone. */
+  readonly mayPassThrough: (availabilityZone: string | undefined) => boolean;
+  /** Called with the name of each instance that is tried. */
+  readonly onForwarder: (name: string) => void;
+}
+
 /** Dependencies of a {@link Forwarding}. */
 export interface ForwardingParts {
   readonly peers: ForwardingPeers;
@@ -45,20 +55,14 @@
     return this.#parts.peers.names.some((name) => !this.#isAvoided(name));
   }
 
-  /**
-   * Sends a request through another instance.
-   *
-   * @param createRequest Called for each instance that is tried, as the remaining time differs.
-   * @param onForwarder Called with the name of each instance that is tried.
-   */
+  /** Sends a request through another instance. */
   send(
     target: FleetTarget,
-    createRequest: () => ForwardedRequest,
-    onForwarder: (name: string) => void,
+    { createRequest, mayPassThrough, onForwarder }: ForwardingOptions,
   ): TargetExchange {
     const tried = new Set<string>();
     return ForwardedExchange.start(() => {
-      const name = this.#choose(target, tried);
+      const name = this.#choose(target, tried, mayPassThrough);
       if (name === undefined) return undefined;
       tried.add(name);
       onForwarder(name);
@@ -66,9 +70,14 @@
     });
   }
 
-  #choose({ availabilityZone }: FleetTarget, tried: ReadonlySet<string>): string | undefined {
+  #choose(
+    { availabilityZone }: FleetTarget,
+    tried: ReadonlySet<string>,
+    mayPassThrough: ForwardingOptions['mayPassThrough'],
+  ): string | undefined {
     const candidates = this.#parts.peers.names
       .filter((name) => !tried.has(name))
+      .filter((name) => mayPassThrough(this.#parts.availabilityZoneOf(name)))
       .map((name) => ({
         name,
         availabilityZone: this.#parts.availabilityZoneOf(name),
--- a/packages/gateway/src/forwarding/targetAccess.ts
+++ b/packages/gateway/src/forwarding/targetAccess.ts
@@ -1,8 +1,7 @@
 import type { AttemptOutcome } from '../calls/attemptOutcome';
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetExchange } from '../targets/targetExchange';
-import type { Forwarding } from './forwarding';
-import type { ForwardedRequest } from './forwardedRequest';
+import type { Forwarding, ForwardingOptions } from './forwarding';
 import type { PathChecker } from './pathChecker';
 import type { TargetPaths } from './targetPaths';
 
@@ -36,13 +35,9 @@
     return this.isForwarded(target) && !this.#parts.forwarding.isAvailable;
   }
 
-  /** Sends a request through another instance; calls `onForwarder` with each that is tried. */
-  forward(
-    target: FleetTarget,
-    createRequest: () => ForwardedRequest,
-    onForwarder: (name: string) => void,
-  ): TargetExchange {
-    return this.#parts.forwarding.send(target, createRequest, onForwarder);
+  /** Sends a request through another instance. */
+  forward(target: FleetTarget, options: ForwardingOptions): TargetExchange {
+    return this.#parts.forwarding.send(target, options);
   }
 
   /** Records that a target answered on an open connection. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import { GrantMemory } from './budgets/grantMemory';
 import { ResponseWriter } from './calls/responseWriter';
 import { CallGateway } from './calls/callGateway';
+import { CallEligibility } from './calls/callEligibility';
 import { CallRunner } from './calls/callRunner';
 import { BufferLimiter } from './calls/bufferLimiter';
 import { OpenCalls } from './calls/openCalls';
@@ -278,6 +279,7 @@
       codec: parts.fleetCodec,
       state: this.#fleet,
       logger,
+      metrics,
       onConfiguration: (configuration) => this.#onConfigurationChanged(configuration),
       onTargetsChanged: () => this.#onTargetsChanged(),
       onRetirement: (instance) => {
@@ -314,6 +316,7 @@
       metrics,
       quarantine: this.#quarantine,
       limitedDispatch,
+      eligibility: new CallEligibility({ fleet: this.#fleet, settings, logger, metrics }),
       origins: this.#origins,
       instanceCount: () => this.#membership.presentCount,
     });
--- a/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
+++ b/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
@@ -300,3 +300,34 @@
   peers.close();
   await listener.close();
 });
+
+test('an evacuated target gets no request through another instance', async () => {
+  let requests = 0;
+  await start((_request, response) => {
+    requests += 1;
+    response.end();
+  });
+  fleet.fleet.evacuations.start('a');
+  expect(kindsOf(await forward())).toEqual(['target-unavailable']);
+  expect(kindsOf(await forward({ isRepeat: true }))).toEqual(['target-unavailable']);
+  expect(requests).toBe(0);
+});
+
+// Without a configuration, an instance has one connection to a target.
+test('a request that waits at its forwarder is not sent to a target that is evacuated', async () => {
+  let requests = 0;
+  const held = new Deferred<ServerResponse>();
+  await start((_request, response) => {
+    requests += 1;
+    held.resolve(response);
+  });
+  const first = forward();
+  const response = await held.promise;
+  const second = forward();
+  await delay(30);
+  fleet.fleet.evacuations.start('a');
+  expect(kindsOf(await second)).toEqual(['target-unavailable']);
+  response.end('done');
+  expect(kindsOf(await first)).toEqual(['head', 'data', 'end']);
+  expect(requests).toBe(1);
+});
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -93,6 +93,7 @@
     },
   }),
   targetIdOf: () => 't0',
+  decodeEvacuatedZone: () => undefined,
   encodeRetired: () => ({ key: '', value: '' }),
 });
 
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -8,12 +8,13 @@
 import { ResponseWriter } from '../../src/calls/responseWriter';
 import { Call } from '../../src/calls/call';
 import type { CallEnvelope } from '../../src/calls/callEnvelope';
+import { CallEligibility } from '../../src/calls/callEligibility';
 import type { CallResult } from '../../src/calls/callRunner';
 import { CallRunner } from '../../src/calls/callRunner';
 import { BufferLimiter } from '../../src/calls/bufferLimiter';
 import { TargetBuffers } from '../../src/calls/targetBuffers';
 import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
-import type { FleetRoute } from '../../src/configuration/fleetConfiguration';
+import type { FleetRoute, TargetService } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
 import type { FleetTarget } from '../../src/targets/fleetTarget';
 import { TargetConnections } from '../../src/targets/targetConnections';
@@ -23,6 +24,7 @@
 import { callEnvelope } from './callEnvelope';
 import { fleetRoute } from './fleetRoute';
 import { fleetTarget } from './fleetTarget';
+import { platformLimits } from './platformLimits';
 import { singleInstanceAccess } from './singleInstanceAccess';
 import { singleInstanceLimits } from './singleInstanceLimits';
 
@@ -100,7 +102,7 @@
 
   readonly #runner: CallRunner;
 
-  constructor(connections = new TargetConnections()) {
+  constructor(connections = new TargetConnections(), regions: Record<string, string> = {}) {
     this.#connections = connections;
     const logger: Logger = {
       ...silentLogger,
@@ -123,6 +125,12 @@
       access,
       loads,
       ...singleInstanceLimits({ logger, metrics, loads }),
+      eligibility: new CallEligibility({
+        fleet,
+        settings: { ...platformLimits, regions },
+        logger,
+        metrics,
+      }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer: this.#writer,
@@ -157,6 +165,22 @@
     this.fleet.targets.put(fleetTarget({ id, address, state, ...change }));
   }
 
+  /** Puts a newer configuration with these routes, and the service of the tests, in force. */
+  apply(routes: readonly Partial<FleetRoute>[], service: Partial<TargetService> = {}): void {
+    const version = (this.fleet.index?.configuration.version ?? 0) + 1;
+    this.fleet.apply({
+      version,
+      routes: routes.map(fleetRoute),
+      services: [{ name: 's', connectionLimit: this.connectionLimit, ...service }],
+      limits: {
+        headerBytes: 8_192,
+        bodyBytes: 8_192,
+        headerTimeoutMilliseconds: 1_000,
+        idleTimeoutMilliseconds: 1_000,
+      },
+    });
+  }
+
   /** Runs one call from a caller over a real connection. */
   async run(
     route: Partial<FleetRoute>,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -6,6 +6,7 @@
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { ResponseWriter } from '../../src/calls/responseWriter';
 import { CallGateway } from '../../src/calls/callGateway';
+import { CallEligibility } from '../../src/calls/callEligibility';
 import { CallRunner } from '../../src/calls/callRunner';
 import { BufferLimiter } from '../../src/calls/bufferLimiter';
 import { TargetBuffers } from '../../src/calls/targetBuffers';
@@ -22,6 +23,7 @@
 import { CrashDetector } from '../../src/targets/crashDetector';
 import { TargetLoads } from '../../src/targets/targetLoads';
 import { fleetRoute } from './fleetRoute';
+import { platformLimits } from './platformLimits';
 import { singleInstanceAccess } from './singleInstanceAccess';
 import { singleInstanceLimits } from './singleInstanceLimits';
 import { testWireCodec } from './testWireCodec';
@@ -164,6 +166,7 @@
       access,
       loads,
       ...singleInstanceLimits({ logger, metrics, loads }),
+      eligibility: new CallEligibility({ fleet, settings: platformLimits, logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
       writer,
