Limit cold targets to their configured rate

A target that has just started, or announces that it is cold, sustains a low rate and crashes well above it. Services now configure that rate and time, and announcements may hold the time left. While a target is cold, tokens are handed out by the code of the limits that targets name, under a key of its own and without a burst, at the smaller of both limits.

--- a/packages/gateway/src/configuration/fleetConfiguration.ts
+++ b/packages/gateway/src/configuration/fleetConfiguration.ts
@@ -60,12 +60,21 @@
   tokensPerEvent: z.number().positive(),
 });
 
+/** How targets of a service start: they are cold for a time, in which they sustain a low rate. */
+export const coldStartSchema = z.object({
+  /** Time from the start of a target; 0 if only targets that announce it are cold. */
+  milliseconds: z.number().min(0),
+  requestsPerSecond: z.number().positive(),
+});
+
 /** A service that is provided by a set of targets. */
 export const targetServiceSchema = z.object({
   name: z.string().min(1),
   /** Number of connections that one target accepts from all instances together. */
   connectionLimit: z.number().int().positive(),
   engine: engineSchema.optional(),
+  /** Absent if its targets take all their load from the start. */
+  coldStart: coldStartSchema.optional(),
 });
 
 /** Limits on callers' requests and connections. */
@@ -101,6 +110,7 @@
 export type RouteExecution = z.infer<typeof executionSchema>;
 export type RouteContext = z.infer<typeof routeContextSchema>;
 export type FleetRoute = z.infer<typeof fleetRouteSchema>;
+export type ColdStart = z.infer<typeof coldStartSchema>;
 export type TargetService = z.infer<typeof targetServiceSchema>;
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 export type FleetOrganisation = z.infer<typeof fleetOrganisationSchema>;
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -3,6 +3,7 @@
 import { followPrefix } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
+import type { FleetTarget } from '../targets/fleetTarget';
 import { EvacuationFollower } from './evacuationFollower';
 import type { FleetCodec } from './fleetCodec';
 import type { FleetState } from './fleetState';
@@ -47,6 +48,9 @@
 
   readonly #targetWatchStatus: WatchStatus;
 
+  /** Whether the targets were listed before, so that an unknown one has started since. */
+  #hasListedTargets = false;
+
   constructor(parts: FleetFollowerParts) {
     this.#parts = parts;
     const { evacuations } = parts.state;
@@ -121,7 +125,8 @@
     return {
       replaced: (entries) => {
         recordRecovery();
-        const targets = entries.flatMap((entry) => this.#decodeTarget(entry) ?? []);
+        const targets = entries.flatMap((entry) => this.#readTarget(entry) ?? []);
+        this.#hasListedTargets = true;
         state.targets.replaceAll(targets);
         state.versions.restart();
         logger.info('targets.listed', { targets: targets.length });
@@ -129,7 +134,7 @@
       },
       put: (entry) => {
         recordRecovery();
-        const target = this.#decodeTarget(entry);
+        const target = this.#readTarget(entry);
         if (target) state.targets.put(target);
         else state.targets.remove(codec.targetIdOf(entry.key));
         logger.info('targets.changed', {
@@ -143,18 +148,28 @@
       removed: (key) => {
         recordRecovery();
         state.targets.remove(codec.targetIdOf(key));
+        state.coldTargets.remove(codec.targetIdOf(key));
         logger.info('targets.removed', { target: codec.targetIdOf(key) });
         onTargetsChanged();
       },
       confirmed: (revision) => {
         recordRecovery();
         state.versions.confirm(revision);
+        state.coldTargets.confirm();
       },
       lost: (detail) => watchStatus.recordLoss(detail),
     };
   }
 
-  #decodeTarget(entry: StoreEntry) {
+  /** Decodes an announcement, and notes before its target may be used whether it is cold. */
+  #readTarget(entry: StoreEntry): FleetTarget | undefined {
+    const target = this.#decodeTarget(entry);
+    if (!target) return undefined;
+    this.#parts.state.coldTargets.observe(target, entry.revision, !this.#hasListedTargets);
+    return target;
+  }
+
+  #decodeTarget(entry: StoreEntry): FleetTarget | undefined {
     const decoded = this.#parts.codec.decodeTarget(entry);
     switch (decoded.kind) {
       case 'target':
--- a/packages/gateway/src/fleet/fleetState.ts
+++ b/packages/gateway/src/fleet/fleetState.ts
@@ -1,6 +1,7 @@
 import { ConfigurationIndex } from '../configuration/configurationIndex';
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
 import { ServiceVersions } from '../resumption/serviceVersions';
+import { ColdTargets } from '../limits/coldTargets';
 import { TargetDirectory } from '../targets/targetDirectory';
 import { Evacuations } from './evacuations';
 
@@ -10,6 +11,8 @@
 
   readonly evacuations = new Evacuations();
 
+  readonly coldTargets = new ColdTargets();
+
   readonly versions = new ServiceVersions();
 
   /**
@@ -30,6 +33,7 @@
     const current = this.#index?.configuration.version ?? -Infinity;
     if (configuration.version <= current) return false;
     this.#index = new ConfigurationIndex(configuration);
+    this.coldTargets.configure(configuration.services);
     return true;
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -30,10 +30,8 @@
 import { TargetPaths } from './forwarding/targetPaths';
 import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
-import { TargetLimits } from './limits/targetLimits';
+import { FleetLimits } from './limits/fleetLimits';
 import { LimitedDispatch } from './limits/limitedDispatch';
-import { LimitGate } from './limits/limitGate';
-import { LimitSharing } from './limits/limitSharing';
 import { ProgramStarts } from './limits/programStarts';
 import type { ProbeAddress } from './overload/acceptProbe';
 import { IngressLoad } from './overload/ingressLoad';
@@ -109,11 +107,7 @@
 
   readonly #speeds = new TargetSpeeds();
 
-  readonly #limits: TargetLimits;
-
-  readonly #limitGate: LimitGate;
-
-  readonly #limitSharing: LimitSharing;
+  readonly #limits: FleetLimits;
 
   readonly #paths: TargetPaths;
 
@@ -177,7 +171,6 @@
     this.#ingressLoad = new IngressLoad({ address: () => this.#entryAddress, logger, metrics });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
-    this.#limits = new TargetLimits({ logger, metrics });
     this.#counts = new WorkCounts(metrics);
     const store = new CountedStore(parts.store, this.#counts);
     this.#peers = new FleetPeers({ logger, metrics, counts: this.#counts });
@@ -240,13 +233,14 @@
       onChange: () => this.#onMembershipChanged(),
       ledger: this.#quarantineLedger,
     });
-    const limitParts = {
-      limits: this.#limits,
+    this.#limits = new FleetLimits({
+      fleet: this.#fleet,
+      bounds: settings.bounds,
       peers: this.#peers,
       membership: this.#membership,
-    };
-    this.#limitGate = new LimitGate(limitParts);
-    this.#limitSharing = new LimitSharing({ ...limitParts, gate: this.#limitGate });
+      logger,
+      metrics,
+    });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
       instance: settings.instance,
@@ -290,7 +284,7 @@
       },
     });
     const limitedDispatch = new LimitedDispatch({
-      gate: this.#limitGate,
+      gate: this.#limits.gate,
       loads: this.#loads,
       instanceCount: () => this.#membership.presentCount,
       logger,
@@ -305,7 +299,7 @@
         forwarding: this.#forwarding,
       }),
       loads: this.#loads,
-      limits: this.#limits,
+      limits: this.#limits.named,
       prefixes: this.#prefixes,
       speeds: this.#speeds,
       writer,
@@ -339,11 +333,11 @@
       }),
       programStarts: new ProgramStarts({
         fleet: this.#fleet,
-        gate: this.#limitGate,
+        gate: this.#limits.gate,
         loads: this.#loads,
         speeds: this.#speeds,
         instanceCount: () => this.#membership.presentCount,
-        isAnyLimited: () => this.#limits.isAnyLimited,
+        isAnyLimited: () => this.#limits.named.isAnyLimited,
         hasStarted: (programKey) => this.#budgets.isProgramKnown(programKey),
         logger,
         metrics,
@@ -402,7 +396,7 @@
       ...this.#follower.tasks,
       ...this.#membership.tasks,
       this.#quarantineLedger.task,
-      this.#limitSharing.task,
+      this.#limits.sharing.task,
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
       createWorkReport({ counts: this.#counts, logger }),
@@ -429,8 +423,8 @@
         quotas: this.#quotas,
         budgets: this.#budgets,
         quarantine: this.#quarantineSharing,
-        limitGate: this.#limitGate,
-        limitSharing: this.#limitSharing,
+        limitGate: this.#limits.gate,
+        limitSharing: this.#limits.sharing,
         origins: this.#origins,
         fleet: this.#fleet,
         pathChecker: this.#pathChecker,
@@ -491,9 +485,8 @@
     this.#buffers.retain(isKnown);
     this.#speeds.retain(isKnown);
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
-    [this.#limits, this.#limitGate, this.#limitSharing, this.#paths].forEach((part) =>
-      part.retain((key) => incarnationKeys.has(key)),
-    );
+    this.#paths.retain((key) => incarnationKeys.has(key));
+    this.#limits.retainAnnounced();
     this.#ends.checkAnnouncements();
     this.#fleet.versions.observe(this.#fleet.targets.all);
   }
--- a/packages/gateway/src/limits/limitGate.ts
+++ b/packages/gateway/src/limits/limitGate.ts
@@ -1,10 +1,9 @@
 import type { FleetTarget } from '../targets/fleetTarget';
-import { getIncarnationKey } from '../targets/getIncarnationKey';
 import { chooseLimitHolders } from './chooseLimitHolders';
 import type { LimitHolders } from './chooseLimitHolders';
 import { decideLimitRole } from './decideLimitRole';
 import type { LimitRole, LimitRoleSituation } from './decideLimitRole';
-import type { TargetLimits } from './targetLimits';
+import type { LimitKnowledge } from './limitKnowledge';
 import type { LimitMembership, LimitPeers, TokenReply, TokenRequest } from './limitPeers';
 import { LimitTokens } from './limitTokens';
 import { toRatePart } from './toRatePart';
@@ -25,7 +24,7 @@
 
 /** Dependencies of a {@link LimitGate}. */
 export interface LimitGateParts {
-  readonly limits: TargetLimits;
+  readonly limits: LimitKnowledge;
   readonly peers: LimitPeers;
   readonly membership: LimitMembership;
 }
@@ -65,33 +64,38 @@
     this.#parts = parts;
   }
 
-  /** Whether a target names a limit. */
+  /** Whether requests to a target are limited. */
   isLimited(target: FleetTarget): boolean {
     if (!this.#parts.limits.isAnyLimited) return false;
-    return this.#parts.limits.getLimit(getIncarnationKey(target)) !== undefined;
+    return this.#parts.limits.getLimit(this.#keyOf(target)) !== undefined;
+  }
+
+  /** Whether a target names a limit itself, so that it takes less than it usually does. */
+  isReduced(target: FleetTarget): boolean {
+    return this.#parts.limits.isAnyLimited && this.#parts.limits.isNamedBy(target);
   }
 
   /** Returns the limit of a target in requests per second; undefined if there is none. */
   getRequestsPerSecond(target: FleetTarget): number | undefined {
-    return this.#parts.limits.getLimit(getIncarnationKey(target))?.requestsPerSecond;
+    return this.#parts.limits.getLimit(this.#keyOf(target))?.requestsPerSecond;
   }
 
   /** Returns the time until a request may be sent to a target, as far as it is known. */
   getWaitMilliseconds(target: FleetTarget): number {
     if (!this.isLimited(target)) return 0;
-    const limited = this.#targets.get(getIncarnationKey(target));
+    const limited = this.#targets.get(this.#keyOf(target));
     return Math.max(0, (limited?.notBeforeMilliseconds ?? 0) - performance.now());
   }
 
   /** Takes a token for one request to a target. */
   async acquire(target: FleetTarget): Promise<LimitDecision> {
-    const incarnationKey = getIncarnationKey(target);
+    const incarnationKey = this.#keyOf(target);
     const limit = this.#parts.limits.getLimit(incarnationKey);
     if (!limit) return { kind: 'unlimited' };
     const limited = this.#getOrCreate(incarnationKey);
     if (!limited.tokens.trySpendReceived()) {
       if (this.getWaitMilliseconds(target) > 0) return this.#deny(limit.requestsPerSecond);
-      if (!(await this.#takeToken(limited))) return this.#denyOrPass(incarnationKey);
+      if (!(await this.#takeToken(limited))) return this.#denyOrPass(target);
     }
     const { requestsPerSecond } = this.#parts.limits.getLimit(incarnationKey) ?? limit;
     return { kind: 'granted', requestsPerSecond, remaining: limited.remaining };
@@ -101,14 +105,13 @@
   handleTokenRequest(request: TokenRequest): TokenReply {
     const { limits, membership } = this.#parts;
     const { incarnationKey, instance, wanted, isOwnerUnreachable } = request;
-    limits.merge(incarnationKey, request.state);
+    const state = limits.mergeRequested(incarnationKey, request.state);
     membership.noteRevision(request.membersRevision);
     const { membersRevision } = membership;
-    const state = limits.get(incarnationKey);
     const common = { given: 0, remaining: 0, nextMilliseconds: 0, state, membersRevision };
     if (state?.kind !== 'limited') return { ...common, isHolder: true };
     const role = this.#decideRole(incarnationKey, { ...ALL_REACHABLE, isOwnerUnreachable });
-    const part = toRatePart(role, state.requestsPerSecond);
+    const part = toRatePart(role, state);
     if (!part) return { ...common, isHolder: false };
     const grant = this.#getOrCreate(incarnationKey).tokens.give(instance, part, wanted);
     return { ...common, ...grant, isHolder: true };
@@ -139,9 +142,13 @@
     return { kind: 'denied', requestsPerSecond };
   }
 
-  /** The limit may have ended while a token was requested. */
-  #denyOrPass(incarnationKey: string): LimitDecision {
-    const limit = this.#parts.limits.getLimit(incarnationKey);
+  #keyOf(target: FleetTarget): string {
+    return this.#parts.limits.keyOf(target);
+  }
+
+  /** The limit may have ended, or another one applies, since a token was requested. */
+  #denyOrPass(target: FleetTarget): LimitDecision {
+    const limit = this.#parts.limits.getLimit(this.#keyOf(target));
     return limit ? this.#deny(limit.requestsPerSecond) : { kind: 'unlimited' };
   }
 
@@ -216,7 +223,7 @@
     const { incarnationKey } = limited;
     const limit = limits.getLimit(incarnationKey);
     if (!limit) return false;
-    const part = toRatePart(this.#decideRole(incarnationKey, unreachable), limit.requestsPerSecond);
+    const part = toRatePart(this.#decideRole(incarnationKey, unreachable), limit);
     const mutable = limited;
     if (!part) {
       mutable.notBeforeMilliseconds = performance.now() + UNCERTAIN_RETRY_MILLISECONDS;
--- a/packages/gateway/src/limits/limitSharing.ts
+++ b/packages/gateway/src/limits/limitSharing.ts
@@ -1,8 +1,8 @@
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
 import type { LimitChange } from './targetLimitState';
-import type { TargetLimits } from './targetLimits';
 import type { LimitGate } from './limitGate';
+import type { LimitKnowledge } from './limitKnowledge';
 import type { KeyedLimitState, LimitMembership, LimitPeers } from './limitPeers';
 
 /** Changes within this time are sent together. */
@@ -17,9 +17,12 @@
 /** Interval until the first response of another instance. */
 const FIRST_SYNC_INTERVAL_MILLISECONDS = 300;
 
+/** Key by which the instances are chosen that announce cold targets. */
+const COLD_TARGETS_KEY = 'cold-targets';
+
 /** Dependencies of a {@link LimitSharing}. */
 export interface LimitSharingParts {
-  readonly limits: TargetLimits;
+  readonly limits: LimitKnowledge;
   readonly gate: LimitGate;
   readonly peers: LimitPeers;
   readonly membership: LimitMembership;
@@ -81,7 +84,9 @@
   #schedule(change: LimitChange): void {
     const { incarnationKey, state } = change;
     const isExistenceChanged = change.isFirst || state.kind === 'ended';
-    if (this.#announcesToAll(incarnationKey)) {
+    if (change.source === 'announcement') {
+      if (this.#announcesColdTargets) this.#forAll.set(incarnationKey, { incarnationKey, state });
+    } else if (this.#announcesToAll(incarnationKey)) {
       if (isExistenceChanged) this.#forAll.set(incarnationKey, { incarnationKey, state });
     } else if (change.source === 'response') {
       this.#forHolders.set(incarnationKey, { incarnationKey, state });
@@ -89,6 +94,16 @@
     this.#startTimer(BATCH_DELAY_MILLISECONDS);
   }
 
+  /**
+   * Whether this instance tells the others which targets are cold, for those that don't reach the
+   * store. Two instances do so for all targets, so that many cold targets need one call to each.
+   */
+  get #announcesColdTargets(): boolean {
+    const { gate, membership } = this.#parts;
+    const { owner, deputy } = gate.getHolders(COLD_TARGETS_KEY);
+    return membership.instance === owner || membership.instance === deputy;
+  }
+
   /** The owner announces a limit to all instances; the deputy does so while the owner is absent. */
   #announcesToAll(incarnationKey: string): boolean {
     const { gate, peers, membership } = this.#parts;
--- a/packages/gateway/src/limits/limitedDispatch.ts
+++ b/packages/gateway/src/limits/limitedDispatch.ts
@@ -103,6 +103,7 @@
     const { gate } = this.#parts;
     if (!candidates.some((candidate) => gate.isLimited(candidate))) return candidates;
     const service = this.#getService(call);
+    service.setTargets(candidates);
     const withRoom = candidates.filter((candidate) => service.hasRoom(candidate));
     const unlimited = withRoom.filter((candidate) => !gate.isLimited(candidate));
     if (unlimited.length === withRoom.length) {
--- a/packages/gateway/src/limits/limitedService.ts
+++ b/packages/gateway/src/limits/limitedService.ts
@@ -39,8 +39,9 @@
 }
 
 /**
- * One service of which some targets name limits. The others get the rest of the demand, so they count
- * as having room only while they have free slots. Requests wait while no target has room.
+ * One service of which some targets are limited. While some name limits, the others get the rest of
+ * the demand, so they count as having room only while they have free slots. A cold target leaves the
+ * others as they were. Requests wait while no target has room.
  */
 export class LimitedService {
   readonly #parts: LimitedServiceParts;
@@ -55,6 +56,9 @@
 
   #targets: readonly FleetTarget[] = [];
 
+  /** Whether a target names a limit, so that the others have to take its part of the demand. */
+  #isReduced = false;
+
   #sentAt: number[] = [];
 
   #firstSentAtMilliseconds = 0;
@@ -73,14 +77,14 @@
   /** Sets the targets that may serve the next requests. */
   setTargets(targets: readonly FleetTarget[]): void {
     this.#targets = targets;
+    this.#isReduced = targets.some((target) => this.#parts.gate.isReduced(target));
   }
 
   /** Whether a target can take a request now, as far as it is known. */
   hasRoom(target: FleetTarget): boolean {
     const { gate, loads } = this.#parts;
-    return gate.isLimited(target)
-      ? gate.getWaitMilliseconds(target) <= 0
-      : loads.countInFlight(target.id) < target.slots;
+    if (gate.isLimited(target)) return gate.getWaitMilliseconds(target) <= 0;
+    return !this.#isReduced || loads.countInFlight(target.id) < target.slots;
   }
 
   /** What waiting requests can expect: the measured rate, or an equal share of an estimate. */
--- a/packages/gateway/src/limits/targetLimits.ts
+++ b/packages/gateway/src/limits/targetLimits.ts
@@ -65,6 +65,22 @@
     return state?.kind === 'limited' ? state : undefined;
   }
 
+  /** Returns the key under which tokens for a target are handed out. */
+  keyOf(target: FleetTarget): string {
+    return getIncarnationKey(target);
+  }
+
+  /** Whether a target itself names a limit. */
+  isNamedBy(target: FleetTarget): boolean {
+    return this.getLimit(getIncarnationKey(target)) !== undefined;
+  }
+
+  /** Merges what another instance knows that requests tokens; returns what applies then. */
+  mergeRequested(incarnationKey: string, state: TargetLimitState): TargetLimitState | undefined {
+    this.merge(incarnationKey, state);
+    return this.get(incarnationKey);
+  }
+
   /** Whether any limit is in force. */
   get isAnyLimited(): boolean {
     return this.#limitedCount > 0;
--- a/packages/gateway/src/targets/fleetTarget.ts
+++ b/packages/gateway/src/targets/fleetTarget.ts
@@ -30,6 +30,8 @@
   bornMilliseconds: z.number().int().optional(),
   /** Version of its software; undefined if the target announces none. */
   version: z.string().min(1).optional(),
+  /** Time for which it is cold from the reading of the announcement; undefined if it announces none. */
+  coldRemainingMilliseconds: z.number().min(0).optional(),
 });
 
 export type FleetTarget = z.infer<typeof fleetTargetSchema>;
--- a/packages/gateway/tests/calls/ineligibleTarget.test.ts
+++ b/packages/gateway/tests/calls/ineligibleTarget.test.ts
@@ -1,5 +1,4 @@
-import type { RequestListener } from 'node:http';
-import type { ServerResponse } from 'node:http';
+import type { RequestListener, ServerResponse } from 'node:http';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { CallHarness, SIGNED } from '../support/callHarness';
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -38,6 +38,8 @@
 export { filterTargetsByTrials } from './carried/filterTargetsByTrials';
 export { turnPriority } from './carried/turnPriority';
 export { TargetSpeeds } from './carried/targetSpeeds';
+export { computeColdRate } from './eligibility/computeColdRate';
+export type { ColdBounds } from './eligibility/computeColdRate';
 export { computeIneligibleRetry } from './eligibility/computeIneligibleRetry';
 export type { OperatorBounds } from './eligibility/computeIneligibleRetry';
 export { decideEligibility } from './eligibility/decideEligibility';
