Test cold targets: rate over the fleet, announcements, calls

The rate is kept from the first request on at 1 to 96 instances that read of a target one after the other, after a pause, over a restart of the target, beside an earlier build, and with lost messages, restarted, cut off and joining instances.

--- a/packages/gateway/tests/fleet/evacuation.test.ts
+++ b/packages/gateway/tests/fleet/evacuation.test.ts
@@ -1,12 +1,9 @@
 import type { LogFields, Logger } from '@limpetnotch/observability';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
-import type { KeyValueStore, WatchEvent } from '@limpetnotch/store';
-import { WatchError } from '@limpetnotch/store';
-import { errAsync, okAsync } from 'neverthrow';
 import type { FleetCodec } from '../../src/fleet/fleetCodec';
 import { FleetFollower } from '../../src/fleet/fleetFollower';
 import { FleetState } from '../../src/fleet/fleetState';
-import { WatchedStore } from '../support/watchedStore';
+import { FailingStore } from './failingStore';
 
 const PREFIX = 'operator/evacuated/';
 
@@ -20,39 +17,6 @@
   encodeRetired: () => ({ key: '', value: '' }),
 };
 
-/** A store whose watches and lists can be made to fail. */
-class FailingStore {
-  readonly inner = new WatchedStore();
-
-  isAway = false;
-
-  /** Whether the next watch finds its revision compacted, so that the prefix is listed again. */
-  isCompacted = false;
-
-  get client(): KeyValueStore {
-    const { client } = this.inner;
-    return {
-      ...client,
-      list: (prefix) =>
-        this.isAway
-          ? errAsync({ kind: 'unavailable', detail: 'away' } as const)
-          : okAsync(undefined).andThen(() => client.list(prefix)),
-      watch: (options) => this.#watch(client, options),
-    };
-  }
-
-  async *#watch(
-    client: KeyValueStore,
-    options: Parameters<KeyValueStore['watch']>[0],
-  ): AsyncGenerator<WatchEvent> {
-    for await (const event of client.watch({ ...options, silenceMilliseconds: 20 })) {
-      if (this.isAway) throw new WatchError('lost', 'away');
-      if (this.isCompacted) throw new WatchError('compacted', 'compacted');
-      yield event;
-    }
-  }
-}
-
 let store = new FailingStore();
 let state = new FleetState();
 let metrics = new MemoryMetrics();
--- a/packages/gateway/tests/limits/limitFleet.ts
+++ b/packages/gateway/tests/limits/limitFleet.ts
@@ -1,12 +1,15 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { SeededRandom } from '@limpetnotch/stand-ins';
 import { delay } from '@limpetnotch/supervision';
+import { FleetState } from '../../src/fleet/fleetState';
+import { FleetLimits } from '../../src/limits/fleetLimits';
 import { TargetLimits } from '../../src/limits/targetLimits';
 import { LimitGate } from '../../src/limits/limitGate';
 import type { LimitMembership, LimitPeers } from '../../src/limits/limitPeers';
 import { LimitSharing } from '../../src/limits/limitSharing';
 import { MemberLists } from '../../src/limits/memberLists';
 import type { FleetTarget } from '../../src/targets/fleetTarget';
+import { platformLimits } from '../support/platformLimits';
 
 /** Instances wait this long for each other. */
 const DEADLINE_MILLISECONDS = 60;
@@ -19,6 +22,8 @@
   readonly gate: LimitGate;
   readonly sharing: LimitSharing;
   readonly lists: MemberLists;
+  /** What the instance has read from the store. */
+  readonly fleet: FleetState;
   readonly end: AbortController;
 }
 
@@ -40,6 +45,9 @@
 
   readonly cutFromStore = new Set<string>();
 
+  /** Instances of an earlier build, which know no cold targets. */
+  readonly earlierBuilds = new Set<string>();
+
   /** Calls for tokens so far. */
   tokenCalls = 0;
 
@@ -73,20 +81,34 @@
     this.instances.get(name)?.end.abort();
     const lists = new MemberLists();
     const parts = { logger: silentLogger, metrics: new MemoryMetrics() };
-    const limits = new TargetLimits(parts);
+    const fleet = new FleetState();
     const common = {
-      limits,
+      ...parts,
+      fleet,
+      bounds: platformLimits.bounds,
       peers: this.#peersOf(name),
       membership: this.#membershipOf(name, lists),
     };
-    const gate = new LimitGate(common);
-    const sharing = new LimitSharing({ ...common, gate });
+    const {
+      named: limits,
+      gate,
+      sharing,
+    } = this.earlierBuilds.has(name) ? LimitFleet.#createEarlier(common) : new FleetLimits(common);
     const end = new AbortController();
     void sharing.task.run({ signal: end.signal, ready: () => undefined });
-    this.instances.set(name, { name, limits, gate, sharing, lists, end });
+    this.instances.set(name, { name, limits, gate, sharing, lists, fleet, end });
     this.#record(name);
   }
 
+  /** Creates the limits of an earlier build, which are only those that targets name. */
+  static #createEarlier(
+    parts: ConstructorParameters<typeof FleetLimits>[0],
+  ): Pick<FleetLimits, 'named' | 'gate' | 'sharing'> {
+    const named = new TargetLimits(parts);
+    const gate = new LimitGate({ ...parts, limits: named });
+    return { named, gate, sharing: new LimitSharing({ ...parts, limits: named, gate }) };
+  }
+
   stop(): void {
     this.instances.forEach(({ end }) => end.abort());
   }
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -124,7 +124,7 @@
       connections,
       access,
       loads,
-      ...singleInstanceLimits({ logger, metrics, loads }),
+      ...singleInstanceLimits({ fleet, logger, metrics, loads }),
       eligibility: new CallEligibility({
         fleet,
         settings: { ...platformLimits, regions },
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -165,7 +165,7 @@
       connections: this.#connections,
       access,
       loads,
-      ...singleInstanceLimits({ logger, metrics, loads }),
+      ...singleInstanceLimits({ fleet, logger, metrics, loads }),
       eligibility: new CallEligibility({ fleet, settings: platformLimits, logger, metrics }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
--- a/packages/gateway/tests/support/singleInstanceLimits.ts
+++ b/packages/gateway/tests/support/singleInstanceLimits.ts
@@ -1,19 +1,21 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { CallRunnerParts } from '../../src/calls/callRunner';
 import type { TargetLoads } from '../../src/targets/targetLoads';
-import { TargetLimits } from '../../src/limits/targetLimits';
+import type { FleetState } from '../../src/fleet/fleetState';
+import { FleetLimits } from '../../src/limits/fleetLimits';
 import { LimitedDispatch } from '../../src/limits/limitedDispatch';
-import { LimitGate } from '../../src/limits/limitGate';
+import { platformLimits } from './platformLimits';
 
 /** Creates the limits of an instance that is alone in its fleet. */
 export const singleInstanceLimits = (parts: {
+  readonly fleet: FleetState;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly loads: TargetLoads;
 }): Pick<CallRunnerParts, 'limits' | 'limitedDispatch'> => {
-  const limits = new TargetLimits(parts);
-  const limitGate = new LimitGate({
-    limits,
+  const limits = new FleetLimits({
+    ...parts,
+    bounds: platformLimits.bounds,
     peers: {
       names: [],
       takeTargetTokens: async () => undefined,
@@ -30,9 +32,9 @@
   });
   const limitedDispatch = new LimitedDispatch({
     ...parts,
-    gate: limitGate,
+    gate: limits.gate,
     loads: parts.loads,
     instanceCount: () => 1,
   });
-  return { limits, limitedDispatch };
+  return { limits: limits.named, limitedDispatch };
 };
