Place requests on one object at one target

On routes with affinity, a request without a prompt goes to the first target in the rendezvous order of its key that has a free slot (if any has one) and at most half a request per slot more than the least loaded one, so that all instances choose the same target, and the same next one.

--- a/packages/gateway/src/calls/callEnvelope.ts
+++ b/packages/gateway/src/calls/callEnvelope.ts
@@ -33,6 +33,8 @@
   readonly key: string | undefined;
   readonly program: ProgramReference | undefined;
   readonly prompt: PromptShape | undefined;
+  /** Names the object that the request concerns; undefined if the caller sends none. */
+  readonly objectKey: string | undefined;
   /** Identifier of the last event of a stream that the caller has received. */
   readonly lastEventId: string | undefined;
   /** Identifier of the attempt that brought the first event of a stream that the caller resumes. */
--- a/packages/gateway/src/calls/callPlacement.ts
+++ b/packages/gateway/src/calls/callPlacement.ts
@@ -1,3 +1,4 @@
+import type { Metrics } from '@limpetnotch/observability';
 import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import {
   estimateEngineMilliseconds,
@@ -23,6 +24,7 @@
   readonly loads: TargetLoads;
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
+  readonly metrics: Metrics;
   readonly trials: TrialRuns;
   /** Whether a call is kept apart from others because it may crash its target. */
   readonly isOnTrial: (call: Call) => boolean;
@@ -67,6 +69,10 @@
     const placed = call;
     placed.placement = placement.reason;
     placed.target = target.id;
+    if (placement.reason === 'object' || placement.reason === 'object-spill') {
+      const tags = { placement: placement.reason };
+      this.#parts.metrics.increment('call.object-placements', 1, tags);
+    }
     const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
     const connectionLimit = Math.max(1, Math.floor(share));
     return {
@@ -90,8 +96,10 @@
     });
   }
 
-  #toPlacementWork({ envelope: { prompt, program }, route }: Call): PlacementWork {
-    if (!prompt || !route.hasSessionAffinity) return { kind: 'plain' };
+  #toPlacementWork({ envelope, route }: Call): PlacementWork {
+    const { prompt, program, objectKey } = envelope;
+    if (!route.hasSessionAffinity) return { kind: 'plain' };
+    if (!prompt) return objectKey === undefined ? { kind: 'plain' } : { kind: 'object', objectKey };
     return {
       kind: 'model',
       affinityKey: program?.id ?? prompt.parts.at(-1)?.id,
--- a/packages/gateway/tests/support/callEnvelope.ts
+++ b/packages/gateway/tests/support/callEnvelope.ts
@@ -10,6 +10,7 @@
   key: undefined,
   program: undefined,
   prompt: undefined,
+  objectKey: undefined,
   lastEventId: undefined,
   resumedRequestId: undefined,
   passedHeaders: [],
--- a/packages/scheduling/src/carried/sessionPlacement.ts
+++ b/packages/scheduling/src/carried/sessionPlacement.ts
@@ -23,6 +23,8 @@
 /** Work that a request causes at a target. */
 export type PlacementWork =
   | { readonly kind: 'plain' }
+  /** A plain request that is served faster where its object was handled recently. */
+  | { readonly kind: 'object'; readonly objectKey: string }
   | {
       readonly kind: 'model';
       /** Key shared by a program's requests, so that all instances choose the same home target. */
@@ -35,12 +37,19 @@
 /** Chosen target and the reason for it. */
 export interface Placement {
   readonly targetId: string;
-  readonly reason: 'cached-prompt' | 'home' | 'least-cost' | 'least-loaded';
+  readonly reason:
+    'cached-prompt' | 'home' | 'least-cost' | 'least-loaded' | 'object' | 'object-spill';
 }
 
 /** Load per slot by which a target in another availability zone must be less loaded. */
 const OTHER_ZONE_LOAD_MARGIN = 0.15;
 
+/**
+ * Load per slot by which the target of an object may exceed the least loaded one. The gain of a
+ * target that handled the object is not known; half of its slots is worth less than a wait.
+ */
+const OBJECT_LOAD_MARGIN = 0.5;
+
 /** Network round trip to another availability zone. */
 const OTHER_ZONE_ROUND_TRIP_MILLISECONDS = 2;
 
@@ -71,6 +80,10 @@
     undefined,
   )?.candidate;
 
+/** Relative time of a plain request at a target, from the load for each of its slots. */
+const computePlainCost = ({ estimatedLoad, slowness, slots }: PlacementCandidate): number =>
+  ((estimatedLoad + 1) * slowness) / slots;
+
 const findHome = (
   key: string | undefined,
   candidates: readonly PlacementCandidate[],
@@ -85,26 +98,51 @@
 ): Placement | undefined => {
   const chosen = findCheapest(
     candidates,
-    ({ estimatedLoad, slowness, slots, availabilityZone }) =>
-      ((estimatedLoad + 1) * slowness) / slots +
-      (availabilityZone === zone ? 0 : OTHER_ZONE_LOAD_MARGIN),
+    (candidate) =>
+      computePlainCost(candidate) +
+      (candidate.availabilityZone === zone ? 0 : OTHER_ZONE_LOAD_MARGIN),
   );
   return chosen && { targetId: chosen.id, reason: 'least-loaded' };
 };
 
+/**
+ * Chooses the target of a request on an object: the first in the rendezvous order of its key that is
+ * not much busier than the least loaded one. All instances have the same order, so that the requests
+ * that a busy target can't take meet at the same next one.
+ */
+const placeObject = (
+  objectKey: string,
+  candidates: readonly PlacementCandidate[],
+): Placement | undefined => {
+  const highestCost = Math.min(...candidates.map(computePlainCost)) + OBJECT_LOAD_MARGIN;
+  const hasFreeSlot = ({ estimatedLoad, slots }: PlacementCandidate): boolean =>
+    estimatedLoad + 1 <= slots;
+  const isAnyFree = candidates.some(hasFreeSlot);
+  const home = findHome(objectKey, candidates);
+  const suitable = candidates.filter(
+    (candidate) =>
+      computePlainCost(candidate) <= highestCost && (!isAnyFree || hasFreeSlot(candidate)),
+  );
+  const chosen = findHome(objectKey, suitable) ?? findCheapest(candidates, computePlainCost);
+  if (!chosen) return undefined;
+  return { targetId: chosen.id, reason: chosen === home ? 'object' : 'object-spill' };
+};
+
 /**
  * Chooses a target. The cost model is designed for programs whose turns share a growing prompt: a
  * request goes to the target with the earliest expected completion, which accounts for prefill of
  * its uncached prompt, prefill of concurrent requests, the queue for a slot and the target's speed.
  * If no target caches more of the prompt than the others, the program's home target gets a bonus,
  * so that its requests meet at one target whichever instance they reach. Plain requests go to the
- * least loaded target, with a margin in favour of the instance's own availability zone.
+ * target of their object or, without one, to the least loaded target, with a margin in favour of the
+ * instance's own availability zone.
  */
 export const placeRequest = (
   { availabilityZone: zone, work }: PlacementRequest,
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
   if (work.kind === 'plain') return placePlain(zone, candidates);
+  if (work.kind === 'object') return placeObject(work.objectKey, candidates);
   const { affinityKey, promptTokens, usualMilliseconds } = work;
   const mostCached = Math.max(0, ...candidates.map(({ cachedTokens }) => cachedTokens));
   const leastCached = Math.min(...candidates.map(({ cachedTokens }) => cachedTokens));
--- a/packages/scheduling/tests/carried/sessionPlacement.test.ts
+++ b/packages/scheduling/tests/carried/sessionPlacement.test.ts
@@ -77,3 +77,73 @@
   expect(placeRequest(plain, [])).toBeUndefined();
   expect(placeRequest(turnOf('program'), [])).toBeUndefined();
 });
+
+const objectOf = (objectKey: string): PlacementRequest => ({
+  availabilityZone: 'a',
+  work: { kind: 'object', objectKey },
+});
+
+const targets = (count: number, load = 0): PlacementCandidate[] =>
+  Array.from({ length: count }, (_value, index) => candidate(`t${index}`, load));
+
+const findObjectTarget = (key: string, candidates: readonly PlacementCandidate[]): string =>
+  placeRequest(objectOf(key), candidates)?.targetId ?? '';
+
+/** Returns the candidates with other properties of one of them. */
+const withChange = (
+  candidates: readonly PlacementCandidate[],
+  id: string,
+  change: Partial<PlacementCandidate>,
+): PlacementCandidate[] => candidates.map((one) => (one.id === id ? { ...one, ...change } : one));
+
+test('instances agree on the target of an object, whatever their availability zone', () => {
+  const first = placeRequest(objectOf('17'), targets(6, 2));
+  const second = placeRequest(
+    { ...objectOf('17'), availabilityZone: 'b' },
+    [...targets(6, 2)].reverse(),
+  );
+  expect(first?.reason).toBe('object');
+  expect(second).toEqual(first);
+});
+
+test('objects are spread over the targets', () => {
+  const counts = new Map<string, number>();
+  for (let key = 0; key < 1_200; key += 1) {
+    const id = findObjectTarget(String(key), targets(6));
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  }
+  expect(counts.size).toBe(6);
+  counts.forEach((count) => expect(Math.abs(count - 200)).toBeLessThan(60));
+});
+
+test('a target that leaves moves only its own objects', () => {
+  const all = targets(6);
+  const remaining = all.filter(({ id }) => id !== 't3');
+  for (let key = 0; key < 300; key += 1) {
+    const before = findObjectTarget(String(key), all);
+    if (before !== 't3') expect(findObjectTarget(String(key), remaining)).toBe(before);
+  }
+});
+
+test('an object stays at its target up to a margin of load, then goes to one other target', () => {
+  const all = targets(6, 2);
+  const home = findObjectTarget('17', all);
+  expect(findObjectTarget('17', withChange(all, home, { estimatedLoad: 10 }))).toBe(home);
+  const busy = withChange(all, home, { estimatedLoad: 11 });
+  const next = placeRequest(objectOf('17'), busy);
+  expect(next).toEqual({ targetId: expect.not.stringMatching(home), reason: 'object-spill' });
+  expect(findObjectTarget('17', [...busy].reverse())).toBe(next?.targetId);
+});
+
+test('an object does not wait at its full or slow target while another one has a free slot', () => {
+  const all = targets(2, 15);
+  const home = findObjectTarget('17', all);
+  expect(findObjectTarget('17', withChange(all, home, { estimatedLoad: 16 }))).not.toBe(home);
+  expect(findObjectTarget('17', withChange(targets(2, 4), home, { slowness: 7.5 }))).not.toBe(home);
+});
+
+test('an object stays at its target while all are equally full', () => {
+  const home = findObjectTarget('17', targets(6));
+  expect(findObjectTarget('17', targets(6, 40))).toBe(home);
+  expect(placeRequest(objectOf('17'), [])).toBeUndefined();
+});
