--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -333,7 +333,7 @@
       }),
       programStarts: new ProgramStarts({
         fleet: this.#fleet,
-        gate: this.#limits.gate,
+        gate: this.#limits.namedGate,
         loads: this.#loads,
         speeds: this.#speeds,
         instanceCount: () => this.#membership.presentCount,
--- a/packages/gateway/src/limits/fleetLimits.ts
+++ b/packages/gateway/src/limits/fleetLimits.ts
@@ -38,6 +38,14 @@
     this.sharing = new LimitSharing({ limits, peers, membership, gate: this.gate });
   }
 
+  /** The limits that targets name. A cold target is additional capacity, and holds up no program. */
+  get namedGate(): Pick<LimitGate, 'isLimited' | 'getRequestsPerSecond'> {
+    return {
+      isLimited: (target) => this.gate.isReduced(target),
+      getRequestsPerSecond: (target) => this.gate.getRequestsPerSecond(target),
+    };
+  }
+
   /** Forgets targets that are no longer announced. */
   retainAnnounced(): void {
     const { targets, coldTargets } = this.#fleet;
--- a/packages/gateway/src/limits/programStarts.ts
+++ b/packages/gateway/src/limits/programStarts.ts
@@ -99,7 +99,9 @@
   #collectLimitedServices(): readonly LimitedServiceLoad[] {
     const { fleet, gate } = this.#parts;
     return (fleet.index?.configuration.services ?? []).flatMap(({ name }) => {
-      const targets = fleet.targets.getServing(name);
+      const targets = fleet.targets
+        .getServing(name)
+        .filter(({ availabilityZone }) => !fleet.evacuations.has(availabilityZone));
       if (!targets.some((target) => gate.isLimited(target))) return [];
       const milliseconds = this.#getUsualMilliseconds(name);
       const rates = targets.map((target) => this.#getRequestsPerSecond(target, milliseconds));
--- a/packages/gateway/tests/limits/programStarts.test.ts
+++ b/packages/gateway/tests/limits/programStarts.test.ts
@@ -31,6 +31,7 @@
 });
 
 interface Setup {
+  readonly fleet: FleetState;
   readonly limits: Map<string, number>;
   readonly known: Set<string>;
   readonly starts: ProgramStarts;
@@ -41,7 +42,9 @@
   const known = new Set<string>();
   const fleet = new FleetState();
   fleet.apply(configuration);
-  ['t0', 't1'].forEach((id) => fleet.targets.put(fleetTarget({ id, address: `127.0.0.1:${id}` })));
+  ['t0', 't1'].forEach((id) =>
+    fleet.targets.put(fleetTarget({ id, address: `127.0.0.1:${id}`, availabilityZone: id })),
+  );
   const starts = new ProgramStarts({
     fleet,
     gate: {
@@ -56,7 +59,7 @@
     logger: silentLogger,
     metrics: new MemoryMetrics(),
   });
-  return { limits, known, starts };
+  return { fleet, limits, known, starts };
 };
 
 const turn = (id: string, session = id): Call =>
@@ -97,6 +100,14 @@
   expect(admitted.length).toBeLessThanOrEqual(5);
 });
 
+test('the limits of evacuated targets admit no programs', () => {
+  const setup = createStarts();
+  setup.limits.set('t0', 4).set('t1', 400);
+  setup.fleet.evacuations.start('t1');
+  const admitted = startMany(setup, 50).filter((kind) => kind === 'admitted');
+  expect(admitted.length).toBeLessThanOrEqual(5);
+});
+
 test('a program that is under way here or elsewhere goes on', () => {
   const setup = createStarts();
   setup.limits.set('t0', 1).set('t1', 1);
