Take a target that refuses connections without the store for one that starts again

While the store is away, a target that restarts under its id can't announce that it is cold, and instances that know it as warm sent it all their requests. A refused connection, which the path check has confirmed, now makes it cold for 2 s and its cold start; two instances tell the others.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -314,7 +314,7 @@
         if (outcome.reason === 'misdirected') this.#parts.fleet.targets.markRefused(target);
         return undefined;
       case 'not-sent':
-        if (outcome.isRefused) this.#parts.fleet.targets.markRefused(target);
+        if (outcome.isRefused) this.#parts.fleet.recordRefusal(target);
         return undefined;
       case 'no-path':
         if (!outcome.wasSent) return undefined;
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -118,6 +118,7 @@
     const { codec, state, logger, onTargetsChanged } = this.#parts;
     const watchStatus = this.#targetWatchStatus;
     const recordRecovery = (): void => {
+      state.areTargetsUnconfirmed = false;
       const lostMilliseconds = watchStatus.recordRecovery();
       if (lostMilliseconds < HARMLESS_LOSS_MILLISECONDS) return;
       state.targets.startGracePeriod(TARGET_GRACE_MILLISECONDS);
@@ -157,7 +158,10 @@
         state.versions.confirm(revision);
         state.coldTargets.confirm();
       },
-      lost: (detail) => watchStatus.recordLoss(detail),
+      lost: (detail) => {
+        state.areTargetsUnconfirmed = true;
+        watchStatus.recordLoss(detail);
+      },
     };
   }
 
--- a/packages/gateway/src/fleet/fleetState.ts
+++ b/packages/gateway/src/fleet/fleetState.ts
@@ -2,6 +2,7 @@
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
 import { ServiceVersions } from '../resumption/serviceVersions';
 import { ColdTargets } from '../limits/coldTargets';
+import type { FleetTarget } from '../targets/fleetTarget';
 import { TargetDirectory } from '../targets/targetDirectory';
 import { Evacuations } from './evacuations';
 
@@ -21,6 +22,9 @@
    */
   isConfigurationUnconfirmed = false;
 
+  /** Whether the store is unreachable, so that targets may start again without its telling. */
+  areTargetsUnconfirmed = false;
+
   #index: ConfigurationIndex | undefined;
 
   /** The configuration in force; undefined until the first one has been read. */
@@ -28,6 +32,12 @@
     return this.#index;
   }
 
+  /** Records that a target refused a connection. */
+  recordRefusal(target: FleetTarget): void {
+    this.targets.markRefused(target);
+    if (this.areTargetsUnconfirmed) this.coldTargets.suspectRestart(target);
+  }
+
   /** Applies a configuration; returns false, and ignores it, if its version is not newer. */
   apply(configuration: FleetConfiguration): boolean {
     const current = this.#index?.configuration.version ?? -Infinity;
--- a/packages/gateway/src/limits/coldTargets.ts
+++ b/packages/gateway/src/limits/coldTargets.ts
@@ -12,8 +12,14 @@
  */
 const REPORT_CONFIRMATION_MILLISECONDS = 500;
 
+/** A target that refused a connection is tried again after this time, and may have just started. */
+const RESTART_MILLISECONDS = 2_000;
+
+/** A target that is cold for longer by less than this is not told again. */
+const NEWS_MILLISECONDS = 500;
+
 /** How an instance learned that a target is cold. */
-export type ColdCause = 'announced' | 'started' | 'listed' | 'peer';
+export type ColdCause = 'announced' | 'started' | 'listed' | 'refused' | 'peer';
 
 /** A target that sustains only a low rate for some time. */
 export interface ColdTarget {
@@ -41,6 +47,7 @@
 }
 
 interface ColdReport extends ColdTarget {
+  readonly cause: ColdCause;
   readonly reportedAtMilliseconds: number;
 }
 
@@ -141,11 +148,19 @@
 
   /** Applies what another instance has read; it counts until the store confirms what is read here. */
   report(targetId: string, cold: ColdTarget): void {
-    if (performance.now() >= cold.untilMilliseconds) return;
-    const known = this.#reports.get(targetId);
-    if (known && known.untilMilliseconds >= cold.untilMilliseconds) return;
-    this.#reports.set(targetId, { ...cold, reportedAtMilliseconds: performance.now() });
-    this.#update(targetId);
+    this.#addReport(targetId, cold, 'peer');
+  }
+
+  /**
+   * Assumes that a target which refuses connections is starting again: while the store is away, its
+   * announcement can't tell. This counts until the store responds, as the report of a peer does.
+   */
+  suspectRestart({ id, service }: FleetTarget): void {
+    const coldStart = this.#coldStarts.get(service);
+    if (!coldStart || coldStart.milliseconds === 0) return;
+    const untilMilliseconds = performance.now() + RESTART_MILLISECONDS + coldStart.milliseconds;
+    const { requestsPerSecond } = coldStart;
+    this.#addReport(id, { untilMilliseconds, requestsPerSecond }, 'refused');
   }
 
   /** Drops what other instances have reported earlier, once the store has responded. */
@@ -162,6 +177,14 @@
       });
   }
 
+  #addReport(targetId: string, cold: ColdTarget, cause: ColdCause): void {
+    if (performance.now() >= cold.untilMilliseconds) return;
+    const known = this.#reports.get(targetId);
+    if (known && known.untilMilliseconds >= cold.untilMilliseconds) return;
+    this.#reports.set(targetId, { ...cold, cause, reportedAtMilliseconds: performance.now() });
+    this.#update(targetId);
+  }
+
   /** Computes whether a target is cold from its announcement and the reports of others. */
   #update(id: string): void {
     const now = performance.now();
@@ -180,7 +203,9 @@
     this.#removeEnded(now);
     this.#cold.set(id, cold);
     this.#latestUntilMilliseconds = Math.max(this.#latestUntilMilliseconds, untilMilliseconds);
-    const cause = isReported ? 'peer' : (this.#records.get(id)?.cause ?? 'peer');
+    const isNews = !current || untilMilliseconds > current.untilMilliseconds + NEWS_MILLISECONDS;
+    if (!isNews) return;
+    const cause = isReported ? report.cause : (this.#records.get(id)?.cause ?? 'peer');
     this.#listener({ targetId: id, cold, cause });
   }
 
--- a/packages/gateway/src/limits/limitSharing.ts
+++ b/packages/gateway/src/limits/limitSharing.ts
@@ -1,7 +1,9 @@
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
+import type { LimitHolders } from './chooseLimitHolders';
 import type { LimitChange } from './targetLimitState';
 import type { LimitGate } from './limitGate';
+import { LimitsInForce } from './limitsInForce';
 import type { LimitKnowledge } from './limitKnowledge';
 import type { KeyedLimitState, LimitMembership, LimitPeers } from './limitPeers';
 
@@ -84,9 +86,7 @@
   #schedule(change: LimitChange): void {
     const { incarnationKey, state } = change;
     const isExistenceChanged = change.isFirst || state.kind === 'ended';
-    if (change.source === 'announcement') {
-      if (this.#announcesColdTargets) this.#forAll.set(incarnationKey, { incarnationKey, state });
-    } else if (this.#announcesToAll(incarnationKey)) {
+    if (this.#announcesToAll(incarnationKey)) {
       if (isExistenceChanged) this.#forAll.set(incarnationKey, { incarnationKey, state });
     } else if (change.source === 'response') {
       this.#forHolders.set(incarnationKey, { incarnationKey, state });
@@ -94,22 +94,23 @@
     this.#startTimer(BATCH_DELAY_MILLISECONDS);
   }
 
-  /**
-   * Whether this instance tells the others which targets are cold, for those that don't reach the
-   * store. Two instances do so for all targets, so that many cold targets need one call to each.
-   */
-  get #announcesColdTargets(): boolean {
-    const { gate, membership } = this.#parts;
-    const { owner, deputy } = gate.getHolders(COLD_TARGETS_KEY);
-    return membership.instance === owner || membership.instance === deputy;
-  }
-
-  /** The owner announces a limit to all instances; the deputy does so while the owner is absent. */
+  /** Whether this instance announces a limit to all others. */
   #announcesToAll(incarnationKey: string): boolean {
-    const { gate, peers, membership } = this.#parts;
-    const { owner, deputy } = gate.getHolders(incarnationKey);
+    const { peers, membership } = this.#parts;
+    const { owner, deputy } = this.#getAnnouncers(incarnationKey);
     if (owner === membership.instance) return true;
-    return deputy === membership.instance && !peers.names.includes(owner ?? '');
+    if (deputy !== membership.instance) return false;
+    // Either of them may have lost the store, from which they learn that a target is cold.
+    return LimitsInForce.isColdKey(incarnationKey) || !peers.names.includes(owner ?? '');
+  }
+
+  /**
+   * Returns the instances that announce a limit to all others: its holders or, for all cold targets
+   * together, two instances, so that many cold targets need one call to each instance.
+   */
+  #getAnnouncers(incarnationKey: string): LimitHolders {
+    const isCold = LimitsInForce.isColdKey(incarnationKey);
+    return this.#parts.gate.getHolders(isCold ? COLD_TARGETS_KEY : incarnationKey);
   }
 
   #startTimer(milliseconds: number): void {
@@ -122,12 +123,12 @@
   }
 
   async #send(): Promise<void> {
-    const { peers, gate, membership } = this.#parts;
+    const { peers, membership } = this.#parts;
     const forHolders = [...this.#forHolders.values()];
     this.#forHolders = new Map();
     const byHolder = new Map<string, KeyedLimitState[]>();
     forHolders.forEach((limit) => {
-      const { owner, deputy } = gate.getHolders(limit.incarnationKey);
+      const { owner, deputy } = this.#getAnnouncers(limit.incarnationKey);
       [owner, deputy].forEach((name) => {
         if (name === undefined || name === membership.instance) return;
         byHolder.set(name, [...(byHolder.get(name) ?? []), limit]);
--- a/packages/gateway/src/limits/limitsInForce.ts
+++ b/packages/gateway/src/limits/limitsInForce.ts
@@ -4,9 +4,9 @@
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetDirectory } from '../targets/targetDirectory';
 import { getIncarnationKey } from '../targets/getIncarnationKey';
-import type { ColdChange, ColdTarget, ColdTargets } from './coldTargets';
+import type { ColdCause, ColdChange, ColdTarget, ColdTargets } from './coldTargets';
 import type { LimitKnowledge } from './limitKnowledge';
-import type { LimitChange, TargetLimitState } from './targetLimitState';
+import type { LimitChange, LimitSource, TargetLimitState } from './targetLimitState';
 import type { TargetLimits } from './targetLimits';
 
 type Limited = Extract<TargetLimitState, { kind: 'limited' }>;
@@ -50,6 +50,11 @@
     return `${COLD_KEY_PREFIX}${targetId}`;
   }
 
+  /** Whether a key is that of a cold target. */
+  static isColdKey(key: string): boolean {
+    return key.startsWith(COLD_KEY_PREFIX);
+  }
+
   get isAnyLimited(): boolean {
     return this.#parts.named.isAnyLimited || this.#parts.coldTargets.isAny;
   }
@@ -76,11 +81,11 @@
   }
 
   get(key: string): TargetLimitState | undefined {
-    return LimitsInForce.#isColdKey(key) ? this.getLimit(key) : this.#parts.named.get(key);
+    return LimitsInForce.isColdKey(key) ? this.getLimit(key) : this.#parts.named.get(key);
   }
 
   getLimit(key: string): Limited | undefined {
-    if (!LimitsInForce.#isColdKey(key)) return this.#parts.named.getLimit(key);
+    if (!LimitsInForce.isColdKey(key)) return this.#parts.named.getLimit(key);
     const id = LimitsInForce.#toTargetId(key);
     const cold = this.#parts.coldTargets.get(id);
     return cold && this.#toLimit(id, cold);
@@ -88,7 +93,7 @@
 
   merge(key: string, state: TargetLimitState): void {
     const { named, coldTargets } = this.#parts;
-    if (!LimitsInForce.#isColdKey(key)) {
+    if (!LimitsInForce.isColdKey(key)) {
       named.merge(key, state);
       return;
     }
@@ -100,7 +105,7 @@
   }
 
   mergeRequested(key: string, state: TargetLimitState): TargetLimitState | undefined {
-    if (!LimitsInForce.#isColdKey(key)) return this.#parts.named.mergeRequested(key, state);
+    if (!LimitsInForce.isColdKey(key)) return this.#parts.named.mergeRequested(key, state);
     if (state.kind !== 'limited') return this.getLimit(key);
     // A requester may know of a cold target, or of a smaller limit, earlier than this instance.
     const known = this.getLimit(key);
@@ -144,14 +149,26 @@
       remainingMilliseconds: Math.round(cold.untilMilliseconds - performance.now()),
       perSecond: state.requestsPerSecond,
     });
-    // After its start, an instance may read announcements that are older than it is.
-    if (cause === 'peer' || cause === 'listed') return;
+    const source = LimitsInForce.#toSource(cause);
+    if (!source) return;
     const incarnationKey = LimitsInForce.toColdKey(targetId);
-    this.#listener({ incarnationKey, state, source: 'announcement', isFirst: true });
+    this.#listener({ incarnationKey, state, source, isFirst: true });
   }
 
-  static #isColdKey(key: string): boolean {
-    return key.startsWith(COLD_KEY_PREFIX);
+  /** Returns how other instances are to learn of a cold target; undefined if they are not. */
+  static #toSource(cause: ColdCause): LimitSource | undefined {
+    switch (cause) {
+      case 'announced':
+      case 'started':
+        return 'announcement';
+      case 'refused':
+        return 'response';
+      case 'peer':
+        return 'peer';
+      case 'listed':
+        // After its start, an instance may read announcements that are older than it is.
+        return undefined;
+    }
   }
 
   static #toTargetId(key: string): string {
--- a/packages/gateway/tests/limits/coldRate.test.ts
+++ b/packages/gateway/tests/limits/coldRate.test.ts
@@ -217,6 +217,40 @@
   expect(limited).toEqual([]);
 });
 
+// Without the store, only refused connections show that a target starts again.
+test('an instance that finds a target gone tells the others that it will be cold', async () => {
+  const random = new SeededRandom(19);
+  const fleet = new LimitFleet(6, random);
+  const counting = createTarget();
+  const warm = { coldRemainingMilliseconds: 0 };
+  fleet.names.forEach((name) => announce(fleet, name, counting, warm));
+  const began = performance.now();
+  await run(
+    (async () => {
+      const state = fleet.instances.get('i3')!.fleet;
+      state.areTargetsUnconfirmed = true;
+      state.recordRefusal(counting.target);
+      await delay(200);
+      expect(
+        fleet.names.filter((name) => fleet.instances.get(name)?.gate.isLimited(counting.target)),
+      ).toEqual(fleet.names);
+      await sendAll(fleet, counting, random, { milliseconds: 4_000, meanPauseMilliseconds: 20 });
+    })(),
+  );
+  fleet.stop();
+  expect(countMost(counting, began, Infinity)).toBeLessThanOrEqual(TOLERATED);
+  expect(counting.arrivals.length).toBeGreaterThan(30);
+});
+
+test('a refused connection while the store is there makes no target cold', () => {
+  const fleet = new LimitFleet(1, new SeededRandom(20));
+  const counting = createTarget();
+  announce(fleet, 'i0', counting, { coldRemainingMilliseconds: 0 });
+  fleet.instances.get('i0')!.fleet.recordRefusal(counting.target);
+  expect(fleet.instances.get('i0')?.gate.isLimited(counting.target)).toBe(false);
+  fleet.stop();
+});
+
 // A restarted instance reads announcements of any age; what they say must not slow the others.
 test('an instance that restarts makes no target cold at the others', async () => {
   const random = new SeededRandom(16);
