--- a/packages/gateway/src/configuration/fleetConfiguration.ts
+++ b/packages/gateway/src/configuration/fleetConfiguration.ts
@@ -49,6 +49,8 @@
   hasSessionAffinity: z.boolean(),
   /** Time for which a program may return after its last turn; unknown if absent. */
   retentionMilliseconds: z.number().min(0).optional(),
+  /** Regions of the targets and instances that requests may reach; unrestricted if absent or empty. */
+  allowedRegions: z.array(z.string().min(1)).optional(),
 });
 
 /** A model engine behind a service. */
@@ -58,12 +60,21 @@
   tokensPerEvent: z.number().positive(),
 });
 
+/** How targets of a service start: they are cold for a time, in which they sustain a low rate. */
+export const coldStartSchema = z.object({
+  /** Time from the start of a target; 0 if only targets that announce it are cold. */
+  milliseconds: z.number().min(0),
+  requestsPerSecond: z.number().positive(),
+});
+
 /** A service that is provided by a set of targets. */
 export const targetServiceSchema = z.object({
   name: z.string().min(1),
   /** Number of connections that one target accepts from all instances together. */
   connectionLimit: z.number().int().positive(),
   engine: engineSchema.optional(),
+  /** Absent if its targets take all their load from the start. */
+  coldStart: coldStartSchema.optional(),
 });
 
 /** Limits on callers' requests and connections. */
@@ -80,6 +91,8 @@
   keys: z.array(z.string().min(1)),
   /** Rank among organisations; 0 is the highest. */
   priority: z.number().int().min(0),
+  /** Regions that its requests may reach, as for a route; both restrictions apply. */
+  allowedRegions: z.array(z.string().min(1)).optional(),
   /** Limit in requests per second; absent if there is none. */
   rate: z.object({ perSecond: z.number().positive(), burst: z.number().min(0) }).optional(),
 });
@@ -97,6 +110,7 @@
 export type RouteExecution = z.infer<typeof executionSchema>;
 export type RouteContext = z.infer<typeof routeContextSchema>;
 export type FleetRoute = z.infer<typeof fleetRouteSchema>;
+export type ColdStart = z.infer<typeof coldStartSchema>;
 export type TargetService = z.infer<typeof targetServiceSchema>;
 export type CallerLimits = z.infer<typeof callerLimitsSchema>;
 export type FleetOrganisation = z.infer<typeof fleetOrganisationSchema>;
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -1,8 +1,10 @@
-import type { Logger } from '@limpetnotch/observability';
+import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
 import { followPrefix } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
+import type { FleetTarget } from '../targets/fleetTarget';
+import { EvacuationFollower } from './evacuationFollower';
 import type { FleetCodec } from './fleetCodec';
 import type { FleetState } from './fleetState';
 import { WatchStatus } from './watchStatus';
@@ -29,6 +31,7 @@
   readonly codec: FleetCodec;
   readonly state: FleetState;
   readonly logger: Logger;
+  readonly metrics: Metrics;
   readonly onConfiguration: (configuration: FleetConfiguration) => void;
   readonly onTargetsChanged: () => void;
   readonly onRetirement: (instance: string) => void;
@@ -39,12 +42,19 @@
 export class FleetFollower {
   readonly #parts: FleetFollowerParts;
 
+  readonly #evacuations: EvacuationFollower;
+
   readonly #operatorWatchStatus: WatchStatus;
 
   readonly #targetWatchStatus: WatchStatus;
 
+  /** Whether the targets were listed before, so that an unknown one has started since. */
+  #hasListedTargets = false;
+
   constructor(parts: FleetFollowerParts) {
     this.#parts = parts;
+    const { evacuations } = parts.state;
+    this.#evacuations = new EvacuationFollower({ ...parts, evacuations });
     this.#operatorWatchStatus = new WatchStatus(parts.logger, parts.codec.operatorPrefix);
     this.#targetWatchStatus = new WatchStatus(parts.logger, parts.codec.targetPrefix);
   }
@@ -83,9 +93,16 @@
     const watchStatus = this.#operatorWatchStatus;
     const { state } = this.#parts;
     return {
-      replaced: (entries) => entries.forEach((entry) => this.#applyOperatorEntry(entry)),
-      put: (entry) => this.#applyOperatorEntry(entry),
-      removed: () => undefined,
+      replaced: (entries) => {
+        // Evacuations come first, so that the first configuration admits no request without them.
+        this.#evacuations.replaced(entries);
+        entries.forEach((entry) => this.#applyOperatorEntry(entry));
+      },
+      put: (entry) => {
+        this.#evacuations.put(entry);
+        this.#applyOperatorEntry(entry);
+      },
+      removed: (key) => this.#evacuations.removed(key),
       confirmed: () => {
         state.isConfigurationUnconfirmed = false;
         if (watchStatus.recordRecovery() > 0) this.#parts.onStoreRegained();
@@ -101,6 +118,7 @@
     const { codec, state, logger, onTargetsChanged } = this.#parts;
     const watchStatus = this.#targetWatchStatus;
     const recordRecovery = (): void => {
+      state.areTargetsUnconfirmed = false;
       const lostMilliseconds = watchStatus.recordRecovery();
       if (lostMilliseconds < HARMLESS_LOSS_MILLISECONDS) return;
       state.targets.startGracePeriod(TARGET_GRACE_MILLISECONDS);
@@ -108,7 +126,8 @@
     return {
       replaced: (entries) => {
         recordRecovery();
-        const targets = entries.flatMap((entry) => this.#decodeTarget(entry) ?? []);
+        const targets = entries.flatMap((entry) => this.#readTarget(entry) ?? []);
+        this.#hasListedTargets = true;
         state.targets.replaceAll(targets);
         state.versions.restart();
         logger.info('targets.listed', { targets: targets.length });
@@ -116,7 +135,7 @@
       },
       put: (entry) => {
         recordRecovery();
-        const target = this.#decodeTarget(entry);
+        const target = this.#readTarget(entry);
         if (target) state.targets.put(target);
         else state.targets.remove(codec.targetIdOf(entry.key));
         logger.info('targets.changed', {
@@ -130,18 +149,31 @@
       removed: (key) => {
         recordRecovery();
         state.targets.remove(codec.targetIdOf(key));
+        state.coldTargets.remove(codec.targetIdOf(key));
         logger.info('targets.removed', { target: codec.targetIdOf(key) });
         onTargetsChanged();
       },
       confirmed: (revision) => {
         recordRecovery();
         state.versions.confirm(revision);
+        state.coldTargets.confirm();
+      },
+      lost: (detail) => {
+        state.areTargetsUnconfirmed = true;
+        watchStatus.recordLoss(detail);
       },
-      lost: (detail) => watchStatus.recordLoss(detail),
     };
   }
 
-  #decodeTarget(entry: StoreEntry) {
+  /** Decodes an announcement, and notes before its target may be used whether it is cold. */
+  #readTarget(entry: StoreEntry): FleetTarget | undefined {
+    const target = this.#decodeTarget(entry);
+    if (!target) return undefined;
+    this.#parts.state.coldTargets.observe(target, entry.revision, !this.#hasListedTargets);
+    return target;
+  }
+
+  #decodeTarget(entry: StoreEntry): FleetTarget | undefined {
     const decoded = this.#parts.codec.decodeTarget(entry);
     switch (decoded.kind) {
       case 'target':
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 import { GrantMemory } from './budgets/grantMemory';
 import { ResponseWriter } from './calls/responseWriter';
 import { CallGateway } from './calls/callGateway';
+import { CallEligibility } from './calls/callEligibility';
 import { CallRunner } from './calls/callRunner';
 import { BufferLimiter } from './calls/bufferLimiter';
 import { OpenCalls } from './calls/openCalls';
@@ -30,10 +31,8 @@
 import { TargetPaths } from './forwarding/targetPaths';
 import { HttpListener } from './ingress/httpListener';
 import { IngressServer } from './ingress/ingressServer';
-import { TargetLimits } from './limits/targetLimits';
+import { FleetLimits } from './limits/fleetLimits';
 import { LimitedDispatch } from './limits/limitedDispatch';
-import { LimitGate } from './limits/limitGate';
-import { LimitSharing } from './limits/limitSharing';
 import { ProgramStarts } from './limits/programStarts';
 import type { ProbeAddress } from './overload/acceptProbe';
 import { IngressLoad } from './overload/ingressLoad';
@@ -113,11 +112,7 @@
 
   readonly #speeds = new TargetSpeeds();
 
-  readonly #limits: TargetLimits;
-
-  readonly #limitGate: LimitGate;
-
-  readonly #limitSharing: LimitSharing;
+  readonly #limits: FleetLimits;
 
   readonly #paths: TargetPaths;
 
@@ -183,7 +178,6 @@
     this.#ingressLoad = new IngressLoad({ address: () => this.#entryAddress, logger, metrics });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
-    this.#limits = new TargetLimits({ logger, metrics });
     this.#counts = new WorkCounts(metrics);
     const store = new CountedStore(parts.store, this.#counts);
     this.#peers = new FleetPeers({ logger, metrics, counts: this.#counts });
@@ -255,13 +249,14 @@
       onChange: () => this.#onMembershipChanged(),
       ledger: this.#quarantineLedger,
     });
-    const limitParts = {
-      limits: this.#limits,
+    this.#limits = new FleetLimits({
+      fleet: this.#fleet,
+      bounds: settings.bounds,
       peers: this.#peers,
       membership: this.#membership,
-    };
-    this.#limitGate = new LimitGate(limitParts);
-    this.#limitSharing = new LimitSharing({ ...limitParts, gate: this.#limitGate });
+      logger,
+      metrics,
+    });
     this.#quotas = new SharedQuotas({
       peers: this.#peers,
       instance: settings.instance,
@@ -294,6 +289,7 @@
       codec: parts.fleetCodec,
       state: this.#fleet,
       logger,
+      metrics,
       onConfiguration: (configuration) => this.#onConfigurationChanged(configuration),
       onTargetsChanged: () => this.#onTargetsChanged(),
       onRetirement: (instance) => {
@@ -304,7 +300,7 @@
       },
     });
     const limitedDispatch = new LimitedDispatch({
-      gate: this.#limitGate,
+      gate: this.#limits.gate,
       loads: this.#loads,
       instanceCount: () => this.#membership.presentCount,
       logger,
@@ -319,7 +315,7 @@
         forwarding: this.#forwarding,
       }),
       loads: this.#loads,
-      limits: this.#limits,
+      limits: this.#limits.named,
       prefixes: this.#prefixes,
       speeds: this.#speeds,
       writer,
@@ -330,6 +326,7 @@
       metrics,
       quarantine: this.#quarantine,
       limitedDispatch,
+      eligibility: new CallEligibility({ fleet: this.#fleet, settings, logger, metrics }),
       origins: this.#origins,
       instanceCount: () => this.#membership.presentCount,
     });
@@ -353,11 +350,11 @@
       turnRetention: new TurnRetention(this.#turns),
       programStarts: new ProgramStarts({
         fleet: this.#fleet,
-        gate: this.#limitGate,
+        gate: this.#limits.namedGate,
         loads: this.#loads,
         speeds: this.#speeds,
         instanceCount: () => this.#membership.presentCount,
-        isAnyLimited: () => this.#limits.isAnyLimited,
+        isAnyLimited: () => this.#limits.named.isAnyLimited,
         hasStarted: (programKey) => this.#budgets.isProgramKnown(programKey),
         logger,
         metrics,
@@ -416,7 +413,7 @@
       ...this.#follower.tasks,
       ...this.#membership.tasks,
       this.#quarantineLedger.task,
-      this.#limitSharing.task,
+      this.#limits.sharing.task,
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
       createWorkReport({ counts: this.#counts, logger }),
@@ -443,8 +440,8 @@
         quotas: this.#quotas,
         budgets: this.#budgets,
         quarantine: this.#quarantineSharing,
-        limitGate: this.#limitGate,
-        limitSharing: this.#limitSharing,
+        limitGate: this.#limits.gate,
+        limitSharing: this.#limits.sharing,
         origins: this.#origins,
         fleet: this.#fleet,
         pathChecker: this.#pathChecker,
@@ -506,9 +503,8 @@
     this.#buffers.retain(isKnown);
     this.#speeds.retain(isKnown);
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
-    [this.#limits, this.#limitGate, this.#limitSharing, this.#paths].forEach((part) =>
-      part.retain((key) => incarnationKeys.has(key)),
-    );
+    this.#paths.retain((key) => incarnationKeys.has(key));
+    this.#limits.retainAnnounced();
     this.#ends.checkAnnouncements();
     this.#fleet.versions.observe(this.#fleet.targets.all);
   }
--- a/packages/gateway/src/limits/limitSharing.ts
+++ b/packages/gateway/src/limits/limitSharing.ts
@@ -1,8 +1,10 @@
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import { delay } from '@limpetnotch/supervision';
+import type { LimitHolders } from './chooseLimitHolders';
 import type { LimitChange } from './targetLimitState';
-import type { TargetLimits } from './targetLimits';
 import type { LimitGate } from './limitGate';
+import { LimitsInForce } from './limitsInForce';
+import type { LimitKnowledge } from './limitKnowledge';
 import type { KeyedLimitState, LimitMembership, LimitPeers } from './limitPeers';
 
 /** Changes within this time are sent together. */
@@ -17,9 +19,12 @@
 /** Interval until the first response of another instance. */
 const FIRST_SYNC_INTERVAL_MILLISECONDS = 300;
 
+/** Key by which the instances are chosen that announce cold targets. */
+const COLD_TARGETS_KEY = 'cold-targets';
+
 /** Dependencies of a {@link LimitSharing}. */
 export interface LimitSharingParts {
-  readonly limits: TargetLimits;
+  readonly limits: LimitKnowledge;
   readonly gate: LimitGate;
   readonly peers: LimitPeers;
   readonly membership: LimitMembership;
@@ -89,12 +94,23 @@
     this.#startTimer(BATCH_DELAY_MILLISECONDS);
   }
 
-  /** The owner announces a limit to all instances; the deputy does so while the owner is absent. */
+  /** Whether this instance announces a limit to all others. */
   #announcesToAll(incarnationKey: string): boolean {
-    const { gate, peers, membership } = this.#parts;
-    const { owner, deputy } = gate.getHolders(incarnationKey);
+    const { peers, membership } = this.#parts;
+    const { owner, deputy } = this.#getAnnouncers(incarnationKey);
     if (owner === membership.instance) return true;
-    return deputy === membership.instance && !peers.names.includes(owner ?? '');
+    if (deputy !== membership.instance) return false;
+    // Either of them may have lost the store, from which they learn that a target is cold.
+    return LimitsInForce.isColdKey(incarnationKey) || !peers.names.includes(owner ?? '');
+  }
+
+  /**
+   * Returns the instances that announce a limit to all others: its holders or, for all cold targets
+   * together, two instances, so that many cold targets need one call to each instance.
+   */
+  #getAnnouncers(incarnationKey: string): LimitHolders {
+    const isCold = LimitsInForce.isColdKey(incarnationKey);
+    return this.#parts.gate.getHolders(isCold ? COLD_TARGETS_KEY : incarnationKey);
   }
 
   #startTimer(milliseconds: number): void {
@@ -107,12 +123,12 @@
   }
 
   async #send(): Promise<void> {
-    const { peers, gate, membership } = this.#parts;
+    const { peers, membership } = this.#parts;
     const forHolders = [...this.#forHolders.values()];
     this.#forHolders = new Map();
     const byHolder = new Map<string, KeyedLimitState[]>();
     forHolders.forEach((limit) => {
-      const { owner, deputy } = gate.getHolders(limit.incarnationKey);
+      const { owner, deputy } = this.#getAnnouncers(limit.incarnationKey);
       [owner, deputy].forEach((name) => {
         if (name === undefined || name === membership.instance) return;
         byHolder.set(name, [...(byHolder.get(name) ?? []), limit]);
