Decode the fourth figure of load reports, and count invalid ones

Cause: the load header was matched against exactly three figures, so a report with a fourth figure (the duration of work on that machine, 100 is usual) was dropped as a whole, and figures of any size were believed.

Change: the decoder accepts the fourth figure and returns a tagged result. The fixtures of three tests return the new tagged value instead of undefined.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -1,4 +1,4 @@
-import type { Logger } from '@limpetnotch/observability';
+import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { FleetState } from '../fleet/fleetState';
 import type { ForwardedRequest } from '../forwarding/forwardedRequest';
 import type { TargetAccess } from '../forwarding/targetAccess';
@@ -8,6 +8,7 @@
 import type { FleetTarget } from '../targets/fleetTarget';
 import type { TargetExchange } from '../targets/targetExchange';
 import type { TargetConnections } from '../targets/targetConnections';
+import { observeLoadReport } from '../targets/observeLoadReport';
 import type { TargetLoads } from '../targets/targetLoads';
 import { ResponseRelay } from './responseRelay';
 import type { ResponseWriter } from './responseWriter';
@@ -34,6 +35,7 @@
   readonly buffers: TargetBuffers;
   readonly origins: Pick<OriginSharing, 'record'>;
   readonly logger: Logger;
+  readonly metrics: Metrics;
 }
 
 /** Connection on which an attempt sends its request. */
@@ -248,7 +250,7 @@
     }
     const targetResponse = headResult.value;
     const head = this.#parts.codec.decodeResponse(targetResponse.status, targetResponse.rawHeaders);
-    if (head.load) this.#parts.loads.recordReport(this.#options.target.id, head.load);
+    observeLoadReport(this.#parts, this.#options.target, head.load);
     this.#checkHead(head, exchange);
     const { call } = this.#options;
     const { writer, buffers } = this.#parts;
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,4 +1,4 @@
-import type { LogFields, Metrics } from '@limpetnotch/observability';
+import type { LogFields } from '@limpetnotch/observability';
 import {
   estimateEngineMilliseconds,
   filterTargetsByTrials,
@@ -49,7 +49,6 @@
   readonly availabilityZone: string;
   readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
-  readonly metrics: Metrics;
   readonly quarantine: RequestQuarantine;
   readonly limitedDispatch: LimitedDispatch;
   /** Returns the number of instances that share the connections of a target. */
--- a/packages/gateway/src/calls/wireCodec.ts
+++ b/packages/gateway/src/calls/wireCodec.ts
@@ -19,8 +19,18 @@
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
+  /** Duration of work on the machine now; 100 is usual. Undefined if the target states none. */
+  readonly durationPercent: number | undefined;
 }
 
+/** What a response says about the load of its target; only a valid report changes anything. */
+export type LoadReport =
+  | ({ readonly kind: 'reported' } & ReportedLoad)
+  | { readonly kind: 'missing' }
+  | { readonly kind: 'malformed'; readonly text: string }
+  /** A figure that no target can have. */
+  | { readonly kind: 'excessive'; readonly text: string };
+
 /** Limit on the requests from all instances together that a target names in a response. */
 export type NamedLimit =
   | { readonly kind: 'none' }
@@ -41,7 +51,7 @@
   /** Whether the target announces that it is leaving and must not get new requests. */
   readonly isLeaving: boolean;
   readonly hasContentEncoding: boolean;
-  readonly load: ReportedLoad | undefined;
+  readonly load: LoadReport;
   /** The limit holds for as long as the target's responses name it. */
   readonly namedLimit: NamedLimit;
   /** Headers that are passed to the caller unchanged, as alternating names and values. */
--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -6,6 +6,7 @@
 import type { ExchangeError } from '../targets/exchangeError';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { FleetTarget } from '../targets/fleetTarget';
+import { observeLoadReport } from '../targets/observeLoadReport';
 import type { TargetConnections } from '../targets/targetConnections';
 import type { TargetLoads } from '../targets/targetLoads';
 import type { TargetResponse } from '../targets/targetResponse';
@@ -200,10 +201,10 @@
 
   /** Notes what a response says about its target, as responses to this instance's own requests. */
   #observeHead(target: FleetTarget, { status, rawHeaders }: TargetResponse): void {
-    const { codec, loads, fleet } = this.#parts;
+    const { codec, loads, metrics, fleet } = this.#parts;
     const { load, isLeaving } = codec.decodeResponse(status, rawHeaders);
     loads.recordReceivedBytes(target.id);
-    if (load) loads.recordReport(target.id, load);
+    observeLoadReport({ loads, metrics }, target, load);
     if (isLeaving) fleet.targets.markLeaving(target);
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
   DispatchMetadata,
   EnvelopeError,
   NamedLimit,
+  LoadReport,
   ReportedLoad,
   WireCodec,
 } from './calls/wireCodec';
--- a/packages/gateway/tests/forwarding/forwarderFleet.ts
+++ b/packages/gateway/tests/forwarding/forwarderFleet.ts
@@ -36,7 +36,7 @@
     isMisdirected: false,
     isLeaving: rawHeaders.includes('x-leaving'),
     hasContentEncoding: false,
-    load: undefined,
+    load: { kind: 'missing' },
     namedLimit: { kind: 'none' },
     passedHeaders: [],
   }),
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -48,7 +48,7 @@
       isMisdirected: status === 421,
       isLeaving: value('x-leaving') !== undefined,
       hasContentEncoding: false,
-      load: undefined,
+      load: { kind: 'missing' },
       namedLimit: toNamedLimit(value('x-limit')),
       passedHeaders: [],
     };
--- a/packages/gateway/tests/support/testWireCodec.ts
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -51,7 +51,7 @@
     isMisdirected: status === 421,
     isLeaving: false,
     hasContentEncoding: false,
-    load: undefined,
+    load: { kind: 'missing' },
     namedLimit: { kind: 'none' },
     passedHeaders: [],
   }),
