Place calls by learned capacity and interpreted load reports

Cause: the load of others fades to zero within 400 ms of a report, so with many instances every target that an instance has not heard of looks idle, and equal targets are taken in list order. Zones with few targets get the requests of as many instances as the others. Slots are taken for capacity.

Change: packages/scheduling/src/capacity learns the concurrency that each incarnation handles well and whether its reported durations are right, fades reports to the mean load, balances zones and draws the target of a plain call by filled shares. Programs whose home is loaded go to the next target by rendezvous hashing. The choice moves from callRunner to callPlacement, which logs the estimate with the placement reason and as metrics.

Gateway tests of calls, limits, quarantine, peers and shutdown: 540 passed.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,11 +1,5 @@
 import type { LogFields } from '@limpetnotch/observability';
-import {
-  estimateEngineMilliseconds,
-  filterTargetsByTrials,
-  placeRequest,
-  turnPriority,
-} from '@limpetnotch/scheduling';
-import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { turnPriority } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { LimitedDispatch } from '../limits/limitedDispatch';
 import { LimitWait } from '../limits/limitWait';
@@ -17,6 +11,8 @@
 import { Attempt } from './attempt';
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
+import type { CallPlacementParts } from './callPlacement';
+import { CallPlacement } from './callPlacement';
 import { decideDispatch } from './decideDispatch';
 import type { DispatchSituation, GiveUpReason } from './decideDispatch';
 import type { Refusal } from './refusal';
@@ -29,9 +25,6 @@
 /** Maximum runs of one request; one that fails this often may itself be crashing its targets. */
 const MAXIMUM_RUNS = 3;
 
-/** Duration of a turn that is assumed until one was measured. */
-const DEFAULT_TURN_MILLISECONDS = 200;
-
 /** Callers retry after the time in which a full target frees a slot. */
 const FULL_RETRY_AFTER_SECONDS = 0.25;
 
@@ -45,10 +38,7 @@
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
 /** Dependencies of a {@link CallRunner}. */
-export interface CallRunnerParts extends AttemptParts {
-  readonly availabilityZone: string;
-  readonly prefixes: PrefixDirectory;
-  readonly speeds: TargetSpeeds;
+export interface CallRunnerParts extends AttemptParts, Omit<CallPlacementParts, 'trials'> {
   readonly quarantine: RequestQuarantine;
   readonly limitedDispatch: LimitedDispatch;
   /** Returns the number of instances that share the connections of a target. */
@@ -124,8 +114,11 @@
 
   readonly #trials = new TrialRuns();
 
+  readonly #placement: CallPlacement;
+
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
+    this.#placement = new CallPlacement({ ...parts, trials: this.#trials });
   }
 
   /** Runs a call until it ends. */
@@ -226,10 +219,11 @@
     }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     this.#parts.limitedDispatch.recordEnd(call);
+    this.#placement.recordOutcome(target, outcome);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isSuccessful = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isSuccessful && eventCountBefore === 0) {
-      this.#recordSpeedAndPrefix(call, target, performance.now() - beganMilliseconds);
+      this.#placement.recordServed(call, target, performance.now() - beganMilliseconds);
     }
     if (outcome.kind !== 'delivered') {
       this.#parts.logger.info('call.attempt-ended', {
@@ -291,27 +285,6 @@
     return turnPriority(remaining === undefined ? undefined : remaining - ageMilliseconds);
   }
 
-  /** Records the speed at which a target served a call, and the prefixes that it now caches. */
-  #recordSpeedAndPrefix(call: Call, target: FleetTarget, milliseconds: number): void {
-    const { prompt } = call.envelope;
-    const { speeds } = this.#parts;
-    if (!prompt) {
-      speeds.observe(target.id, call.route.name, milliseconds);
-      return;
-    }
-    // The time to the first event depends more on the queue and the prompt than on the target.
-    const generating = call.ageMilliseconds - call.answeredAtMilliseconds;
-    if (call.eventCount > 1) {
-      speeds.observe(
-        target.id,
-        call.route.name,
-        (generating * call.eventCount) / (call.eventCount - 1),
-      );
-    }
-    const generated = call.eventCount * (call.service.engine?.tokensPerEvent ?? 0);
-    this.#parts.prefixes.record(target.id, prompt.parts, generated);
-  }
-
   /** Returns the result of a call after an attempt; undefined if it is dispatched again. */
   #toFinalResult(call: Call, target: FleetTarget, outcome: AttemptOutcome): CallResult | undefined {
     switch (outcome.kind) {
@@ -401,32 +374,10 @@
   }
 
   #placeCall(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
-    const { fleet, availabilityZone, limitedDispatch } = this.#parts;
-    const parts = call.envelope.prompt?.parts ?? [];
-    const placement = placeRequest(
-      { availabilityZone, work: this.#toPlacementWork(call) },
-      filterTargetsByTrials(
-        limitedDispatch
-          .filterByRoom(call, candidates, (target) => this.#estimateEngineCost(call, target))
-          .map((target) => ({
-            ...target,
-            estimatedLoad: this.#parts.loads.estimateInFlight(target.id),
-            trials: this.#trials.countAt(target.id),
-          })),
-        this.#isOnTrial(call),
-      ).map((target) => ({
-        id: target.id,
-        availabilityZone: target.availabilityZone,
-        slots: target.slots,
-        estimatedLoad: target.estimatedLoad,
-        slowness: this.#parts.speeds.slowness(target.id),
-        cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
-      })),
-    );
-    const target = placement && fleet.targets.get(placement.targetId);
+    const targetId = this.#placement.place(call, candidates, this.#isOnTrial(call));
+    const target = targetId === undefined ? undefined : this.#parts.fleet.targets.get(targetId);
     if (!target) return { kind: 'none', reason: 'no-target' };
     const placed = call;
-    placed.placement = placement.reason;
     placed.target = target.id;
     const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
     const connectionLimit = Math.max(1, Math.floor(share));
@@ -441,28 +392,6 @@
     };
   }
 
-  /** Estimates the time for which a call occupies a model engine, in milliseconds. */
-  #estimateEngineCost({ envelope: { prompt } }: Call, { id, slots }: FleetTarget): number {
-    if (!prompt) return 0;
-    const uncachedTokens = prompt.inputTokens - this.#parts.prefixes.cachedTokens(id, prompt.parts);
-    return estimateEngineMilliseconds({
-      uncachedTokens,
-      outputTokens: prompt.expectedOutputTokens ?? prompt.maximumOutputTokens,
-      slots,
-    });
-  }
-
-  #toPlacementWork({ envelope: { prompt, program }, route }: Call): PlacementWork {
-    if (!prompt || !route.hasSessionAffinity) return { kind: 'plain' };
-    return {
-      kind: 'model',
-      affinityKey: program?.id ?? prompt.parts.at(-1)?.id,
-      promptTokens: prompt.inputTokens,
-      usualMilliseconds:
-        this.#parts.speeds.usualMilliseconds(route.name) ?? DEFAULT_TURN_MILLISECONDS,
-    };
-  }
-
   #toExpiredRefusal(call: Call): Refusal {
     if (call.history.runs > 0) return { kind: 'timed-out' };
     return { kind: 'unavailable', reason: 'expired', retryAfterSeconds: FULL_RETRY_AFTER_SECONDS };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
 import { computeProgramRetention } from './budgets/computeProgramRetention';
@@ -108,6 +108,8 @@
 
   readonly #speeds = new TargetSpeeds();
 
+  readonly #capacities = new TargetCapacities();
+
   readonly #limits: TargetLimits;
 
   readonly #limitGate: LimitGate;
@@ -306,6 +308,7 @@
       limits: this.#limits,
       prefixes: this.#prefixes,
       speeds: this.#speeds,
+      capacities: this.#capacities,
       writer,
       buffers: this.#buffers,
       fleet: this.#fleet,
@@ -316,6 +319,7 @@
       limitedDispatch,
       origins: this.#origins,
       instanceCount: () => this.#membership.presentCount,
+      instanceZones: () => this.#membership.presentZones,
     });
     this.#calls = new CallGateway({
       codec,
@@ -483,13 +487,12 @@
 
   #onTargetsChanged(): void {
     const isKnown = (id: string): boolean => this.#fleet.targets.get(id) !== undefined;
-    this.#connections.retain(isKnown);
-    this.#loads.retain(isKnown);
-    this.#buffers.retain(isKnown);
-    this.#speeds.retain(isKnown);
+    [this.#connections, this.#loads, this.#buffers, this.#speeds].forEach((part) =>
+      part.retain(isKnown),
+    );
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
-    [this.#limits, this.#limitGate, this.#limitSharing, this.#paths].forEach((part) =>
-      part.retain((key) => incarnationKeys.has(key)),
+    [this.#limits, this.#limitGate, this.#limitSharing, this.#paths, this.#capacities].forEach(
+      (part) => part.retain((key) => incarnationKeys.has(key)),
     );
     this.#ends.checkAnnouncements();
     this.#fleet.versions.observe(this.#fleet.targets.all);
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -192,6 +192,13 @@
     return this.#present.get(name)?.availabilityZone;
   }
 
+  /** Availability zone of each instance that is present, including this one. */
+  get presentZones(): readonly string[] {
+    const { instance, availabilityZone: ownZone } = this.#parts;
+    const others = [...this.#present].filter(([name]) => name !== instance);
+    return [ownZone, ...others.map(([, { availabilityZone = ownZone }]) => availabilityZone)];
+  }
+
   /**
    * Rank of this instance among those present, from 0; assigns tasks that one instance performs.
    */
--- a/packages/gateway/src/targets/targetLoads.ts
+++ b/packages/gateway/src/targets/targetLoads.ts
@@ -1,3 +1,4 @@
+import type { TargetLoadView } from '@limpetnotch/scheduling';
 import type { ReportedLoad } from '../calls/wireCodec';
 import type { TargetActivity } from './targetActivity';
 
@@ -9,6 +10,7 @@
   /** Requests of other instances at the target, according to its last report. */
   othersInFlight: number;
   reportedAtMilliseconds: number;
+  durationPercent: number | undefined;
   lastByteAtMilliseconds: number;
   /** Since when this instance has had at least one request in flight. */
   busySinceMilliseconds: number;
@@ -34,10 +36,11 @@
   }
 
   /** Records the load that a response reported; it still includes the request of that response. */
-  recordReport(targetId: string, { running, waiting }: ReportedLoad): void {
+  recordReport(targetId: string, { running, waiting, durationPercent }: ReportedLoad): void {
     const load = this.#getOrCreate(targetId);
     load.othersInFlight = Math.max(0, running + waiting - load.ownInFlight);
     load.reportedAtMilliseconds = performance.now();
+    load.durationPercent = durationPercent;
   }
 
   /** Records that bytes arrived from a target. */
@@ -80,6 +83,17 @@
     return performance.now() - latest;
   }
 
+  /** Returns what is known of a target's load, without an interpretation of old reports. */
+  getView(targetId: string): TargetLoadView {
+    const load = this.#loads.get(targetId);
+    return {
+      own: load?.ownInFlight ?? 0,
+      others: load?.othersInFlight ?? 0,
+      reportAgeMilliseconds: performance.now() - (load?.reportedAtMilliseconds ?? -Infinity),
+      durationPercent: load?.durationPercent,
+    };
+  }
+
   /** Estimates the number of requests that all instances have in flight at a target. */
   estimateInFlight(targetId: string): number {
     const load = this.#loads.get(targetId);
@@ -121,6 +135,7 @@
       ownInFlight: 0,
       othersInFlight: 0,
       reportedAtMilliseconds: -Infinity,
+      durationPercent: undefined,
       lastByteAtMilliseconds: -Infinity,
       busySinceMilliseconds: Infinity,
     };
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -1,6 +1,6 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { LogFields, Logger } from '@limpetnotch/observability';
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
 import { once } from 'node:events';
 import { createServer, request as httpRequest } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
@@ -125,6 +125,8 @@
       ...singleInstanceLimits({ logger, metrics, loads }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
+      capacities: new TargetCapacities(),
+      instanceZones: () => ['a'],
       writer: this.#writer,
       buffers: new TargetBuffers(16 * 1024 * 1024, this.bufferLimiter),
       fleet: this.fleet,
--- a/packages/gateway/tests/support/drainingInstance.ts
+++ b/packages/gateway/tests/support/drainingInstance.ts
@@ -3,7 +3,7 @@
 import type { RequestListener, Server, ServerResponse } from 'node:http';
 import { MemoryMetrics } from '@limpetnotch/observability';
 import type { LogFields, Logger, LogMessageId } from '@limpetnotch/observability';
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
 import { ResponseWriter } from '../../src/calls/responseWriter';
 import { CallGateway } from '../../src/calls/callGateway';
 import { CallRunner } from '../../src/calls/callRunner';
@@ -166,6 +166,8 @@
       ...singleInstanceLimits({ logger, metrics, loads }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
+      capacities: new TargetCapacities(),
+      instanceZones: () => ['a'],
       writer,
       buffers: new TargetBuffers(16 * 1024 * 1024, new BufferLimiter(32 * 1024 * 1024)),
       fleet,
--- a/packages/scheduling/src/carried/sessionPlacement.ts
+++ b/packages/scheduling/src/carried/sessionPlacement.ts
@@ -1,4 +1,5 @@
 import { createHash } from 'node:crypto';
+import { placePlainRequest } from '../capacity/placePlainRequest';
 import { PREFILL_MILLISECONDS_PER_TOKEN } from './estimateEngineMilliseconds';
 
 /** State of a target as seen by the instance that places a request. */
@@ -6,6 +7,8 @@
   readonly id: string;
   readonly availabilityZone: string;
   readonly slots: number;
+  /** Concurrent requests that the target handles well; its slots if nothing was learned. */
+  readonly capacity?: number;
   /** Running and waiting requests of all instances, as last reported and corrected since. */
   readonly estimatedLoad: number;
   /** Service time relative to the usual time; 1 is usual, 2 is half as fast. */
@@ -16,7 +19,12 @@
 
 /** Properties of a request that determine its placement. */
 export interface PlacementRequest {
+  /** Availability zone whose targets are preferred. */
   readonly availabilityZone: string;
+  /** Requests, with this one, that instances place before they see one another's choices. */
+  readonly concurrentRequests?: number;
+  /** Spreads requests among several instances; not needed by a single one. */
+  readonly random?: () => number;
   readonly work: PlacementWork;
 }
 
@@ -38,9 +46,6 @@
   readonly reason: 'cached-prompt' | 'home' | 'least-cost' | 'least-loaded';
 }
 
-/** Load per slot by which a target in another availability zone must be less loaded. */
-const OTHER_ZONE_LOAD_MARGIN = 0.15;
-
 /** Network round trip to another availability zone. */
 const OTHER_ZONE_ROUND_TRIP_MILLISECONDS = 2;
 
@@ -53,6 +58,9 @@
 /** Benefit of starting a program at the target that other instances would also choose. */
 const HOME_BONUS_MILLISECONDS = 40;
 
+/** Additional time that a request may take so that instances with different views agree. */
+const AGREEMENT_MILLISECONDS = 20;
+
 const SCORE_BYTES = 6;
 
 /** Returns a target's weight for a key in rendezvous hashing (highest random weight). */
@@ -80,49 +88,75 @@
     : findCheapest(candidates, ({ id }) => -computeRendezvousScore(key, id));
 
 const placePlain = (
-  zone: string,
+  { availabilityZone, concurrentRequests = 1, random }: PlacementRequest,
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
-  const chosen = findCheapest(
-    candidates,
-    ({ estimatedLoad, slowness, slots, availabilityZone }) =>
-      ((estimatedLoad + 1) * slowness) / slots +
-      (availabilityZone === zone ? 0 : OTHER_ZONE_LOAD_MARGIN),
+  const chosen = placePlainRequest(
+    candidates.map(({ estimatedLoad, slots, capacity = slots, ...candidate }) => ({
+      ...candidate,
+      load: estimatedLoad,
+      capacity,
+    })),
+    { availabilityZone, concurrentRequests, random },
   );
   return chosen && { targetId: chosen.id, reason: 'least-loaded' };
 };
 
+/**
+ * Returns the target that all instances would choose among those that are nearly as cheap as the
+ * cheapest. If each chose the cheapest, instances with the same reports would choose the same one.
+ */
+const findAgreed = (
+  key: string | undefined,
+  candidates: readonly PlacementCandidate[],
+  cheapest: PlacementCandidate,
+  costOf: (candidate: PlacementCandidate) => number,
+): PlacementCandidate => {
+  const highestCost = costOf(cheapest) + AGREEMENT_MILLISECONDS;
+  const alike = candidates.filter(
+    (candidate) =>
+      candidate.cachedTokens <= cheapest.cachedTokens && costOf(candidate) <= highestCost,
+  );
+  return findHome(key, alike) ?? cheapest;
+};
+
 /**
  * Chooses a target. The cost model is designed for programs whose turns share a growing prompt: a
  * request goes to the target with the earliest expected completion, which accounts for prefill of
  * its uncached prompt, prefill of concurrent requests, the queue for a slot and the target's speed.
  * If no target caches more of the prompt than the others, the program's home target gets a bonus,
  * so that its requests meet at one target whichever instance they reach. Plain requests go to the
- * least loaded target, with a margin in favour of the instance's own availability zone.
+ * target with the least load for its capacity and speed, with a margin in favour of one zone.
  */
 export const placeRequest = (
-  { availabilityZone: zone, work }: PlacementRequest,
+  request: PlacementRequest,
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
-  if (work.kind === 'plain') return placePlain(zone, candidates);
+  const { availabilityZone: zone, work } = request;
+  if (work.kind === 'plain') return placePlain(request, candidates);
   const { affinityKey, promptTokens, usualMilliseconds } = work;
   const mostCached = Math.max(0, ...candidates.map(({ cachedTokens }) => cachedTokens));
   const leastCached = Math.min(...candidates.map(({ cachedTokens }) => cachedTokens));
   const isEquallyCached = mostCached === leastCached;
   const home = isEquallyCached ? findHome(affinityKey, candidates) : undefined;
-  const chosen = findCheapest(candidates, (candidate) => {
-    const { estimatedLoad, slots, slowness, cachedTokens } = candidate;
+  const costOf = (candidate: PlacementCandidate): number => {
+    const { estimatedLoad, slots, capacity = slots, slowness, cachedTokens } = candidate;
     // Prefill delays all requests that run at the target, not only this one.
     const prefill =
       (promptTokens - cachedTokens) * PREFILL_MILLISECONDS_PER_TOKEN * (1 + estimatedLoad);
     const contention = estimatedLoad * CONCURRENT_REQUEST_MILLISECONDS;
-    const queue = (Math.max(0, estimatedLoad + 1 - slots) * usualMilliseconds) / slots;
+    const queue = (Math.max(0, estimatedLoad + 1 - capacity) * usualMilliseconds) / capacity;
     const roundTrip = candidate.availabilityZone === zone ? 0 : OTHER_ZONE_ROUND_TRIP_MILLISECONDS;
     const bonus = candidate === home ? HOME_BONUS_MILLISECONDS : 0;
     return (usualMilliseconds + prefill + contention + queue) * slowness + roundTrip - bonus;
-  });
-  if (!chosen) return undefined;
-  if (chosen === home) return { targetId: chosen.id, reason: 'home' };
-  const isCached = !isEquallyCached && chosen.cachedTokens === mostCached;
-  return { targetId: chosen.id, reason: isCached ? 'cached-prompt' : 'least-cost' };
+  };
+  const cheapest = findCheapest(candidates, costOf);
+  if (!cheapest) return undefined;
+  if (cheapest === home) return { targetId: cheapest.id, reason: 'home' };
+  if (!isEquallyCached && cheapest.cachedTokens === mostCached) {
+    return { targetId: cheapest.id, reason: 'cached-prompt' };
+  }
+  const others = candidates.filter((candidate) => candidate !== home);
+  const agreed = findAgreed(affinityKey, others, cheapest, costOf);
+  return { targetId: agreed.id, reason: 'least-cost' };
 };
