--- a/packages/gateway/src/calls/callPlacement.ts
+++ b/packages/gateway/src/calls/callPlacement.ts
@@ -1,38 +1,49 @@
 import type { Metrics } from '@limpetnotch/observability';
-import type { PlacementWork, PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import {
+  drawZone,
   estimateEngineMilliseconds,
   filterTargetsByTrials,
+  interpretLoads,
   placeRequest,
 } from '@limpetnotch/scheduling';
-import type { FleetState } from '../fleet/fleetState';
+import type {
+  CapacityEstimate,
+  PlacementWork,
+  PrefixDirectory,
+  TargetCapacities,
+  TargetSpeeds,
+} from '@limpetnotch/scheduling';
 import type { LimitedDispatch } from '../limits/limitedDispatch';
 import type { TrialRuns } from '../quarantine/trialRuns';
 import type { FleetTarget } from '../targets/fleetTarget';
+import { getIncarnationKey } from '../targets/getIncarnationKey';
 import type { TargetLoads } from '../targets/targetLoads';
+import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
-import type { TargetChoice } from './targetChoice';
 
 /** Duration of a turn that is assumed until one was measured. */
 const DEFAULT_TURN_MILLISECONDS = 200;
 
 /** Dependencies of a {@link CallPlacement}. */
 export interface CallPlacementParts {
-  readonly fleet: FleetState;
   readonly availabilityZone: string;
-  readonly limitedDispatch: LimitedDispatch;
   readonly loads: TargetLoads;
-  readonly prefixes: PrefixDirectory;
   readonly speeds: TargetSpeeds;
-  readonly metrics: Metrics;
+  readonly capacities: TargetCapacities;
+  readonly prefixes: PrefixDirectory;
+  readonly limitedDispatch: Pick<LimitedDispatch, 'filterByRoom'>;
   readonly trials: TrialRuns;
-  /** Whether a call is kept apart from others because it may crash its target. */
-  readonly isOnTrial: (call: Call) => boolean;
-  /** Returns the number of instances that share the connections of a target. */
-  readonly instanceCount: () => number;
+  /** Availability zones of the instances that are present, including this one. */
+  readonly instanceZones: () => readonly string[];
+  readonly metrics: Metrics;
 }
 
-/** Places calls: chooses among the targets that may run them by load, speed and affinity. */
+const toCapacityKey = (target: FleetTarget) => ({
+  incarnation: getIncarnationKey(target),
+  slots: target.slots,
+});
+
+/** Chooses targets by the time to finish there, and learns from their answers. */
 export class CallPlacement {
   readonly #parts: CallPlacementParts;
 
@@ -40,49 +51,122 @@
     this.#parts = parts;
   }
 
-  /** Chooses the target of a call among its candidates. */
-  place(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
-    const { fleet, availabilityZone, limitedDispatch, loads, speeds, prefixes } = this.#parts;
+  /** Returns the id of the chosen target, and notes the reason at the call. */
+  place(call: Call, candidates: readonly FleetTarget[], isOnTrial: boolean): string | undefined {
+    const work = this.#toWork(call);
+    const eligible = this.#filter(call, candidates, isOnTrial);
+    const estimates = eligible.map((target) => this.#estimate(target));
+    const { loads, concurrentRequests } = interpretLoads(
+      eligible.map(({ id }, index) => ({
+        capacity: estimates[index]?.capacity ?? 1,
+        view: this.#parts.loads.getView(id),
+      })),
+      this.#getUsualMilliseconds(call),
+    );
     const parts = call.envelope.prompt?.parts ?? [];
+    const placed = eligible.map((target, index) => ({
+      id: target.id,
+      availabilityZone: target.availabilityZone,
+      slots: target.slots,
+      capacity: estimates[index]?.capacity ?? target.slots,
+      slowness: estimates[index]?.slowness ?? 1,
+      estimatedLoad: loads[index] ?? 0,
+      cachedTokens: this.#parts.prefixes.cachedTokens(target.id, parts),
+    }));
     const placement = placeRequest(
-      { availabilityZone, work: this.#toPlacementWork(call) },
-      filterTargetsByTrials(
-        limitedDispatch
-          .filterByRoom(call, candidates, (target) => this.#estimateEngineCost(call, target))
-          .map((target) => ({
-            ...target,
-            estimatedLoad: loads.estimateInFlight(target.id),
-            trials: this.#parts.trials.countAt(target.id),
-          })),
-        this.#parts.isOnTrial(call),
-      ).map((target) => ({
-        id: target.id,
-        availabilityZone: target.availabilityZone,
-        slots: target.slots,
-        estimatedLoad: target.estimatedLoad,
-        slowness: speeds.slowness(target.id),
-        cachedTokens: prefixes.cachedTokens(target.id, parts),
-      })),
+      {
+        availabilityZone: this.#drawZone(work, placed),
+        concurrentRequests,
+        ...(this.#parts.instanceZones().length > 1 && { random: Math.random }),
+        work,
+      },
+      placed,
     );
-    const target = placement && fleet.targets.get(placement.targetId);
-    if (!target) return { kind: 'none', reason: 'no-target' };
+    const chosen = placed.find(({ id }) => id === placement?.targetId);
+    if (!placement || !chosen) return undefined;
+    this.#note(call, placement.reason, chosen);
+    return chosen.id;
+  }
+
+  /** Records how an attempt ended that the target may have refused because it was full. */
+  recordOutcome(target: FleetTarget, outcome: AttemptOutcome): void {
+    if (outcome.kind !== 'declined' || outcome.reason !== 'full') return;
+    const { own, others } = this.#parts.loads.getView(target.id);
+    this.#parts.capacities.observeRefusal(toCapacityKey(target), own + others);
+  }
+
+  /** Records the speed at which a target served a call, and the prefixes that it now caches. */
+  recordServed(call: Call, target: FleetTarget, milliseconds: number): void {
+    const { prompt } = call.envelope;
+    if (!prompt) {
+      this.#observe(call, target, milliseconds);
+      return;
+    }
+    // The time to the first event depends more on the queue and the prompt than on the target.
+    const generating = call.ageMilliseconds - call.answeredAtMilliseconds;
+    if (call.eventCount > 1) {
+      this.#observe(call, target, (generating * call.eventCount) / (call.eventCount - 1));
+    }
+    const generated = call.eventCount * (call.service.engine?.tokensPerEvent ?? 0);
+    this.#parts.prefixes.record(target.id, prompt.parts, generated);
+  }
+
+  #observe({ route }: Call, target: FleetTarget, milliseconds: number): void {
+    const { capacities, loads, speeds } = this.#parts;
+    const usualMilliseconds = speeds.usualMilliseconds(route.name) ?? milliseconds;
+    const view = loads.getView(target.id);
+    capacities.observeAnswer(toCapacityKey(target), { view, milliseconds, usualMilliseconds });
+    speeds.observe(target.id, route.name, milliseconds);
+  }
+
+  #filter(
+    call: Call,
+    candidates: readonly FleetTarget[],
+    isOnTrial: boolean,
+  ): readonly FleetTarget[] {
+    const { limitedDispatch, loads, trials } = this.#parts;
+    const withRoom = limitedDispatch.filterByRoom(call, candidates, (target) =>
+      this.#estimateEngineCost(call, target),
+    );
+    const candidatesById = new Map(withRoom.map((target) => [target.id, target]));
+    return filterTargetsByTrials(
+      withRoom.map(({ id }) => ({
+        id,
+        estimatedLoad: loads.estimateInFlight(id),
+        trials: trials.countAt(id),
+      })),
+      isOnTrial,
+    ).flatMap(({ id }) => candidatesById.get(id) ?? []);
+  }
+
+  #estimate(target: FleetTarget): CapacityEstimate {
+    const { capacities, loads, speeds } = this.#parts;
+    const report = loads.getView(target.id);
+    return capacities.estimate(toCapacityKey(target), speeds.slowness(target.id), report);
+  }
+
+  #drawZone(
+    { kind }: PlacementWork,
+    targets: readonly { readonly availabilityZone: string; readonly capacity: number }[],
+  ): string {
+    const { availabilityZone: ownZone, instanceZones } = this.#parts;
+    if (kind === 'model') return ownZone;
+    return drawZone({ ownZone, instanceZones: instanceZones(), targets }, Math.random);
+  }
+
+  #note(
+    call: Call,
+    reason: string,
+    { capacity, slowness }: { readonly capacity: number; readonly slowness: number },
+  ): void {
+    const { metrics } = this.#parts;
     const placed = call;
-    placed.placement = placement.reason;
-    placed.target = target.id;
-    if (placement.reason === 'object' || placement.reason === 'object-spill') {
-      const tags = { placement: placement.reason };
-      this.#parts.metrics.increment('call.object-placements', 1, tags);
+    placed.placement = `${reason} capacity=${capacity.toFixed(1)} slowness=${slowness.toFixed(2)}`;
+    if (reason === 'object' || reason === 'object-spill') {
+      metrics.increment('call.object-placements', 1, { placement: reason });
     }
-    const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
-    const connectionLimit = Math.max(1, Math.floor(share));
-    return {
-      kind: 'target',
-      target,
-      candidates,
-      isRepeat: false,
-      connection: { kind: 'shared', connectionLimit },
-      pauseMilliseconds: 0,
-    };
+    metrics.distribution('placement.capacity', capacity, { service: call.service.name });
+    metrics.distribution('placement.slowness', slowness, { service: call.service.name });
   }
 
   /** Estimates the time for which a call occupies a model engine, in milliseconds. */
@@ -96,16 +180,19 @@
     });
   }
 
-  #toPlacementWork({ envelope, route }: Call): PlacementWork {
-    const { prompt, program, objectKey } = envelope;
-    if (!route.hasSessionAffinity) return { kind: 'plain' };
+  #getUsualMilliseconds({ route }: Call): number {
+    return this.#parts.speeds.usualMilliseconds(route.name) ?? DEFAULT_TURN_MILLISECONDS;
+  }
+
+  #toWork(call: Call): PlacementWork {
+    const { prompt, program, objectKey } = call.envelope;
+    if (!call.route.hasSessionAffinity) return { kind: 'plain' };
     if (!prompt) return objectKey === undefined ? { kind: 'plain' } : { kind: 'object', objectKey };
     return {
       kind: 'model',
       affinityKey: program?.id ?? prompt.parts.at(-1)?.id,
       promptTokens: prompt.inputTokens,
-      usualMilliseconds:
-        this.#parts.speeds.usualMilliseconds(route.name) ?? DEFAULT_TURN_MILLISECONDS,
+      usualMilliseconds: this.#getUsualMilliseconds(call),
     };
   }
 }
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -1,6 +1,5 @@
-import type { LogFields, Metrics } from '@limpetnotch/observability';
+import type { LogFields } from '@limpetnotch/observability';
 import { turnPriority } from '@limpetnotch/scheduling';
-import type { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import { delay } from '@limpetnotch/supervision';
 import type { LimitedDispatch } from '../limits/limitedDispatch';
 import { LimitWait } from '../limits/limitWait';
@@ -13,6 +12,7 @@
 import type { AttemptOutcome } from './attemptOutcome';
 import type { Call } from './call';
 import type { CallEligibility } from './callEligibility';
+import type { CallPlacementParts } from './callPlacement';
 import { CallPlacement } from './callPlacement';
 import { decideDispatch } from './decideDispatch';
 import type { DispatchSituation, GiveUpReason } from './decideDispatch';
@@ -40,11 +40,7 @@
   | { readonly kind: 'refused'; readonly refusal: Refusal };
 
 /** Dependencies of a {@link CallRunner}. */
-export interface CallRunnerParts extends AttemptParts {
-  readonly availabilityZone: string;
-  readonly prefixes: PrefixDirectory;
-  readonly speeds: TargetSpeeds;
-  readonly metrics: Metrics;
+export interface CallRunnerParts extends AttemptParts, Omit<CallPlacementParts, 'trials'> {
   readonly quarantine: RequestQuarantine;
   readonly limitedDispatch: LimitedDispatch;
   readonly eligibility: CallEligibility;
@@ -108,11 +104,7 @@
 
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
-    this.#placement = new CallPlacement({
-      ...parts,
-      trials: this.#trials,
-      isOnTrial: (call) => this.#isOnTrial(call),
-    });
+    this.#placement = new CallPlacement({ ...parts, trials: this.#trials });
   }
 
   /** Runs a call until it ends. */
@@ -215,10 +207,11 @@
     }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     this.#parts.limitedDispatch.recordEnd(call);
+    this.#placement.recordOutcome(target, outcome);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isSuccessful = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
     if (isSuccessful && eventCountBefore === 0) {
-      this.#recordSpeedAndPrefix(call, target, performance.now() - beganMilliseconds);
+      this.#placement.recordServed(call, target, performance.now() - beganMilliseconds);
     }
     if (outcome.kind !== 'delivered') {
       this.#parts.logger.info('call.attempt-ended', {
@@ -280,27 +273,6 @@
     return turnPriority(remaining === undefined ? undefined : remaining - ageMilliseconds);
   }
 
-  /** Records the speed at which a target served a call, and the prefixes that it now caches. */
-  #recordSpeedAndPrefix(call: Call, target: FleetTarget, milliseconds: number): void {
-    const { prompt } = call.envelope;
-    const { speeds } = this.#parts;
-    if (!prompt) {
-      speeds.observe(target.id, call.route.name, milliseconds);
-      return;
-    }
-    // The time to the first event depends more on the queue and the prompt than on the target.
-    const generating = call.ageMilliseconds - call.answeredAtMilliseconds;
-    if (call.eventCount > 1) {
-      speeds.observe(
-        target.id,
-        call.route.name,
-        (generating * call.eventCount) / (call.eventCount - 1),
-      );
-    }
-    const generated = call.eventCount * (call.service.engine?.tokensPerEvent ?? 0);
-    this.#parts.prefixes.record(target.id, prompt.parts, generated);
-  }
-
   /** Returns the result of a call after an attempt; undefined if it is dispatched again. */
   #toFinalResult(call: Call, target: FleetTarget, outcome: AttemptOutcome): CallResult | undefined {
     switch (outcome.kind) {
@@ -382,7 +354,7 @@
     const decision = decideDispatch(this.#getDispatchSituation(call, repeatCount));
     switch (decision.kind) {
       case 'dispatch':
-        return this.#placement.place(call, decision.candidates);
+        return this.#placeCall(call, decision.candidates);
       case 'repeat':
         return {
           ...decision,
@@ -402,6 +374,25 @@
     return { kind: 'none', reason: 'ineligible', retryAfterSeconds };
   }
 
+  #placeCall(call: Call, candidates: readonly FleetTarget[]): TargetChoice {
+    const targetId = this.#placement.place(call, candidates, this.#isOnTrial(call));
+    const target = targetId === undefined ? undefined : this.#parts.fleet.targets.get(targetId);
+    if (!target) return { kind: 'none', reason: 'no-target' };
+    const placed = call;
+    placed.target = target.id;
+    const share = call.service.connectionLimit / Math.max(2, this.#parts.instanceCount());
+    const connectionLimit = Math.max(1, Math.floor(share));
+    const connection = { kind: 'shared', connectionLimit } as const;
+    return {
+      kind: 'target',
+      target,
+      candidates,
+      isRepeat: false,
+      connection,
+      pauseMilliseconds: 0,
+    };
+  }
+
   #toExpiredRefusal(call: Call): Refusal {
     if (call.history.runs > 0) return { kind: 'timed-out' };
     return { kind: 'unavailable', reason: 'expired', retryAfterSeconds: FULL_RETRY_AFTER_SECONDS };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
 import { RetainedTurns, StorageDirectory } from '@limpetnotch/turns';
@@ -112,6 +112,8 @@
 
   readonly #speeds = new TargetSpeeds();
 
+  readonly #capacities = new TargetCapacities();
+
   readonly #limits: FleetLimits;
 
   readonly #paths: TargetPaths;
@@ -318,6 +320,7 @@
       limits: this.#limits.named,
       prefixes: this.#prefixes,
       speeds: this.#speeds,
+      capacities: this.#capacities,
       writer,
       buffers: this.#buffers,
       fleet: this.#fleet,
@@ -329,6 +332,7 @@
       eligibility: new CallEligibility({ fleet: this.#fleet, settings, logger, metrics }),
       origins: this.#origins,
       instanceCount: () => this.#membership.presentCount,
+      instanceZones: () => this.#membership.presentZones,
     });
     this.#calls = new CallGateway({
       codec,
@@ -498,12 +502,13 @@
 
   #onTargetsChanged(): void {
     const isKnown = (id: string): boolean => this.#fleet.targets.get(id) !== undefined;
-    this.#connections.retain(isKnown);
-    this.#loads.retain(isKnown);
-    this.#buffers.retain(isKnown);
-    this.#speeds.retain(isKnown);
+    [this.#connections, this.#loads, this.#buffers, this.#speeds].forEach((part) =>
+      part.retain(isKnown),
+    );
     const incarnationKeys = new Set(this.#fleet.targets.all.map(getIncarnationKey));
-    this.#paths.retain((key) => incarnationKeys.has(key));
+    [this.#paths, this.#capacities].forEach((part) =>
+      part.retain((key) => incarnationKeys.has(key)),
+    );
     this.#limits.retainAnnounced();
     this.#ends.checkAnnouncements();
     this.#fleet.versions.observe(this.#fleet.targets.all);
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -1,6 +1,6 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { LogFields, Logger } from '@limpetnotch/observability';
-import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
+import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
 import { once } from 'node:events';
 import { createServer, request as httpRequest } from 'node:http';
 import type { IncomingMessage, RequestListener, Server, ServerResponse } from 'node:http';
@@ -50,7 +50,7 @@
       isMisdirected: status === 421,
       isLeaving: value('x-leaving') !== undefined,
       hasContentEncoding: false,
-      load: undefined,
+      load: { kind: 'missing' },
       namedLimit: toNamedLimit(value('x-limit')),
       passedHeaders: [],
     };
@@ -136,6 +136,8 @@
       }),
       prefixes: new PrefixDirectory(),
       speeds: new TargetSpeeds(),
+      capacities: new TargetCapacities(),
+      instanceZones: () => ['a'],
       writer: this.#writer,
       buffers: new TargetBuffers(16 * 1024 * 1024, this.bufferLimiter),
       fleet: this.fleet,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -47,3 +47,10 @@
 export type { EligibilityRules } from './eligibility/eligibilityRules';
 export type { Ineligibility } from './eligibility/ineligibility';
 export { isRegionAllowed } from './eligibility/isRegionAllowed';
+export { drawZone } from './capacity/drawZone';
+export type { ZoneSituation } from './capacity/drawZone';
+export { interpretLoads } from './capacity/interpretLoads';
+export type { InterpretedLoads, LoadedTarget } from './capacity/interpretLoads';
+export { TargetCapacities } from './capacity/targetCapacities';
+export type { CapacityAnswer, CapacityEstimate, CapacityKey } from './capacity/targetCapacities';
+export type { TargetLoadView } from './capacity/targetLoadView';
