--- a/packages/gateway/tests/calls/ineligibleTarget.test.ts
+++ b/packages/gateway/tests/calls/ineligibleTarget.test.ts
@@ -128,6 +128,8 @@
   const { address } = await harness.addTarget('t0', (_request, response) => {
     harness.fleet.evacuations.end('b');
     harness.apply([{ allowedRegions: ['north'] }]);
+    // Without the restriction, only the other target would remain.
+    harness.fleet.targets.markRefused(harness.fleet.targets.get('t0')!);
     response.destroy();
   });
   harness.announce('t0', address, 'serving', { availabilityZone: 'a' });
