Compare paths only with targets of zones that are not evacuated

A refused connection counts as the target's own failure if another target accepts one. A zone that is evacuated may go down, and its targets would make this look like a cut of the instance.

--- a/packages/gateway/src/forwarding/pathChecker.ts
+++ b/packages/gateway/src/forwarding/pathChecker.ts
@@ -44,6 +44,8 @@
   readonly peers: PathPeers;
   readonly directory: TargetDirectory;
   readonly loads: TargetLoads;
+  /** Whether the targets of an availability zone may be gone, as operators have evacuated it. */
+  readonly isEvacuated?: (availabilityZone: string) => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
   readonly check?: typeof checkConnection;
@@ -191,9 +193,12 @@
 
   /** Whether a connection to some other target can be opened, or there is no other. */
   async #reachesOther(target: FleetTarget): Promise<boolean> {
-    const { directory, paths } = this.#parts;
+    const { directory, paths, isEvacuated } = this.#parts;
     const others = directory.all.filter(
-      (other) => other.address !== target.address && other.state === 'serving',
+      (other) =>
+        other.address !== target.address &&
+        other.state === 'serving' &&
+        !isEvacuated?.(other.availabilityZone),
     );
     if (others.length === 0) return true;
     const reachable = others.filter((other) => !paths.isCut(other));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -180,6 +180,7 @@
       peers: this.#peers,
       directory: this.#fleet.targets,
       loads: this.#loads,
+      isEvacuated: (zone) => this.#fleet.evacuations.has(zone),
       logger,
       metrics,
     });
--- a/packages/gateway/tests/forwarding/pathChecker.test.ts
+++ b/packages/gateway/tests/forwarding/pathChecker.test.ts
@@ -8,10 +8,12 @@
 
 const target = fleetTarget({ id: 'a', address: '127.0.0.1:9001' });
 
+let evacuatedZones: string[];
 let own: ConnectionCheck;
 /** Result of connections to other targets. */
 let ownToOthers: ConnectionCheck;
 let ownChecks: number;
+let checkedAddresses: string[];
 let peerResults: Readonly<Record<string, ConnectionCheck | undefined>>;
 let loads: TargetLoads;
 let paths: TargetPaths;
@@ -23,6 +25,8 @@
   own = 'accepted';
   ownToOthers = 'accepted';
   ownChecks = 0;
+  checkedAddresses = [];
+  evacuatedZones = [];
   peerResults = { p: 'accepted' };
   loads = new TargetLoads();
   end = new AbortController();
@@ -30,6 +34,8 @@
   directory.put(target);
   directory.put(fleetTarget({ id: 'b', address: '127.0.0.1:9002' }));
   directory.put(fleetTarget({ id: 'c', address: '127.0.0.1:9003' }));
+  directory.put(fleetTarget({ id: 'd', address: '127.0.0.1:9004', availabilityZone: 'z' }));
+  directory.put(fleetTarget({ id: 'e', address: '127.0.0.1:9005', availabilityZone: 'z' }));
   const logger = silentLogger;
   const metrics = new MemoryMetrics();
   paths = new TargetPaths({ targets: () => directory.all, logger, metrics });
@@ -43,9 +49,11 @@
     },
     directory,
     loads,
+    isEvacuated: (zone) => evacuatedZones.includes(zone),
     logger,
     metrics,
     check: async (address) => {
+      checkedAddresses.push(address);
       if (address !== target.address) return ownToOthers;
       ownChecks += 1;
       return own;
@@ -172,3 +180,17 @@
   await Promise.all([checker.answer(target), checker.answer(target)]);
   expect(ownChecks).toBe(1);
 });
+
+// A zone that is evacuated may go down, and would look like a cut of this instance.
+test('targets of evacuated zones say nothing about the path to another target', async () => {
+  peerResults = { p: 'unknown' };
+  evacuatedZones = ['z'];
+  const verdicts = [];
+  for (let count = 0; count < 6; count += 1) {
+    const verdict = checker.explainFailure(target, true);
+    await pass(100);
+    verdicts.push(await verdict);
+  }
+  expect(new Set(verdicts)).toEqual(new Set(['target-refuses']));
+  expect(new Set(checkedAddresses)).toEqual(new Set(['127.0.0.1:9002', '127.0.0.1:9003']));
+});
