--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -1,8 +1,9 @@
 import type { Logger } from '@limpetnotch/observability';
-import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
-import { followPrefix } from '@limpetnotch/store';
+import type { ObservationOptions, SharedObservation } from '@limpetnotch/observation';
+import type { PrefixListener, StoreEntry } from '@limpetnotch/store';
 import type { ChildSpecification } from '@limpetnotch/supervision';
 import type { FleetConfiguration } from '../configuration/fleetConfiguration';
+import type { GatewaySettings } from '../gatewaySettings';
 import type { FleetCodec } from './fleetCodec';
 import type { FleetState } from './fleetState';
 import { WatchStatus } from './watchStatus';
@@ -25,7 +26,8 @@
 
 /** Parts of a {@link FleetFollower}. */
 export interface FleetFollowerParts {
-  readonly store: KeyValueStore;
+  readonly observation: Pick<SharedObservation, 'follow'>;
+  readonly bounds: Pick<GatewaySettings['bounds'], 'applyMilliseconds' | 'drainMilliseconds'>;
   readonly codec: FleetCodec;
   readonly state: FleetState;
   readonly logger: Logger;
@@ -35,6 +37,8 @@
   readonly onStoreRegained: () => void;
 }
 
+type FollowedPrefix = Pick<ObservationOptions, 'prefix' | 'listener' | 'boundMilliseconds'>;
+
 /** Keeps the local view of the fleet up to date with the store. */
 export class FleetFollower {
   readonly #parts: FleetFollowerParts;
@@ -51,29 +55,32 @@
 
   /** A task for the entries of operators and one for the announcements of targets. */
   get tasks(): readonly ChildSpecification[] {
-    const { codec } = this.#parts;
+    const { codec, bounds } = this.#parts;
     return [
-      this.#createTask('configuration', codec.operatorPrefix, this.#createOperatorListener()),
-      this.#createTask('targets', codec.targetPrefix, this.#createTargetListener()),
+      this.#createTask('configuration', {
+        prefix: codec.operatorPrefix,
+        listener: this.#createOperatorListener(),
+        boundMilliseconds: bounds.applyMilliseconds,
+      }),
+      this.#createTask('targets', {
+        prefix: codec.targetPrefix,
+        listener: this.#createTargetListener(),
+        boundMilliseconds: bounds.drainMilliseconds,
+      }),
     ];
   }
 
-  #createTask(name: string, prefix: string, listener: PrefixListener): ChildSpecification {
+  #createTask(name: string, followed: FollowedPrefix): ChildSpecification {
     return {
       name,
       restart: 'always',
       run: async ({ signal, ready }) => {
         ready();
-        const { store } = this.#parts;
-        const silenceMilliseconds = WATCH_SILENCE_MILLISECONDS;
-        const pauseMilliseconds = WATCH_PAUSE_MILLISECONDS;
-        await followPrefix({
-          store,
-          prefix,
-          listener,
+        await this.#parts.observation.follow({
+          ...followed,
           signal,
-          silenceMilliseconds,
-          pauseMilliseconds,
+          silenceMilliseconds: WATCH_SILENCE_MILLISECONDS,
+          pauseMilliseconds: WATCH_PAUSE_MILLISECONDS,
         });
       },
     };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Logger, Metrics } from '@limpetnotch/observability';
+import { SharedObservation } from '@limpetnotch/observation';
 import { PrefixDirectory, TargetSpeeds } from '@limpetnotch/scheduling';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
@@ -40,6 +41,7 @@
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
+import { ObservationClient } from './peers/observationClient';
 import { QuarantineLedger } from './quarantine/quarantineLedger';
 import { QuarantineSharing } from './quarantine/quarantineSharing';
 import { RequestQuarantine } from './quarantine/requestQuarantine';
@@ -53,6 +55,7 @@
 import { getIncarnationKey } from './targets/getIncarnationKey';
 import { TargetConnections } from './targets/targetConnections';
 import { TargetLoads } from './targets/targetLoads';
+import { rankInstances } from './util/rankInstances';
 import { CountedStore } from './work/countedStore';
 import { createWorkReport } from './work/createWorkReport';
 import { WorkCounts } from './work/workCounts';
@@ -134,6 +137,8 @@
 
   readonly #peers: FleetPeers;
 
+  readonly #observation: SharedObservation;
+
   readonly #membership: Membership;
 
   readonly #quotas: SharedQuotas;
@@ -230,8 +235,18 @@
       peers: this.#peers,
       ledger: this.#quarantineLedger,
     });
+    this.#observation = new SharedObservation({
+      store,
+      instance: settings.instance,
+      availabilityZone: settings.availabilityZone,
+      source: new ObservationClient({ peers: this.#peers, counts: this.#counts }),
+      rank: rankInstances,
+      logger,
+      metrics,
+    });
     this.#membership = new Membership({
       store,
+      observation: this.#observation,
       instance: settings.instance,
       address: `${settings.peer.host}:${settings.peer.port}`,
       availabilityZone: settings.availabilityZone,
@@ -274,7 +289,8 @@
       rank: () => this.#membership.rank,
     });
     this.#follower = new FleetFollower({
-      store,
+      observation: this.#observation,
+      bounds: settings.bounds,
       codec: parts.fleetCodec,
       state: this.#fleet,
       logger,
@@ -398,6 +414,7 @@
     const tasks = [
       ...this.#follower.tasks,
       ...this.#membership.tasks,
+      this.#observation.task,
       this.#quarantineLedger.task,
       this.#limitSharing.task,
       this.#pathChecker.task,
@@ -432,6 +449,7 @@
         fleet: this.#fleet,
         pathChecker: this.#pathChecker,
         forwarder: this.#forwarder,
+        observation: this.#observation,
       }),
     });
   }
@@ -478,6 +496,7 @@
 
   #onMembershipChanged(): void {
     this.#peers.setPeers(this.#membership.peers);
+    this.#observation.setFleet(this.#membership.observingFleet);
     this.#quotas.apply(this.#fleet.index?.configuration);
   }
 
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -2,6 +2,7 @@
 import type { ServiceImpl } from '@connectrpc/connect';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
+import type { SharedObservation } from '@limpetnotch/observation';
 import {
   createUnaryListener,
   FleetService,
@@ -25,6 +26,7 @@
   toPartMessage,
 } from './forwardingMessage';
 import { fromLimitMessage, toLimitMessage } from './limitMessage';
+import { fromObserveMessage, toRelayedMessage } from './observationMessage';
 import { fromOriginMessage, toOriginMessage } from './originMessage';
 import { fromAdmissionRequestMessage, toAdmissionMessage, toTokensMessage } from './quotaMessage';
 
@@ -39,6 +41,7 @@
   readonly fleet: FleetState;
   readonly pathChecker: PathChecker;
   readonly forwarder: ExchangeForwarder;
+  readonly observation: Pick<SharedObservation, 'relay'>;
 }
 
 const createFleetService = ({
@@ -51,6 +54,7 @@
   fleet,
   pathChecker,
   forwarder,
+  observation,
 }: FleetListenerParts): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, ...wanted }) =>
     toTokensMessage(quotas.transferTokens(organisation, wanted)),
@@ -132,6 +136,10 @@
     if (!request) throw new ConnectError('the target is missing', Code.InvalidArgument);
     for await (const part of forwarder.forward(request, signal)) yield toPartMessage(part);
   },
+  async *observeStore(request, { signal }) {
+    const messages = observation.relay(fromObserveMessage(request), signal);
+    for await (const message of messages) yield toRelayedMessage(message);
+  },
   releaseBudget: async ({ budget }) => {
     const { sharers, hasAllSharers } = await budgets.release(budget);
     return { sharers: [...sharers], hasAllSharers };
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -232,6 +232,11 @@
     this.#order = [...this.#peers.keys()];
   }
 
+  /** Returns the client for streams from a peer; undefined if it has left. */
+  getStreamClient(name: string): Client<typeof FleetService> | undefined {
+    return this.#peers.get(name)?.forwardingClient;
+  }
+
   /** Requests tokens of an organisation's rate from one peer after another until one gives enough. */
   async takeTokens(
     organisation: string,
--- a/packages/gateway/src/peers/membership.ts
+++ b/packages/gateway/src/peers/membership.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@limpetnotch/observability';
+import type { ObservingFleet, SharedObservation } from '@limpetnotch/observation';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
-import { compareAndSwapUntilKnown, followPrefix, parseJson } from '@limpetnotch/store';
+import { compareAndSwapUntilKnown, parseJson } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
 import { z } from 'zod';
@@ -62,6 +63,8 @@
   availabilityZone: z.string().optional(),
   /** Whether the instance can share rates among chosen holders; absent from earlier versions. */
   choosesHolders: z.boolean().optional(),
+  /** Whether the instance can relay changes of the store; absent from earlier versions. */
+  relaysChanges: z.boolean().optional(),
 });
 
 type Presence = z.infer<typeof presenceSchema>;
@@ -79,6 +82,7 @@
 /** Parts of a {@link Membership}. */
 export interface MembershipParts {
   readonly store: KeyValueStore;
+  readonly observation: Pick<SharedObservation, 'follow'>;
   readonly instance: string;
   /** Address (`host:port`) on which this instance serves other instances. */
   readonly address: string;
@@ -192,6 +196,16 @@
     return this.#present.get(name)?.availabilityZone;
   }
 
+  /** The instances that may observe the store together. */
+  get observingFleet(): ObservingFleet {
+    const present = [...this.#present].map(([name, { availabilityZone, relaysChanges }]) => ({
+      name,
+      availabilityZone,
+      canRelay: relaysChanges === true,
+    }));
+    return { size: new Set([...this.#lists.current, ...this.#present.keys()]).size, present };
+  }
+
   /**
    * Rank of this instance among those present, from 0; assigns tasks that one instance performs.
    */
@@ -207,8 +221,7 @@
 
   async #follow({ signal, ready }: ChildContext): Promise<void> {
     ready();
-    await followPrefix({
-      store: this.#parts.store,
+    await this.#parts.observation.follow({
       prefix: PREFIX,
       listener: this.#listener(),
       signal,
@@ -343,6 +356,7 @@
       address,
       availabilityZone,
       choosesHolders: true,
+      relaysChanges: true,
     } satisfies Presence);
     let expectedRevision = 0;
     for (let attempt = 0; attempt < 3; attempt += 1) {
--- a/packages/gateway/tests/peers/membershipStart.test.ts
+++ b/packages/gateway/tests/peers/membershipStart.test.ts
@@ -1,4 +1,5 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { followPrefix } from '@limpetnotch/store';
 import { Supervisor } from '@limpetnotch/supervision';
 import { Membership } from '../../src/peers/membership';
 import { CountedStore } from '../../src/work/countedStore';
@@ -27,8 +28,10 @@
 const startInstance = async (store: WatchedStore, name: string): Promise<Instance> => {
   const metrics = new MemoryMetrics();
   const counts = new WorkCounts(metrics);
+  const counted = new CountedStore(store.client, counts);
   const membership = new Membership({
-    store: new CountedStore(store.client, counts),
+    store: counted,
+    observation: { follow: (options) => followPrefix({ ...options, store: counted }) },
     instance: name,
     address: `${name}:1`,
     availabilityZone: 'zone',
--- a/packages/gateway/tests/support/watchedStore.ts
+++ b/packages/gateway/tests/support/watchedStore.ts
@@ -13,6 +13,10 @@
 import { ResultAsync } from 'neverthrow';
 
 const ANSWER_MILLISECONDS = 4;
+
+/** As in the client of the platform's store: a wait ends this long before its silence. */
+const WATCH_RESPONSE_MARGIN_MILLISECONDS = 500;
+
 const LEASE_MILLISECONDS = 5_000;
 
 type Change = Extract<WatchEvent, { readonly kind: 'put' | 'removed' }>;
@@ -110,7 +114,7 @@
   }: WatchOptions): AsyncGenerator<WatchEvent> {
     let after = fromRevision - 1;
     while (!signal.aborted) {
-      const until = performance.now() + silenceMilliseconds;
+      const until = performance.now() + silenceMilliseconds - WATCH_RESPONSE_MARGIN_MILLISECONDS;
       const changesAfter = (revision: number): readonly Change[] =>
         this.#changes.filter(
           (change) => revisionOf(change) > revision && keyOf(change).startsWith(prefix),
--- a/packages/observation/src/observedPrefix.ts
+++ b/packages/observation/src/observedPrefix.ts
@@ -30,10 +30,17 @@
 
   #isStoreLost = true;
 
+  #resets = 0;
+
   constructor(parts: ObservedPrefixParts) {
     this.#parts = parts;
   }
 
+  /** Changes when the view no longer continues what it was, so that streams must start again. */
+  get resets(): number {
+    return this.#resets;
+  }
+
   get limits(): ObservationLimits {
     return this.#parts.limits;
   }
@@ -71,7 +78,10 @@
     return {
       replaced: (entries, revision) => {
         // A store that has lost its history; a list that only was overtaken by relayed changes is ignored.
-        if (revision < this.view.revision && !this.#isRelayCurrent) this.view.reset();
+        if (revision < this.view.revision && !this.#isRelayCurrent) {
+          this.view.reset();
+          this.#resets += 1;
+        }
         if (!this.view.replace(entries, revision)) return;
         listener.replaced(this.view.entries, revision);
       },
--- a/packages/observation/src/relayFollower.ts
+++ b/packages/observation/src/relayFollower.ts
@@ -22,6 +22,12 @@
 /** How a stream ended. */
 type StreamEnd = 'renewed' | 'not-needed' | 'silent' | 'stale' | 'ended' | 'failed';
 
+/** Prefixes as they were when a stream began, which continues what was known of them then. */
+type FollowedPrefixes = ReadonlyMap<
+  string,
+  { readonly observed: ObservedPrefix; readonly resets: number }
+>;
+
 /** Parts of a {@link RelayFollower}. */
 export interface RelayFollowerParts {
   readonly source: RelaySource;
@@ -96,9 +102,15 @@
 
   async #consume(reader: string, signal: AbortSignal): Promise<StreamEnd> {
     const askedAtMilliseconds = performance.now();
-    const known = [...this.#parts.prefixes].map(([prefix, { view }]) => ({
+    const followed: FollowedPrefixes = new Map(
+      [...this.#parts.prefixes].map(([prefix, observed]) => [
+        prefix,
+        { observed, resets: observed.resets },
+      ]),
+    );
+    const known = [...followed].map(([prefix, { observed }]) => ({
       prefix,
-      revision: view.revision,
+      revision: observed.view.revision,
     }));
     const messages = this.#parts.source.observe(reader, known, signal)[Symbol.asyncIterator]();
     const aborted = new Deferred<'aborted'>();
@@ -109,7 +121,7 @@
       if (next === 'silent') return 'silent';
       if (next === 'aborted') return 'not-needed';
       if (next.done) return 'ended';
-      const isCurrent = this.#apply(next.value, askedAtMilliseconds);
+      const isCurrent = this.#apply(next.value, askedAtMilliseconds, followed);
       this.#parts.onMessage();
       if (!isCurrent) return 'stale';
       if (!this.#parts.isNeeded()) return 'not-needed';
@@ -135,11 +147,12 @@
   }
 
   /** Applies a message; returns whether all that it says is recent enough. */
-  #apply(message: RelayMessage, askedAtMilliseconds: number): boolean {
+  #apply(message: RelayMessage, askedAtMilliseconds: number, followed: FollowedPrefixes): boolean {
     const now = performance.now();
     return message.updates.every((update) => {
-      const observed = this.#parts.prefixes.get(update.prefix);
+      const { observed, resets } = followed.get(update.prefix) ?? {};
       if (!observed) return true;
+      if (observed.resets !== resets) return false;
       const evidenceAt = computeEvidenceTime(askedAtMilliseconds, message, update);
       observed.applyUpdate(update, evidenceAt);
       return now - evidenceAt < observed.limits.trustMilliseconds;
