--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -4,6 +4,7 @@
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import type { SharedObservation } from '@limpetnotch/observation';
 import {
+  createServerStreamListener,
   createUnaryListener,
   FleetService,
   LendBudgetResponse_Outcome as LendOutcome,
@@ -26,7 +27,7 @@
   toPartMessage,
 } from './forwardingMessage';
 import { fromLimitMessage, toLimitMessage } from './limitMessage';
-import { fromObserveMessage, toRelayedMessage } from './observationMessage';
+import { relayStore } from './relayStore';
 import { fromOriginMessage, toOriginMessage } from './originMessage';
 import { fromAdmissionRequestMessage, toAdmissionMessage, toTokensMessage } from './quotaMessage';
 
@@ -54,7 +55,6 @@
   fleet,
   pathChecker,
   forwarder,
-  observation,
 }: FleetListenerParts): Partial<ServiceImpl<typeof FleetService>> => ({
   takeTokens: async ({ organisation, ...wanted }) =>
     toTokensMessage(quotas.transferTokens(organisation, wanted)),
@@ -136,10 +136,6 @@
     if (!request) throw new ConnectError('the target is missing', Code.InvalidArgument);
     for await (const part of forwarder.forward(request, signal)) yield toPartMessage(part);
   },
-  async *observeStore(request, { signal }) {
-    const messages = observation.relay(fromObserveMessage(request), signal);
-    for await (const message of messages) yield toRelayedMessage(message);
-  },
   releaseBudget: async ({ budget }) => {
     const { sharers, hasAllSharers } = await budgets.release(budget);
     return { sharers: [...sharers], hasAllSharers };
@@ -153,5 +149,10 @@
     routes: (router) => router.service(FleetService, implementation),
     acceptCompression: [],
   });
-  return createUnaryListener({ service: FleetService, implementation, fallback });
+  const streamListener = createServerStreamListener({
+    method: FleetService.method.observeStore,
+    handle: (message, signal) => relayStore(parts.observation, message, signal),
+    fallback,
+  });
+  return createUnaryListener({ service: FleetService, implementation, fallback: streamListener });
 };
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -13,6 +13,7 @@
   AnnounceLimitsResponse,
   LendBudgetResponse,
   ListPromisesResponse,
+  ServerStreamOptions,
   ShareQuarantineResponse,
 } from '@limpetnotch/peer-protocol';
 import type { QuarantineEntry } from '@limpetnotch/scheduling';
@@ -139,6 +140,12 @@
   readonly send: Send<Answer>;
 }
 
+/** Where streams from a peer are opened. */
+export type StreamRoute = Pick<
+  ServerStreamOptions<typeof FleetService.method.observeStore>,
+  'host' | 'port' | 'agent'
+>;
+
 /** Parts of {@link FleetPeers}. */
 export interface FleetPeersParts {
   readonly logger: Logger;
@@ -232,9 +239,12 @@
     this.#order = [...this.#peers.keys()];
   }
 
-  /** Returns the client for streams from a peer; undefined if it has left. */
-  getStreamClient(name: string): Client<typeof FleetService> | undefined {
-    return this.#peers.get(name)?.forwardingClient;
+  /** Returns the way to a peer for streams; undefined if it has left. */
+  findStreamRoute(name: string): StreamRoute | undefined {
+    const peer = this.#peers.get(name);
+    if (!peer) return undefined;
+    const { hostname: host, port } = new URL(`http://${peer.address}`);
+    return { host, port: Number(port), agent: peer.forwardingAgent };
   }
 
   /** Requests tokens of an organisation's rate from one peer after another until one gives enough. */
--- a/packages/gateway/src/peers/observationClient.ts
+++ b/packages/gateway/src/peers/observationClient.ts
@@ -1,11 +1,12 @@
 import type { KnownPrefix, RelayMessage, RelaySource } from '@limpetnotch/observation';
+import { FleetService, openServerStream } from '@limpetnotch/peer-protocol';
 import type { WorkCounts } from '../work/workCounts';
 import type { FleetPeers } from './fleetPeers';
 import { fromRelayedMessage, toObserveMessage } from './observationMessage';
 
 /** Parts of an {@link ObservationClient}. */
 export interface ObservationClientParts {
-  readonly peers: Pick<FleetPeers, 'getStreamClient'>;
+  readonly peers: Pick<FleetPeers, 'findStreamRoute'>;
   readonly counts: WorkCounts;
 }
 
@@ -22,10 +23,15 @@
     known: readonly KnownPrefix[],
     signal: AbortSignal,
   ): AsyncGenerator<RelayMessage, void, undefined> {
-    const client = this.#parts.peers.getStreamClient(instance);
-    if (!client) throw new Error('the instance has left');
+    const route = this.#parts.peers.findStreamRoute(instance);
+    if (!route) throw new Error('the instance has left');
     this.#parts.counts.record('peer', 'observeStore');
-    const messages = client.observeStore(toObserveMessage(known), { signal });
+    const messages = openServerStream({
+      ...route,
+      method: FleetService.method.observeStore,
+      message: toObserveMessage(known),
+      signal,
+    });
     for await (const message of messages) yield fromRelayedMessage(message);
   }
 }
--- a/packages/gateway/src/peers/observationMessage.ts
+++ b/packages/gateway/src/peers/observationMessage.ts
@@ -2,6 +2,7 @@
 import type {
   MessageInitShape,
   ObserveStoreRequest,
+  ObserveStoreRequestSchema,
   ObserveStoreResponse,
   ObserveStoreResponseSchema,
   PrefixUpdate as PrefixUpdateMessage,
@@ -40,7 +41,9 @@
   prefixes.map(({ prefix, revision }) => ({ prefix, revision: Number(revision) }));
 
 /** Returns what a follower knows as a message. */
-export const toObserveMessage = (known: readonly KnownPrefix[]) => ({
+export const toObserveMessage = (
+  known: readonly KnownPrefix[],
+): MessageInitShape<typeof ObserveStoreRequestSchema> => ({
   prefixes: known.map(({ prefix, revision }) => ({ prefix, revision: BigInt(revision) })),
 });
 
