Relay confirmations with less messages, and follow others after a reader has lost the store

A reader that lost the store waited up to 30 s before it followed others, as nothing woke its follower (found by 'an instance that the store does not serve goes on with the state of others').

--- a/packages/observation/src/observedPrefix.ts
+++ b/packages/observation/src/observedPrefix.ts
@@ -11,8 +11,8 @@
   readonly limits: ObservationLimits;
   /** Earliest arrival of the response of the store that is handled now. */
   readonly arrivalMilliseconds: () => number;
-  /** Called after each response of the store, and after each loss. */
-  readonly onStoreResponse: () => void;
+  /** Called after each response of the store with whether it brought a change, and after a loss. */
+  readonly onStoreResponse: (hasChanged: boolean) => void;
 }
 
 /** One prefix, as this instance and the readers that it follows see it. */
@@ -32,6 +32,8 @@
 
   #resets = 0;
 
+  #hasChanged = false;
+
   constructor(parts: ObservedPrefixParts) {
     this.#parts = parts;
   }
@@ -83,6 +85,7 @@
           this.#resets += 1;
         }
         if (!this.view.replace(entries, revision)) return;
+        this.#hasChanged = true;
         listener.replaced(this.view.entries, revision);
       },
       put: ({ key, value, revision }) => this.#apply({ key, value, revision }),
@@ -92,12 +95,13 @@
         this.#storeAtMilliseconds = this.#parts.arrivalMilliseconds();
         this.#isStoreLost = false;
         listener.confirmed(this.view.revision);
-        this.#parts.onStoreResponse();
+        this.#reportResponse();
       },
       lost: (detail) => {
         this.#isStoreLost = true;
         if (!this.#isRelayCurrent) listener.lost(detail);
-        this.#parts.onStoreResponse();
+        this.#hasChanged = true;
+        this.#reportResponse();
       },
     };
   }
@@ -125,8 +129,15 @@
     return performance.now() - this.#relayedAtMilliseconds < this.limits.trustMilliseconds;
   }
 
+  #reportResponse(): void {
+    const hasChanged = this.#hasChanged;
+    this.#hasChanged = false;
+    this.#parts.onStoreResponse(hasChanged);
+  }
+
   #apply(change: StoreChange): void {
     if (!this.view.apply(change)) return;
+    this.#hasChanged = true;
     const { key, value, revision } = change;
     if (value === undefined) this.#parts.listener.removed(key, revision);
     else this.#parts.listener.put({ key, value, revision });
--- a/packages/observation/src/relayFollower.ts
+++ b/packages/observation/src/relayFollower.ts
@@ -7,7 +7,7 @@
 
 /** Longest wait for the first message of a reader, and for each further one. */
 const FIRST_MESSAGE_MILLISECONDS = 400;
-const SILENCE_MILLISECONDS = 900;
+const SILENCE_MILLISECONDS = 1_150;
 
 /**
  * Time after which a stream is started again: with the preferred reader, and with a new start of the
--- a/packages/observation/src/sharedObservation.ts
+++ b/packages/observation/src/sharedObservation.ts
@@ -69,6 +69,9 @@
 
   #modeChanged = new AbortController();
 
+  /** Whether this instance needed what others relay when it was last decided. */
+  #hadNeed = false;
+
   #checkTimer: NodeJS.Timeout | undefined;
 
   constructor(parts: SharedObservationParts) {
@@ -122,9 +125,10 @@
       listener,
       limits: computeObservationLimits(boundMilliseconds, silenceMilliseconds),
       arrivalMilliseconds: () => this.#clock.earliestArrivalMilliseconds,
-      onStoreResponse: () => {
+      onStoreResponse: (hasChanged) => {
         this.#update();
-        this.#relay.notify();
+        if (hasChanged) this.#relay.notifyChange();
+        else this.#relay.notifyConfirmation();
       },
     });
     this.#prefixes.set(prefix, observed);
@@ -194,6 +198,9 @@
       isRelayTrusted: isTrusted,
     });
     if (mode !== this.#mode) this.#setMode(mode);
+    // A reader that has lost the store follows others, and stops when it has regained it.
+    if (this.#needsRelay !== this.#hadNeed) this.#follower.notify();
+    this.#hadNeed = this.#needsRelay;
   }
 
   #setMode(mode: ObservationMode): void {
@@ -203,7 +210,7 @@
     if (mode === 'follower') this.#prefixes.forEach((observed) => observed.stopReading());
     this.#modeChanged.abort();
     this.#modeChanged = new AbortController();
-    this.#relay.notify();
+    this.#relay.notifyChange();
     this.#follower.notify();
     const { size } = this.#fleet;
     this.#parts.logger.info('observation.mode', { mode, size, isChosen: this.#isChosen });
--- a/packages/observation/tests/support/simulatedFleet.ts
+++ b/packages/observation/tests/support/simulatedFleet.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { PrefixListener } from '@limpetnotch/store';
 import { followPrefix } from '@limpetnotch/store';
@@ -6,6 +5,7 @@
 import type { KnownPrefix, RelayMessage } from '../../src/relayMessage';
 import { SharedObservation } from '../../src/sharedObservation';
 import type { LinkState } from './linkState';
+import { rankNames } from './rankNames';
 import { SimulatedStore } from './simulatedStore';
 
 export const BOUND_MILLISECONDS = 2_000;
@@ -14,12 +14,6 @@
 const HELD_CHECK_MILLISECONDS = 10;
 const TRANSIT_MILLISECONDS = 1;
 
-const rank = (key: string, names: readonly string[]): readonly string[] =>
-  names
-    .map((name) => ({ name, score: createHash('md5').update(`${key}/${name}`).digest('hex') }))
-    .sort((one, other) => other.score.localeCompare(one.score))
-    .map(({ name }) => name);
-
 /** One process of an instance. */
 export interface SimulatedInstance {
   readonly name: string;
@@ -116,7 +110,7 @@
       source: {
         observe: (reader, known, signal) => this.#stream(name, reader, known, signal),
       },
-      rank,
+      rank: rankNames,
       logger: silentLogger,
       metrics: new MemoryMetrics(),
     });
