--- a/packages/observation/src/relayFollower.ts
+++ b/packages/observation/src/relayFollower.ts
@@ -1,4 +1,6 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
+import type { BackoffBounds } from '@limpetnotch/store';
+import { computeBackoffMilliseconds } from '@limpetnotch/store';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import { computeEvidenceTime } from './decisions/computeEvidenceTime';
 import type { ObservedPrefix } from './observedPrefix';
@@ -15,9 +17,11 @@
  */
 const RENEWAL_MILLISECONDS = 30_000;
 
-/** Wait after all readers have failed, and its random part. */
-const RETRY_MILLISECONDS = 200;
-const RETRY_SPREAD_MILLISECONDS = 200;
+/**
+ * Wait after a round in which no reader relayed anything. While the store is down, each round of
+ * each instance is some calls in vain, and the instance reads the store itself in any case.
+ */
+const RETRY_BOUNDS: BackoffBounds = { firstMilliseconds: 300, maximumMilliseconds: 1_500 };
 
 /** How a stream ended. */
 type StreamEnd = 'renewed' | 'not-needed' | 'silent' | 'stale' | 'ended' | 'failed';
@@ -32,8 +36,8 @@
 export interface RelayFollowerParts {
   readonly source: RelaySource;
   readonly prefixes: ReadonlyMap<string, ObservedPrefix>;
-  /** Readers in the order in which they are tried. */
-  readonly readers: () => readonly string[];
+  /** Readers in the order in which they are tried, after a number of rounds in vain. */
+  readonly readers: (failedRounds: number) => readonly string[];
   /** Whether this instance needs what others relay. */
   readonly isNeeded: () => boolean;
   /** Called after each message. */
@@ -48,6 +52,11 @@
 
   #wake = new Deferred();
 
+  #failedRounds = 0;
+
+  /** Whether the stream at hand has brought something recent. */
+  #hasRelayed = false;
+
   constructor(parts: RelayFollowerParts) {
     this.#parts = parts;
   }
@@ -61,27 +70,45 @@
   /** Follows readers, as far as they are needed, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      if (this.#parts.isNeeded()) await this.#followFirst(signal);
+      const end = await this.#followFirst(signal);
       if (signal.aborted) return;
-      const pause = this.#parts.isNeeded()
-        ? RETRY_MILLISECONDS + Math.random() * RETRY_SPREAD_MILLISECONDS
-        : undefined;
-      await this.#wait(pause, signal);
+      if (end !== 'renewed') await this.#pause(signal);
     }
   }
 
-  /** Tries the readers in turn; after one that was followed until its renewal, begins again. */
-  async #followFirst(signal: AbortSignal): Promise<void> {
-    for (const reader of this.#parts.readers()) {
-      if (signal.aborted || !this.#parts.isNeeded()) return;
-      let end = await this.#follow(reader, signal);
-      while (end === 'renewed' && this.#parts.readers()[0] === reader) {
-        end = await this.#follow(reader, signal);
-      }
-      this.#parts.logger.info('observation.stream-ended', { peer: reader, reason: end });
+  /** Waits until the readers or the need change, or, after a round in vain, for a while. */
+  async #pause(signal: AbortSignal): Promise<void> {
+    const isNeeded = this.#parts.isNeeded();
+    const milliseconds = isNeeded
+      ? computeBackoffMilliseconds(this.#failedRounds, RETRY_BOUNDS)
+      : RENEWAL_MILLISECONDS;
+    this.#failedRounds = isNeeded ? this.#failedRounds + 1 : 0;
+    await this.#wait(milliseconds, signal);
+  }
+
+  /** Tries the readers in turn; returns how the last stream ended. */
+  async #followFirst(signal: AbortSignal): Promise<StreamEnd> {
+    let end: StreamEnd = 'not-needed';
+    for (const reader of this.#parts.readers(this.#failedRounds)) {
+      if (signal.aborted || !this.#parts.isNeeded()) return 'not-needed';
+      end = await this.#followOn(reader, signal);
       this.#parts.metrics.increment('observation.stream-ends', 1, { reason: end });
-      if (end === 'renewed' || end === 'not-needed') return;
+      if (end === 'renewed' || end === 'not-needed') return end;
     }
+    return end;
+  }
+
+  /** Follows a reader for as long as it relays and is the preferred one. */
+  async #followOn(reader: string, signal: AbortSignal): Promise<StreamEnd> {
+    let end: StreamEnd;
+    do {
+      this.#hasRelayed = false;
+      end = await this.#follow(reader, signal);
+    } while (end === 'renewed' && this.#parts.readers(0)[0] === reader);
+    const fields = { peer: reader, reason: end };
+    if (this.#hasRelayed) this.#parts.logger.info('observation.stream-ended', fields);
+    else this.#parts.logger.debug('observation.stream-ended', fields);
+    return end;
   }
 
   async #follow(reader: string, signal: AbortSignal): Promise<StreamEnd> {
@@ -124,6 +151,8 @@
       const isCurrent = this.#apply(next.value, askedAtMilliseconds, followed);
       this.#parts.onMessage();
       if (!isCurrent) return 'stale';
+      this.#hasRelayed = true;
+      this.#failedRounds = 0;
       if (!this.#parts.isNeeded()) return 'not-needed';
       if (performance.now() - askedAtMilliseconds > RENEWAL_MILLISECONDS) return 'renewed';
       limitMilliseconds = SILENCE_MILLISECONDS;
@@ -159,11 +188,11 @@
     });
   }
 
-  async #wait(milliseconds: number | undefined, signal: AbortSignal): Promise<void> {
+  async #wait(milliseconds: number, signal: AbortSignal): Promise<void> {
     const waiting = new AbortController();
     const abort = (): void => waiting.abort();
     signal.addEventListener('abort', abort, { once: true });
-    const pause = delay(milliseconds ?? RENEWAL_MILLISECONDS, waiting.signal);
+    const pause = delay(milliseconds, waiting.signal);
     await Promise.race([this.#wake.promise, pause]);
     abort();
     signal.removeEventListener('abort', abort);
--- a/packages/observation/src/sharedObservation.ts
+++ b/packages/observation/src/sharedObservation.ts
@@ -83,8 +83,16 @@
     this.#follower = new RelayFollower({
       source: parts.source,
       prefixes: this.#prefixes,
-      readers: () =>
-        orderReaders(this.#readers, parts.instance, parts.availabilityZone, parts.rank),
+      readers: (failedRounds) =>
+        orderReaders(
+          this.#readers,
+          {
+            instance: parts.instance,
+            availabilityZone: parts.availabilityZone,
+            failedRounds,
+          },
+          parts.rank,
+        ),
       isNeeded: () => this.#needsRelay,
       onMessage: () => this.#update(),
       logger: parts.logger,
