--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -2,7 +2,9 @@
 import type { ServiceImpl } from '@connectrpc/connect';
 import { Code, ConnectError } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
+import type { SharedObservation } from '@limpetnotch/observation';
 import {
+  createServerStreamListener,
   createUnaryListener,
   FleetService,
   LendBudgetResponse_Outcome as LendOutcome,
@@ -25,6 +27,7 @@
   toPartMessage,
 } from './forwardingMessage';
 import { fromLimitMessage, toLimitMessage } from './limitMessage';
+import { relayStore } from './relayStore';
 import { fromOriginMessage, toOriginMessage } from './originMessage';
 import { fromAdmissionRequestMessage, toAdmissionMessage, toTokensMessage } from './quotaMessage';
 
@@ -39,6 +42,7 @@
   readonly fleet: FleetState;
   readonly pathChecker: PathChecker;
   readonly forwarder: ExchangeForwarder;
+  readonly observation: Pick<SharedObservation, 'relay'>;
 }
 
 const createFleetService = ({
@@ -145,5 +149,10 @@
     routes: (router) => router.service(FleetService, implementation),
     acceptCompression: [],
   });
-  return createUnaryListener({ service: FleetService, implementation, fallback });
+  const streamListener = createServerStreamListener({
+    method: FleetService.method.observeStore,
+    handle: (message, signal) => relayStore(parts.observation, message, signal),
+    fallback,
+  });
+  return createUnaryListener({ service: FleetService, implementation, fallback: streamListener });
 };
--- a/packages/gateway/tests/fleet/coldAnnouncement.test.ts
+++ b/packages/gateway/tests/fleet/coldAnnouncement.test.ts
@@ -1,9 +1,11 @@
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { followPrefix } from '@limpetnotch/store';
 import type { FleetCodec } from '../../src/fleet/fleetCodec';
 import { FleetFollower } from '../../src/fleet/fleetFollower';
 import { FleetState } from '../../src/fleet/fleetState';
 import { fleetTargetSchema } from '../../src/targets/fleetTarget';
 import { fleetTarget } from '../support/fleetTarget';
+import { platformLimits } from '../support/platformLimits';
 import { FailingStore } from './failingStore';
 
 const PREFIX = 'target/';
@@ -38,7 +40,10 @@
     { name: 's', connectionLimit: 8, coldStart: { milliseconds: 3_000, requestsPerSecond: 26 } },
   ]);
   const follower = new FleetFollower({
-    store: store.client,
+    observation: {
+      follow: (options) => followPrefix({ ...options, store: store.client }),
+    },
+    bounds: platformLimits.bounds,
     codec,
     state,
     logger: silentLogger,
--- a/packages/gateway/tests/fleet/evacuation.test.ts
+++ b/packages/gateway/tests/fleet/evacuation.test.ts
@@ -1,8 +1,10 @@
 import type { LogFields, Logger } from '@limpetnotch/observability';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
+import { followPrefix } from '@limpetnotch/store';
 import type { FleetCodec } from '../../src/fleet/fleetCodec';
 import { FleetFollower } from '../../src/fleet/fleetFollower';
 import { FleetState } from '../../src/fleet/fleetState';
+import { platformLimits } from '../support/platformLimits';
 import { FailingStore } from './failingStore';
 
 const PREFIX = 'operator/evacuated/';
@@ -34,7 +36,10 @@
     info: (message, fields) => logLines.push([message, fields]),
   };
   const follower = new FleetFollower({
-    store: store.client,
+    observation: {
+      follow: (options) => followPrefix({ ...options, store: store.client }),
+    },
+    bounds: platformLimits.bounds,
     codec,
     state,
     logger,
