--- a/packages/turns/src/decisions/isRetired.ts
+++ b/packages/turns/src/decisions/isRetired.ts
@@ -12,6 +12,8 @@
   readonly held: Iterable<Key>;
   readonly instances: readonly Pick<StorageInstance, 'name' | 'availabilityZone' | 'state'>[];
   readonly toleratedLosses: ToleratedLosses;
+  /** Whether the instance has lost turns and not found them again, so that these may lack a copy. */
+  readonly hasLost: boolean;
   /** Whether another instance has acknowledged a turn since its current process started. */
   readonly isHeldBy: (instance: string, key: Key) => boolean;
 }
@@ -25,8 +27,10 @@
   held,
   instances,
   toleratedLosses,
+  hasLost,
   isHeldBy,
 }: RetirementEvidence<Key>): boolean => {
+  if (hasLost) return false;
   const others = instances.filter(({ name }) => name !== instance);
   const copies = countCopies(toleratedLosses);
   for (const key of held) {
--- a/packages/turns/src/storage/absenceReporter.ts
+++ b/packages/turns/src/storage/absenceReporter.ts
@@ -1,6 +1,7 @@
 import type { Logger } from '@limpetnotch/observability';
 import type { KeyValueStore } from '@limpetnotch/store';
 import { boundStoreCall } from '@limpetnotch/store';
+import { mayForgetAbsence } from '../decisions/mayForgetAbsence';
 import type { Repair } from './repair';
 import type { StorageCodec } from './storageCodec';
 import { STORAGE_MEMBER_PREFIX } from './storageMember';
@@ -50,7 +51,9 @@
     const { store, codec, view, logger } = this.#parts;
     const { name, revision, isForgotten } = absent;
     if (this.#reported.has(name) && revision === 0) return;
-    if (!isForgotten && !this.#haveAllRepairedWithout(toAbsenceKey(absent))) return;
+    if (!isForgotten && !this.#haveAllRepairedWithout(toAbsenceKey(absent, view.listCounted()))) {
+      return;
+    }
     if (revision > 0) {
       const key = `${STORAGE_MEMBER_PREFIX}${name}`;
       const removed = await boundStoreCall(store.remove(key, revision), CALL_MILLISECONDS);
@@ -63,12 +66,11 @@
     logger.info('retirement.reported', { retired: name, state: 'done' });
   }
 
-  #haveAllRepairedWithout(key: string): boolean {
+  #haveAllRepairedWithout(absence: string): boolean {
     const { view, repair, instance } = this.#parts;
-    return view
+    const repairedWithout = view
       .listCounted()
-      .every(({ name, repairedWithout }) =>
-        (name === instance ? repair.repairedWithout : repairedWithout).includes(key),
-      );
+      .map((one) => (one.name === instance ? repair.repairedWithout : one.repairedWithout));
+    return mayForgetAbsence({ absence, repairedWithout });
   }
 }
--- a/packages/turns/src/storage/completeness.ts
+++ b/packages/turns/src/storage/completeness.ts
@@ -29,6 +29,8 @@
 
   #lostAt = performance.now();
 
+  #losses = 0;
+
   /** Changes of the marker, one after the other. */
   #markerWrites = Promise.resolve();
 
@@ -41,6 +43,11 @@
     return this.#hasLost ?? true;
   }
 
+  /** Number of losses that were recorded. */
+  get losses(): number {
+    return this.#losses;
+  }
+
   /** Whether this instance holds every turn that it should hold, as far as it knows the instances. */
   get isComplete(): boolean {
     return !this.hasLost && this.#hasRepaired;
@@ -69,11 +76,13 @@
   recordRegistration(wasMember: boolean): void {
     if (this.#hasLost !== undefined) return;
     this.#hasLost = wasMember;
+    if (wasMember) this.#losses += 1;
     this.#options.logger.info('storage.registered-without-marker', { wasMember });
   }
 
   /** Records that turns could not be read. */
   recordDamage(): void {
+    this.#losses += 1;
     if (this.#hasLost !== true) this.#lostAt = performance.now();
     this.#hasLost = true;
     this.#hasRepaired = false;
--- a/packages/turns/src/storage/ownRetirement.ts
+++ b/packages/turns/src/storage/ownRetirement.ts
@@ -6,6 +6,7 @@
 import { isRetired } from '../decisions/isRetired';
 import type { ToleratedLosses } from '../decisions/toleratedLosses';
 import { BATCH_BYTES } from './batchBytes';
+import type { Completeness } from './completeness';
 import { EXPIRY_MARGIN_MILLISECONDS } from './expiryMargin';
 import { HolderTable } from './holderTable';
 import { isProcess } from './isProcess';
@@ -30,6 +31,7 @@
   readonly codec: StorageCodec;
   readonly view: StorageView;
   readonly clients: TurnClients;
+  readonly completeness: Completeness;
   readonly toleratedLosses: ToleratedLosses;
   readonly logger: Logger;
   readonly metrics: Metrics;
@@ -86,7 +88,7 @@
   }
 
   #hasEnded(): boolean {
-    const { view, instance, toleratedLosses, countWrites } = this.#parts;
+    const { view, instance, toleratedLosses, completeness, countWrites } = this.#parts;
     const instances = view.listCounted();
     if (!this.isLeaving || countWrites() > 0) return false;
     const positions = new Map(instances.map((one) => [one.name, toPosition(one)]));
@@ -95,6 +97,7 @@
       held: this.#listHeld(),
       instances,
       toleratedLosses,
+      hasLost: completeness.hasLost,
       isHeldBy: (name, turn) =>
         this.#copies.get(positions.get(name) ?? '')?.has(toText(turn)) ?? false,
     });
--- a/packages/turns/src/storage/presence.ts
+++ b/packages/turns/src/storage/presence.ts
@@ -20,12 +20,20 @@
 /** Time after which a presence that the store does not report is written again. */
 const UNSEEN_MILLISECONDS = 2_000;
 
+/**
+ * Time after which a new member stores turns. An entry instance whose list of instances is older than
+ * this cannot tell that a turn is absent, as it may be on new members alone.
+ */
+const NEW_MEMBER_MILLISECONDS = 5_000;
+
 /** Options of a {@link Presence}. */
 export interface PresenceOptions {
   readonly store: KeyValueStore;
   /** Name of this instance. */
   readonly instance: string;
   readonly incarnation: string;
+  /** Whether the complete system starts for the first time. */
+  readonly isFirstStart: boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
   /** Whether this instance may register: it has read who is to be retired. */
@@ -51,7 +59,11 @@
 
   #publishedAt = -Infinity;
 
-  #isMember = false;
+  /** When this process registered this instance as a member; `undefined` before. */
+  #memberSince: number | undefined;
+
+  /** Whether this instance was a member before this process registered it. */
+  #wasMember = false;
 
   #isReleased = false;
 
@@ -59,9 +71,11 @@
     this.#options = options;
   }
 
-  /** Whether this process has registered this instance as a member. */
-  get isMember(): boolean {
-    return this.#isMember;
+  /** Whether this instance is a member that all entry instances with a current list know. */
+  get isEstablished(): boolean {
+    if (this.#memberSince === undefined) return false;
+    const isNew = !this.#wasMember && !this.#options.isFirstStart;
+    return !isNew || performance.now() - this.#memberSince > NEW_MEMBER_MILLISECONDS;
   }
 
   /** Maintains the presence until the signal aborts. */
@@ -133,7 +147,10 @@
     );
     if (written.isErr()) return this.#countFailure(written.error);
     if (written.value.kind !== 'swapped') return false;
-    this.#isMember = true;
+    if (this.#memberSince === undefined) {
+      this.#memberSince = performance.now();
+      this.#wasMember = read.value !== undefined;
+    }
     return true;
   }
 
--- a/packages/turns/src/storage/repair.ts
+++ b/packages/turns/src/storage/repair.ts
@@ -1,9 +1,11 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import type { Turn, TurnKey } from '@limpetnotch/peer-protocol';
 import type { TurnLog } from '@limpetnotch/turn-log';
+import { countCopies } from '../decisions/countCopies';
 import { isRepairConclusive } from '../decisions/isRepairConclusive';
 import type { ToleratedLosses } from '../decisions/toleratedLosses';
 import { isProcess } from './isProcess';
+import { CopyCounts } from './copyCounts';
 import type { Completeness } from './completeness';
 import { HolderTable } from './holderTable';
 import { Pace } from './pace';
@@ -83,12 +85,21 @@
     const description = describeInstances(instances);
     if (description !== this.#description) this.#restart(description, instances);
     const others = instances.filter(({ name }) => name !== instance);
-    const answers = await Promise.all(others.map((other) => this.#poll(other)));
+    const { losses: lossesAtStart } = completeness;
+    const counts = completeness.hasLost ? new CopyCounts() : undefined;
+    // Copies are counted from complete lists.
+    if (counts) this.#cursors.clear();
+    const answers = await Promise.all(others.map((other) => this.#poll(other, counts)));
+    if (!(await this.#fetchWithFewCopies(counts))) return false;
     const hasParents = await this.#fetchMissingParents(others);
     const current = view.listCounted();
     const isCurrent = describeInstances(current) === description;
     const isPresent = others.length < instances.length;
-    if (!answers.every(Boolean) || !hasParents || !isCurrent || !isPresent) return false;
+    // Turns that were lost during the round may have been skipped as present.
+    const hasNewLoss = completeness.losses !== lossesAtStart;
+    if (!answers.every(Boolean) || !hasParents || !isCurrent || !isPresent || hasNewLoss) {
+      return false;
+    }
     const losses = new Set(
       [...instances, ...current].filter(({ hasLost }) => hasLost).map(({ name }) => name),
     );
@@ -101,7 +112,7 @@
       toleratedLosses,
     });
     completeness.recordRepair(isConclusive);
-    if (isConclusive) this.#repairedWithout = absent.map(toAbsenceKey);
+    this.#repairedWithout = isConclusive ? absent.map((one) => toAbsenceKey(one, instances)) : [];
     return true;
   }
 
@@ -114,7 +125,10 @@
   }
 
   /** Fetches from one instance; returns whether it answered and everything was stored. */
-  async #poll({ name, address, incarnation }: ViewedInstance): Promise<boolean> {
+  async #poll(
+    { name, address, incarnation }: ViewedInstance,
+    counts: CopyCounts | undefined,
+  ): Promise<boolean> {
     const { clients, metrics } = this.#parts;
     const client = clients.to(address);
     const position = `${name}/${incarnation}`;
@@ -122,6 +136,7 @@
       for (;;) {
         const cursor = this.#cursors.get(position) ?? '';
         const page = await client.listTurns({ cursor }, { timeoutMs: LIST_MILLISECONDS });
+        counts?.add(address, page.keys);
         const wanted = page.keys.filter((key) => this.#isWanted(key));
         if (wanted.length > 0 && !(await this.#fetch(address, wanted))) return false;
         if (page.nextCursor === '') return await isProcess(client, incarnation);
@@ -137,6 +152,27 @@
     }
   }
 
+  /**
+   * After a loss, fetches the turns of which the others have too few copies: this instance may have held
+   * one of them although it is not among the holders.
+   */
+  async #fetchWithFewCopies(counts: CopyCounts | undefined): Promise<boolean> {
+    if (!counts) return true;
+    const { log, toleratedLosses } = this.#parts;
+    const few = counts.listFewerThan(countCopies(toleratedLosses));
+    try {
+      for (const [address, keys] of few) {
+        const missing = keys.filter(({ organisation, id }) => !log.has(organisation, id));
+        if (!(await this.#fetch(address, missing))) return false;
+      }
+      return true;
+    } catch (error) {
+      const detail = error instanceof Error ? error.message : String(error);
+      this.#parts.logger.debug('storage.repair-failed', { detail });
+      return false;
+    }
+  }
+
   #isWanted(key: TurnKey): boolean {
     const { log, instance } = this.#parts;
     return !log.has(key.organisation, key.id) && (this.#holders?.isHolder(instance, key) ?? false);
--- a/packages/turns/src/storage/storageComponents.ts
+++ b/packages/turns/src/storage/storageComponents.ts
@@ -60,6 +60,7 @@
     });
     this.presence = new Presence({
       ...common,
+      isFirstStart: settings.isFirstStart,
       mayRegister: () => view.isKnown,
       isLeaving: () => this.retirement.isLeaving,
       isSeen: () => view.presentNames.includes(instance),
@@ -71,7 +72,8 @@
       incarnation,
       isWhole: () => this.#isWhole(),
       acceptsTurns: () =>
-        !this.retirement.isLeaving && (this.presence.isMember || completeness.startedWithMarker),
+        !this.retirement.isLeaving &&
+        (this.presence.isEstablished || completeness.startedWithMarker),
       onMissingParent: wakeRepair,
     });
     this.absences = new AbsenceReporter({ ...common, repair: this.repair });
--- a/packages/turns/src/storage/storageView.ts
+++ b/packages/turns/src/storage/storageView.ts
@@ -1,3 +1,4 @@
+import { createHash } from 'node:crypto';
 import type { Logger } from '@limpetnotch/observability';
 import type { KeyValueStore, PrefixListener, StoreEntry } from '@limpetnotch/store';
 import { followPrefix, parseJson } from '@limpetnotch/store';
@@ -25,6 +26,8 @@
 
 const SILENCE_MILLISECONDS = 10_000;
 
+const DIGEST_CHARACTERS = 16;
+
 /** Another storage instance, or this one. */
 export type ViewedInstance = StorageInstance & Pick<StoragePresence, 'hasLost' | 'repairedWithout'>;
 
@@ -50,8 +53,18 @@
   readonly onChange: () => void;
 }
 
-/** Names an absence of a member; differs after the member was present in the meantime. */
-export const toAbsenceKey = ({ name, revision }: AbsentMember): string => `${name}@${revision}`;
+/**
+ * Names an absence of a member among the instances that count; differs after the member was present in
+ * the meantime, and for any other list of instances.
+ */
+export const toAbsenceKey = (
+  { name, revision }: AbsentMember,
+  instances: readonly ViewedInstance[],
+): string => {
+  const list = JSON.stringify(instances.map((one) => [one.name, one.state]));
+  const digest = createHash('sha256').update(list).digest('hex').slice(0, DIGEST_CHARACTERS);
+  return `${name}@${revision}/${digest}`;
+};
 
 /** The storage instances, members and requests to retire, as the store reports them. */
 export class StorageView {
--- a/packages/turns/tests/decisions/decisions.test.ts
+++ b/packages/turns/tests/decisions/decisions.test.ts
@@ -94,6 +94,7 @@
       held,
       instances: INSTANCES,
       toleratedLosses: LOSSES,
+      hasLost: false,
       isHeldBy: (instance, { program }) => acknowledged.has(`${instance} ${program}`),
     });
   const needed = held.flatMap((key) =>
@@ -107,8 +108,19 @@
 });
 
 test('an instance with turns is not retired while there are too few others', () => {
-  const evidence = { instance: 's-0', toleratedLosses: LOSSES, isHeldBy: () => true };
+  const evidence = {
+    instance: 's-0',
+    toleratedLosses: LOSSES,
+    hasLost: false,
+    isHeldBy: () => true,
+  };
   const instances = INSTANCES.slice(0, 2);
   expect(isRetired({ ...evidence, instances, held: [keyOf(1)] })).toBe(false);
   expect(isRetired({ ...evidence, instances, held: [] })).toBe(true);
 });
+
+// The turns that it lost have one copy less until it has fetched them and handed them over.
+test('an instance that lost turns is not retired', () => {
+  const evidence = { instance: 's-0', toleratedLosses: LOSSES, isHeldBy: () => true };
+  expect(isRetired({ ...evidence, instances: INSTANCES, held: [], hasLost: true })).toBe(false);
+});
