Let turns of programs under way wait for full targets

Cause: a call that all targets refuse because they are full was given up at once with a fixed Retry-After of 0.25 s, whether its program had been served before or not. New programs took the slots that turns of begun programs came back for.

Change: packages/scheduling/src/contention holds a queue for each full service. Turns of programs under way wait there, by rank and remaining time, for at most a quarter of the program's remaining time and a third of the deadline, within 256 requests and 8 MB; the end of a call or 50 to 100 ms let the next one try. While one waits, programs that have not begun are refused before a dispatch. Refused callers are told the next free place at the measured rate.

--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -16,6 +16,7 @@
 import { decideDispatch } from './decideDispatch';
 import type { DispatchSituation, GiveUpReason } from './decideDispatch';
 import type { Refusal } from './refusal';
+import { FullServiceWait } from './fullServiceWait';
 import { computeInactivityTimeout } from './inactivityTimeout';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
 
@@ -63,6 +64,8 @@
       readonly retryAfterSeconds?: number;
     };
 
+const NO_TARGET: TargetChoice = { kind: 'none', reason: 'no-target' };
+
 /** Whether the outcome of an attempt counts as a failure of its target. */
 const isTargetFailure = (outcome: AttemptOutcome): boolean => {
   switch (outcome.kind) {
@@ -116,32 +119,48 @@
 
   readonly #placement: CallPlacement;
 
+  readonly #fullWait: FullServiceWait;
+
   constructor(parts: CallRunnerParts) {
     this.#parts = parts;
+    this.#fullWait = new FullServiceWait(parts);
     this.#placement = new CallPlacement({ ...parts, trials: this.#trials });
   }
 
   /** Runs a call until it ends. */
   async run(call: Call): Promise<CallResult> {
+    const refusedStart = this.#fullWait.refuseStart(call);
+    if (refusedStart) {
+      return toRefusedResult(this.#noTarget(call, { reason: 'full', ...refusedStart }));
+    }
     let repeatCount = 0;
     let last: AttemptOutcome | undefined;
-    for (let dispatch = 1; dispatch <= MAXIMUM_DISPATCHES; dispatch += 1) {
-      const choice = await this.#chooseWithinLimits(call, repeatCount);
-      if (choice.kind === 'none') {
-        return this.#checkEnd(call, last) ?? this.#giveUp(call, last, this.#noTarget(call, choice));
+    for (let dispatch = 1; ; dispatch += 1) {
+      const choice =
+        dispatch > MAXIMUM_DISPATCHES
+          ? NO_TARGET
+          : await this.#chooseWithinLimits(call, repeatCount);
+      if (choice.kind === 'target') {
+        const { target, connection } = choice;
+        const endedResult = this.#checkEnd(call, last);
+        if (endedResult) return endedResult;
+        if (last) this.#logRedispatch(call, last, dispatch, target);
+        if (connection.kind === 'own') repeatCount += 1;
+        const dispatched = call;
+        dispatched.version = target.version;
+        last = await this.#attempt(call, target, connection, repeatCount);
+        const result = this.#toFinalResult(call, target, last);
+        if (result) return result;
+      } else {
+        const decision = await this.#fullWait.wait(call, last);
+        if (decision.kind === 'refuse') {
+          const refusal = this.#noTarget(call, { ...decision, ...choice });
+          return this.#checkEnd(call, last) ?? this.#giveUp(call, last, refusal);
+        }
+        // The dispatches of a call that only full targets refused are bounded by its wait.
+        dispatch = 0;
       }
-      const { target, connection } = choice;
-      const endedResult = this.#checkEnd(call, last);
-      if (endedResult) return endedResult;
-      if (last) this.#logRedispatch(call, last, dispatch, target);
-      if (connection.kind === 'own') repeatCount += 1;
-      const dispatched = call;
-      dispatched.version = target.version;
-      last = await this.#attempt(call, target, connection, repeatCount);
-      const result = this.#toFinalResult(call, target, last);
-      if (result) return result;
     }
-    return this.#giveUp(call, last, this.#noTarget(call, { reason: 'no-target' }));
   }
 
   /** Chooses the target of the next dispatch, once its limit allows the dispatch. */
@@ -219,6 +238,7 @@
     }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     this.#parts.limitedDispatch.recordEnd(call);
+    if (outcome.kind !== 'declined') this.#fullWait.recordEnd(call);
     this.#placement.recordOutcome(target, outcome);
     if (isTargetFailure(outcome)) this.#parts.speeds.observeFailure(target.id);
     const isSuccessful = outcome.kind === 'delivered' && outcome.status < FIRST_ERROR_STATUS;
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -82,6 +82,9 @@
 
   readonly #excludedTargetIds = new Set<string>();
 
+  /** Targets that refused the request because they were full. */
+  readonly #fullTargetIds = new Set<string>();
+
   #stallCount = 0;
 
   /** Number of dispatches after which the request may have run. */
@@ -114,6 +117,12 @@
     return this.formerTargets.filter(({ state }) => state.kind !== 'ended').length;
   }
 
+  /** Lets targets that refused the request because they were full get it again. */
+  forgetRefusals(): void {
+    this.#fullTargetIds.forEach((id) => this.#excludedTargetIds.delete(id));
+    this.#fullTargetIds.clear();
+  }
+
   /** Records the crash of a target; ignored if the target cannot have run the request. */
   recordCrash(target: FleetTarget, evidence: CrashEvidence): void {
     if (!this.#formerTargets.has(target.id)) return;
@@ -133,6 +142,9 @@
     const mayHaveRun = wasSent && outcome.kind !== 'declined';
     if (mayHaveRun) this.#runTargetIds.push(target.id);
     if (outcome.kind === 'stalled') this.#stallCount += 1;
+    if (outcome.kind === 'declined' && outcome.reason === 'full') {
+      this.#fullTargetIds.add(target.id);
+    }
     const previous = this.#formerTargets.get(target.id);
     if (!mayHaveRun && !previous) {
       this.#excludedTargetIds.add(target.id);
--- a/packages/gateway/src/limits/limitedDispatch.ts
+++ b/packages/gateway/src/limits/limitedDispatch.ts
@@ -86,6 +86,13 @@
     if (programKey !== undefined) this.#servedPrograms.add(programKey);
   }
 
+  /** Whether the program of a call has been served before, so that a refusal wastes that work. */
+  isUnderWay(call: Call): boolean {
+    const programKey = toProgramKey(call);
+    if (programKey === undefined) return false;
+    return !isMainLineTurn(call.envelope) || this.#servedPrograms.has(programKey);
+  }
+
   /** Records that a call has ended at its target. */
   recordEnd(call: Call): void {
     this.#services.get(call.service.name)?.recordEnd();
@@ -196,12 +203,9 @@
   ): QueuedRequest {
     const { envelope, organisation, route } = call;
     const now = performance.now();
-    const programKey = toProgramKey(call);
     const finishMilliseconds = envelope.program?.finishMilliseconds ?? Infinity;
     return {
-      isUnderWay:
-        programKey !== undefined &&
-        (!isMainLineTurn(envelope) || this.#servedPrograms.has(programKey)),
+      isUnderWay: this.isUnderWay(call),
       priority: organisation?.priority ?? route.priority,
       finishAtMilliseconds: call.arrivedAtMilliseconds + finishMilliseconds,
       waitUntilMilliseconds: now + computeLongestWait(call) - wait.milliseconds,
--- a/packages/scheduling/src/index.ts
+++ b/packages/scheduling/src/index.ts
@@ -44,4 +44,6 @@
 export type { InterpretedLoads, LoadedTarget } from './capacity/interpretLoads';
 export { TargetCapacities } from './capacity/targetCapacities';
 export type { CapacityAnswer, CapacityEstimate, CapacityKey } from './capacity/targetCapacities';
+export { FullServiceQueue } from './contention/fullServiceQueue';
+export type { RefusedRequest, WaitBounds } from './contention/fullServiceQueue';
 export type { TargetLoadView } from './capacity/targetLoadView';
