Place calls without repeated sums and copies

Cause: each placement summed the zones of all instances, divided in the sort of targets and copied candidates by rest properties.

Change: the zones of instances are read once a second and summed once for each list, levels are computed before the sort, estimates without learned steps or trusted reports skip the powers.

--- a/packages/gateway/src/calls/callPlacement.ts
+++ b/packages/gateway/src/calls/callPlacement.ts
@@ -24,6 +24,9 @@
 /** Duration of a turn that is assumed until one was measured. */
 const DEFAULT_TURN_MILLISECONDS = 200;
 
+/** Age at which the list of the instances' zones is read again. */
+const ZONES_LIFETIME_MILLISECONDS = 1_000;
+
 /** Dependencies of a {@link CallPlacement}. */
 export interface CallPlacementParts {
   readonly availabilityZone: string;
@@ -47,6 +50,10 @@
 export class CallPlacement {
   readonly #parts: CallPlacementParts;
 
+  #instanceZones: readonly string[] = [];
+
+  #zonesReadAtMilliseconds = -Infinity;
+
   constructor(parts: CallPlacementParts) {
     this.#parts = parts;
   }
@@ -77,7 +84,7 @@
       {
         availabilityZone: this.#drawZone(work, placed),
         concurrentRequests,
-        ...(this.#parts.instanceZones().length > 1 && { random: Math.random }),
+        ...(this.#zones.length > 1 && { random: Math.random }),
         work,
       },
       placed,
@@ -145,13 +152,23 @@
     return capacities.estimate(toCapacityKey(target), speeds.slowness(target.id), report);
   }
 
+  /** Availability zones of the instances. */
+  get #zones(): readonly string[] {
+    const now = performance.now();
+    if (now - this.#zonesReadAtMilliseconds > ZONES_LIFETIME_MILLISECONDS) {
+      this.#zonesReadAtMilliseconds = now;
+      this.#instanceZones = this.#parts.instanceZones();
+    }
+    return this.#instanceZones;
+  }
+
   #drawZone(
     { kind }: PlacementWork,
     targets: readonly { readonly availabilityZone: string; readonly capacity: number }[],
   ): string {
-    const { availabilityZone: ownZone, instanceZones } = this.#parts;
+    const { availabilityZone: ownZone } = this.#parts;
     if (kind === 'model') return ownZone;
-    return drawZone({ ownZone, instanceZones: instanceZones(), targets }, Math.random);
+    return drawZone({ ownZone, instanceZones: this.#zones, targets }, Math.random);
   }
 
   #note(
--- a/packages/scheduling/src/capacity/concurrencyLimit.ts
+++ b/packages/scheduling/src/capacity/concurrencyLimit.ts
@@ -50,6 +50,7 @@
 
   /** Concurrent requests that the target handles well. */
   get capacity(): number {
+    if (this.#capacity === this.#slots) return this.#slots;
     const age = performance.now() - this.#observedAtMilliseconds;
     const keptShare = 0.5 ** (age / HALF_LIFE_MILLISECONDS);
     return this.#slots + (this.#capacity - this.#slots) * keptShare;
--- a/packages/scheduling/src/capacity/drawZone.ts
+++ b/packages/scheduling/src/capacity/drawZone.ts
@@ -16,6 +16,18 @@
   sums.set(key, (sums.get(key) ?? 0) + amount);
 };
 
+/** Demands by the list of instances, which is the same for many requests. */
+const demandsByInstances = new WeakMap<readonly string[], ReadonlyMap<string, number>>();
+
+const getDemands = (instanceZones: readonly string[]): ReadonlyMap<string, number> => {
+  const known = demandsByInstances.get(instanceZones);
+  if (known) return known;
+  const demands = new Map<string, number>();
+  instanceZones.forEach((zone) => addTo(demands, zone, 1 / instanceZones.length));
+  demandsByInstances.set(instanceZones, demands);
+  return demands;
+};
+
 /**
  * Returns the availability zone whose targets a request should prefer. If a zone has more of the
  * instances than of the capacity, a part of its requests prefers the other zones by their spare
@@ -28,8 +40,7 @@
   if (instanceZones.length < LEAST_INSTANCES) return ownZone;
   const capacities = new Map<string, number>();
   targets.forEach((target) => addTo(capacities, target.availabilityZone, target.capacity));
-  const demands = new Map<string, number>();
-  instanceZones.forEach((zone) => addTo(demands, zone, 1 / instanceZones.length));
+  const demands = getDemands(instanceZones);
   const total = [...capacities.values()].reduce((sum, capacity) => sum + capacity, 0);
   const demand = demands.get(ownZone) ?? 0;
   const kept = ((capacities.get(ownZone) ?? 0) / total) * TOLERATED_LOAD;
--- a/packages/scheduling/src/capacity/fillShares.ts
+++ b/packages/scheduling/src/capacity/fillShares.ts
@@ -15,14 +15,13 @@
   targets: readonly FilledTarget[],
   newRequests: number,
 ): readonly number[] => {
-  const byLevel = [...targets].sort(
-    (one, other) => one.load / one.capacity - other.load / other.capacity,
-  );
+  const byLevel = targets.map((target) => ({ target, reached: target.load / target.capacity }));
+  byLevel.sort((one, other) => one.reached - other.reached);
   let level = 0;
   let load = newRequests;
   let capacity = 0;
-  for (const target of byLevel) {
-    if (capacity > 0 && target.load / target.capacity >= level) break;
+  for (const { target, reached } of byLevel) {
+    if (capacity > 0 && reached >= level) break;
     load += target.load;
     capacity += target.capacity;
     level = load / capacity;
--- a/packages/scheduling/src/capacity/targetCapacities.ts
+++ b/packages/scheduling/src/capacity/targetCapacities.ts
@@ -80,12 +80,11 @@
   estimate(key: CapacityKey, learnedSlowness: number, report: Report): CapacityEstimate {
     const target = this.#targets.get(key.incarnation);
     if (!target) return { capacity: key.slots, slowness: learnedSlowness };
-    const reported = toSlowdown(report) ?? learnedSlowness;
+    const { capacity } = target.limit;
     const { trust } = target.trust;
-    return {
-      capacity: target.limit.capacity,
-      slowness: learnedSlowness ** (1 - trust) * reported ** trust,
-    };
+    const reported = trust > 0 ? toSlowdown(report) : undefined;
+    if (reported === undefined) return { capacity, slowness: learnedSlowness };
+    return { capacity, slowness: learnedSlowness ** (1 - trust) * reported ** trust };
   }
 
   /** Removes the incarnations that no longer exist. */
--- a/packages/scheduling/src/carried/sessionPlacement.ts
+++ b/packages/scheduling/src/carried/sessionPlacement.ts
@@ -92,10 +92,12 @@
   candidates: readonly PlacementCandidate[],
 ): Placement | undefined => {
   const chosen = placePlainRequest(
-    candidates.map(({ estimatedLoad, slots, capacity = slots, ...candidate }) => ({
-      ...candidate,
-      load: estimatedLoad,
-      capacity,
+    candidates.map((candidate) => ({
+      id: candidate.id,
+      availabilityZone: candidate.availabilityZone,
+      load: candidate.estimatedLoad,
+      capacity: candidate.capacity ?? candidate.slots,
+      slowness: candidate.slowness,
     })),
     { availabilityZone, concurrentRequests, random },
   );
