Test an instance with callers that hold requests open

Callers outside the limits used memory and descriptors of an instance without a bound, up to the end of the process.

--- a/packages/stand-ins/src/platform/platformSettings.ts
+++ b/packages/stand-ins/src/platform/platformSettings.ts
@@ -13,8 +13,15 @@
   readonly quotaWindowSeconds: number;
   readonly isFirstStart: boolean;
   readonly storePort: number;
+  /** Limits of the process; the file has none if undefined. */
+  readonly limits?: { readonly memoryMb?: number; readonly fileDescriptors?: number };
 }
 
+const limitLines = (limits: PlatformSettingsOptions['limits']): readonly string[] =>
+  limits === undefined
+    ? []
+    : ['[limits]', ...Object.entries(limits).map(([name, value]) => `${name} = ${value}`)];
+
 /** Returns the text of an instance's settings file. */
 export const platformSettings = (options: PlatformSettingsOptions): string =>
   [
@@ -29,6 +36,7 @@
     '[bounds]',
     `graceS = ${options.graceSeconds}`,
     `quotaWindowS = ${options.quotaWindowSeconds}`,
+    ...limitLines(options.limits),
     '[platform]',
     `address = "127.0.0.1:${options.storePort}"`,
     '',
