Account for the memory and connections that callers hold

Unfinished bodies, heads of many fields, pipelined requests and unread answers were held without a bound. packages/overload has the accounting: a ledger of held bytes by kind and source that stops the largest and newest requests first and never a running one, the cost of heads and pieces, and the division of descriptors. Each listener has a guard on its connections. Bodies are copied into blocks that are used again; a request is refused from its head where that suffices; requests beyond a share of the descriptors get 503 before they run.

--- a/packages/gateway/src/calls/bufferLimiter.ts
+++ b/packages/gateway/src/calls/bufferLimiter.ts
@@ -1,10 +1,20 @@
+/** Accounting of all memory of the instance, which the buffered bytes are a part of. */
+export interface BufferAccount {
+  /** Returns false, and reserves none, if the memory is needed otherwise. */
+  tryReserve(bytes: number): boolean;
+  release(bytes: number): void;
+}
+
 /** Limits the bytes that an instance buffers for all responses that it sends only when complete. */
 export class BufferLimiter {
   readonly #maximumBytes: number;
 
   #bytes = 0;
 
-  constructor(maximumBytes: number) {
+  readonly #account: BufferAccount | undefined;
+
+  constructor(maximumBytes: number, account?: BufferAccount) {
+    this.#account = account;
     this.#maximumBytes = maximumBytes;
   }
 
@@ -16,6 +26,7 @@
   /** Reserves bytes; returns false, and reserves none, if they would exceed the limit. */
   tryReserve(bytes: number): boolean {
     if (this.#bytes + bytes > this.#maximumBytes) return false;
+    if (this.#account && !this.#account.tryReserve(bytes)) return false;
     this.#bytes += bytes;
     return true;
   }
@@ -23,5 +34,6 @@
   /** Releases reserved bytes. */
   release(bytes: number): void {
     this.#bytes -= bytes;
+    this.#account?.release(bytes);
   }
 }
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -15,12 +15,14 @@
 import type { CallEnvelope } from './callEnvelope';
 import type { CallResult, CallRunner } from './callRunner';
 import { chooseDestination } from './chooseDestination';
+import type { UnfinishedRequest } from '../ingress/unfinishedRequest';
 import { isMainLineTurn } from './isMainLineTurn';
 import type { OpenCall } from './openCall';
 import type { OpenCalls } from './openCalls';
 import { readBody } from './readBody';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
-import type { WireCodec } from './wireCodec';
+import { toBodyRefusal } from './toBodyRefusal';
+import type { EnvelopeError, WireCodec } from './wireCodec';
 
 /** Share of its objective that a program is expected to take on idle targets. */
 const EXPECTED_OBJECTIVE_RATIO = 0.6;
@@ -43,10 +45,16 @@
   readonly shedding: Pick<LoadShedding, 'isActive' | 'admit' | 'recordServed'>;
   /** Decides during a shutdown whether a request with this remaining time may still start. */
   readonly admitDuringDrain: (remainingMilliseconds: number) => DrainAdmission;
+  /** Returns the accounting of a request's memory. */
+  readonly findUnfinished?: (response: ServerResponse) => UnfinishedRequest | undefined;
+  /** Requests that may run at once, as each of them needs a descriptor. */
+  readonly maximumRunning?: number;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
 
+const RUNNING_RETRY_AFTER_SECONDS = 1;
+
 /** Callers choose program identifiers, so the organisation makes the key unique. */
 const toProgramKey = ({
   envelope,
@@ -58,6 +66,8 @@
 export class CallGateway {
   readonly #parts: CallGatewayParts;
 
+  #runningCount = 0;
+
   constructor(parts: CallGatewayParts) {
     this.#parts = parts;
   }
@@ -127,32 +137,67 @@
     const envelope = codec.decodeRequest(request);
     if (!('kind' in envelope)) admitted.id = envelope.id;
     const maximumBytes = fleet.index?.configuration.limits.bodyBytes ?? 0;
+    if (this.#refuseFromHead(envelope, openCall)) {
+      request.resume();
+      return;
+    }
     const shutdownRefusal = this.#refuseUndispatchedAtShutdown(openCall);
-    const body = await Promise.race([readBody(request, maximumBytes || Infinity), shutdownRefusal]);
+    const unfinished = this.#parts.findUnfinished?.(response);
+    const reading = readBody(request, maximumBytes || Infinity, unfinished);
+    const body = await Promise.race([reading, shutdownRefusal]);
     if ('kind' in body) {
       this.#finish('kind' in envelope ? undefined : envelope, openCall, body);
       return;
     }
     if (body.isErr()) {
-      if (body.error === 'too-large') {
-        admitted.end = 'refused';
-        response.setHeader('connection', 'close');
-        writer.refuse(response, undefined, { kind: 'body-too-large' });
-      }
-      return;
-    }
-    if ('kind' in envelope) {
+      const refusal = toBodyRefusal(body.error);
+      if (!refusal) return;
       admitted.end = 'refused';
-      writer.refuse(response, undefined, { kind: 'malformed', detail: envelope.detail });
+      response.setHeader('connection', 'close');
+      writer.refuse(response, 'kind' in envelope ? undefined : envelope, refusal);
       return;
     }
+    if ('kind' in envelope) return;
     const result = await Promise.race([
-      this.#admitAndRun(envelope, body.value, openCall),
+      this.#runWithinLimit(envelope, body.value, openCall),
       shutdownRefusal,
     ]);
     this.#finish(envelope, openCall, result);
   }
 
+  /** Refuses a request that its head already rules out, so that its body takes no memory. */
+  #refuseFromHead(envelope: CallEnvelope | EnvelopeError, openCall: OpenCall): boolean {
+    if ('kind' in envelope) {
+      const refused = openCall;
+      refused.end = 'refused';
+      const refusal = { kind: 'malformed', detail: envelope.detail } as const;
+      this.#parts.writer.refuse(openCall.response, undefined, refusal);
+      return true;
+    }
+    const admission = admitCall(this.#parts.fleet, envelope);
+    if (admission.kind === 'admitted' || admission.refusal.kind === 'unavailable') return false;
+    this.#finish(envelope, openCall, admission);
+    return true;
+  }
+
+  async #runWithinLimit(
+    envelope: CallEnvelope,
+    body: Buffer,
+    openCall: OpenCall,
+  ): Promise<CallResult> {
+    if (this.#runningCount >= (this.#parts.maximumRunning ?? Infinity)) {
+      const retryAfterSeconds = RUNNING_RETRY_AFTER_SECONDS;
+      const reason = 'too many requests are running';
+      return { kind: 'refused', refusal: { kind: 'unavailable', reason, retryAfterSeconds } };
+    }
+    this.#runningCount += 1;
+    try {
+      return await this.#admitAndRun(envelope, body, openCall);
+    } finally {
+      this.#runningCount -= 1;
+    }
+  }
+
   /** Resolves to a refusal when the instance ends its last calls before this one is dispatched. */
   async #refuseUndispatchedAtShutdown(openCall: OpenCall): Promise<CallResult> {
     const ended = new Deferred<CallResult>();
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -4,6 +4,8 @@
   | { readonly kind: 'unknown-key' }
   | { readonly kind: 'unknown-route' }
   | { readonly kind: 'body-too-large' }
+  /** The rest of the body did not arrive in time; the request has not run. */
+  | { readonly kind: 'too-slow' }
   /** The rate limit of the organisation is exceeded; the request has not run. */
   | { readonly kind: 'over-rate'; readonly retryAfterSeconds: number }
   /** The token budget of the program is exhausted; the request has not run. */
@@ -28,6 +30,8 @@
       return 402;
     case 'unknown-route':
       return 404;
+    case 'too-slow':
+      return 408;
     case 'body-too-large':
       return 413;
     case 'over-rate':
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,6 @@
 import { ResponseWriter } from './calls/responseWriter';
 import { CallGateway } from './calls/callGateway';
 import { CallRunner } from './calls/callRunner';
-import { BufferLimiter } from './calls/bufferLimiter';
 import { OpenCalls } from './calls/openCalls';
 import { TargetBuffers } from './calls/targetBuffers';
 import type { WireCodec } from './calls/wireCodec';
@@ -37,6 +36,7 @@
 import type { ProbeAddress } from './overload/acceptProbe';
 import { IngressLoad } from './overload/ingressLoad';
 import { LoadShedding } from './overload/loadShedding';
+import { OverloadGuards } from './overload/overloadGuards';
 import { createFleetListener } from './peers/fleetListener';
 import { FleetPeers } from './peers/fleetPeers';
 import { Membership } from './peers/membership';
@@ -60,12 +60,6 @@
 /** Time within which nearly every program has ended. */
 const LONGEST_PROGRAM_MILLISECONDS = 20_000;
 
-/**
- * Maximum size of all buffered responses that callers have not read yet; streams excluded. The
- * smallest instances have 200 MB of memory.
- */
-const MAXIMUM_BUFFERED_RESPONSE_BYTES = 32 * 1024 * 1024;
-
 /** Maximum size of the buffered, unfinished responses of one target, which may be faulty. */
 const MAXIMUM_BUFFERED_TARGET_BYTES = 16 * 1024 * 1024;
 
@@ -97,10 +91,9 @@
 
   readonly #connections = new TargetConnections();
 
-  readonly #buffers = new TargetBuffers(
-    MAXIMUM_BUFFERED_TARGET_BYTES,
-    new BufferLimiter(MAXIMUM_BUFFERED_RESPONSE_BYTES),
-  );
+  readonly overload: OverloadGuards;
+
+  readonly #buffers: TargetBuffers;
 
   readonly #loads = new TargetLoads();
 
@@ -173,6 +166,8 @@
       logger,
       metrics,
     });
+    this.overload = new OverloadGuards({ ...settings, logger, metrics });
+    this.#buffers = new TargetBuffers(MAXIMUM_BUFFERED_TARGET_BYTES, this.overload.responses);
     this.#ingressLoad = new IngressLoad({ address: () => this.#entryAddress, logger, metrics });
     const isLast = (response: ServerResponse): boolean => this.#drain.closeAfter(response);
     const writer = new ResponseWriter({ codec, isLastOnConnection: isLast });
@@ -352,6 +347,8 @@
           this.#budgets.isProgramKnown(programKey),
         metrics,
       }),
+      findUnfinished: (response) => this.overload.callers.findUnfinished(response),
+      maximumRunning: this.overload.maximumRunning,
       admitDuringDrain: (remainingMilliseconds) => this.#drain.admit(remainingMilliseconds),
       logger,
       metrics,
@@ -404,6 +401,7 @@
       createEventLoopMonitor({ logger, metrics }),
       createWorkReport({ counts: this.#counts, logger }),
       this.#ingressLoad.task,
+      this.overload.task,
     ];
     if (!settings.isFirstStart) tasks.push(createMemoryTask(this.#budgets));
     for (const task of tasks) {
@@ -411,16 +409,19 @@
     }
     this.#readiness = await IngressServer.start({
       ...settings.readiness,
+      guard: this.overload.readiness,
       handle: (request, response) => this.#serveReadiness(request, response),
     });
     this.#ingress = await IngressServer.start({
       ...settings.entry,
+      guard: this.overload.callers,
       handle: (request, response) => this.#calls.serve(request, response),
       observer: this.#ingressLoad,
       refuse: (request, response) => this.#calls.refuseUnderLoad(request, response),
     });
     this.#peerListener = await HttpListener.start({
       ...settings.peer,
+      guard: this.overload.peers,
       idleMilliseconds: PEER_IDLE_MILLISECONDS,
       listener: createFleetListener({
         quotas: this.#quotas,
@@ -455,7 +456,9 @@
       this.#fleet.index !== undefined &&
       !this.#budgets.isUnavailable &&
       canReachTargets;
-    response.writeHead(isKnown && isReady ? 200 : 503, { 'content-length': 0 });
+    // A check has no body; that of another request is not read.
+    const closing = request.complete ? {} : { connection: 'close' };
+    response.writeHead(isKnown && isReady ? 200 : 503, { 'content-length': 0, ...closing });
     response.end();
   }
 
@@ -473,6 +476,7 @@
 
   #onConfigurationChanged(configuration: FleetConfiguration): void {
     this.#ingress?.setTimeouts(configuration.limits);
+    this.overload.apply(configuration.limits);
     this.#quotas.apply(configuration);
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,5 +25,6 @@
 export type { LiftOutcome } from './quarantine/storedQuarantine';
 export { fleetTargetSchema } from './targets/fleetTarget';
 export type { FleetTarget } from './targets/fleetTarget';
+export type { ConnectionGuard } from './ingress/connectionGuard';
 export { HttpListener } from './ingress/httpListener';
 export { IngressServer } from './ingress/ingressServer';
--- a/packages/gateway/src/ingress/httpListener.ts
+++ b/packages/gateway/src/ingress/httpListener.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import type { RequestListener, Server } from 'node:http';
 import { createServer } from 'node:http';
+import type { ConnectionGuard } from './connectionGuard';
 
 /** Options of {@link HttpListener.start}. */
 export interface HttpListenerOptions {
@@ -10,6 +11,8 @@
   readonly listener: RequestListener;
   /** Time after which an idle connection is closed; that of the runtime, 5 s, by default. */
   readonly idleMilliseconds?: number;
+  /** Bounds what callers hold. */
+  readonly guard?: ConnectionGuard;
 }
 
 /** HTTP/1.1 listener for few and short requests, such as those of other instances. */
@@ -26,11 +29,17 @@
     port,
     listener,
     idleMilliseconds,
+    guard,
   }: HttpListenerOptions): Promise<HttpListener> {
     const server = createServer(
       idleMilliseconds === undefined ? {} : { keepAliveTimeout: idleMilliseconds },
-      listener,
+      (request, response) => {
+        if (guard && !guard.admit(request, response)) return;
+        guard?.recordHandled(response);
+        listener(request, response);
+      },
     );
+    guard?.attach(server);
     server.listen(port, host);
     await once(server, 'listening');
     return new HttpListener(server);
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -5,6 +5,7 @@
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
+import type { ConnectionGuard } from './connectionGuard';
 import { IngressModule } from './ingressModule';
 import type { IngressObserver } from './ingressObserver';
 import { OpenConnections } from './openConnections';
@@ -23,6 +24,8 @@
   readonly port: number;
   readonly handle: RequestHandler;
   readonly observer?: IngressObserver;
+  /** Bounds what callers hold. */
+  readonly guard?: ConnectionGuard;
   /** Refuses a request before the framework sees it; returns whether it did. */
   readonly refuse?: (request: IncomingMessage, response: ServerResponse) => boolean;
 }
@@ -39,15 +42,19 @@
 
   readonly #connections: OpenConnections;
 
-  private constructor(application: NestFastifyApplication, connections: OpenConnections) {
+  private constructor(
+    application: NestFastifyApplication,
+    connections: OpenConnections,
+    guard: ConnectionGuard | undefined,
+  ) {
     this.#application = application;
     this.#connections = connections;
     const server = application.getHttpServer();
     server.on('connection', (socket: Socket) => this.#connections.add(socket));
     // Runs before the framework's own listener, which passes the request on some ticks later.
-    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) =>
-      this.#connections.begin(request, response),
-    );
+    server.prependListener('request', (request: IncomingMessage, response: ServerResponse) => {
+      if (!guard?.isIgnored(request)) this.#connections.begin(request, response);
+    });
     // Node's own closeIdleConnections(), which close() also calls, considers a connection idle as
     // soon as its response is written, even if bytes are still buffered here for a slow reader.
     server.closeIdleConnections = () => this.#connections.closeIdle();
@@ -59,6 +66,7 @@
     port,
     handle,
     observer,
+    guard,
     refuse,
   }: IngressServerOptions): Promise<IngressServer> {
     const adapter = new FastifyAdapter({
@@ -69,18 +77,21 @@
         const server = createServer(
           { maxHeaderSize: MAXIMUM_HEADER_BYTES },
           (request, response) => {
+            if (guard && !guard.admit(request, response)) return;
             if (!refuse?.(request, response)) serve(request, response);
           },
         );
         server.keepAliveTimeout = DEFAULT_IDLE_MILLISECONDS;
         server.requestTimeout = 0;
+        guard?.attach(server);
         return server;
       },
     });
     const connections = new OpenConnections(observer);
     const handlePending: RequestHandler = async (request, response) => {
-      if (!connections.isPending(response)) return;
+      if (!connections.isPending(response) || response.writableEnded) return;
       connections.recordHandled(response);
+      guard?.recordHandled(response);
       await handle(request, response);
     };
     const application = await NestFactory.create<NestFastifyApplication>(
@@ -91,7 +102,7 @@
     const fastify = adapter.getInstance();
     fastify.removeAllContentTypeParsers();
     fastify.addContentTypeParser('*', (_request, _payload, done) => done(null));
-    const server = new IngressServer(application, connections);
+    const server = new IngressServer(application, connections, guard);
     await application.listen(port, host);
     return server;
   }
--- a/packages/overload/src/index.ts
+++ b/packages/overload/src/index.ts
@@ -1,1 +1,16 @@
-export {};
+export { BlockPool } from './blockPool';
+export { chooseEvicted } from './chooseEvicted';
+export type { EvictionCandidate } from './chooseEvicted';
+export { chooseStopped } from './chooseStopped';
+export type { StopQuestion } from './chooseStopped';
+export { computeDescriptorBounds } from './computeDescriptorBounds';
+export { computeMemoryBounds } from './computeMemoryBounds';
+export { costOfHead } from './costOfHead';
+export type { DescriptorBounds } from './descriptorBounds';
+export type { Holding } from './holding';
+export type { HoldingKind } from './holdingKind';
+export type { HoldingRequest, LedgerHolding } from './ledgerHolding';
+export type { MemoryBounds } from './memoryBounds';
+export { MemoryLedger } from './memoryLedger';
+export type { LedgerReport } from './memoryLedger';
+export { PieceBuffer } from './pieceBuffer';
