Take an answer with a status of 600 or above for broken

A target's answer with status 600 or 999 reached callers of all kinds of routes, and limpetnotchd's client returned it; no response has such a status.

Endless 1xx are cut off after 16 on plain routes and on streams.

--- a/packages/gateway/src/forwarding/forwardedExchange.ts
+++ b/packages/gateway/src/forwarding/forwardedExchange.ts
@@ -4,6 +4,7 @@
 import type { ExchangeError } from '../targets/exchangeError';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { ResponseFraming } from '../targets/responseFraming';
+import { isFinalStatus } from '../targets/isFinalStatus';
 import type { TargetExchange } from '../targets/targetExchange';
 import type { TargetResponse } from '../targets/targetResponse';
 import type { ForwardedPart } from './forwardedPart';
@@ -128,6 +129,8 @@
             break;
           case 'head': {
             const { status, rawHeaders, framing } = part;
+            if (!isFinalStatus(status))
+              {throw this.#lose(`a forwarded response of status ${status}`);}
             const body = this.#read(parts);
             return { kind: 'head', response: { status, rawHeaders, framing, body } };
           }
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher } from 'undici';
 import type { ExchangeError } from './exchangeError';
 import { AnswerBrokenError } from './exchangeError';
+import { isFinalStatus } from './isFinalStatus';
 import type { ResponseFraming } from './responseFraming';
 import { responseFramingOf } from './responseFraming';
 import type { TargetExchange } from './targetExchange';
@@ -158,6 +159,11 @@
       controller.abort(new Error('too many informational responses'));
       return;
     }
+    if (!isFinalStatus(status)) {
+      this.#fail({ kind: 'broken', detail: `status ${status}` });
+      controller.abort(new Error(`status ${status}`));
+      return;
+    }
     this.#state = 'answering';
     const framing = responseFramingOf(headers);
     this.#framing = framing;
--- a/packages/gateway/tests/forwarding/forwardedExchange.test.ts
+++ b/packages/gateway/tests/forwarding/forwardedExchange.test.ts
@@ -134,3 +134,9 @@
   expect(await failureOf(exchange)).toMatchObject({ kind: 'aborted', detail: 'caller gone' });
   expect([signals[0]?.aborted, ends]).toEqual([true, ['used']]);
 });
+
+// An instance of another build may pass on the status of a failing target.
+test.each([0, 99, 103, 600, 999])('a forwarded status of %d is no answer', async (status) => {
+  const exchange = start([{ ...HEAD, status }, data('a'), END]);
+  expect((await exchange.head)._unsafeUnwrapErr()).toMatchObject({ kind: 'broken' });
+});
--- a/packages/server/src/targets/targetClient.ts
+++ b/packages/server/src/targets/targetClient.ts
@@ -10,6 +10,9 @@
 /** Maximum number of informational (1xx) responses per request; no real target sends this many. */
 const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
 
+/** Statuses above belong to no response; failing targets send them. */
+const LAST_FINAL_STATUS = 599;
+
 /** One HTTP request to a target. */
 export interface TargetRequest {
   /** Base address of the target. */
@@ -71,6 +74,10 @@
       signal: AbortSignal.any([request.signal, informationalLimit.signal]),
       onInfo: countInformational,
     });
+    if (statusCode > LAST_FINAL_STATUS) {
+      body.on('error', () => undefined).destroy();
+      throw new Error(`status ${statusCode}`);
+    }
     return { status: statusCode, headers, body };
   }
 }
