--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -137,12 +137,12 @@
     const envelope = codec.decodeRequest(request);
     if (!('kind' in envelope)) admitted.id = envelope.id;
     const maximumBytes = fleet.index?.configuration.limits.bodyBytes ?? 0;
+    const unfinished = this.#parts.findUnfinished?.(response);
     if (this.#refuseFromHead(envelope, openCall)) {
-      request.resume();
+      request.on('data', ({ length }: Buffer) => unfinished?.recordReceived(length));
       return;
     }
     const shutdownRefusal = this.#refuseUndispatchedAtShutdown(openCall);
-    const unfinished = this.#parts.findUnfinished?.(response);
     const reading = readBody(request, maximumBytes || Infinity, unfinished);
     const body = await Promise.race([reading, shutdownRefusal]);
     if ('kind' in body) {
--- a/packages/gateway/src/forwarding/forwardedExchange.ts
+++ b/packages/gateway/src/forwarding/forwardedExchange.ts
@@ -129,8 +129,9 @@
             break;
           case 'head': {
             const { status, rawHeaders, framing } = part;
-            if (!isFinalStatus(status))
-              {throw this.#lose(`a forwarded response of status ${status}`);}
+            if (!isFinalStatus(status)) {
+              throw this.#lose(`a forwarded response of status ${status}`);
+            }
             const body = this.#read(parts);
             return { kind: 'head', response: { status, rawHeaders, framing, body } };
           }
--- a/packages/gateway/src/overload/bufferCollector.ts
+++ b/packages/gateway/src/overload/bufferCollector.ts
@@ -2,7 +2,7 @@
 import { runInNewContext } from 'node:vm';
 
 /** Received bytes after which the buffers that are no longer used are freed. */
-const COLLECTION_BYTES = 8 * 1024 * 1024;
+const COLLECTION_BYTES = 4 * 1024 * 1024;
 
 type Collect = (options: { readonly type: 'minor' }) => void;
 
--- a/packages/overload/src/costOfHead.ts
+++ b/packages/overload/src/costOfHead.ts
@@ -1,8 +1,11 @@
 /** Memory of a request, its response and their entries in lists, beside its header fields. */
 const REQUEST_BYTES = 6 * 1_024;
 
-/** Memory of a header field: two strings, their places in lists and an entry by name. */
-const FIELD_BYTES = 240;
+/**
+ * Memory of a header field: two strings, their places in lists and an entry by name, and the same
+ * again for the request to a target.
+ */
+const FIELD_BYTES = 640;
 
 /** Returns the memory that the head of a request takes. */
 export const costOfHead = (rawHeaders: readonly string[]): number =>
