Free the heads of answered requests, and hold half of the spare memory

The runtime keeps a request until its response has left, with its header fields: pipelined heads of many fields at a path without a route took 223 MB of 186. Heads are freed once their requests are answered or refused, and a connection with a request refused for memory is read no further. Buffers that were freed are not returned to the system at once (164 MB resident with 18 MB held in bodies over the limit), so half of the memory above the base is held in place of 60%.

--- a/packages/gateway/src/ingress/connectionGuard.ts
+++ b/packages/gateway/src/ingress/connectionGuard.ts
@@ -4,6 +4,7 @@
 import type { HoldingKind, MemoryLedger } from '@limpetnotch/overload';
 import { chooseEvicted, costOfHead } from '@limpetnotch/overload';
 import type { BufferCollector } from '../overload/bufferCollector';
+import { freeHead } from './freeHead';
 import { GuardedConnection } from './guardedConnection';
 import { ignoreFurtherRequests } from './ignoreFurtherRequests';
 import type { UnfinishedReason, UnfinishedRequest } from './unfinishedRequest';
@@ -215,6 +216,9 @@
     this.#record(reason === 'overloaded' ? 'memory' : 'no-progress');
     if (response.writableEnded) response.req.socket.destroy();
     else this.#unfinished.get(response)?.refuse(reason);
+    freeHead(response.req);
+    const connection = this.#connections.get(response.req.socket);
+    if (connection && connection.responses.size > 1) this.#closeAfterRunning(connection, 'memory');
   }
 
   #check(): void {
@@ -275,6 +279,7 @@
   /** Reads nothing more from a connection, and closes it once no request of it is running. */
   #closeAfterRunning(connection: GuardedConnection, cause: Cause): void {
     const { socket, responses } = connection;
+    if (connection.isClosing) return;
     const closing = connection;
     closing.isClosing = true;
     ignoreFurtherRequests(socket);
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -6,6 +6,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import type { ConnectionGuard } from './connectionGuard';
+import { freeHead } from './freeHead';
 import { IngressModule } from './ingressModule';
 import type { IngressObserver } from './ingressObserver';
 import { OpenConnections } from './openConnections';
@@ -93,6 +94,7 @@
       connections.recordHandled(response);
       guard?.recordHandled(response);
       await handle(request, response);
+      if (guard) freeHead(request);
     };
     const application = await NestFactory.create<NestFastifyApplication>(
       IngressModule.forHandler(handlePending),
--- a/packages/overload/src/computeMemoryBounds.ts
+++ b/packages/overload/src/computeMemoryBounds.ts
@@ -9,7 +9,7 @@
 const BASE_BYTES = 125 * MEGABYTE;
 
 /** Share of the rest that is held; freed memory is not returned to the system at once. */
-const HELD_SHARE = 0.6;
+const HELD_SHARE = 0.5;
 
 /** Lets several bodies of the maximum size be read at once, however small the machine is. */
 const LEAST_BYTES = 24 * MEGABYTE;
