--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -6,6 +6,8 @@
   /** The turn that the request continues does not exist; the request has not run. */
   | { readonly kind: 'unknown-turn' }
   | { readonly kind: 'body-too-large' }
+  /** The rest of the body did not arrive in time; the request has not run. */
+  | { readonly kind: 'too-slow' }
   /** The rate limit of the organisation is exceeded; the request has not run. */
   | { readonly kind: 'over-rate'; readonly retryAfterSeconds: number }
   /** The token budget of the program is exhausted; the request has not run. */
@@ -31,6 +33,8 @@
     case 'unknown-route':
     case 'unknown-turn':
       return 404;
+    case 'too-slow':
+      return 408;
     case 'body-too-large':
       return 413;
     case 'over-rate':
