--- a/packages/gateway/tests/fleet/retirementReporter.test.ts
+++ b/packages/gateway/tests/fleet/retirementReporter.test.ts
@@ -1,5 +1,5 @@
 import { silentLogger } from '@limpetnotch/observability';
-import { FakeStore } from "@limpetnotch/turns/tests/support/fakeStore";
+import { FakeStore } from '@limpetnotch/turns/tests/support/fakeStore';
 import type { FleetCodec } from '../../src';
 import { RetirementReporter } from '../../src/fleet/retirementReporter';
 
