--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -238,6 +238,7 @@
     this.#turns = new RetainedTurns({
       directory: storage,
       toleratedLosses: settings.toleratedLosses,
+      isListCurrent: () => this.#membership.isConfirmed,
       cacheBytes: settings.memoryBytes * TURN_CACHE_SHARE,
       logger,
       metrics,
--- a/packages/turns/src/entry/chainReader.ts
+++ b/packages/turns/src/entry/chainReader.ts
@@ -41,6 +41,11 @@
   readonly clients: TurnClients;
   readonly cache: ChainCache;
   readonly toleratedLosses: ToleratedLosses;
+  /**
+   * Whether the store has responded recently. A new storage instance stores turns 5 s after it joined,
+   * so an older list may lack an instance that holds the turn.
+   */
+  readonly isListCurrent: () => boolean;
   readonly logger: Logger;
   readonly metrics: Metrics;
 }
@@ -118,7 +123,9 @@
       response ? [{ instance: instance.name, isWhole: response.isWhole }] : [],
     );
     const verdict = judgeAbsence({ known: directory.possibleHolders, answers, toleratedLosses });
-    return verdict === 'absent' ? { kind: 'absent' } : { kind: 'unsure', missing: reference.id };
+    return verdict === 'absent' && this.#parts.isListCurrent()
+      ? { kind: 'absent' }
+      : { kind: 'unsure', missing: reference.id };
   }
 
   /** Ranks the instances for a read: those that probably hold the turn first, doubtful ones last. */
--- a/packages/turns/src/entry/retainedTurns.ts
+++ b/packages/turns/src/entry/retainedTurns.ts
@@ -15,6 +15,8 @@
 export interface RetainedTurnsOptions {
   readonly directory: StorageDirectory;
   readonly toleratedLosses: ToleratedLosses;
+  /** Whether the store has responded within the last seconds, so that the directory is current. */
+  readonly isListCurrent: () => boolean;
   /** Maximum size of the cached turns. */
   readonly cacheBytes: number;
   readonly logger: Logger;
@@ -31,13 +33,15 @@
 
   readonly #keeper: TurnKeeper;
 
-  constructor({ directory, toleratedLosses, cacheBytes, logger, metrics }: RetainedTurnsOptions) {
+  constructor(options: RetainedTurnsOptions) {
+    const { directory, toleratedLosses, isListCurrent, cacheBytes, logger, metrics } = options;
     this.#cache = new ChainCache(cacheBytes);
     const shared = { directory, clients: this.#clients, logger, metrics };
     this.#reader = new ChainReader({
       ...shared,
       cache: this.#cache,
       toleratedLosses,
+      isListCurrent,
     });
     this.#keeper = new TurnKeeper({
       ...shared,
--- a/packages/turns/tests/entry/retainedTurns.test.ts
+++ b/packages/turns/tests/entry/retainedTurns.test.ts
@@ -18,6 +18,7 @@
 let storages: FakeStorage[];
 let directory: StorageDirectory;
 let opened: RetainedTurns[];
+let isListCurrent: boolean;
 
 /** Starts storage instances, the first in availability zone a, the next in b, then c, then a. */
 const startStorages = async (count: number): Promise<void> => {
@@ -34,6 +35,7 @@
   const turns = new RetainedTurns({
     directory,
     toleratedLosses: { instances: losses, availabilityZones: zones },
+    isListCurrent: () => isListCurrent,
     cacheBytes: 100_000,
     logger: silentLogger,
     metrics: new MemoryMetrics(),
@@ -59,6 +61,7 @@
 
 beforeEach(() => {
   opened = [];
+  isListCurrent = true;
 });
 
 afterEach(() => {
@@ -176,6 +179,12 @@
   expect(await read(openTurns(), 't1')).toBe('unsure');
 });
 
+test('nothing is absent while the list of instances may be outdated', async () => {
+  await startStorages(3);
+  isListCurrent = false;
+  expect(await read(openTurns(), 'unknown')).toBe('unsure');
+});
+
 test('a chain whose earlier turn is missing is not read', async () => {
   await startStorages(3);
   await keep(openTurns(), 't2', 't1');
