--- a/packages/gateway/src/turns/retainedTurn.ts
+++ b/packages/gateway/src/turns/retainedTurn.ts
@@ -25,13 +25,17 @@
 
   readonly #output: Buffer[] = [];
 
-  /** The chain's inputs and outputs, and then the input of this turn. */
-  readonly dispatchBody: Buffer;
+  #dispatchBody: Buffer | undefined;
 
   constructor(parts: RetainedTurnParts) {
     this.#parts = parts;
-    const earlier = parts.chain.flatMap(({ input, output }) => [input, output]);
-    this.dispatchBody = Buffer.concat([...earlier, parts.input]);
+  }
+
+  /** The chain's inputs and outputs, and then the input of this turn. */
+  get dispatchBody(): Buffer {
+    // Built on first use, as rate or budget may refuse the call before it is dispatched.
+    this.#dispatchBody ??= this.#joinChain();
+    return this.#dispatchBody;
   }
 
   /** Records an event that was sent to the caller. */
@@ -55,4 +59,9 @@
     });
     return (await keeping.keep(turn, deadlineMilliseconds)).isOk();
   }
+
+  #joinChain(): Buffer {
+    const { chain, input } = this.#parts;
+    return Buffer.concat([...chain.flatMap((turn) => [turn.input, turn.output]), input]);
+  }
 }
--- a/packages/turns/src/entry/turnKeeper.ts
+++ b/packages/turns/src/entry/turnKeeper.ts
@@ -108,11 +108,14 @@
       case 'send':
         step.instances.forEach((instance) => {
           const proceed = (): void => this.#continue(plan, turn, deadlineMilliseconds, ended);
-          void this.#send(instance, turn, deadlineMilliseconds, plan).then(proceed);
-          setTimeout(() => {
+          const timer = setTimeout(() => {
             plan.recordSlow(instance);
             proceed();
-          }, SLOW_MILLISECONDS).unref();
+          }, SLOW_MILLISECONDS);
+          void this.#send(instance, turn, deadlineMilliseconds, plan).then(() => {
+            clearTimeout(timer);
+            proceed();
+          });
         });
     }
   }
