--- a/packages/integration/src/crowds/crowdInstance.ts
+++ b/packages/integration/src/crowds/crowdInstance.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import {
   CallerConnection,
+  CrowdTarget,
   PLATFORM_PORTS,
   platformConfiguration,
   platformRequestHeaders,
@@ -11,7 +12,6 @@
 } from '@limpetnotch/stand-ins';
 import { ManagedProcess } from '../fleet/managedProcess';
 import { waitUntil } from '../fleet/waitUntil';
-import { CrowdTarget } from './crowdTarget';
 
 const HOST = 'shop.example';
 const KEY = 'key';
--- a/packages/integration/src/crowds/crowdPatterns.ts
+++ b/packages/integration/src/crowds/crowdPatterns.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net';
+import { LARGE_PATH } from '@limpetnotch/stand-ins';
 import { headersOf } from './crowdInstance';
-import { LARGE_PATH } from './crowdTarget';
 
 /** Limits of the platform's pages. */
 const BODY_BYTES = 4_194_304;
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -28,6 +28,7 @@
 export { TargetLinks } from './network/targetLinks';
 export { CallerConnection } from './platform/callerConnection';
 export type { CallerOutcome, CallerRecord, CallerRequest } from './platform/callerRecord';
+export { CrowdTarget, LARGE_PATH } from './platform/crowdTarget';
 export { eventText } from './platform/eventText';
 export { LimitHistory } from './platform/limitHistory';
 export type { Arrival, NamedValue } from './platform/limitHistory';
