Show that a stale list of storage instances turns retained turns into 404

Review case 10: an entry instance whose open connections to the store have fallen silent keeps its list of storage instances for up to 15 s, while renewals of its lease count as a confirmation of it. It answers 404 to turns that continue one kept on storage instances added meanwhile.

--- a/review/lib-2/deployment.mjs
+++ b/review/lib-2/deployment.mjs
@@ -80,8 +80,8 @@
     return this.#ports + 18;
   }
 
-  async settingsOf({ name, zone, role }, isFirstStart) {
-    const { limits, bounds, tolerance, storePort } = this.#options;
+  async settingsOf({ name, zone, role, storePort = this.#options.storePort }, isFirstStart) {
+    const { limits, bounds, tolerance } = this.#options;
     const host = this.hostOf(name);
     const lines = (table) => Object.entries(table).map(([key, value]) => `${key} = ${value}`);
     const folder = join(this.folder, name, 'data');
@@ -142,8 +142,9 @@
   }
 
   async startAll() {
-    await Promise.all(this.#options.machines.map(({ name }) => this.start(name, true)));
-    const entries = this.#options.machines.filter(({ role }) => role === 'entry');
+    const machines = this.#options.machines.filter(({ isSpare }) => !isSpare);
+    await Promise.all(machines.map(({ name }) => this.start(name, true)));
+    const entries = machines.filter(({ role }) => role === 'entry');
     await Promise.all(entries.map(({ name }) => this.untilReady(name)));
   }
 
