--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -8,6 +8,9 @@
 export class Store {
   #items = new Map();
 
+  /** All keys, in order. */
+  #keys = [];
+
   #events = [];
 
   #leases = new Map();
@@ -45,12 +48,32 @@
   }
 
   get(key) {
-    const item = this.#items.get(key);
-    return item && JSON.parse(Buffer.from(item.value, 'base64').toString());
+    return this.#items.get(key);
   }
 
   keys(prefix) {
-    return [...this.#items.keys()].filter((key) => key.startsWith(prefix));
+    return this.#keys.filter((key) => key.startsWith(prefix));
+  }
+
+  /** Adds keys that were written long ago, so that the history no longer has them. */
+  fill(keys, value) {
+    this.#revision += 1;
+    const revision = this.#revision;
+    keys.forEach((key) =>
+      this.#items.set(key, { key, value, revision, created: revision, lease: 0 }),
+    );
+    this.#keys = [...this.#items.keys()].sort();
+  }
+
+  /** Returns the first position whose key is not less than a key. */
+  #findPosition(key) {
+    let [low, high] = [0, this.#keys.length];
+    while (low < high) {
+      const middle = Math.floor((low + high) / 2);
+      if (this.#keys[middle] < key) low = middle + 1;
+      else high = middle;
+    }
+    return low;
   }
 
   #write(puts, deletes) {
@@ -58,12 +81,15 @@
     const revision = this.#revision;
     puts.forEach(({ key, value, lease = 0 }) => {
       const created = this.#items.get(key)?.created ?? revision;
+      if (!this.#items.has(key)) this.#keys.splice(this.#findPosition(key), 0, key);
       const item = { key, value, revision, created, lease };
       this.#items.set(key, item);
       this.#events.push(item);
     });
     deletes.forEach((key) => {
-      if (this.#items.delete(key)) this.#events.push({ key, revision, deleted: true });
+      if (!this.#items.delete(key)) return;
+      this.#keys.splice(this.#findPosition(key), 1);
+      this.#events.push({ key, revision, deleted: true });
     });
     if (this.#events.length > HISTORY_EVENTS) this.#events.splice(0, HISTORY_EVENTS / 2);
     [...this.#waiting].forEach((check) => check());
@@ -97,12 +123,12 @@
       case 'GET kv-range': {
         const after = query.get('after') ?? '';
         const prefix = query.get('pathPrefix');
-        const items = [...this.#items.values()]
-          .filter(({ key }) => key.startsWith(prefix) && key > after)
-          .sort((one, other) => (one.key < other.key ? -1 : 1));
+        const first = this.#findPosition(after > prefix ? after : prefix);
+        const start = this.#keys[first] === after ? first + 1 : first;
+        const keys = this.#keys.slice(start, start + 501).filter((key) => key.startsWith(prefix));
         answer(200, {
-          items: items.slice(0, 500),
-          hasMore: items.length > 500,
+          items: keys.slice(0, 500).map((key) => this.#items.get(key)),
+          hasMore: keys.length > 500,
           at: this.#revision,
         });
         break;
