--- a/review/12/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
-cd "$(dirname "$0")" || exit 2
-exec timeout -k 5 115 node run.mjs
