Withhold statuses that deny a run which is not known not to have happened

Cause: the relay looked for the target's statement that it has not run a request (Not-Executed, 421) only to try another target. Without one it passed any final status on, also those that state the same to callers: 408, 429 and 503.

Change: explainWithheld decides for each answer whether it may be sent: statuses of targets, direct or by way of another instance, plain or in place of a stream, and the refusals of the instance. Requests that may be repeated get the status unchanged, as before. Refusals of the instance were right where they are made; replacing one would count call.withheld-refusals and log an error.

Why it works: a status of refusal now needs a proof for every dispatch. The log names target, status and reason by the request's identifier.

--- a/packages/gateway/src/calls/attemptOutcome.ts
+++ b/packages/gateway/src/calls/attemptOutcome.ts
@@ -4,6 +4,11 @@
   | { readonly kind: 'delivered'; readonly status: number }
   /** The target states that it has not run the request. */
   | { readonly kind: 'declined'; readonly reason: 'full' | 'misdirected' }
+  /**
+   * The status tells callers that the request has not run, which the target doesn't state; the
+   * request may have run.
+   */
+  | { readonly kind: 'unproven-refusal'; readonly status: number; readonly detail: string }
   /** Nothing of the request reached the target. */
   | {
       readonly kind: 'not-sent';
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -181,19 +181,24 @@
     return this.response.destroyed || this.response.closed;
   }
 
-  /**
-   * Whether another dispatch is allowed although the request may have run. A stream resumes after
-   * the last event with an identifier, so later data without an identifier would be sent twice.
-   */
-  get isRepeatable(): boolean {
+  /** Whether the request must not run more than once, whatever happens to its response. */
+  get runsAtMostOnce(): boolean {
     const { execution } = this.route;
     switch (execution.kind) {
       case 'idempotent':
-        return true;
-      case 'at-most-once':
         return false;
+      case 'at-most-once':
+        return true;
       case 'event-stream':
-        return execution.isResumable && !this.#hasUnidentifiedData;
+        return !execution.isResumable;
     }
   }
+
+  /**
+   * Whether another dispatch is allowed although the request may have run. A stream resumes after
+   * the last event with an identifier, so later data without an identifier would be sent twice.
+   */
+  get isRepeatable(): boolean {
+    return !this.runsAtMostOnce && !this.#hasUnidentifiedData;
+  }
 }
--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -21,6 +21,7 @@
 import { computeInactivityTimeout } from './inactivityTimeout';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
 import type { TargetChoice } from './targetChoice';
+import { explainWithheld } from './withheldAnswer';
 
 /** Maximum dispatches of one request, including declined ones. */
 const MAXIMUM_DISPATCHES = 6;
@@ -61,6 +62,7 @@
     case 'timed-out':
       return outcome.wasSent;
     case 'delivered':
+    case 'unproven-refusal':
       return outcome.status >= FIRST_SERVER_ERROR_STATUS;
     case 'caller-gone':
     case 'declined':
@@ -115,6 +117,16 @@
 
   /** Runs a call until it ends. */
   async run(call: Call): Promise<CallResult> {
+    const result = await this.#run(call);
+    if (result.kind !== 'refused') return result;
+    const reason = explainWithheld(call, { kind: 'refusal', refusal: result.refusal });
+    if (reason === undefined) return result;
+    this.#parts.metrics.increment('call.withheld-refusals');
+    this.#parts.logger.error('call.refusal-withheld', { request: call.envelope.id, reason });
+    return toRefusedResult({ kind: 'outcome-unknown', reason });
+  }
+
+  async #run(call: Call): Promise<CallResult> {
     const refusedStart = this.#fullWait.refuseStart(call);
     if (refusedStart) {
       return toRefusedResult(this.#noTarget(call, { reason: 'full', ...refusedStart }));
@@ -224,6 +236,11 @@
         outcome: outcome.kind,
       });
     }
+    if (outcome.kind === 'unproven-refusal') {
+      this.#parts.metrics.increment('call.unproven-refusals', 1, {
+        status: String(outcome.status),
+      });
+    }
     if (outcome.kind === 'delivered') this.#parts.limitedDispatch.recordServed(call);
     this.#parts.limitedDispatch.recordEnd(call);
     if (outcome.kind !== 'declined') this.#fullWait.recordEnd(call);
@@ -240,6 +257,7 @@
         version: target.version,
         outcome: outcome.kind,
         detail: 'detail' in outcome ? outcome.detail : undefined,
+        status: 'status' in outcome ? outcome.status : undefined,
         events: call.eventCount,
         framing: call.responseFraming,
         connectionFailure: call.connectionFailureCode,
@@ -318,6 +336,7 @@
       case 'broken':
       case 'excessive':
       case 'stalled':
+      case 'unproven-refusal':
         if (call.isRepeatable && call.history.runs < MAXIMUM_RUNS) return undefined;
         return this.#giveUp(call, outcome, { kind: 'outcome-unknown', reason: outcome.detail });
     }
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -71,6 +71,7 @@
     case 'not-retained':
     case 'shutting-down':
     case 'timed-out':
+    case 'unproven-refusal':
       return { kind: 'reached' };
   }
 };
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -12,6 +12,7 @@
 import type { TargetBufferLimiter } from './targetBufferLimiter';
 import type { ProgressMonitor } from './progressMonitor';
 import { waitUntilWritable } from './waitUntilWritable';
+import { explainWithheld } from './withheldAnswer';
 import { BufferedBody } from './bufferedBody';
 import type { ResponseHead } from './wireCodec';
 
@@ -63,7 +64,7 @@
     this.#parts = parts;
   }
 
-  /** Buffers a response and sends it once it is complete. */
+  /** Buffers a response and sends it once it is complete, unless its status must be withheld. */
   async relayBuffered(head: ResponseHead, targetResponse: TargetResponse): Promise<AttemptOutcome> {
     const { call, writer } = this.#parts;
     const body = await this.#bufferBody(targetResponse);
@@ -71,6 +72,12 @@
       body.release();
       throw toBrokenError(`status ${head.status} for a resumed stream`);
     }
+    const { status } = head;
+    const detail = explainWithheld(call, { kind: 'target-response', status });
+    if (detail !== undefined) {
+      body.release();
+      throw new AttemptEndedError({ kind: 'unproven-refusal', status, detail });
+    }
     call.answeredAtMilliseconds = call.ageMilliseconds;
     call.response.once('close', () => body.release());
     writer.writeResponse(call.response, head.status, head.passedHeaders, body.chunks);
--- a/packages/gateway/src/forwarding/targetAccess.ts
+++ b/packages/gateway/src/forwarding/targetAccess.ts
@@ -7,7 +7,7 @@
 
 /** Dependencies of a {@link TargetAccess}. */
 export interface TargetAccessParts {
-  readonly paths: TargetPaths;
+  readonly paths: Pick<TargetPaths, 'isCut' | 'isSilent' | 'recordReached'>;
   readonly checker: Pick<PathChecker, 'explainFailure'>;
   readonly forwarding: Forwarding;
 }
--- a/packages/gateway/src/quarantine/interruption.ts
+++ b/packages/gateway/src/quarantine/interruption.ts
@@ -20,6 +20,7 @@
     case 'not-sent':
     case 'not-retained':
     case 'shutting-down':
+    case 'unproven-refusal':
       return undefined;
   }
 };
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -16,6 +16,7 @@
 import type { NamedLimit, ResponseHead, WireCodec } from '../../src/calls/wireCodec';
 import type { FleetRoute, TargetService } from '../../src/configuration/fleetConfiguration';
 import { FleetState } from '../../src/fleet/fleetState';
+import type { TargetAccess } from '../../src/forwarding/targetAccess';
 import type { FleetTarget } from '../../src/targets/fleetTarget';
 import { TargetConnections } from '../../src/targets/targetConnections';
 import { RequestQuarantine } from '../../src/quarantine/requestQuarantine';
@@ -90,6 +91,9 @@
   /** Changes a call before it runs. */
   prepareCall: (call: Call) => void = () => undefined;
 
+  /** Ends the calls that start from now on once it aborts. */
+  endSignal: AbortSignal | undefined;
+
   /** Maximum number of connections to one target. */
   connectionLimit = 8;
 
@@ -105,7 +109,11 @@
 
   readonly #runner: CallRunner;
 
-  constructor(connections = new TargetConnections(), regions: Record<string, string> = {}) {
+  constructor(
+    connections = new TargetConnections(),
+    regions: Record<string, string> = {},
+    targetAccess?: TargetAccess,
+  ) {
     this.#connections = connections;
     const logger: Logger = {
       ...silentLogger,
@@ -125,7 +133,7 @@
     this.#runner = new CallRunner({
       codec,
       connections,
-      access,
+      access: targetAccess ?? access,
       loads,
       ...singleInstanceLimits({ fleet, logger, metrics, loads }),
       eligibility: new CallEligibility({
@@ -256,6 +264,7 @@
       body: Buffer.from('x'),
       response,
       arrivedAtMilliseconds: performance.now(),
+      ...(this.endSignal && { endSignal: this.endSignal }),
     });
     this.prepareCall(call);
     const result = await this.#runner.run(call);
