Withhold a target's 402 to a turn that it has run

What callers would see: a target answers a turn of a budgeted program with 402 of its own after it has run it. Callers take 402 for the statement that the budget is spent and that the turn has not run.

Evidence: three tests of unprovenRefusal, which failed before: 402 was passed on for streams of both kinds, and no other target was asked.

Change: 402 to a budgeted turn needs the target's statement, too. A stream that may be resumed goes on at another target first: one that answered as if it had refused is avoided as a full one is. Other requests get a target's 402 unchanged; it states nothing to them.

--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -181,6 +181,12 @@
     return this.response.destroyed || this.response.closed;
   }
 
+  /** Whether the tokens that the request generates count against the budget of a program. */
+  get isBudgetedTurn(): boolean {
+    const { program, prompt } = this.envelope;
+    return program?.tokenBudget !== undefined && prompt !== undefined;
+  }
+
   /** Whether the request must not run more than once, whatever happens to its response. */
   get runsAtMostOnce(): boolean {
     const { execution } = this.route;
--- a/packages/gateway/src/calls/dispatchHistory.ts
+++ b/packages/gateway/src/calls/dispatchHistory.ts
@@ -10,7 +10,7 @@
   | { readonly kind: 'silent' }
   /** It accepted the request and may still be running it; a later connection attempt failed. */
   | { readonly kind: 'unreachable' }
-  /** It accepted the request, and declined a later dispatch of it. */
+  /** It accepted the request, and declined a later dispatch of it, or answered as if it had. */
   | { readonly kind: 'full' }
   /** Its response cost more than one may, and another one would as well. */
   | { readonly kind: 'excessive' }
@@ -62,6 +62,8 @@
         : { kind: 'unreachable' };
     case 'stalled':
       return { kind: 'silent' };
+    case 'unproven-refusal':
+      return { kind: 'full' };
     case 'excessive':
       return { kind: 'excessive' };
     case 'delivered':
@@ -71,7 +73,6 @@
     case 'not-retained':
     case 'shutting-down':
     case 'timed-out':
-    case 'unproven-refusal':
       return { kind: 'reached' };
   }
 };
--- a/packages/gateway/src/calls/withheldAnswer.ts
+++ b/packages/gateway/src/calls/withheldAnswer.ts
@@ -7,6 +7,9 @@
  */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** Tells the caller of a turn that its program's budget is spent, and that the turn has not run. */
+const BUDGET_SPENT_STATUS = 402;
+
 /** A response that a call could end with. */
 export type ProposedAnswer =
   /** The response of a target that doesn't state that it has not run the request. */
@@ -14,8 +17,13 @@
   /** A refusal by the gateway. */
   | { readonly kind: 'refusal'; readonly refusal: Refusal };
 
+/** Whether a caller takes a status for the statement that its request has not run. */
+const deniesRun = (call: Call, status: number): boolean =>
+  (call.runsAtMostOnce && NOT_RUN_STATUSES.has(status)) ||
+  (call.isBudgetedTurn && status === BUDGET_SPENT_STATUS);
+
 const explainTargetResponse = (call: Call, status: number): string | undefined =>
-  call.runsAtMostOnce && NOT_RUN_STATUSES.has(status)
+  deniesRun(call, status)
     ? `status ${status} without a statement of the target that the request has not run`
     : undefined;
 
--- a/packages/gateway/tests/calls/unprovenRefusal.test.ts
+++ b/packages/gateway/tests/calls/unprovenRefusal.test.ts
@@ -91,6 +91,30 @@
   },
 );
 
+const TURN = {
+  program: { id: 'p', session: undefined, finishMilliseconds: undefined, tokenBudget: 100 },
+  prompt: { inputTokens: 10, maximumOutputTokens: 10, expectedOutputTokens: undefined, parts: [] },
+};
+
+// A turn that is answered 402 must not have run, though its route allows repeats.
+test.each([STREAM, RESUMABLE])(
+  'a target that has run a turn can not deny it by 402',
+  async (each) => {
+    await harness.addTarget('t0', runAndAnswer(402));
+    const { status } = await harness.run({ execution: each, maximumTargets: 1 }, 'r1', TURN);
+    expect(status).toBe(502);
+  },
+);
+
+test('a turn that a target answers with 402 is served by another target', async () => {
+  await harness.addTarget('t0', runAndAnswer(402));
+  await harness.addTarget('t1', runAndAnswer(200, 'data: a\n\n'));
+  for (let turn = 0; turn < 4; turn += 1) {
+    const { status } = await harness.run({ execution: RESUMABLE, maximumTargets: 2 }, 'r1', TURN);
+    expect(status).toBe(200);
+  }
+});
+
 test('a request that a target states not to have run is sent to another one', async () => {
   await harness.addTarget('t0', decline);
   await harness.addTarget('t1', runAndAnswer(200, 'served'));
