Leave errors of a connection unanswered behind a request that is running

What callers would see: while a target runs a request, bytes that follow it on the connection are answered by the HTTP framework: 408 for a head that is late, 400 for other bytes. The caller reads that as the answer to its request; 408 denies that it has run.

Cause: the framework's default for such errors writes to the socket without regard to the responses that are due on it.

Change: createClientErrorResponder answers only if no complete request waits for its response; otherwise nothing more is read, and the connection closes after its responses. Requests that are not complete are answered at once, as before.

--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -6,6 +6,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import type { ConnectionGuard } from './connectionGuard';
+import { createClientErrorResponder } from './clientErrorResponder';
 import { freeHead } from './freeHead';
 import { IngressModule } from './ingressModule';
 import type { IngressObserver } from './ingressObserver';
@@ -70,7 +71,9 @@
     guard,
     refuse,
   }: IngressServerOptions): Promise<IngressServer> {
+    const connections = new OpenConnections(observer);
     const adapter = new FastifyAdapter({
+      clientErrorHandler: createClientErrorResponder(connections),
       // Paths are passed on undecoded, so the router must not parse them.
       rewriteUrl: () => '/',
       return503OnClosing: false,
@@ -88,7 +91,6 @@
         return server;
       },
     });
-    const connections = new OpenConnections(observer);
     const handlePending: RequestHandler = async (request, response) => {
       if (!connections.isPending(response) || response.writableEnded) return;
       connections.recordHandled(response);
--- a/packages/gateway/src/ingress/openConnections.ts
+++ b/packages/gateway/src/ingress/openConnections.ts
@@ -82,6 +82,22 @@
     return true;
   }
 
+  /**
+   * Closes a connection once the requests that were read completely have their responses; returns
+   * false if there are none.
+   */
+  closeAfterResponses(socket: Socket): boolean {
+    const responses = [...(this.#connections.get(socket)?.responses.keys() ?? [])];
+    const unanswered = new Set(responses.filter(({ req }) => req.complete));
+    unanswered.forEach((response) =>
+      response.once('close', () => {
+        unanswered.delete(response);
+        if (unanswered.size === 0) socket.destroy();
+      }),
+    );
+    return unanswered.size > 0;
+  }
+
   /**
    * Closes the connections that have served a request and are waiting for the next one: the last
    * response has completely left this process, and no byte has arrived since the last request was
--- a/packages/gateway/tests/ingress/ingressServer.test.ts
+++ b/packages/gateway/tests/ingress/ingressServer.test.ts
@@ -132,3 +132,30 @@
   await closed;
   expect(server.connectionCount).toBe(0);
 });
+
+// The response to such bytes reached the caller as that to its request, which had run.
+test('bytes that are no request get no response while a request is running', async () => {
+  const running = new Deferred<ServerResponse>();
+  await startAndConnect(async (request, response) => {
+    request.resume();
+    await once(request, 'end');
+    running.resolve(response);
+  });
+  socket.write(`${POST_HEAD}0\r\n\r\n`);
+  const response = await running.promise;
+  const closed = once(socket, 'close');
+  socket.write('no request\r\n\r\n');
+  await delay(SWEEP_MILLISECONDS);
+  response.end('ok');
+  await closed;
+  expect(countOccurrences('HTTP/1.1')).toBe(1);
+  expect(received).toMatch(/^HTTP\/1\.1 200 OK[^]*ok/);
+});
+
+test('a request whose body is malformed is answered at once', async () => {
+  await startAndConnect(respondAfterBody);
+  const closed = once(socket, 'close');
+  socket.write('POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\nno chunk\r\n');
+  await closed;
+  expect(received).toMatch(/^HTTP\/1\.1 400/);
+});
