Don't repeat a request on a connection that brought a response to it

What callers would see: an at-most-once request that waited for a full target runs twice, or is answered 503 while it runs.

Cause: by the protocol a copy of a response may arrive where the next response is expected, and the request's identifier tells them apart. A request that its target declined is sent again under the same identifier, and went over the same connection: a copy of the decline was believed for the second dispatch.

Change: a call knows the connections that brought a response to it, and the pool doesn't send it on these. Another idle connection serves it, or a new one, which at the limit takes the place of an idle one.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -154,7 +154,8 @@
         priority,
       });
     const { method, pathAndQuery } = envelope;
-    const request = { method, pathAndQuery, headers, body: call.dispatchBody };
+    const { dispatchBody: body, answeredConnections } = call;
+    const request = { method, pathAndQuery, headers, body, answeredConnections };
     const { connections } = this.#parts;
     call.forwarder = undefined;
     switch (connection.kind) {
@@ -251,6 +252,7 @@
     const headResult = await exchange.head;
     if (headResult.isErr()) throw new AnswerBrokenError(headResult.error);
     this.#progressMonitor.recordProgress();
+    if (exchange.connection) this.#options.call.answeredConnections.add(exchange.connection);
     if (this.#options.connection.kind !== 'forwarded') {
       this.#parts.access.recordAnswer(this.#options.target);
     }
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -101,6 +101,9 @@
   /** Error that ended the connection of the last dispatch; undefined if there was none. */
   connectionFailureCode: string | undefined;
 
+  /** Connections that brought a response to the request. */
+  readonly answeredConnections = new WeakSet<object>();
+
   /** Why the last target was chosen. */
   placement = '';
 
--- a/packages/gateway/src/forwarding/forwardedExchange.ts
+++ b/packages/gateway/src/forwarding/forwardedExchange.ts
@@ -59,6 +59,8 @@
 
   #framing: ResponseFraming | undefined;
 
+  readonly connection = undefined;
+
   readonly connectionFailureCode = undefined;
 
   readonly unparsedBytes = 0;
--- a/packages/gateway/src/targets/targetPool.ts
+++ b/packages/gateway/src/targets/targetPool.ts
@@ -56,10 +56,10 @@
   #sendWaiting(): void {
     for (;;) {
       this.#dropEnded();
-      if (this.#waiting.length === 0) return;
-      const connection = this.#idle.pop() ?? this.#createConnectionWithinLimit();
-      const next = connection && this.#waiting.shift();
-      if (!next) return;
+      const [next] = this.#waiting;
+      const connection = next && this.#takeConnection(next.request);
+      if (!connection) return;
+      this.#waiting.shift();
       connection.send(next.request, next.exchange, (isReusable) =>
         this.#release(connection, isReusable),
       );
@@ -70,6 +70,15 @@
     while (this.#waiting[0]?.exchange.hasEnded) this.#waiting.shift();
   }
 
+  /** Returns a connection that may carry the request; one that may not gives its place to a new one. */
+  #takeConnection({ answeredConnections }: TargetRequest): TargetConnection | undefined {
+    const index = this.#idle.findLastIndex((connection) => !answeredConnections?.has(connection));
+    if (index >= 0) return this.#idle.splice(index, 1)[0];
+    const isAtLimit = this.#connections.size >= this.#connectionLimit;
+    if (isAtLimit) this.#closeConnections(this.#idle.splice(0, 1));
+    return this.#createConnectionWithinLimit();
+  }
+
   #createConnectionWithinLimit(): TargetConnection | undefined {
     if (this.#connections.size >= this.#connectionLimit) return undefined;
     const connection = new TargetConnection(this.address);
@@ -89,10 +98,14 @@
   }
 
   #closeIdle(): void {
-    this.#idle.splice(0).forEach((connection) => {
+    this.#closeConnections(this.#idle.splice(0));
+    if (this.#connections.size === 0) this.#closed.resolve();
+  }
+
+  #closeConnections(connections: readonly TargetConnection[]): void {
+    connections.forEach((connection) => {
       this.#connections.delete(connection);
       void connection.close();
     });
-    if (this.#connections.size === 0) this.#closed.resolve();
   }
 }
--- a/packages/gateway/src/targets/targetRequest.ts
+++ b/packages/gateway/src/targets/targetRequest.ts
@@ -19,6 +19,11 @@
    */
   readonly headers: () => string[];
   readonly body: Buffer;
+  /**
+   * Connections that brought a response to the request already. A copy of it may follow, and could
+   * not be told from the next response to the same request.
+   */
+  readonly answeredConnections?: Pick<WeakSet<object>, 'has'>;
 }
 
 export const CLIENT_OPTIONS: Client.Options = {
