Tell the entry whether a call ran before its owner lost the partition

What callers would see: a call runs at a target, its owner loses the partition before it can commit the outcome, and no other owner answers: the caller reads owner-unreachable with executed: no.

Cause: such an owner sent the same event as one that never had the call, and the entry took that for the statement that the call has not run.

Evidence: three of four new cases of callRelay failed before (executed by the owner, perhaps executed, and an event without the field).

Change: NotOwner carries executed. The entry reports no only if every owner stated it. Both builds bear the other: without the field the entry reports unknown; an earlier entry ignores it.

--- a/packages/server/src/entry/callRelay.ts
+++ b/packages/server/src/entry/callRelay.ts
@@ -1,7 +1,8 @@
 import type { RunCallEvent, RunCallRequest } from '@limpetnotch/peer-protocol';
+import type { Executed } from '@limpetnotch/programs';
 import type { Metrics } from '@limpetnotch/observability';
 import { delay } from '@limpetnotch/supervision';
-import { parseProblemMessage } from '../owner/callEvents';
+import { parseNotOwnerExecuted, parseProblemMessage } from '../owner/callEvents';
 import type { Problem } from '../problems/problem';
 import type { AnswerSink } from './answerSink';
 import { AnswerSplicer } from './answerSplicer';
@@ -27,8 +28,8 @@
 /** How relaying the answer of one owner ended. */
 type RelayEnd =
   | { readonly kind: 'finished' }
-  /** The instance does not own the partition. */
-  | { readonly kind: 'not-owner' }
+  /** The instance does not own the partition, or no longer. */
+  | { readonly kind: 'not-owner'; readonly executed: Executed }
   /** The connection to the owner was lost during the call. */
   | { readonly kind: 'lost'; readonly detail: string };
 
@@ -49,21 +50,23 @@
     const { directory, metrics } = this.#options;
     const splicer = new AnswerSplicer();
     let deadline = performance.now() + OWNER_WAIT_MILLISECONDS;
-    let wasSent = false;
+    let wasLost = false;
+    let mayHaveRun = false;
     for (let attempt = 0; !call.signal.aborted || attempt === 0; attempt += 1) {
       const owner = directory.getOwner(call.request.partition);
       if (owner) {
         const end = await this.#relayFromOwner(owner, { ...call, attempt }, splicer);
         if (end.kind === 'finished') return;
         metrics.increment('relay.retries', 1, { kind: end.kind });
-        if (end.kind === 'lost' && !wasSent) deadline = performance.now() + OWNER_WAIT_MILLISECONDS;
-        wasSent ||= end.kind === 'lost';
+        if (end.kind === 'lost' && !wasLost) deadline = performance.now() + OWNER_WAIT_MILLISECONDS;
+        wasLost ||= end.kind === 'lost';
+        mayHaveRun ||= end.kind === 'lost' || end.executed !== 'no';
       }
       if (performance.now() > deadline) break;
       await delay(RETRY_DELAY_MILLISECONDS, call.signal);
       await directory.refresh(call.request.partition);
     }
-    call.sink.fail(CallRelay.#createFailure(wasSent, call.signal.aborted));
+    call.sink.fail(CallRelay.#createFailure(mayHaveRun, call.signal.aborted));
   }
 
   async #relayFromOwner(
@@ -107,7 +110,7 @@
         sink.fail(parseProblemMessage(event.value));
         return { kind: 'finished' };
       case 'notOwner':
-        return { kind: 'not-owner' };
+        return { kind: 'not-owner', executed: parseNotOwnerExecuted(event.value) };
       case undefined:
         return undefined;
       // no default
@@ -138,11 +141,11 @@
     return { kind: 'finished' };
   }
 
-  static #createFailure(wasSent: boolean, aborted: boolean): Problem {
+  static #createFailure(mayHaveRun: boolean, aborted: boolean): Problem {
     return {
       problem: aborted ? 'cancelled' : 'owner-unreachable',
-      executed: wasSent ? 'unknown' : 'no',
-      detail: wasSent
+      executed: mayHaveRun ? 'unknown' : 'no',
+      detail: mayHaveRun
         ? 'the owner was lost with the call under way; ask again with the same idempotency key'
         : 'no owner took the call',
     };
--- a/packages/server/src/owner/callEvents.ts
+++ b/packages/server/src/owner/callEvents.ts
@@ -1,5 +1,5 @@
 import { create } from '@bufbuild/protobuf';
-import type { CallProblem, RunCallEvent } from '@limpetnotch/peer-protocol';
+import type { CallProblem, NotOwner, RunCallEvent } from '@limpetnotch/peer-protocol';
 import {
   CallProblemSchema,
   Durability,
@@ -46,9 +46,20 @@
 export const createProblemEvent = (problem: Problem): RunCallEvent =>
   create(RunCallEventSchema, { event: { case: 'problem', value: createProblemMessage(problem) } });
 
-/** Creates the event on which the entry retries at another owner. */
-export const createNotOwnerEvent = (epoch: number): RunCallEvent =>
-  create(RunCallEventSchema, { event: { case: 'notOwner', value: { epoch } } });
+/**
+ * Creates the event on which the entry retries at another owner.
+ *
+ * @param epoch Epoch in which the instance owned the partition; 0 if it never did.
+ * @param executed Whether this owner had a target run the call.
+ */
+export const createNotOwnerEvent = (epoch: number, executed: ExecutedText): RunCallEvent =>
+  create(RunCallEventSchema, {
+    event: { case: 'notOwner', value: { epoch, executed: EXECUTED_VALUES[executed] } },
+  });
+
+/** Reads whether the owner that sent this event had a target run the call. */
+export const parseNotOwnerExecuted = ({ executed }: NotOwner): ExecutedText =>
+  EXECUTED_TEXTS[executed];
 
 /** Creates the event that ends a complete answer. */
 export const createEndEvent = (durability: JournalCommit['durability']): RunCallEvent =>
--- a/packages/server/src/owner/callOwner.ts
+++ b/packages/server/src/owner/callOwner.ts
@@ -108,7 +108,7 @@
   ): Promise<void> {
     const partition = this.#options.getOwnedPartition(request.partition);
     if (!partition) {
-      await channel.push(createNotOwnerEvent(0));
+      await channel.push(createNotOwnerEvent(0, 'no'));
       return;
     }
     const plan = planCall(request, this.#options.getConfiguration());
--- a/packages/server/src/owner/callRunner.ts
+++ b/packages/server/src/owner/callRunner.ts
@@ -141,7 +141,8 @@
 
   async #sendRefusal(refusal: Omit<Problem, 'retryAfterMilliseconds'>): Promise<void> {
     if (refusal.problem === 'not-owner') {
-      await this.#options.channel.push(createNotOwnerEvent(this.#options.partition.epoch));
+      const { epoch } = this.#options.partition;
+      await this.#options.channel.push(createNotOwnerEvent(epoch, refusal.executed));
       return;
     }
     await this.#sendProblem({
@@ -154,11 +155,11 @@
   async #reportLostCommit(error: JournalError, outcome: CallOutcome): Promise<void> {
     const { channel, partition, metrics } = this.#options;
     metrics.increment('call.lost-commits', 1, { kind: error.kind });
+    const executed = outcome.kind === 'answered' ? 'yes' : outcome.executed;
     if (error.kind === 'deposed') {
-      await channel.push(createNotOwnerEvent(partition.epoch));
+      await channel.push(createNotOwnerEvent(partition.epoch, executed));
       return;
     }
-    const executed = outcome.kind === 'answered' ? 'yes' : outcome.executed;
     await this.#sendProblem({
       problem: 'journal-unavailable',
       executed,
--- a/packages/server/tests/entry/callRelay.test.ts
+++ b/packages/server/tests/entry/callRelay.test.ts
@@ -1,6 +1,6 @@
 import { create } from '@bufbuild/protobuf';
 import { MemoryMetrics } from '@limpetnotch/observability';
-import { RunCallEventSchema, RunCallRequestSchema } from '@limpetnotch/peer-protocol';
+import { Executed, RunCallEventSchema, RunCallRequestSchema } from '@limpetnotch/peer-protocol';
 import type { RunCallEvent, RunCallRequest } from '@limpetnotch/peer-protocol';
 import type { AnswerSink } from '../../src/entry/answerSink';
 import { CallRelay } from '../../src/entry/callRelay';
@@ -40,6 +40,8 @@
 const head = create(RunCallEventSchema, { event: { case: 'head', value: { status: 200 } } });
 const end = create(RunCallEventSchema, { event: { case: 'end', value: {} } });
 const notOwner = create(RunCallEventSchema, { event: { case: 'notOwner', value: {} } });
+const notOwnerAfter = (executed: Executed): RunCallEvent =>
+  create(RunCallEventSchema, { event: { case: 'notOwner', value: { executed } } });
 const chunk = (text: string): RunCallEvent =>
   create(RunCallEventSchema, { event: { case: 'chunk', value: Buffer.from(text) } });
 
@@ -61,6 +63,9 @@
   endProgram: async () => Promise.reject(new Error('not used')),
 });
 
+/** Answers of owners that have not run the call, for longer than the relay asks. */
+const NOT_OWNERS = Array.from({ length: 1_000 }, () => [notOwnerAfter(Executed.NO)]);
+
 const relayCall = async (
   owner: OwnerClient | undefined,
   sink: RecordingSink,
@@ -133,3 +138,19 @@
   await relayCall(createOwner([['lost']]), lost);
   expect(lost.problem).toMatchObject({ problem: 'owner-unreachable', executed: 'unknown' });
 });
+
+// The call had run, and its caller read that it had not.
+test.each([
+  [Executed.NO, 'no'],
+  [Executed.YES, 'unknown'],
+  [Executed.UNKNOWN, 'unknown'],
+  // An owner of an earlier version.
+  [Executed.UNSPECIFIED, 'unknown'],
+])(
+  'reports what an owner executed before it lost the partition (%d)',
+  async (executed, reported) => {
+    const sink = new RecordingSink();
+    await relayCall(createOwner([[notOwnerAfter(executed)], ...NOT_OWNERS]), sink);
+    expect(sink.problem).toMatchObject({ problem: 'owner-unreachable', executed: reported });
+  },
+);
