Handle the error of a refusal's body that is discarded unread

What callers would see: an engine refuses a call by 429 or 503; if the body of that response has not arrived whole, discarding it raises an error event without a listener, outside of the call.

Cause: destroying the body of a response that is under way emits an abort error, as the client of the same package knows elsewhere.

Change: a listener for it, as where odd statuses are discarded.

--- a/packages/server/src/owner/attemptLoop.ts
+++ b/packages/server/src/owner/attemptLoop.ts
@@ -158,7 +158,7 @@
     });
     if (sent.isErr()) return this.#releaseAfterError(grant, sent.error);
     if (plan.chat && AttemptLoop.#isRefusal(sent.value)) {
-      sent.value.body.destroy();
+      sent.value.body.on('error', () => undefined).destroy();
       grant.release({ kind: 'refused' });
       return err({ kind: 'not-run', detail: `${grant.target} refused the call` });
     }
