Believe an engine's 429 or 503 only with its statement

What callers of limpetnotchd would see: a call that is not idempotent runs at several engines, and is reported as not executed, if engines run it and then answer 429 or 503.

Cause: the status alone counted as proof that the call has not run.

Evidence: unprovenRefusal and statedExecution (server). Before, a call that is not idempotent ran at two engines; statedExecution, random orders of attempts, fails without the mark that the call may have run.

Change: limpetnotch-executed: no in a target's response is the statement that it has not run a call, of engines and plain services alike; the call goes on to another target. An engine's 429 or 503 without it is a refusal of a call that may have run: the end of one that is not idempotent (outcome-unknown, unknown), and no change for an idempotent one but for its truth: the next engine gets it, and it costs no tokens if all refuse. Callers get the header with each answer; values of targets are not passed on. The line call.unproven-refusal names the call, its target and the status. The stand-in of an engine states its refusals.

--- a/packages/server/src/entry/httpAnswerSink.ts
+++ b/packages/server/src/entry/httpAnswerSink.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import type { AnswerEnd, AnswerHead } from '@limpetnotch/peer-protocol';
 import { Durability } from '@limpetnotch/peer-protocol';
+import { EXECUTED_HEADER } from '../problems/executedHeader';
 import type { Problem } from '../problems/problem';
 import { createProblemDocument, computeRetryAfterSeconds } from '../problems/problem';
 import type { AnswerSink } from './answerSink';
@@ -39,6 +40,7 @@
     this.#head = head;
     head.headers.forEach(({ name, value }) => response.setHeader(name, value));
     response.setHeader('limpetnotch-sequence', String(head.sequence));
+    response.setHeader(EXECUTED_HEADER, 'yes');
     response.setHeader('trailer', DURABILITY_TRAILER);
     if (program !== undefined) response.setHeader('limpetnotch-program', program);
     if (idempotencyKey !== undefined) response.setHeader('idempotency-key', idempotencyKey);
@@ -72,6 +74,7 @@
     const document = createProblemDocument(problem);
     const retryAfter = computeRetryAfterSeconds(problem);
     if (retryAfter !== undefined) response.setHeader('retry-after', String(retryAfter));
+    response.setHeader(EXECUTED_HEADER, document.executed);
     response.setHeader('content-type', 'application/problem+json');
     response.writeHead(document.status);
     response.end(JSON.stringify(document));
--- a/packages/server/src/owner/attemptLoop.ts
+++ b/packages/server/src/owner/attemptLoop.ts
@@ -4,6 +4,8 @@
 import { err, ok } from 'neverthrow';
 import type { AttemptError } from '../targets/attemptError';
 import { toAttemptError } from '../targets/attemptError';
+import type { TargetRefusal } from '../targets/classifyRefusal';
+import { classifyRefusal } from '../targets/classifyRefusal';
 import { AnswerReader } from '../targets/answerReader';
 import type { EngineUsage } from '../targets/answerReader';
 import type { TargetResponse } from '../targets/targetClient';
@@ -16,8 +18,6 @@
 import type { CallRunnerOptions } from './callRunner';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-const TOO_MANY_REQUESTS = 429;
-const SERVICE_UNAVAILABLE = 503;
 const FIRST_ERROR_STATUS = 400;
 const NO_USAGE: EngineUsage = { promptTokens: 0, outputTokens: 0, cachedTokens: 0 };
 const EVENT_STREAM = 'text/event-stream';
@@ -32,6 +32,8 @@
 type AttemptFailure =
   /** The target has certainly not started the call. */
   | { readonly kind: 'not-run'; readonly detail: string }
+  /** The target refused the call and doesn't state that it has not run it. */
+  | { readonly kind: 'unproven-refusal'; readonly detail: string }
   /** The target may have run the call, completely or in part. */
   | { readonly kind: 'may-have-run'; readonly detail: string }
   | { readonly kind: 'cancelled'; readonly detail: string };
@@ -52,6 +54,9 @@
 
   #mayHaveRun = false;
 
+  /** Whether an attempt that reported no usage may have spent tokens. */
+  #mayHaveSpent = false;
+
   #lastTarget: string | undefined;
 
   constructor(options: AttemptLoopOptions) {
@@ -157,16 +162,36 @@
       signal: this.#signal,
     });
     if (sent.isErr()) return this.#releaseAfterError(grant, sent.error);
-    if (plan.chat && AttemptLoop.#isRefusal(sent.value)) {
-      sent.value.body.on('error', () => undefined).destroy();
-      grant.release({ kind: 'refused' });
-      return err({ kind: 'not-run', detail: `${grant.target} refused the call` });
-    }
-    return this.#relayAnswer(grant, sent.value);
+    const refusal = classifyRefusal(sent.value, plan.chat !== undefined);
+    return refusal
+      ? this.#releaseAfterRefusal(grant, sent.value, refusal)
+      : this.#relayAnswer(grant, sent.value);
   }
 
-  static #isRefusal({ status }: TargetResponse): boolean {
-    return status === TOO_MANY_REQUESTS || status === SERVICE_UNAVAILABLE;
+  #releaseAfterRefusal(
+    grant: TargetGrant,
+    { status, body }: TargetResponse,
+    refusal: TargetRefusal,
+  ): Result<never, AttemptFailure> {
+    body.on('error', () => undefined).destroy();
+    grant.release({ kind: 'refused' });
+    switch (refusal) {
+      case 'not-run':
+        return err({ kind: 'not-run', detail: `${grant.target} refused the call` });
+      case 'unproven': {
+        const detail = `${grant.target}: status ${status} without a statement that the call has not run`;
+        const { metrics, logger, start } = this.#options;
+        this.#mayHaveRun = true;
+        metrics.increment('call.unproven-refusals', 1, { status: String(status) });
+        logger.info('call.unproven-refusal', {
+          callId: start.callId,
+          target: grant.target,
+          detail,
+        });
+        return err({ kind: 'unproven-refusal', detail });
+      }
+      // no default
+    }
   }
 
   async #relayAnswer(
@@ -237,9 +262,11 @@
       case 'broken':
       case 'silent':
         this.#mayHaveRun = true;
+        this.#mayHaveSpent = true;
         return err({ kind: 'may-have-run', detail });
       case 'cancelled':
         this.#mayHaveRun = true;
+        this.#mayHaveSpent = true;
         return err({ kind: 'cancelled', detail });
       // no default
     }
@@ -265,6 +292,8 @@
     switch (failure.kind) {
       case 'not-run':
         return !this.#mayHaveRun || plan.route.idempotent;
+      case 'unproven-refusal':
+        return plan.route.idempotent;
       case 'may-have-run':
         return plan.route.idempotent && (!relay.started || grant.resumable);
       case 'cancelled':
@@ -283,6 +312,8 @@
     switch (failure.kind) {
       case 'not-run':
         return { ...base, problem: 'target-unreachable' };
+      case 'unproven-refusal':
+        return { ...base, problem: 'outcome-unknown' };
       case 'may-have-run':
         return { ...base, problem: 'target-broken' };
       case 'cancelled':
@@ -297,7 +328,7 @@
 
   /** An interrupted call may have spent its full reservation, as no lower usage was reported. */
   #getSpentTokens(): number {
-    return this.#mayHaveRun ? this.#options.start.reservation.tokens : 0;
+    return this.#mayHaveSpent ? this.#options.start.reservation.tokens : 0;
   }
 
   #toFailedOutcome(failure: CallFailure): CallOutcome {
--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -124,7 +124,12 @@
     const chat = chatRequestSchema.parse(request.body);
     await this.requestsBefore.pass(chat);
     const refusal = this.#checkRefusal(chat);
-    if (refusal) return reply.code(refusal.status).send({ error: refusal.error });
+    if (refusal) {
+      return reply
+        .code(refusal.status)
+        .header('limpetnotch-executed', 'no')
+        .send({ error: refusal.error });
+    }
     this.#arrivals += 1;
     const header = request.headers['x-request-id'];
     const identifier = typeof header === 'string' ? header : `request-${this.#arrivals}`;
