Let the soak's targets refuse what they have run

The check of refusals left out answers with a target's signature, and no target of the stand-ins answered 503 without the statement that it had not run the request. Callers read the status all the same.

The mode `refusals` runs requests and answers 503; a series of the signal soak sets it at four of eight targets, around a SIGHUP and two stops. The check now takes a status of refusal for what it is to the caller, also with a signature, on routes whose requests run at most once.

--- a/packages/integration/src/signal-soak/checkExchange.ts
+++ b/packages/integration/src/signal-soak/checkExchange.ts
@@ -2,6 +2,7 @@
 import { eventText } from '@limpetnotch/stand-ins';
 import type { CheckContext } from './checkContext';
 import type { SoakExchange } from './soakExchange';
+import type { SoakRoute } from './soakRoutes';
 import type { Violation } from './violation';
 
 type Check = (exchange: SoakExchange, context: CheckContext) => string | undefined;
@@ -76,8 +77,13 @@
   return `closed ${hasResponseStarted ? 'in its answer' : 'unanswered'}${cause} (${outcome.detail})`;
 };
 
-const checkRefusal: Check = ({ record: { outcome }, runs }) => {
-  if (outcome.kind !== 'answered' || outcome.signature !== undefined) return undefined;
+const mayRepeat = ({ kind, isResumable }: SoakRoute): boolean =>
+  kind === 'safe' || (kind === 'stream' && isResumable);
+
+const checkRefusal: Check = ({ route, record: { outcome }, runs }) => {
+  if (outcome.kind !== 'answered') return undefined;
+  // The status of a target itself denies the run only to callers that may not repeat the request.
+  if (outcome.signature !== undefined && mayRepeat(route)) return undefined;
   const hasRunDespiteRefusal = NOT_EXECUTED_STATUSES.has(outcome.status) && runs.length > 0;
   return hasRunDespiteRefusal ? `answered ${outcome.status}, but it ran` : undefined;
 };
@@ -89,10 +95,8 @@
     : undefined;
 };
 
-const checkRepeatedRun: Check = ({ route, runs }) => {
-  const mayRepeat = route.kind === 'safe' || (route.kind === 'stream' && route.isResumable);
-  return !mayRepeat && runs.length > 1 ? `ran ${runs.length} times` : undefined;
-};
+const checkRepeatedRun: Check = ({ route, runs }) =>
+  !mayRepeat(route) && runs.length > 1 ? `ran ${runs.length} times` : undefined;
 
 const checkTargetCount: Check = ({ route, runs, record }, { targetEndedAt }) => {
   const liveTargets = new Set(
--- a/packages/integration/src/signal-soak/regressionSeries.ts
+++ b/packages/integration/src/signal-soak/regressionSeries.ts
@@ -39,7 +39,7 @@
     at(from + index * 10, { kind: 'signal', instance, signal: 'SIGHUP' }),
   );
 
-/** Every series that failed on commit 365c07f, shortened to the minimum that shows its cause. */
+/** Every series that failed before its mend, shortened to the minimum that shows its cause. */
 export const REGRESSION_SERIES: readonly RegressionSeries[] = [
   {
     name: 'second SIGTERM within the drain',
@@ -124,4 +124,19 @@
     routes: ['stream', 'turn'],
     faults: signals(0, [2_000, 'SIGSTOP'], [3_400, 'SIGCONT']),
   },
+  {
+    name: 'targets refuse what they have run',
+    cause: 'their status 503 reached callers, for whom it meant that the request had not run',
+    seed: 1,
+    seconds: 7,
+    routes: ['unsafe', 'unsafe-twice', 'stream-once', 'safe-twice'],
+    faults: [
+      ...[0, 1, 4, 5].flatMap((target) => [
+        at(1_000, { kind: 'target-mode', target, mode: 'refusals' } as const),
+        at(6_000, { kind: 'target-mode', target, mode: 'sound' } as const),
+      ]),
+      ...signals(0, [2_000, 'SIGHUP'], [2_500, 'SIGTERM']),
+      ...signals(1, [3_500, 'SIGTERM']),
+    ],
+  },
 ];
--- a/packages/integration/tests/signalSoakChecks.test.ts
+++ b/packages/integration/tests/signalSoakChecks.test.ts
@@ -122,6 +122,20 @@
     }),
   ],
   ['a false refusal', ['refusal'], exchange('safe', answered(503), [run()])],
+  [
+    'a refusal by a target that has run the request',
+    ['refusal'],
+    exchange('unsafe', answered(503, SIGNATURE), [
+      run({ end: { kind: 'answered', status: 503, body: 'body' } }),
+    ]),
+  ],
+  [
+    'a refusal by a target that has run a request which may be repeated',
+    [],
+    exchange('safe', answered(503, SIGNATURE), [
+      run({ end: { kind: 'answered', status: 503, body: 'body' } }),
+    ]),
+  ],
   ['a denial', ['denied'], exchange('safe', answered(404), [])],
   ['a second run', ['twice'], exchange('unsafe-twice', answered(502), [run(), run()])],
   [
--- a/packages/stand-ins/src/platform/platformTargetStandIn.ts
+++ b/packages/stand-ins/src/platform/platformTargetStandIn.ts
@@ -30,12 +30,13 @@
 const PLAIN_BODY_BYTES = 4_000;
 
 /**
- * How a target handles requests: without faults, or with the fault that the mode names. In the modes
+ * How a target handles requests: without faults, or with the fault that the mode names. In the mode
+ * `refusals`, it runs them and answers with a status that is usual for refused ones. In the modes
  * `until-close` and `until-close-reset`, responses have neither a length nor chunks; in the latter,
  * their connection is reset halfway.
  */
 export type TargetMode =
-  'sound' | 'hang' | 'reset' | 'slow' | 'errors' | 'until-close' | 'until-close-reset';
+  'sound' | 'hang' | 'reset' | 'slow' | 'errors' | 'refusals' | 'until-close' | 'until-close-reset';
 
 /** Options of {@link PlatformTargetStandIn.start}. */
 export interface PlatformTargetOptions {
@@ -220,15 +221,17 @@
   async #respondPlain(activeRun: ActiveRun): Promise<void> {
     if (!(await this.#waitForStep(activeRun))) return;
     const { requestId, signature } = activeRun.run;
-    const isFailing = this.mode === 'errors';
-    const body = `${requestId} ${signature} `.padEnd(PLAIN_BODY_BYTES, isFailing ? 'e' : 'b');
-    this.#respond(activeRun, isFailing ? STATUS_FAILED : STATUS_OK, body);
+    const failureStatus = this.#failureStatus;
+    const filler = failureStatus === undefined ? 'b' : 'e';
+    const body = `${requestId} ${signature} `.padEnd(PLAIN_BODY_BYTES, filler);
+    this.#respond(activeRun, failureStatus ?? STATUS_OK, body);
   }
 
   async #respondWithStream(activeRun: ActiveRun): Promise<void> {
     const { run, response, steps } = activeRun;
-    if (this.mode === 'errors') {
-      this.#respond(activeRun, STATUS_FAILED, 'failed');
+    const failureStatus = this.#failureStatus;
+    if (failureStatus !== undefined) {
+      this.#respond(activeRun, failureStatus, 'failed');
       return;
     }
     let body = '';
@@ -252,6 +255,12 @@
     response.end();
   }
 
+  /** Status of requests that were run without success; undefined if they succeed. */
+  get #failureStatus(): number | undefined {
+    if (this.mode === 'errors') return STATUS_FAILED;
+    return this.mode === 'refusals' ? STATUS_UNAVAILABLE : undefined;
+  }
+
   /** Waits for one step; resolves to whether the run continues. */
   async #waitForStep(activeRun: ActiveRun): Promise<boolean> {
     const { run, stepMilliseconds } = activeRun;
