--- a/packages/gateway/src/calls/callRunner.ts
+++ b/packages/gateway/src/calls/callRunner.ts
@@ -21,7 +21,7 @@
 import { computeInactivityTimeout } from './inactivityTimeout';
 import { SHUTDOWN_REFUSAL } from './shutdownRefusal';
 import type { TargetChoice } from './targetChoice';
-import { explainWithheld } from './withheldAnswer';
+import { explainWithheld } from './explainWithheld';
 
 /** Maximum dispatches of one request, including declined ones. */
 const MAXIMUM_DISPATCHES = 6;
--- a/packages/gateway/src/calls/responseRelay.ts
+++ b/packages/gateway/src/calls/responseRelay.ts
@@ -12,7 +12,7 @@
 import type { TargetBufferLimiter } from './targetBufferLimiter';
 import type { ProgressMonitor } from './progressMonitor';
 import { waitUntilWritable } from './waitUntilWritable';
-import { explainWithheld } from './withheldAnswer';
+import { explainWithheld } from './explainWithheld';
 import { BufferedBody } from './bufferedBody';
 import type { ResponseHead } from './wireCodec';
 
--- a/packages/gateway/src/ingress/ingressServer.ts
+++ b/packages/gateway/src/ingress/ingressServer.ts
@@ -6,7 +6,7 @@
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
 import type { ConnectionGuard } from './connectionGuard';
-import { createClientErrorResponder } from './clientErrorResponder';
+import { createClientErrorResponder } from './createClientErrorResponder';
 import { freeHead } from './freeHead';
 import { IngressModule } from './ingressModule';
 import type { IngressObserver } from './ingressObserver';
--- a/packages/gateway/tests/ingress/clientErrorResponder.test.ts
+++ b/packages/gateway/tests/ingress/createClientErrorResponder.test.ts
@@ -4,7 +4,7 @@
 import type { Socket } from 'node:net';
 import { connect } from 'node:net';
 import { Deferred, delay } from '@limpetnotch/supervision';
-import { createClientErrorResponder } from '../../src/ingress/clientErrorResponder';
+import { createClientErrorResponder } from '../../src/ingress/createClientErrorResponder';
 import { OpenConnections } from '../../src/ingress/openConnections';
 
 const HEAD_TIMEOUT_MILLISECONDS = 60;
