--- a/packages/gateway/tests/calls/notRunStatements.test.ts
+++ b/packages/gateway/tests/calls/notRunStatements.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { delay } from '@limpetnotch/supervision';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
+import type { CallerView } from '../support/callHarness';
 import { CallHarness } from '../support/callHarness';
 import { ScriptedTargets } from '../support/scriptedTargets';
 import type { ScriptedDispatch, TargetStep } from '../support/scriptedTargets';
@@ -17,6 +18,14 @@
 /** Statuses that callers take for the statement that a request has not run and never will. */
 const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
 
+/** Tells the caller of a turn with a token budget that the turn has not run. */
+const BUDGET_SPENT_STATUS = 402;
+
+const TURN = {
+  program: { id: 'p', session: undefined, finishMilliseconds: undefined, tokenBudget: 100 },
+  prompt: { inputTokens: 10, maximumOutputTokens: 10, expectedOutputTokens: undefined, parts: [] },
+};
+
 const PATIENCE_MILLISECONDS = 250;
 
 /** Longer than any scripted pause, so that targets have begun what they will run. */
@@ -25,7 +34,7 @@
 const targetStep: fc.Arbitrary<TargetStep> = fc.oneof(
   fc.record({
     kind: fc.constant('answers' as const),
-    status: fc.constantFrom(200, 500, 408, 429, 503, 503),
+    status: fc.constantFrom(200, 500, 402, 408, 429, 503, 503),
     isWhole: fc.boolean(),
   }),
   fc.record({
@@ -52,6 +61,8 @@
 
 const scenarioArbitrary = fc.record({
   route: fc.constantFrom(...ROUTES),
+  /** Whether the request is a turn of a program with a token budget. */
+  isTurn: fc.boolean(),
   maximumTargets: fc.integer({ min: 1, max: 3 }),
   dispatches: fc.array(dispatch, { minLength: 1, maxLength: 6 }),
   /** For each target, whether it is reached only through other instances. */
@@ -80,8 +91,15 @@
   if (!('code' in error) || error.code !== 'ECONNRESET') throw error;
 };
 
+/** Whether the caller takes the status for the statement that its request has not run. */
+const deniesRun = ({ route, isTurn }: Scenario, { status, result }: CallerView): boolean => {
+  if (status === BUDGET_SPENT_STATUS) return isTurn;
+  const isOwn = result.kind === 'refused';
+  return NOT_RUN_STATUSES.includes(status) && (isOwn || !route.isRepeatable);
+};
+
 const play = async (scenario: Scenario): Promise<void> => {
-  const { route, maximumTargets, dispatches, forwarded } = scenario;
+  const { route, isTurn, maximumTargets, dispatches, forwarded } = scenario;
   const targets = new ScriptedTargets(dispatches);
   const forwardedIds = new Set(forwarded.flatMap((is, index) => (is ? [`t${index}`] : [])));
   const access = targets.createAccess((id) => forwardedIds.has(id));
@@ -92,11 +110,11 @@
     const view = await harness
       .run({ execution: route.execution, maximumTargets }, 'r1', {
         patienceMilliseconds: PATIENCE_MILLISECONDS,
+        ...(isTurn && TURN),
       })
       .catch(toConnectionClosed);
     await delay(LATE_RUN_MILLISECONDS);
-    const isOwn = view?.result.kind === 'refused';
-    if (view && NOT_RUN_STATUSES.includes(view.status) && (isOwn || !route.isRepeatable)) {
+    if (view && deniesRun(scenario, view)) {
       expect({ status: view.status, runs: targets.runs }).toEqual({ status: view.status, runs: 0 });
     }
     if (!route.isRepeatable) expect(targets.runs).toBeLessThanOrEqual(1);
