--- a/packages/stand-ins/src/engine/engineStandIn.ts
+++ b/packages/stand-ins/src/engine/engineStandIn.ts
@@ -26,6 +26,9 @@
 const STATUS_TOO_MANY_REQUESTS = 429;
 const STATUS_SERVICE_UNAVAILABLE = 503;
 
+/** Statuses of requests that another engine may serve. */
+const RETRYABLE_STATUSES = new Set([STATUS_TOO_MANY_REQUESTS, STATUS_SERVICE_UNAVAILABLE]);
+
 const eventsQuerySchema = z.object({ after: z.coerce.number().int().min(0).default(0) });
 
 /** Response to a request that is refused before it is queued. */
@@ -124,12 +127,7 @@
     const chat = chatRequestSchema.parse(request.body);
     await this.requestsBefore.pass(chat);
     const refusal = this.#checkRefusal(chat);
-    if (refusal) {
-      return reply
-        .code(refusal.status)
-        .header('limpetnotch-executed', 'no')
-        .send({ error: refusal.error });
-    }
+    if (refusal) return EngineStandIn.#sendRefusal(reply, refusal);
     this.#arrivals += 1;
     const header = request.headers['x-request-id'];
     const identifier = typeof header === 'string' ? header : `request-${this.#arrivals}`;
@@ -148,6 +146,11 @@
     return reply;
   }
 
+  static #sendRefusal(reply: FastifyReply, { status, error }: Refusal): FastifyReply {
+    if (RETRYABLE_STATUSES.has(status)) reply.header('limpetnotch-executed', 'no');
+    return reply.code(status).send({ error });
+  }
+
   #checkRefusal(chat: ChatRequest): Refusal | undefined {
     const { unavailable, models, maximumQueued, resume } = this.#settings;
     if (unavailable) return { status: STATUS_SERVICE_UNAVAILABLE, error: 'unavailable' };
