End the running request of a caller that leaves within its next head

What would be seen: since errors of a connection are left unanswered behind a running request, a caller that closes its side in the middle of the next head wasn't noticed, and its target worked on for nobody. The framework's default had closed the connection.

Evidence: the new test of createClientErrorResponder waits in vain for the end of the response without the change.

Change: an end of input within a request closes the connection at once.

--- a/packages/gateway/src/ingress/createClientErrorResponder.ts
+++ b/packages/gateway/src/ingress/createClientErrorResponder.ts
@@ -3,6 +3,9 @@
 import { ignoreFurtherRequests } from './ignoreFurtherRequests';
 import type { OpenConnections } from './openConnections';
 
+/** The caller has left within a request. */
+const END_WITHIN_REQUEST_CODE = 'HPE_INVALID_EOF_STATE';
+
 const MALFORMED_STATUS = 400;
 
 const STATUSES: ReadonlyMap<string, number> = new Map([
@@ -20,7 +23,8 @@
   (error: NodeJS.ErrnoException, socket: Socket): void => {
     if (error.code === 'ECONNRESET' || socket.destroyed) return;
     if (connections.closeAfterResponses(socket)) {
-      ignoreFurtherRequests(socket);
+      if (error.code === END_WITHIN_REQUEST_CODE) socket.destroy();
+      else ignoreFurtherRequests(socket);
       return;
     }
     const status = STATUSES.get(error.code ?? '') ?? MALFORMED_STATUS;
--- a/packages/gateway/tests/ingress/createClientErrorResponder.test.ts
+++ b/packages/gateway/tests/ingress/createClientErrorResponder.test.ts
@@ -62,3 +62,13 @@
   await closed;
   expect(received).toMatch(/^HTTP\/1\.1 408 Request Timeout\r\n/);
 });
+
+// Its targets work on otherwise, for nobody.
+test('a caller that leaves within its next head ends its running request', async () => {
+  socket.write(`POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n${PARTIAL_HEAD}`);
+  const response = await running.promise;
+  const closed = once(response, 'close');
+  socket.end();
+  await closed;
+  expect([response.writableEnded, received]).toEqual([false, '']);
+});
