Close a connection of limpetnotchd instead of answering out of turn

What callers would see: bytes that are no request, or a head that is late, behind a call in progress: the framework's 400 or 408 takes the place of the call's answer.

Evidence: the new test of entryServer, which got 400 before.

Change: a listener before the framework's closes a connection on which a complete request waits for its response. Other connections are answered as before.

--- a/packages/server/src/http/entryConnections.ts
+++ b/packages/server/src/http/entryConnections.ts
@@ -35,6 +35,12 @@
       .filter(({ writableEnded }) => writableEnded);
   }
 
+  /** Whether a request of a connection was read completely and has no complete response yet. */
+  hasCompleteRequest(socket: Socket): boolean {
+    const responses = [...(this.#connections.get(socket)?.openResponses ?? [])];
+    return responses.some(({ req }) => req.complete);
+  }
+
   /** Closes the connections without an open request. */
   closeWithoutRequest(): void {
     this.#connections.forEach(({ openResponses: responses }, socket) => {
--- a/packages/server/src/http/entryServer.ts
+++ b/packages/server/src/http/entryServer.ts
@@ -1,5 +1,6 @@
 import 'reflect-metadata';
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { NestFactory } from '@nestjs/core';
 import type { NestFastifyApplication } from '@nestjs/platform-fastify';
 import { FastifyAdapter } from '@nestjs/platform-fastify';
@@ -44,6 +45,11 @@
     // The sweep of Node.js, which close() also runs, considers a connection idle as soon as its
     // response is written, although bytes may still be buffered in this process for a slow reader.
     server.closeIdleConnections = () => this.#connections.closeIdle();
+    // Runs before the framework's listener, whose response the caller would take for that to the
+    // call in progress. A closed connection does not tell whether the call was executed.
+    server.prependListener('clientError', (_error: Error, socket: Socket) => {
+      if (this.#connections.hasCompleteRequest(socket)) socket.destroy();
+    });
   }
 
   /** Starts listening; rejects if the port is in use. */
--- a/packages/server/tests/http/entryServer.test.ts
+++ b/packages/server/tests/http/entryServer.test.ts
@@ -157,3 +157,26 @@
   const first = await settleWithin(stopped, 4_000, () => 'waiting');
   expect(first).toBe('stopped');
 });
+
+const MALFORMED = 'no request\r\n\r\n';
+
+// The framework's 400, or 408 for a head that is late, reached the caller as the answer to its call.
+test('bytes that are no request get no response while a call is in progress', async () => {
+  const server = await startServer(async () => Promise.resolve());
+  const caller = await connectCaller(server.port);
+  const closed = once(caller.socket, 'close');
+  caller.socket.write(`${REQUEST}${MALFORMED}`);
+  await closed;
+  expect(caller.getReceivedText()).toBe('');
+  await server.stop();
+});
+
+test('bytes that are no request are refused on a connection without calls', async () => {
+  const server = await startServer(respondImmediately);
+  const caller = await connectCaller(server.port);
+  const closed = once(caller.socket, 'close');
+  caller.socket.write(MALFORMED);
+  await closed;
+  expect(caller.getReceivedText()).toMatch(/^HTTP\/1\.1 400 /);
+  await server.stop();
+});
