--- a/packages/gateway/tests/calls/repeatedDecline.test.ts
+++ b/packages/gateway/tests/calls/repeatedDecline.test.ts
@@ -20,7 +20,7 @@
 let isFull: boolean;
 let runs: number;
 
-beforeEach(async () => {
+beforeEach(() => {
   harness = new CallHarness();
   isFull = false;
   runs = 0;
