Remember a call's connections only once a target has declined it

Each call had a weak set, and each exchange an entry in it, for the rare call that is sent again to a target that declined it. Now only the connection of a declined dispatch is kept, with the call; others pay nothing.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -118,6 +118,10 @@
       }
       const announced = this.#parts.fleet.targets.withAnnouncedState(target);
       call.history.record(announced, outcome, exchange.wasSent);
+      if (outcome.kind === 'declined' && exchange.connection) {
+        call.declinedConnections ??= new Set();
+        call.declinedConnections.add(exchange.connection);
+      }
       call.responseFraming = exchange.framing;
       call.connectionFailureCode = exchange.connectionFailureCode;
       return outcome;
@@ -154,8 +158,8 @@
         priority,
       });
     const { method, pathAndQuery } = envelope;
-    const { dispatchBody: body, answeredConnections } = call;
-    const request = { method, pathAndQuery, headers, body, answeredConnections };
+    const { dispatchBody: body, declinedConnections } = call;
+    const request = { method, pathAndQuery, headers, body, declinedConnections };
     const { connections } = this.#parts;
     call.forwarder = undefined;
     switch (connection.kind) {
@@ -252,7 +256,6 @@
     const headResult = await exchange.head;
     if (headResult.isErr()) throw new AnswerBrokenError(headResult.error);
     this.#progressMonitor.recordProgress();
-    if (exchange.connection) this.#options.call.answeredConnections.add(exchange.connection);
     if (this.#options.connection.kind !== 'forwarded') {
       this.#parts.access.recordAnswer(this.#options.target);
     }
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -101,8 +101,8 @@
   /** Error that ended the connection of the last dispatch; undefined if there was none. */
   connectionFailureCode: string | undefined;
 
-  /** Connections that brought a response to the request. */
-  readonly answeredConnections = new WeakSet<object>();
+  /** Connections on which targets declined the request; undefined if none did. */
+  declinedConnections: Set<object> | undefined;
 
   /** Why the last target was chosen. */
   placement = '';
--- a/packages/gateway/src/targets/targetRequest.ts
+++ b/packages/gateway/src/targets/targetRequest.ts
@@ -20,10 +20,10 @@
   readonly headers: () => string[];
   readonly body: Buffer;
   /**
-   * Connections that brought a response to the request already. A copy of it may follow, and could
-   * not be told from the next response to the same request.
+   * Connections on which the target declined the request before. A copy of that response may
+   * follow, and could not be told from the next response to the same request.
    */
-  readonly answeredConnections?: Pick<WeakSet<object>, 'has'>;
+  readonly declinedConnections?: ReadonlySet<object> | undefined;
 }
 
 export const CLIENT_OPTIONS: Client.Options = {
