Close connections after their responses by one piece of code

A caller that has left within a request no longer gets listeners for a close that follows at once. Behaviour is the same.

--- a/packages/gateway/src/ingress/connectionGuard.ts
+++ b/packages/gateway/src/ingress/connectionGuard.ts
@@ -4,9 +4,9 @@
 import type { HoldingKind, MemoryLedger } from '@limpetnotch/overload';
 import { chooseEvicted, costOfHead } from '@limpetnotch/overload';
 import type { BufferCollector } from '../overload/bufferCollector';
+import { closeOnceDone } from './closeOnceDone';
 import { freeHead } from './freeHead';
 import { GuardedConnection } from './guardedConnection';
-import { ignoreFurtherRequests } from './ignoreFurtherRequests';
 import type { UnfinishedReason, UnfinishedRequest } from './unfinishedRequest';
 
 const CHECK_MILLISECONDS = 500;
@@ -282,13 +282,8 @@
     if (connection.isClosing) return;
     const closing = connection;
     closing.isClosing = true;
-    ignoreFurtherRequests(socket);
     this.#record(cause);
-    const closeIfDone = (): void => {
-      if (!connection.isRunning) socket.destroy();
-    };
-    responses.forEach((response) => response.once('close', closeIfDone));
-    closeIfDone();
+    closeOnceDone(socket, responses, () => !connection.isRunning);
   }
 
   #record(cause: Cause): void {
--- a/packages/gateway/src/ingress/createClientErrorResponder.ts
+++ b/packages/gateway/src/ingress/createClientErrorResponder.ts
@@ -1,6 +1,5 @@
 import { STATUS_CODES } from 'node:http';
 import type { Socket } from 'node:net';
-import { ignoreFurtherRequests } from './ignoreFurtherRequests';
 import type { OpenConnections } from './openConnections';
 
 /** The caller has left within a request. */
@@ -19,12 +18,12 @@
  * would deny that it has run; then the connection closes once its requests have their responses.
  */
 export const createClientErrorResponder =
-  (connections: Pick<OpenConnections, 'closeAfterResponses'>) =>
+  (connections: Pick<OpenConnections, 'closeAfterResponses' | 'hasCompleteRequest'>) =>
   (error: NodeJS.ErrnoException, socket: Socket): void => {
     if (error.code === 'ECONNRESET' || socket.destroyed) return;
-    if (connections.closeAfterResponses(socket)) {
+    if (connections.hasCompleteRequest(socket)) {
       if (error.code === END_WITHIN_REQUEST_CODE) socket.destroy();
-      else ignoreFurtherRequests(socket);
+      else connections.closeAfterResponses(socket);
       return;
     }
     const status = STATUSES.get(error.code ?? '') ?? MALFORMED_STATUS;
--- a/packages/gateway/src/ingress/openConnections.ts
+++ b/packages/gateway/src/ingress/openConnections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { closeOnceDone } from './closeOnceDone';
 import type { IngressObserver } from './ingressObserver';
 
 /** State of one connection. */
@@ -82,20 +83,14 @@
     return true;
   }
 
-  /**
-   * Closes a connection once the requests that were read completely have their responses; returns
-   * false if there are none.
-   */
-  closeAfterResponses(socket: Socket): boolean {
-    const responses = [...(this.#connections.get(socket)?.responses.keys() ?? [])];
-    const unanswered = new Set(responses.filter(({ req }) => req.complete));
-    unanswered.forEach((response) =>
-      response.once('close', () => {
-        unanswered.delete(response);
-        if (unanswered.size === 0) socket.destroy();
-      }),
-    );
-    return unanswered.size > 0;
+  /** Whether a request of a connection was read completely and has no complete response yet. */
+  hasCompleteRequest(socket: Socket): boolean {
+    return this.#getResponses(socket).some(({ req }) => req.complete);
+  }
+
+  /** Closes a connection once the requests that were read completely have their responses. */
+  closeAfterResponses(socket: Socket): void {
+    closeOnceDone(socket, this.#getResponses(socket), () => !this.hasCompleteRequest(socket));
   }
 
   /**
@@ -108,4 +103,8 @@
       if (responses.size === 0 && bytesReadAtRequestEnd === socket.bytesRead) socket.destroy();
     });
   }
+
+  #getResponses(socket: Socket): readonly ServerResponse[] {
+    return [...(this.#connections.get(socket)?.responses.keys() ?? [])];
+  }
 }
