Drop the pool's own path for requests that no target declined

The search for an idle connection ends at the first one for them, so the branch beside it chose the same. Behaviour is the same.

--- a/packages/gateway/src/targets/targetPool.ts
+++ b/packages/gateway/src/targets/targetPool.ts
@@ -72,8 +72,7 @@
 
   /** Returns a connection that may carry the request; one that may not gives its place to a new one. */
   #takeConnection({ declinedConnections }: TargetRequest): TargetConnection | undefined {
-    if (!declinedConnections) return this.#idle.pop() ?? this.#createConnectionWithinLimit();
-    const index = this.#idle.findLastIndex((connection) => !declinedConnections.has(connection));
+    const index = this.#idle.findLastIndex((connection) => !declinedConnections?.has(connection));
     if (index >= 0) return this.#idle.splice(index, 1)[0];
     const isAtLimit = this.#connections.size >= this.#connectionLimit;
     if (isAtLimit) this.#closeConnections(this.#idle.splice(0, 1));
