Tell by one getter whether a turn has a token budget

The check for a target's 402 had written the condition a third time under which the gateway itself answers 402. Call.turnBudget now decides it for all three, and gives the figures of the reservation. Behaviour is the same.

--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -22,6 +22,14 @@
   readonly waitMilliseconds: number;
 }
 
+/** Token budget of a program, as one of its turns states it. */
+export interface TurnBudget {
+  /** Tokens that all turns of the program may generate. */
+  readonly limitTokens: number;
+  /** Maximum tokens that the turn generates. */
+  readonly turnTokens: number;
+}
+
 /** Initial values of a {@link Call}. */
 export interface CallParts {
   readonly envelope: CallEnvelope;
@@ -184,10 +192,11 @@
     return this.response.destroyed || this.response.closed;
   }
 
-  /** Whether the tokens that the request generates count against the budget of a program. */
-  get isBudgetedTurn(): boolean {
+  /** The budget that the request's tokens count against; undefined if there is none. */
+  get turnBudget(): TurnBudget | undefined {
     const { program, prompt } = this.envelope;
-    return program?.tokenBudget !== undefined && prompt !== undefined;
+    if (program?.tokenBudget === undefined || !prompt) return undefined;
+    return { limitTokens: program.tokenBudget, turnTokens: prompt.maximumOutputTokens };
   }
 
   /** Whether the request must not run more than once, whatever happens to its response. */
--- a/packages/gateway/src/calls/callGateway.ts
+++ b/packages/gateway/src/calls/callGateway.ts
@@ -391,19 +391,19 @@
   }
 
   #isKnownSpent(call: Call): boolean {
-    const { program, prompt } = call.envelope;
-    if (program?.tokenBudget === undefined || !prompt) return false;
-    return this.#parts.budgets.isKnownSpent(toProgramKey(call), prompt.maximumOutputTokens);
+    const { turnBudget } = call;
+    if (!turnBudget) return false;
+    return this.#parts.budgets.isKnownSpent(toProgramKey(call), turnBudget.turnTokens);
   }
 
   async #runWithinBudget(call: Call, run: () => Promise<CallResult>): Promise<CallResult> {
-    const { program, prompt } = call.envelope;
-    if (program?.tokenBudget === undefined || !prompt) return run();
+    const { turnBudget } = call;
+    if (!turnBudget) return run();
+    const { program } = call.envelope;
     const decision = await this.#parts.budgets.reserve({
       programId: toProgramKey(call),
-      limitTokens: program.tokenBudget,
-      turnTokens: prompt.maximumOutputTokens,
-      isContinuation: program.session !== undefined && program.session !== program.id,
+      ...turnBudget,
+      isContinuation: program?.session !== undefined && program.session !== program.id,
     });
     switch (decision.kind) {
       case 'spent':
--- a/packages/gateway/src/calls/explainWithheld.ts
+++ b/packages/gateway/src/calls/explainWithheld.ts
@@ -20,7 +20,7 @@
 /** Whether a caller takes a status for the statement that its request has not run. */
 const deniesRun = (call: Call, status: number): boolean =>
   (call.runsAtMostOnce && NOT_RUN_STATUSES.has(status)) ||
-  (call.isBudgetedTurn && status === BUDGET_SPENT_STATUS);
+  (status === BUDGET_SPENT_STATUS && call.turnBudget !== undefined);
 
 const explainTargetResponse = (call: Call, status: number): string | undefined =>
   deniesRun(call, status)
