--- a/packages/gateway/tests/calls/notRunStatements.test.ts
+++ b/packages/gateway/tests/calls/notRunStatements.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check';
 import { delay } from '@limpetnotch/supervision';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
+import { BUDGETED_TURN } from '../support/budgetedTurn';
 import type { CallerView } from '../support/callHarness';
 import { CallHarness } from '../support/callHarness';
 import { ScriptedTargets } from '../support/scriptedTargets';
@@ -21,11 +22,6 @@
 /** Tells the caller of a turn with a token budget that the turn has not run. */
 const BUDGET_SPENT_STATUS = 402;
 
-const TURN = {
-  program: { id: 'p', session: undefined, finishMilliseconds: undefined, tokenBudget: 100 },
-  prompt: { inputTokens: 10, maximumOutputTokens: 10, expectedOutputTokens: undefined, parts: [] },
-};
-
 const PATIENCE_MILLISECONDS = 250;
 
 /** Longer than any scripted pause, so that targets have begun what they will run. */
@@ -110,7 +106,7 @@
     const view = await harness
       .run({ execution: route.execution, maximumTargets }, 'r1', {
         patienceMilliseconds: PATIENCE_MILLISECONDS,
-        ...(isTurn && TURN),
+        ...(isTurn && BUDGETED_TURN),
       })
       .catch(toConnectionClosed);
     await delay(LATE_RUN_MILLISECONDS);
--- a/packages/gateway/tests/calls/unprovenRefusal.test.ts
+++ b/packages/gateway/tests/calls/unprovenRefusal.test.ts
@@ -1,5 +1,6 @@
 import type { RequestListener } from 'node:http';
 import type { RouteExecution } from '../../src/configuration/fleetConfiguration';
+import { BUDGETED_TURN } from '../support/budgetedTurn';
 import { CallHarness, SIGNED } from '../support/callHarness';
 
 const AT_MOST_ONCE: RouteExecution = { kind: 'at-most-once' };
@@ -91,17 +92,16 @@
   },
 );
 
-const TURN = {
-  program: { id: 'p', session: undefined, finishMilliseconds: undefined, tokenBudget: 100 },
-  prompt: { inputTokens: 10, maximumOutputTokens: 10, expectedOutputTokens: undefined, parts: [] },
-};
-
 // A turn that is answered 402 must not have run, though its route allows repeats.
 test.each([STREAM, RESUMABLE])(
   'a target that has run a turn can not deny it by 402',
   async (each) => {
     await harness.addTarget('t0', runAndAnswer(402));
-    const { status } = await harness.run({ execution: each, maximumTargets: 1 }, 'r1', TURN);
+    const { status } = await harness.run(
+      { execution: each, maximumTargets: 1 },
+      'r1',
+      BUDGETED_TURN,
+    );
     expect(status).toBe(502);
   },
 );
@@ -110,7 +110,11 @@
   await harness.addTarget('t0', runAndAnswer(402));
   await harness.addTarget('t1', runAndAnswer(200, 'data: a\n\n'));
   for (let turn = 0; turn < 4; turn += 1) {
-    const { status } = await harness.run({ execution: RESUMABLE, maximumTargets: 2 }, 'r1', TURN);
+    const { status } = await harness.run(
+      { execution: RESUMABLE, maximumTargets: 2 },
+      'r1',
+      BUDGETED_TURN,
+    );
     expect(status).toBe(200);
   }
 });
