--- a/review/lib-3/link.mjs
+++ b/review/lib-3/link.mjs
@@ -47,6 +47,16 @@
     });
   }
 
+  /** Open connections carry nothing from now on, without a reset; new ones work. */
+  silence() {
+    this.#sockets.forEach((socket) => {
+      socket.unpipe();
+      socket.pause();
+      // What comes later must not end the other side either.
+      socket.removeAllListeners('end');
+    });
+  }
+
   async close() {
     this.#sockets.forEach((socket) => socket.destroy());
     this.#server?.close();
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -27,6 +27,9 @@
 
   #servers = [];
 
+  /** When each reader last began to watch a prefix, by the port of the reader and the prefix. */
+  watchesSince = new Map();
+
   /** Opens a port for one reader; `view` replaces the address of each announced runner. */
   async open(view = (address) => address) {
     const server = createServer((request, response) => {
@@ -144,6 +147,7 @@
       }
       case 'GET kv-watch': {
         const after = Number(url.searchParams.get('after'));
+        this.watchesSince.set(`${request.socket.localPort} ${prefix}`, Date.now());
         const find = () =>
           this.#events.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
         const deadline = Date.now() + Number(url.searchParams.get('waitMs'));
--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -55,6 +55,10 @@
     return this.#options.name;
   }
 
+  get role() {
+    return this.#options.role;
+  }
+
   get host() {
     return this.#options.host;
   }
