review: two more lost cases, a turn refused for another and streams not taken up

A turn with the words of one that crashes its runners is refused in every conversation of its tenant: seen in each of the first three runs of review/18/run.sh. After nine of ten entries were killed, the tenth refuses most streams that are taken up: seen in each of five runs of review/17/run.sh.

--- a/review/lib-3/link.mjs
+++ b/review/lib-3/link.mjs
@@ -2,6 +2,28 @@
    as for the TypeScript sources; scripts run once, and modules of the runtime need extensions */
 import { connect, createServer } from 'node:net';
 
+/** The bandwidth of one machine, which all of its links share. */
+export class Bandwidth {
+  #bytesPerMillisecond;
+
+  #freeAt = 0;
+
+  constructor(megabitsPerSecond) {
+    this.#bytesPerMillisecond = (megabitsPerSecond * 1_000_000) / 8 / 1_000;
+  }
+
+  /** Resolves when so many bytes have passed. */
+  async pass(bytes) {
+    this.#freeAt = Math.max(this.#freeAt, performance.now()) + bytes / this.#bytesPerMillisecond;
+    const milliseconds = this.#freeAt - performance.now();
+    if (milliseconds > 1) {
+      await new Promise((done) => {
+        setTimeout(done, milliseconds);
+      });
+    }
+  }
+}
+
 /** A path from one machine to one address, which can be cut. */
 export class Link {
   #port;
@@ -12,8 +34,15 @@
 
   #localPort = 0;
 
-  constructor(address) {
-    this.#port = Number(address.split(':')[1]);
+  #host;
+
+  #bandwidth;
+
+  constructor(address, bandwidth) {
+    const [host, port] = address.split(':');
+    this.#host = host;
+    this.#port = Number(port);
+    this.#bandwidth = bandwidth;
   }
 
   get address() {
@@ -22,7 +51,7 @@
 
   async open() {
     this.#server = createServer((socket) => {
-      const onward = connect(this.#port, '127.0.0.1');
+      const onward = connect(this.#port, this.#host);
       [socket, onward].forEach((one) => {
         this.#sockets.add(one);
         one.on('error', () => undefined);
@@ -31,7 +60,9 @@
           (one === socket ? onward : socket).destroy();
         });
       });
-      socket.pipe(onward).pipe(socket);
+      socket.pipe(onward);
+      if (this.#bandwidth) this.#carry(onward, socket);
+      else onward.pipe(socket);
     });
     await new Promise((resolve) => {
       this.#server.listen(this.#localPort, '127.0.0.1', resolve);
@@ -39,6 +70,20 @@
     this.#localPort = this.#server.address().port;
   }
 
+  /** Carries bytes at the bandwidth of the machine. */
+  async #carry(from, to) {
+    try {
+      for await (const chunk of from) {
+        await this.#bandwidth.pass(chunk.length);
+        if (to.destroyed) return;
+        to.write(chunk);
+      }
+      to.end();
+    } catch {
+      to.destroy();
+    }
+  }
+
   /** Resets the open connections; new ones are refused until the link is opened again. */
   async cut() {
     this.#sockets.forEach((socket) => socket.resetAndDestroy());
--- a/review/lib-3/runner.mjs
+++ b/review/lib-3/runner.mjs
@@ -78,6 +78,12 @@
     });
   }
 
+  /** Ends as a process does that crashes: all connections are reset. */
+  crash() {
+    this.#server.close();
+    this.#sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
   close() {
     this.#server?.close();
     this.#sockets.forEach((socket) => socket.destroy());
@@ -158,6 +164,11 @@
       if (next && !next.response.destroyed) this.#admit(next);
     };
     response.once('close', () => finish('cut'));
+    if (this.#options.crashesAt?.(body.toString(), run)) {
+      run.crashed = true;
+      setTimeout(() => this.#options.onCrash(this), 20);
+      return;
+    }
     const signature = `${this.id}.${signatures}`;
     const [first = '0', second] = (url.split('?')[0].split('/').at(-1) ?? '').split('x');
     if (this.#options.isStreaming) {
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -2,6 +2,9 @@
    as for the TypeScript sources; scripts run once, and modules of the runtime need extensions */
 import { createServer } from 'node:http';
 
+/** Time for which changes are kept, as in the settings of the machines. */
+const HISTORY_MILLISECONDS = 20_000;
+
 const encode = (value) => Buffer.from(JSON.stringify(value)).toString('base64');
 
 const readJson = async (request) => {
@@ -19,6 +22,9 @@
 
   #revision = 10;
 
+  /** Revision of the last change that the history no longer has. */
+  #lostRevision = 0;
+
   #leases = new Map();
 
   #nextLease = 1;
@@ -78,15 +84,22 @@
       const created = this.#items.get(key)?.created ?? revision;
       const item = { key, value, revision, created, lease };
       this.#items.set(key, item);
-      this.#events.push(item);
+      this.#events.push({ event: item, at: Date.now() });
     });
     deletes.forEach((key) => {
-      if (this.#items.delete(key)) this.#events.push({ key, revision, deleted: true });
+      if (!this.#items.delete(key)) return;
+      this.#events.push({ event: { key, revision, deleted: true }, at: Date.now() });
     });
     [...this.#waiters].forEach((wake) => wake());
     return revision;
   }
 
+  #dropHistory() {
+    while (this.#events.length > 0 && Date.now() - this.#events[0].at > HISTORY_MILLISECONDS) {
+      this.#lostRevision = this.#events.shift().event.revision;
+    }
+  }
+
   #expireLater(lease, ttlMs) {
     clearTimeout(this.#leases.get(lease)?.timer);
     const timer = setTimeout(() => this.#endLease(lease), ttlMs);
@@ -107,7 +120,10 @@
 
   #toView(events, view) {
     return events.map((event) => {
-      if (!event.key.startsWith('servers/') || event.value === undefined) return event;
+      const isAddressed = ['servers/', 'limpetnotch/storage/'].some((prefix) =>
+        event.key.startsWith(prefix),
+      );
+      if (!isAddressed || event.value === undefined) return event;
       const entry = JSON.parse(Buffer.from(event.value, 'base64').toString());
       return { ...event, value: encode({ ...entry, address: view(entry.address) }) };
     });
@@ -148,8 +164,15 @@
       case 'GET kv-watch': {
         const after = Number(url.searchParams.get('after'));
         this.watchesSince.set(`${request.socket.localPort} ${prefix}`, Date.now());
+        this.#dropHistory();
+        if (after < this.#lostRevision) {
+          send(410, {});
+          return;
+        }
         const find = () =>
-          this.#events.filter(({ key, revision }) => revision > after && key.startsWith(prefix));
+          this.#events
+            .map(({ event }) => event)
+            .filter(({ key, revision }) => revision > after && key.startsWith(prefix));
         const deadline = Date.now() + Number(url.searchParams.get('waitMs'));
         while (find().length === 0 && Date.now() < deadline && !response.destroyed) {
           await new Promise((resolve) => {
