--- a/review/12/run.mjs
+++ b/review/12/run.mjs
@@ -1,157 +1,159 @@
 /* eslint n/no-sync: "off", no-await-in-loop: "off", no-restricted-syntax: "off", import-x/extensions: "off", import-x/prefer-default-export: "off", class-methods-use-this: "off" --
    as for the TypeScript sources; scripts run once, and modules of the runtime need extensions */
-import { readFileSync, writeFileSync } from 'node:fs';
-import { Agent } from 'node:http';
+import { writeFileSync } from 'node:fs';
 import { fileURLToPath } from 'node:url';
-import { Runner } from '../lib-3/runner.mjs';
-import { Store } from '../lib-3/store.mjs';
-import {
-  createFolder,
-  createHosts,
-  delay,
-  send,
-  SystemProcess,
-  untilReady,
-} from '../lib-3/system.mjs';
+import { Deployment, HOST_NAME } from '../lib-3/deployment.mjs';
+import { Link } from '../lib-3/link.mjs';
+import { delay, send } from '../lib-3/system.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
-const MEMORY_MEGABYTES = 310;
-/** With the other headers below the configured limit of 16,384 bytes. */
-const LONG_NAME_BYTES = 15_000;
-const SHORT_NAME_BYTES = 12;
-const CONNECTIONS = 8;
-const REQUESTS = 18_000;
-const SECONDS = 90;
+const ENTRIES = 4;
+const PROGRAMS = 4;
+/** Values of the example on the page of the protocol. */
+const BUDGET_TOKENS = 2_304;
+const TURN_TOKENS = 288;
+const TOKENS_PER_EVENT = 9;
+const EVENTS = TURN_TOKENS / TOKENS_PER_EVENT;
+const OUTAGE_MILLISECONDS = 5_500;
 
 const lines = [];
-const record = (text) => lines.push(text);
-
-const folder = createFolder();
-const store = new Store();
-const runners = Array.from(
-  { length: 3 },
-  (_, index) =>
-    new Runner({ id: `runner-${index}`, service: 'tools', zone: 'zone-a', slots: 6, queue: 24 }),
-);
-let entry;
-
-const close = async () => {
-  await entry?.stop();
-  runners.forEach((one) => one.close());
-  store.close();
-  folder.close();
-};
-
-const readMegabytes = () => {
-  try {
-    const status = readFileSync(`/proc/${entry.pid}/status`, 'utf8');
-    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)?.[1] ?? 0) / 1_000);
-  } catch {
-    return 0;
-  }
-};
+const startedAt = Date.now();
+const record = (text) => lines.push(`${String(Date.now() - startedAt).padStart(6)} ms  ${text}`);
 
+const deployment = new Deployment();
+const storeLinks = [];
+/** Links between entries, by the names of both. */
+const peerLinks = new Map();
+const tokens = new Map();
 let sent = 0;
-const statuses = {};
 
-const ask = async (program, agent) => {
+/** Sends one turn; counts the tokens of the events that arrive. */
+const turn = async (entry, program) => {
   sent += 1;
-  const { status } = await send({
+  const id = `turn${sent}`;
+  const { status, body = '' } = await send({
     host: entry.host,
-    path: '/tools/1',
+    method: 'POST',
+    path: `/talk/${EVENTS}x1`,
     headers: {
-      host: 'shop.example',
-      'request-id': `request${sent}`,
-      'deadline-milliseconds': '1200',
+      host: HOST_NAME,
+      'request-id': id,
+      'deadline-milliseconds': '4000',
       authorization: 'Token key-one',
       'program-id': program,
-      'session-id': 'line',
-      'finish-milliseconds': '5000',
+      'session-id': program,
+      'finish-milliseconds': '20000',
+      'token-budget': String(BUDGET_TOKENS),
+      'token-counts': `400,${TURN_TOKENS}`,
     },
-    agent,
+    body: 'whole prompt',
   });
-  statuses[status] = (statuses[status] ?? 0) + 1;
+  const events = status === 200 ? (body.match(/^data: /gm) ?? []).length : 0;
+  tokens.set(program, (tokens.get(program) ?? 0) + events * TOKENS_PER_EVENT);
+  record(`${program}: ${id} at ${entry.name}: ${status}, ${events * TOKENS_PER_EVENT} tokens`);
   return status;
 };
 
-/** A caller whose programs have names of legal size, each used once. */
-const keepAsking = async (caller, until) => {
-  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
-  const bytes = HAS_TROUBLE ? LONG_NAME_BYTES : SHORT_NAME_BYTES;
-  while (sent < REQUESTS && Date.now() < until && entry.ends.length === 0) {
-    await ask(`${caller}-${sent}-`.padEnd(bytes, 'n'), agent);
+/** Sends turns until one is refused. */
+const useUp = async (entry, program, most) => {
+  for (let number = 0; number < most; number += 1) {
+    if ((await turn(entry, program)) !== 200) return;
   }
-  agent.destroy();
 };
 
-const main = async () => {
-  await Promise.all(runners.map((one) => one.start()));
-  store.put('op/config', {
-    version: 3,
+const start = async () => {
+  deployment.configure({
     routes: [
+      { name: 'talk', kind: 'stream', service: 'engines', allowResume: true, stickySessions: true },
+    ],
+    services: [
       {
-        name: 'tools',
-        host: 'shop.example',
-        pathPrefix: '/tools/',
-        kind: 'safe',
-        timeoutMs: 1_200,
-        targetLatencyMs: 80,
-        priority: 0,
-        service: 'tools',
-        attempts: 1,
-        retainContext: false,
-        allowAnonymous: false,
-        stickySessions: false,
-        allowResume: false,
+        name: 'engines',
+        engine: { slots: 16, kvCacheTokens: 123_411, tokensPerEvent: TOKENS_PER_EVENT },
       },
     ],
-    services: [{ name: 'tools', healthPath: '/health', connectionLimit: 110 }],
-    limits: {
-      headerBytes: 16_384,
-      bodyBytes: 4_194_304,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
     tenants: [{ name: 'one', apiKeys: ['key-one'], priority: 1, ratePerS: 0, burst: 0 }],
   });
-  runners.forEach((one) => store.put(`servers/${one.id}`, one.entry));
-  entry = new SystemProcess({
-    name: 'frontend-1',
-    role: 'entry',
-    host: createHosts()(1),
-    zone: 'zone-a',
-    storePort: await store.open(),
-    folder: folder.path,
-    memoryMb: MEMORY_MEGABYTES,
-    restarts: false,
+  const zones = ['zone-a', 'zone-b', 'zone-c'];
+  for (const zone of zones) {
+    await deployment.addRunner({
+      id: `runner-${zone}`,
+      service: 'engines',
+      zone,
+      slots: 16,
+      isStreaming: true,
+    });
+  }
+  const entries = [];
+  const views = [];
+  for (let index = 0; index < ENTRIES; index += 1) {
+    const port = await deployment.store.open((address) => views[index]?.(address) ?? address);
+    const link = new Link(`127.0.0.1:${port}`);
+    await link.open();
+    storeLinks.push(link);
+    entries.push(
+      await deployment.createProcess({
+        name: `frontend-${index + 1}`,
+        role: 'entry',
+        zone: zones[index % zones.length],
+        storePort: Number(link.address.split(':')[1]),
+      }),
+    );
+  }
+  for (const one of entries) {
+    for (const other of entries.filter(({ name }) => name !== one.name)) {
+      const link = new Link(`${other.host}:7780`);
+      await link.open();
+      peerLinks.set(`${one.name} ${other.name}`, link);
+    }
+  }
+  entries.forEach((one, index) => {
+    views[index] = (address) => {
+      const other = entries.find(({ host }) => address === `${host}:7780`);
+      return other && peerLinks.get(`${one.name} ${other.name}`)?.address;
+    };
   });
-  entry.start(true);
-  if (!(await untilReady(entry))) {
-    record('the entry did not become ready');
+  [...storeLinks, ...peerLinks.values()].forEach((link) => deployment.closeLater(link));
+  return (await deployment.start(entries, true)) ? entries : undefined;
+};
+
+const main = async () => {
+  const entries = await start();
+  if (!entries) {
+    record('an entry did not become ready');
     return 2;
   }
-  await delay(2_000);
-  const started = Date.now();
-  let mostMegabytes = 0;
-  const sample = setInterval(() => {
-    const megabytes = readMegabytes();
-    mostMegabytes = Math.max(mostMegabytes, megabytes);
-    record(`${Math.round((Date.now() - started) / 1_000)} s: ${sent} sent, ${megabytes} MB`);
-  }, 2_000);
-  const until = started + SECONDS * 1_000;
-  await Promise.all(
-    Array.from({ length: CONNECTIONS }, (_, index) => keepAsking(`caller-${index}`, until)),
-  );
-  await delay(1_000);
-  clearInterval(sample);
-  const last = entry.ends.length === 0 ? await ask('ordinary', undefined) : 0;
-  record(`answers: ${JSON.stringify(statuses)}; an ordinary request at the end: ${last}`);
-  record(`most resident memory: ${mostMegabytes} MB of ${MEMORY_MEGABYTES} MB`);
-  entry.ends.forEach(({ code, signal }) => record(`the process ended: ${code ?? signal}`));
-  const fatal = /FATAL ERROR.*/.exec(entry.output)?.[0];
-  if (fatal) record(fatal);
-  if (!(statuses[200] > 100)) return 2;
-  return entry.ends.length > 0 || mostMegabytes > MEMORY_MEGABYTES || last !== 200 ? 1 : 0;
+  await delay(5_000);
+  const [first, , , last] = entries;
+  const lastLinks = [...peerLinks].filter(([names]) => names.includes(last.name));
+  if (HAS_TROUBLE) {
+    record('the store is down');
+    await Promise.all(storeLinks.map((link) => link.cut()));
+    record(`${last.name} is partitioned from the other entries`);
+    await Promise.all(lastLinks.map(([, link]) => link.cut()));
+  }
+  const downAt = Date.now();
+  await delay(1_500);
+  const programs = Array.from({ length: PROGRAMS }, (_, index) => `program${index + 1}`);
+  for (const program of programs) await useUp(first, program, BUDGET_TOKENS / TURN_TOKENS + 2);
+  if (HAS_TROUBLE) {
+    record(`${first.name} is killed, and is back within a second`);
+    first.signal('SIGKILL');
+  }
+  await delay(Math.max(0, downAt + OUTAGE_MILLISECONDS - Date.now()));
+  if (HAS_TROUBLE) {
+    await Promise.all(storeLinks.map((link) => link.open()));
+    await Promise.all(lastLinks.map(([, link]) => link.open()));
+    record('the store is back, and the partition has ended');
+  }
+  await delay(3_000);
+  for (const program of programs) await useUp(last, program, BUDGET_TOKENS / TURN_TOKENS + 2);
+  const most = BUDGET_TOKENS + TURN_TOKENS;
+  const over = programs.filter((program) => (tokens.get(program) ?? 0) > most);
+  programs.forEach((program) => record(`${program} got ${tokens.get(program)} tokens`));
+  record(`BUDGET: ${over.length} of ${PROGRAMS} programs got more than ${most} tokens`);
+  if (programs.every((program) => (tokens.get(program) ?? 0) === 0)) return 2;
+  return over.length > 0 ? 1 : 0;
 };
 
 try {
@@ -160,6 +162,6 @@
   record(String(error.stack));
   process.exitCode = 2;
 } finally {
-  await close();
+  await deployment.close();
   writeFileSync(fileURLToPath(new URL('record.txt', import.meta.url)), `${lines.join('\n')}\n`);
 }
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -33,10 +33,7 @@
 
   #servers = [];
 
-  /** When each reader last began to watch a prefix, by the port of the reader and the prefix. */
-  watchesSince = new Map();
-
-  /** Opens a port for one reader; `view` replaces the address of each announced runner. */
+  /** Opens a port for one reader; `view` replaces the address of each announced machine. */
   async open(view = (address) => address) {
     const server = createServer((request, response) => {
       this.#serve(request, response, view).catch((error) => {
@@ -120,7 +117,7 @@
 
   #toView(events, view) {
     return events.map((event) => {
-      const isAddressed = ['servers/', 'limpetnotch/storage/'].some((prefix) =>
+      const isAddressed = ['servers/', 'limpetnotch/instances/'].some((prefix) =>
         event.key.startsWith(prefix),
       );
       if (!isAddressed || event.value === undefined) return event;
@@ -163,7 +160,6 @@
       }
       case 'GET kv-watch': {
         const after = Number(url.searchParams.get('after'));
-        this.watchesSince.set(`${request.socket.localPort} ${prefix}`, Date.now());
         this.#dropHistory();
         if (after < this.#lostRevision) {
           send(410, {});
