--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -1,4 +1,4 @@
-/* eslint n/no-sync: "off", no-await-in-loop: "off", no-restricted-syntax: "off", import-x/extensions: "off", import-x/prefer-default-export: "off", class-methods-use-this: "off" --
+/* eslint n/no-sync: "off", n/no-process-exit: "off", no-await-in-loop: "off", no-restricted-syntax: "off", import-x/extensions: "off", import-x/prefer-default-export: "off", class-methods-use-this: "off" --
    as for the TypeScript sources; scripts run once, and modules of the runtime need extensions */
 import { spawn } from 'node:child_process';
 import { mkdirSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
@@ -35,6 +35,11 @@
   return (index) => `127.${10 + (network % 200)}.${Math.floor(network / 200) % 250}.${index}`;
 };
 
+/** Processes that run; none outlives the script, however it ends. */
+const running = new Set();
+process.on('exit', () => running.forEach((child) => child.kill('SIGKILL')));
+process.on('SIGTERM', () => process.exit(2));
+
 /** One process of the project, started as the deploy file says. */
 export class SystemProcess {
   #options;
@@ -84,6 +89,8 @@
       env: { PATH: process.env.PATH, HOME: process.env.HOME, LIMPETNOTCH_SETTINGS: settings },
     });
     this.#child = child;
+    running.add(child);
+    child.once('exit', () => running.delete(child));
     const append = (bytes) => {
       this.output = (this.output + bytes.toString()).slice(-8_000_000);
     };
