review: case 13, retained turns lost after two disks, one after the other

Two of three storage machines lose their disks, the second 7.5 s after the first is back, which counts as lost for 7 s.

--- a/review/lib-3/system.mjs
+++ b/review/lib-3/system.mjs
@@ -106,6 +106,18 @@
     if (!this.hasExited) this.#child.kill(signal);
   }
 
+  /** Kills the process and removes its disk; it starts again with an empty one. */
+  async loseDisk(downMilliseconds) {
+    const { name, folder } = this.#options;
+    this.isStopping = true;
+    this.signal('SIGKILL');
+    while (!this.hasExited) await delay(10);
+    rmSync(join(folder, `${name}-disk`), { recursive: true, force: true });
+    await delay(downMilliseconds);
+    this.isStopping = false;
+    this.start(false);
+  }
+
   /** Ends the process for good. */
   async stop() {
     this.isStopping = true;
