Let each connection to a target carry a request only once

Cause: a target that is full declines the request; it is sent again, over the same connection of the forwarding instance; a late copy of the first decline precedes the response to the second send and has the same identifier. The connections that must not be used again were kept with the call, which only its first instance has, so that the pool of a forwarding instance didn't know them. A second call with the same identifier, sent again by its caller, didn't know them either.

The list that a call kept is gone. Nothing changes between instances, so an earlier build forwards as it did. Three requests of one test shared an identifier, which real ones never do; they have one each now.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -118,10 +118,6 @@
       }
       const announced = this.#parts.fleet.targets.withAnnouncedState(target);
       call.history.record(announced, outcome, exchange.wasSent);
-      if (outcome.kind === 'declined' && exchange.connection) {
-        call.declinedConnections ??= new Set();
-        call.declinedConnections.add(exchange.connection);
-      }
       call.responseFraming = exchange.framing;
       call.connectionFailureCode = exchange.connectionFailureCode;
       return outcome;
@@ -157,9 +153,8 @@
         lastEventId: call.lastEventId,
         priority,
       });
-    const { method, pathAndQuery } = envelope;
-    const { dispatchBody: body, declinedConnections } = call;
-    const request = { method, pathAndQuery, headers, body, declinedConnections };
+    const { id, method, pathAndQuery } = envelope;
+    const request = { id, method, pathAndQuery, headers, body: call.dispatchBody };
     const { connections } = this.#parts;
     call.forwarder = undefined;
     switch (connection.kind) {
--- a/packages/gateway/src/calls/call.ts
+++ b/packages/gateway/src/calls/call.ts
@@ -109,9 +109,6 @@
   /** Error that ended the connection of the last dispatch; undefined if there was none. */
   connectionFailureCode: string | undefined;
 
-  /** Connections on which targets declined the request; undefined if none did. */
-  declinedConnections: Set<object> | undefined;
-
   /** Why the last target was chosen. */
   placement = '';
 
--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -148,10 +148,10 @@
         lastEventId: envelope.lastEventId,
         priority,
       });
-    const { method, pathAndQuery } = envelope;
+    const { id, method, pathAndQuery } = envelope;
     const connectionLimit = fleet.index?.findService(target.service)?.connectionLimit ?? 1;
     const share = Math.max(1, Math.floor(connectionLimit / Math.max(2, instanceCount())));
-    return connections.send(target, share, { method, pathAndQuery, headers, body });
+    return connections.send(target, share, { id, method, pathAndQuery, headers, body });
   }
 
   async *#relay(
--- a/packages/gateway/src/forwarding/forwardedExchange.ts
+++ b/packages/gateway/src/forwarding/forwardedExchange.ts
@@ -59,8 +59,6 @@
 
   #framing: ResponseFraming | undefined;
 
-  readonly connection = undefined;
-
   readonly connectionFailureCode = undefined;
 
   readonly unparsedBytes = 0;
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -112,10 +112,6 @@
     return this.#connectionFailureCode;
   }
 
-  get connection(): object | undefined {
-    return this.#connectionHandle?.connection;
-  }
-
   get unparsedBytes(): number {
     if (!this.wasSent) return 0;
     return this.#bytesReadOnConnection - this.#bytesReadAtLastPart;
--- a/packages/gateway/src/targets/targetConnection.ts
+++ b/packages/gateway/src/targets/targetConnection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
 import { buildConnector, Client } from 'undici';
 import type { Exchange, ConnectionHandle } from './exchange';
+import { CarriedRequests } from './carriedRequests';
 import type { TargetRequest } from './targetRequest';
 import { CLIENT_OPTIONS, CONNECT_TIMEOUT_MILLISECONDS, toDispatchOptions } from './targetRequest';
 
@@ -16,6 +17,8 @@
 
   #failureCode: string | undefined;
 
+  readonly carriedRequests = new CarriedRequests();
+
   constructor(address: string) {
     this.#client = new Client(`http://${address}`, {
       ...CLIENT_OPTIONS,
--- a/packages/gateway/src/targets/targetExchange.ts
+++ b/packages/gateway/src/targets/targetExchange.ts
@@ -11,8 +11,6 @@
   readonly wasSent: boolean;
   /** When the request was sent, by `performance.now()`; undefined if it was not sent. */
   readonly sentAtMilliseconds: number | undefined;
-  /** The connection on which the request was sent; undefined if another instance sends it. */
-  readonly connection: object | undefined;
   /** How the end of the response's body is marked; undefined until its head has arrived. */
   readonly framing: ResponseFraming | undefined;
   /** Code of the connection's error when the response ended; undefined if there was none. */
--- a/packages/gateway/src/targets/targetPool.ts
+++ b/packages/gateway/src/targets/targetPool.ts
@@ -1,4 +1,5 @@
 import { Deferred } from '@limpetnotch/supervision';
+import { hash32 } from '../util/hash32';
 import { Exchange } from './exchange';
 import { TargetConnection } from './targetConnection';
 import type { TargetRequest } from './targetRequest';
@@ -6,6 +7,7 @@
 /** A request that waits for a connection. */
 interface WaitingRequest {
   readonly request: TargetRequest;
+  readonly idHash: number;
   readonly exchange: Exchange;
 }
 
@@ -34,7 +36,7 @@
   /** Sends a request as soon as a connection is available. */
   send(request: TargetRequest): Exchange {
     const exchange = new Exchange();
-    this.#waiting.push({ request, exchange });
+    this.#waiting.push({ request, idHash: hash32(request.id), exchange });
     this.#sendWaiting();
     return exchange;
   }
@@ -57,9 +59,10 @@
     for (;;) {
       this.#dropEnded();
       const [next] = this.#waiting;
-      const connection = next && this.#takeConnection(next.request);
+      const connection = next && this.#takeConnection(next.idHash);
       if (!connection) return;
       this.#waiting.shift();
+      connection.carriedRequests.add(next.idHash);
       connection.send(next.request, next.exchange, (isReusable) =>
         this.#release(connection, isReusable),
       );
@@ -70,9 +73,15 @@
     while (this.#waiting[0]?.exchange.hasEnded) this.#waiting.shift();
   }
 
-  /** Returns a connection that may carry the request; one that may not gives its place to a new one. */
-  #takeConnection({ declinedConnections }: TargetRequest): TargetConnection | undefined {
-    const index = this.#idle.findLastIndex((connection) => !declinedConnections?.has(connection));
+  /**
+   * Returns a connection that has not carried the request; one that has gives its place to a new one.
+   * A second copy of the response to an earlier send of the request may follow on its connection,
+   * and could not be told from the response to the next send.
+   */
+  #takeConnection(idHash: number): TargetConnection | undefined {
+    const index = this.#idle.findLastIndex(
+      ({ carriedRequests }) => !carriedRequests.mayInclude(idHash),
+    );
     if (index >= 0) return this.#idle.splice(index, 1)[0];
     const isAtLimit = this.#connections.size >= this.#connectionLimit;
     if (isAtLimit) this.#closeConnections(this.#idle.splice(0, 1));
--- a/packages/gateway/src/targets/targetRequest.ts
+++ b/packages/gateway/src/targets/targetRequest.ts
@@ -11,6 +11,8 @@
 
 /** A request as it is sent to a target. */
 export interface TargetRequest {
+  /** Identifier that the target repeats in its response. */
+  readonly id: string;
   readonly method: string;
   readonly pathAndQuery: string;
   /**
@@ -19,11 +21,6 @@
    */
   readonly headers: () => string[];
   readonly body: Buffer;
-  /**
-   * Connections on which the target declined the request before. A copy of that response may
-   * follow, and could not be told from the next response to the same request.
-   */
-  readonly declinedConnections?: ReadonlySet<object> | undefined;
 }
 
 export const CLIENT_OPTIONS: Client.Options = {
--- a/packages/gateway/tests/targets/targetConnections.test.ts
+++ b/packages/gateway/tests/targets/targetConnections.test.ts
@@ -8,6 +8,7 @@
 import { fleetTarget } from '../support/fleetTarget';
 
 const REQUEST: TargetRequest = {
+  id: 'r1',
   method: 'POST',
   pathAndQuery: '/',
   headers: () => [],
@@ -106,9 +107,10 @@
       response.end('done');
     }, 50);
   });
-  const request = { ...REQUEST, headers: () => ['x-finished', String(finished)] };
-  const send = (): Exchange => connections.send(fleetTarget({ address }), 1, request);
-  const exchanges = [send(), send(), send()];
+  const headers = (): string[] => ['x-finished', String(finished)];
+  const exchanges = ['r1', 'r2', 'r3'].map((id) =>
+    connections.send(fleetTarget({ address }), 1, { ...REQUEST, id, headers }),
+  );
   expect(await Promise.all(exchanges.map(readBody))).toEqual(['done', 'done', 'done']);
   expect([encodedAfter, sockets.length]).toEqual([[0, 1, 2], 1]);
 });
