Keep origins of streams in the store while several versions serve

Cause: the origin of a stream was kept at its instance and at two others, whatever the size of the fleet. When these three are lost, nobody knows the version, and an unknown one is never taken for an equal one.

Change: while an instance knows several versions of a service, or has known them within the time in which a stream may be resumed, it writes the origins of its streams to the store, up to 32 in one call and 100 calls a second from all instances; when a second version joins, those of the streams under way. A resumption reads the store if no instance has the origin and more than one version may have begun the stream. Nothing is written while one version serves. The key-value interface gets a call that writes several keys (BatchStore), which only the platform's store has.

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -3,6 +3,7 @@
 import type { ForwardedRequest } from '../forwarding/forwardedRequest';
 import type { TargetAccess } from '../forwarding/targetAccess';
 import type { TargetLimits } from '../limits/targetLimits';
+import { computeResumptionWindow } from '../resumption/computeResumptionWindow';
 import type { OriginSharing } from '../resumption/originSharing';
 import { AnswerBrokenError } from '../targets/exchangeError';
 import type { FleetTarget } from '../targets/fleetTarget';
@@ -282,7 +283,17 @@
     }
     const { service, version } = target;
     call.origin ??= { service, version };
-    this.#parts.origins.record({ streamKey: call.streamKey, origin: call.origin });
+    const { streamKey, origin, remainingMilliseconds, route } = call;
+    const { execution } = route;
+    const isResumable = execution.kind === 'event-stream' && execution.isResumable;
+    this.#parts.origins.record({
+      streamKey,
+      origin,
+      remainingMilliseconds,
+      windowMilliseconds: isResumable
+        ? computeResumptionWindow(route.timeoutMilliseconds)
+        : undefined,
+    });
   }
 
   /** Throws if a response belongs to another request, or says that the request has not run. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -4,7 +4,7 @@
 import type { Logger, Metrics } from '@limpetnotch/observability';
 import { SharedObservation } from '@limpetnotch/observation';
 import { PrefixDirectory, TargetCapacities, TargetSpeeds } from '@limpetnotch/scheduling';
-import type { KeyValueStore } from '@limpetnotch/store';
+import type { BatchStore } from '@limpetnotch/store';
 import { createEventLoopMonitor, Supervisor } from '@limpetnotch/supervision';
 import { RetainedTurns, StorageDirectory } from '@limpetnotch/turns';
 import { computeProgramRetention } from './budgets/computeProgramRetention';
@@ -45,6 +45,7 @@
 import { QuarantineLedger } from './quarantine/quarantineLedger';
 import { QuarantineSharing } from './quarantine/quarantineSharing';
 import { RequestQuarantine } from './quarantine/requestQuarantine';
+import { OriginLedger } from './resumption/originLedger';
 import { OriginSharing } from './resumption/originSharing';
 import { OriginTable } from './resumption/originTable';
 import { ResumptionGate } from './resumption/resumptionGate';
@@ -81,7 +82,7 @@
 /** Parts of a {@link Gateway}. */
 export interface GatewayParts {
   readonly settings: GatewaySettings;
-  readonly store: KeyValueStore;
+  readonly store: BatchStore;
   readonly wireCodec: WireCodec;
   readonly fleetCodec: FleetCodec;
   readonly logger: Logger;
@@ -140,6 +141,8 @@
 
   readonly #budgets: EscrowBudgets;
 
+  readonly #originLedger: OriginLedger;
+
   readonly #origins: OriginSharing;
 
   readonly #follower: FleetFollower;
@@ -291,7 +294,18 @@
       programRetention: () =>
         computeProgramRetention(this.#fleet.index?.configuration.routes ?? []),
     });
-    this.#origins = new OriginSharing({ table: new OriginTable(), peers: this.#peers });
+    this.#originLedger = new OriginLedger({
+      store,
+      versions: this.#fleet.versions,
+      instanceCount: () => this.#membership.presentCount,
+      logger,
+      metrics,
+    });
+    this.#origins = new OriginSharing({
+      table: new OriginTable(),
+      peers: this.#peers,
+      ledger: this.#originLedger,
+    });
     const retirementReporter = new RetirementReporter({
       store,
       codec: parts.fleetCodec,
@@ -433,6 +447,7 @@
       ...this.#membership.tasks,
       this.#observation.task,
       this.#quarantineLedger.task,
+      this.#originLedger.task,
       this.#limits.sharing.task,
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
@@ -537,5 +552,6 @@
     this.#limits.retainAnnounced();
     this.#ends.checkAnnouncements();
     this.#fleet.versions.observe(this.#fleet.targets.all);
+    this.#originLedger.wake();
   }
 }
--- a/packages/gateway/src/resumption/originSharing.ts
+++ b/packages/gateway/src/resumption/originSharing.ts
@@ -1,6 +1,8 @@
 import { groupByInstance } from '../util/groupByInstance';
 import { rankInstances } from '../util/rankInstances';
+import type { BegunStream } from './begunStream';
 import type { KeyedOrigin } from './keyedOrigin';
+import type { OriginLedger } from './originLedger';
 import type { OriginPeers } from './originPeers';
 import type { OriginTable } from './originTable';
 import type { StreamOrigin } from './streamOrigin';
@@ -18,11 +20,12 @@
 export interface OriginSharingParts {
   readonly table: OriginTable;
   readonly peers: OriginPeers;
+  readonly ledger: Pick<OriginLedger, 'record' | 'find'>;
 }
 
 /**
- * Keeps the origins of streams at this instance and at a few others, so that a stream can be resumed
- * after the instance that began it has ended.
+ * Keeps the origins of streams at this instance, at a few others and, where several versions serve, in
+ * the store, so that a stream can be resumed after the instances that knew its origin have ended.
  */
 export class OriginSharing {
   readonly #parts: OriginSharingParts;
@@ -34,9 +37,11 @@
   }
 
   /** Records the origin of a stream when its first event is sent to the caller. */
-  record(keyedOrigin: KeyedOrigin): void {
-    this.#parts.table.record(keyedOrigin);
-    this.#unsent.push(keyedOrigin);
+  record(stream: BegunStream): void {
+    const { streamKey, origin } = stream;
+    this.#parts.table.record({ streamKey, origin });
+    this.#parts.ledger.record(stream);
+    this.#unsent.push({ streamKey, origin });
     if (this.#unsent.length > 1) return;
     setTimeout(() => this.#send(), BATCH_DELAY_MILLISECONDS).unref();
   }
@@ -58,6 +63,11 @@
     return peers.findOrigin(names, streamKey);
   }
 
+  /** Returns the origin that the store has. */
+  findStored(streamKey: string): Promise<StreamOrigin | undefined> {
+    return this.#parts.ledger.find(streamKey);
+  }
+
   #send(): void {
     const { peers } = this.#parts;
     const unsent = this.#unsent;
--- a/packages/gateway/src/resumption/resumptionGate.ts
+++ b/packages/gateway/src/resumption/resumptionGate.ts
@@ -3,16 +3,12 @@
 import { WatchError } from '@limpetnotch/store';
 import type { Call } from '../calls/call';
 import type { FleetCodec } from '../fleet/fleetCodec';
+import { computeResumptionWindow } from './computeResumptionWindow';
 import type { ResumptionDecision } from './decideResumption';
 import { decideResumption } from './decideResumption';
 import type { OriginSharing } from './originSharing';
 import type { ServiceVersions } from './serviceVersions';
-
-/** Shortest time for which one version must have served alone to be taken for the origin. */
-const SHORTEST_OBSERVATION_MILLISECONDS = 60_000;
-
-/** The first attempt and its resumption last for at most the timeout of their route each. */
-const ATTEMPTS_OF_A_STREAM = 2;
+import type { StreamOrigin } from './streamOrigin';
 
 /** Resumptions within this time share one confirmation by the store. */
 const CONFIRMATION_MILLISECONDS = 250;
@@ -38,6 +34,12 @@
 /** Versions by service, as the store lists them; undefined if the store does not respond. */
 type ListedVersions = ReadonlyMap<string, Versions> | undefined;
 
+/** A known origin, and who knew it. */
+interface FoundOrigin {
+  readonly origin: StreamOrigin;
+  readonly source: 'local' | 'peer' | 'store';
+}
+
 /** Decides whether streams that callers resume may go on, and at which version. */
 export class ResumptionGate {
   readonly #parts: ResumptionGateParts;
@@ -52,16 +54,17 @@
 
   /** Decides about a call that resumes a stream. */
   async admit(call: Call): Promise<ResumptionDecision> {
-    const { sharing, logger, metrics } = this.#parts;
+    const { logger, metrics } = this.#parts;
     const beganAtMilliseconds = performance.now();
     const service = call.service.name;
-    const local = sharing.findLocal(call.streamKey);
-    const origin = local ?? (await sharing.findAtPeers(call.streamKey));
+    const shared = await this.#findShared(call);
+    const possibleVersions = shared ? undefined : await this.#findPossibleVersions(call);
+    const found = shared ?? (await this.#findStored(call, possibleVersions));
     const decision = decideResumption({
       service,
       allowedServices: call.route.destinations.map((destination) => destination.service),
-      origin,
-      possibleVersions: origin ? undefined : await this.#findPossibleVersions(call),
+      origin: found?.origin,
+      possibleVersions,
     });
     const outcome = decision.kind === 'resumed' ? decision.evidence : decision.reason;
     metrics.increment('call.resumptions', 1, { outcome });
@@ -72,19 +75,37 @@
       outcome,
       service: decision.kind === 'resumed' ? decision.origin.service : service,
       version: decision.kind === 'resumed' ? decision.origin.version : undefined,
-      isLocal: local !== undefined,
+      source: found?.source,
       waitMilliseconds: Math.round(performance.now() - beganAtMilliseconds),
     });
     return decision;
   }
 
+  /** Returns the origin that this instance or another one knows. */
+  async #findShared({ streamKey }: Call): Promise<FoundOrigin | undefined> {
+    const { sharing } = this.#parts;
+    const local = sharing.findLocal(streamKey);
+    if (local) return { origin: local, source: 'local' };
+    const atPeer = await sharing.findAtPeers(streamKey);
+    return atPeer && { origin: atPeer, source: 'peer' };
+  }
+
+  /** Returns the origin that the store has, which is written only while there are several versions. */
+  async #findStored(
+    { streamKey }: Call,
+    possibleVersions: Versions | undefined,
+  ): Promise<FoundOrigin | undefined> {
+    if (possibleVersions?.length === 1) return undefined;
+    const stored = await this.#parts.sharing.findStored(streamKey);
+    return stored && { origin: stored, source: 'store' };
+  }
+
   /** Returns the versions that may have begun a stream, confirmed by the store. */
   async #findPossibleVersions({ service, route }: Call): Promise<Versions | undefined> {
-    const milliseconds = Math.max(
-      SHORTEST_OBSERVATION_MILLISECONDS,
-      ATTEMPTS_OF_A_STREAM * route.timeoutMilliseconds,
+    const observed = this.#parts.versions.within(
+      service.name,
+      computeResumptionWindow(route.timeoutMilliseconds),
     );
-    const observed = this.#parts.versions.within(service.name, milliseconds);
     if (observed?.length !== 1) return observed;
     const listed = await this.#list();
     return listed && [...new Set([...observed, ...(listed.get(service.name) ?? [])])];
--- a/packages/gateway/src/resumption/serviceVersions.ts
+++ b/packages/gateway/src/resumption/serviceVersions.ts
@@ -56,6 +56,20 @@
       .map(({ version }) => version);
   }
 
+  /** Whether more than one version of a service was seen within the given time. */
+  hasSeveral(service: string, milliseconds: number): boolean {
+    const since = performance.now() - milliseconds;
+    const found = new Set(
+      this.#seen
+        .filter((seen) => seen.service === service && seen.lastSeenAtMilliseconds >= since)
+        .map(({ version }) => version),
+    );
+    this.#announced.forEach((target) => {
+      if (target.service === service) found.add(target.version);
+    });
+    return found.size > 1;
+  }
+
   #see({ service, version }: FleetTarget): void {
     const known = this.#seen.find((seen) => seen.service === service && seen.version === version);
     const lastSeenAtMilliseconds = performance.now();
--- /dev/null
+++ b/packages/gateway/src/resumption/storedOrigin.ts
@@ -0,0 +1,20 @@
+import { createHash } from 'node:crypto';
+import type { StoreEntry } from '@limpetnotch/store';
+import { parseJson } from '@limpetnotch/store';
+import { z } from 'zod';
+import type { StreamOrigin } from './streamOrigin';
+
+const ORIGIN_PREFIX = 'limpetnotch/origins/';
+
+const storedOriginSchema = z.object({ service: z.string(), version: z.string() });
+
+/** Origin of a stream as stored; one without a version can't go on anywhere and isn't stored. */
+export type StoredOrigin = z.infer<typeof storedOriginSchema>;
+
+/** Returns the key in the store for a stream. */
+export const toOriginKey = (streamKey: string): string =>
+  `${ORIGIN_PREFIX}${createHash('sha256').update(streamKey).digest('base64url')}`;
+
+/** Parses a stored origin; returns undefined if the value is malformed. */
+export const parseStoredOrigin = ({ value }: StoreEntry): StreamOrigin | undefined =>
+  parseJson(storedOriginSchema, value);
--- a/packages/gateway/src/work/countedStore.ts
+++ b/packages/gateway/src/work/countedStore.ts
@@ -1,4 +1,5 @@
 import type {
+  BatchStore,
   CompareAndSwapRequest,
   KeyValueStore,
   WatchEvent,
@@ -7,12 +8,12 @@
 import type { WorkCounts } from './workCounts';
 
 /** Counts the calls to a store. */
-export class CountedStore implements KeyValueStore {
-  readonly #store: KeyValueStore;
+export class CountedStore implements BatchStore {
+  readonly #store: BatchStore;
 
   readonly #counts: WorkCounts;
 
-  constructor(store: KeyValueStore, counts: WorkCounts) {
+  constructor(store: BatchStore, counts: WorkCounts) {
     this.#store = store;
     this.#counts = counts;
   }
@@ -32,6 +33,11 @@
     return this.#store.compareAndSwap(request);
   }
 
+  putAll(...parameters: Parameters<BatchStore['putAll']>): ReturnType<BatchStore['putAll']> {
+    this.#record('putAll');
+    return this.#store.putAll(...parameters);
+  }
+
   remove(key: string, expectedRevision: number): ReturnType<KeyValueStore['remove']> {
     this.#record('remove');
     return this.#store.remove(key, expectedRevision);
--- a/packages/gateway/tests/gateway.test.ts
+++ b/packages/gateway/tests/gateway.test.ts
@@ -3,7 +3,7 @@
 import type { Server, ServerResponse } from 'node:http';
 import { MemoryMetrics, silentLogger } from '@limpetnotch/observability';
 import type { Logger, LogMessageId } from '@limpetnotch/observability';
-import type { KeyValueStore, StoreEntry } from '@limpetnotch/store';
+import type { BatchStore, StoreEntry } from '@limpetnotch/store';
 import { Deferred, delay } from '@limpetnotch/supervision';
 import { errAsync, okAsync } from 'neverthrow';
 import type { FleetCodec } from '../src/fleet/fleetCodec';
@@ -46,7 +46,7 @@
  * Creates a store with one configuration and one target, whose list of budgets throws an unexpected
  * error.
  */
-const createStore = (): KeyValueStore => {
+const createStore = (): BatchStore => {
   const entry = (key: string): StoreEntry => ({ key, value: '', revision: 1 });
   return {
     list: (prefix: string) => {
@@ -61,7 +61,7 @@
       }
     },
     grantLease: () => errAsync({ kind: 'unavailable', detail: 'no leases here' }),
-  } as unknown as KeyValueStore;
+  } as unknown as BatchStore;
 };
 
 const createFleetCodec = (targetPort: number): FleetCodec => ({
--- a/packages/gateway/tests/resumption/resumptionGate.test.ts
+++ b/packages/gateway/tests/resumption/resumptionGate.test.ts
@@ -9,6 +9,7 @@
 import { OriginTable } from '../../src/resumption/originTable';
 import { ResumptionGate } from '../../src/resumption/resumptionGate';
 import { ServiceVersions } from '../../src/resumption/serviceVersions';
+import type { StreamOrigin } from '../../src/resumption/streamOrigin';
 import { callEnvelope } from '../support/callEnvelope';
 import { fleetRoute } from '../support/fleetRoute';
 import { fleetTarget } from '../support/fleetTarget';
@@ -23,6 +24,9 @@
 /** Versions that the store lists; undefined while it is down. */
 let listed: readonly string[] | undefined;
 let listings: number;
+/** Origin that the store has of the stream. */
+let stored: StreamOrigin | undefined;
+let storeReads: number;
 /** Events that the store reports after the revision that the instance has observed. */
 let changes: readonly WatchEvent[];
 
@@ -50,6 +54,13 @@
   new ResumptionGate({
     sharing: new OriginSharing({
       table,
+      ledger: {
+        record: () => undefined,
+        find: async () => {
+          storeReads += 1;
+          return stored;
+        },
+      },
       peers: {
         names: [],
         recordOrigins: async () => undefined,
@@ -89,6 +100,8 @@
   versions = new ServiceVersions();
   listed = ['v1'];
   listings = 0;
+  stored = undefined;
+  storeReads = 0;
   changes = [PROGRESS];
   versions.restart();
   versions.confirm(1);
@@ -108,6 +121,28 @@
   expect(listings).toBe(0);
 });
 
+// All instances that knew the origin had been killed.
+test('a stream whose origin only the store has goes on at an instance that has just started', async () => {
+  stored = { service: 's', version: 'v2' };
+  expect(await createGate().admit(createResumption('r1'))).toMatchObject({
+    kind: 'resumed',
+    origin: stored,
+  });
+});
+
+test('a stream whose origin only the store has goes on while several versions serve', async () => {
+  jest.advanceTimersByTime(OBSERVATION_MILLISECONDS);
+  versions.observe(['v1', 'v2'].map((version) => fleetTarget({ id: version, version })));
+  stored = { service: 's', version: 'v2' };
+  expect(await createGate().admit(createResumption('r1'))).toMatchObject({ origin: stored });
+});
+
+test('origins are not read from the store while one version serves', async () => {
+  jest.advanceTimersByTime(OBSERVATION_MILLISECONDS);
+  await createGate().admit(createResumption('r1'));
+  expect(storeReads).toBe(0);
+});
+
 test('an instance that has just started refuses a stream that nobody recorded', async () => {
   expect(await createGate().admit(createResumption('r1'))).toEqual({
     kind: 'refused',
--- a/packages/gateway/tests/resumption/serviceVersions.test.ts
+++ b/packages/gateway/tests/resumption/serviceVersions.test.ts
@@ -53,6 +53,19 @@
   expect(possible()).toEqual(['v1', 'v2']);
 });
 
+test('several versions are known from the first observation on, until the time is over', () => {
+  const hasSeveral = () => versions.hasSeveral('s', WINDOW_MILLISECONDS);
+  versions.observe([target('1', 'v1'), target('2', 'v1'), target('3', 'v2', 'other')]);
+  expect(hasSeveral()).toBe(false);
+  versions.observe([target('1', 'v1'), target('2', 'v2')]);
+  expect(hasSeveral()).toBe(true);
+  versions.observe([target('2', 'v2')]);
+  jest.advanceTimersByTime(WINDOW_MILLISECONDS);
+  expect(hasSeveral()).toBe(true);
+  jest.advanceTimersByTime(1);
+  expect(hasSeveral()).toBe(false);
+});
+
 test('versions of other services do not count', () => {
   versions.observe([target('1', 'v1'), target('2', 'v2', 'other')]);
   jest.advanceTimersByTime(WINDOW_MILLISECONDS);
--- a/packages/gateway/tests/support/watchedStore.ts
+++ b/packages/gateway/tests/support/watchedStore.ts
@@ -1,7 +1,7 @@
 import type {
+  BatchStore,
   CompareAndSwapOutcome,
   CompareAndSwapRequest,
-  KeyValueStore,
   Lease,
   StoreEntry,
   StoreError,
@@ -44,7 +44,7 @@
   /** Number of swaps of each key, conflicts included. */
   readonly swaps = new Map<string, number>();
 
-  get client(): KeyValueStore {
+  get client(): BatchStore {
     const answer = <Value>(compute: () => Value): ResultAsync<Value, StoreError> =>
       ResultAsync.fromSafePromise(delay(ANSWER_MILLISECONDS).then(compute));
     const lease = (): Lease => ({
@@ -55,6 +55,7 @@
       read: (key) => answer(() => this.#entries.get(key)),
       list: (prefix) => answer(() => this.#list(prefix)),
       compareAndSwap: (request) => answer(() => this.#swap(request)),
+      putAll: (puts) => answer(() => puts.forEach(({ key, value }) => this.overwrite(key, value))),
       remove: (key) => answer(() => this.#remove(key)),
       grantLease: () =>
         answer(() => {
--- a/packages/integration/tests/resumedStreams.test.ts
+++ b/packages/integration/tests/resumedStreams.test.ts
@@ -31,11 +31,17 @@
     fault: { kind: 'instances-killed', instances: [0, 2] },
     isOriginKept: true,
   },
+  {
+    name: 'all instances but one are killed',
+    versions: ['v1', 'v2'],
+    fault: { kind: 'instances-killed', instances: [0, 1, 2] },
+    isOriginKept: true,
+  },
   {
     name: 'all instances are killed',
     versions: ['v1', 'v2'],
     fault: { kind: 'instances-killed', instances: [0, 1, 2, 3] },
-    isOriginKept: false,
+    isOriginKept: true,
   },
   {
     name: 'all instances are killed after the version has left',
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -7,15 +7,18 @@
 export type { StoreCallKind } from './gateway/storeCallKind';
 export type { InstanceList, ListedInstance } from './instanceList';
 export type {
+  BatchStore,
   CompareAndSwapOutcome,
   CompareAndSwapRequest,
   KeyValueStore,
   Lease,
+  PutRequest,
   StoreEntry,
   StoreListing,
   WatchEvent,
   WatchOptions,
 } from './keyValueStore';
+export { MAXIMUM_PUTS } from './keyValueStore';
 export type { StoreError } from './storeError';
 export type { StoreCallOutcome, StoreObserver } from './storeObserver';
 export { WatchError } from './watchError';
--- a/packages/store/src/keyValueStore.ts
+++ b/packages/store/src/keyValueStore.ts
@@ -25,6 +25,15 @@
   readonly leaseId?: string | undefined;
 }
 
+/** A write that takes effect whatever the key holds. */
+export interface PutRequest {
+  readonly key: string;
+  readonly value: string;
+}
+
+/** Maximum number of keys that one call may write. */
+export const MAXIMUM_PUTS = 32;
+
 /** Outcome of a compare-and-swap to which the store responded. */
 export type CompareAndSwapOutcome =
   | { readonly kind: 'swapped'; readonly revision: number }
@@ -75,3 +84,12 @@
   watch(options: WatchOptions): AsyncIterable<WatchEvent>;
   close(): Promise<void>;
 }
+
+/** A key-value service that writes several keys in one call. */
+export interface BatchStore extends KeyValueStore {
+  /**
+   * Writes up to {@link MAXIMUM_PUTS} keys, all of which are removed when the lease ends; fails with
+   * `lease-ended` if it has ended.
+   */
+  putAll(puts: readonly PutRequest[], leaseId: string): ResultAsync<void, StoreError>;
+}
