Keep stored origins out of the prefix that all instances watch

What callers saw: nothing yet; found by reading. Each write of origins went to all instances through the watch of the members (limpetnotch/).

Cause: the keys were under that prefix.

--- a/packages/gateway/src/resumption/storedOrigin.ts
+++ b/packages/gateway/src/resumption/storedOrigin.ts
@@ -4,7 +4,8 @@
 import { z } from 'zod';
 import type { StreamOrigin } from './streamOrigin';
 
-const ORIGIN_PREFIX = 'limpetnotch/origins/';
+/** Outside the prefix that all instances watch. */
+const ORIGIN_PREFIX = 'stream-origins/';
 
 const storedOriginSchema = z.object({ service: z.string(), version: z.string() });
 
