Ask the members before a budget counts as free of offline grants

Cause: a process took its own complete memory, which holds the promises of its own instance, for proof that no instance had granted tokens without the store, although a majority without it suffices for a grant.

Change: UnseenGrants tells whether a grant may exist of which this process was not told: from any time in which the store may have been unreachable, or in which this process stood still, until a member of each possible majority has told its promises. The first write of a program asks it, and presumes a grant if it can't be ruled out. Learned promises are passed on, so that they outlive restarts one after another; a promise is told with its process; promises are not counted after a suspension of the process that asked. A turn takes no call more once grants are ruled out, or the store has responded for longer than the retention.

--- a/packages/gateway/src/budgets/budgetLedger.ts
+++ b/packages/gateway/src/budgets/budgetLedger.ts
@@ -37,6 +37,8 @@
   readonly instance: string;
   readonly logger: Logger;
   readonly metrics: Metrics;
+  /** Called when the store did not respond. */
+  readonly onLoss: () => void;
 }
 
 /** Token budgets in the store: one key per program, changed by compare-and-swap. */
@@ -124,8 +126,14 @@
     return 'done';
   }
 
+  /** Tries the store now if the last call failed. */
+  async probe(): Promise<void> {
+    if (this.#nextProbeMilliseconds !== undefined) await this.#probe();
+  }
+
   #scheduleProbe(): void {
     this.#nextProbeMilliseconds = performance.now() + PROBE_MILLISECONDS;
+    this.#parts.onLoss();
   }
 
   async #probe(): Promise<void> {
--- a/packages/gateway/src/budgets/escrowBudgets.ts
+++ b/packages/gateway/src/budgets/escrowBudgets.ts
@@ -4,14 +4,15 @@
 import { BudgetLedger, createInitialState } from './budgetLedger';
 import type { LedgerOutcome } from './budgetLedger';
 import type { GrantMemory } from './grantMemory';
-import type { BudgetRelease, GrantPeers } from './grantPeers';
+import type { BudgetRelease, GrantPeers, PeerPromises } from './grantPeers';
 import type { Loan, LoanResponse, LoanRequest } from './loan';
-import { areMajority, meetEveryMajority } from './majorities';
+import { areMajority } from './majorities';
 import type { MemberListsInForce } from './majorities';
 import type { MemberListHistory } from './memberListHistory';
 import type { ProgramBudget } from './programBudget';
 import { computePresumedTokens, computeOfflineGrantTokens } from './offlineGrant';
 import { toBudgetKey, createProgramBudget, serialise } from './programBudget';
+import { UnseenGrants } from './unseenGrants';
 
 /**
  * Share of the held tokens that a loan transfers, so that a program that has moved needs few loans.
@@ -43,6 +44,12 @@
  */
 const ABSENCE_CACHE_MILLISECONDS = 2_000;
 
+/**
+ * Time until a process that was suspended no longer counts promises: those who made them may have
+ * restarted, and have a complete memory three seconds later.
+ */
+const PROMISE_LIFETIME_MILLISECONDS = 2_000;
+
 /** Maximum number of budgets kept on this instance; the least recently used are evicted first. */
 const MAXIMUM_BUDGETS = 20_000;
 
@@ -69,6 +76,8 @@
   readonly turnTokens: number;
   /** Process that the tokens are for and that has not granted any; this one if undefined. */
   readonly requester?: string | undefined;
+  /** Whether another instance waits for the tokens, which it does for less time than a caller. */
+  readonly isForPeer?: boolean;
 }
 
 /** Parts of {@link EscrowBudgets}. */
@@ -83,6 +92,8 @@
   readonly memberLists: MemberListHistory;
   /** Time after which no program still runs that has had no turn since, in milliseconds. */
   readonly programRetention: () => number;
+  /** Until when this process last stood still, by `performance.now()`. */
+  readonly stoodStillUntil: () => number;
 }
 
 /** Token budgets of programs in escrow, with one store key per program. */
@@ -96,13 +107,16 @@
 
   readonly #startedAtMilliseconds = performance.now();
 
+  readonly #unseenGrants: UnseenGrants;
+
   #hasListedStore = false;
 
   #isUnavailable = false;
 
   constructor(parts: EscrowBudgetsParts) {
     this.#parts = parts;
-    this.#ledger = new BudgetLedger(parts);
+    this.#unseenGrants = new UnseenGrants(parts);
+    this.#ledger = new BudgetLedger({ ...parts, onLoss: () => this.recordStoreLoss() });
   }
 
   /** What this process knows about grants to programs. */
@@ -110,9 +124,24 @@
     return this.#parts.memory;
   }
 
-  /** Lists of members, other than the current one, on which a grant that still matters may rest. */
-  get formerLists(): MemberListsInForce {
-    return this.#parts.memberLists.formerWithin(this.#parts.programRetention());
+  /** What this process tells others that must know of grants without the store. */
+  get promises(): Omit<PeerPromises, 'name'> {
+    // A grant is recorded once the store is back, or lost with its process.
+    const lastGrantMilliseconds = Math.min(
+      performance.now(),
+      this.#unseenGrants.storeLostUntilMilliseconds,
+    );
+    return {
+      promises: this.memory.listPromises(lastGrantMilliseconds - this.#parts.programRetention()),
+      isComplete: this.memory.isComplete,
+      canUseStore: this.#ledger.isReachable(),
+      memberLists: this.#unseenGrants.memberLists,
+    };
+  }
+
+  /** Records that the store may have been unreachable until now. */
+  recordStoreLoss(): void {
+    this.#unseenGrants.recordStoreLoss();
   }
 
   /** Whether the last turn that needed tokens could obtain none from the store or a peer. */
@@ -175,11 +204,13 @@
     if (this.memory.isComplete) return true;
     const uptimeMilliseconds = performance.now() - this.#startedAtMilliseconds;
     const hasExpired = uptimeMilliseconds > this.#parts.programRetention();
-    if (!this.#hasListedStore || hasExpired) {
+    const isListDue = !this.#hasListedStore || hasExpired;
+    if (isListDue) {
       this.#hasListedStore = await this.#learnStartedPrograms();
       if (!this.#hasListedStore) return false;
     }
-    const hasPromises = await this.#learnPromises();
+    const hasPromises =
+      (await this.#unseenGrants.learnAll(isListDue)) && this.#listsInForce.length > 0;
     if (!hasPromises && !hasExpired) return false;
     this.memory.markComplete();
     this.#parts.logger.info('budget.memory-complete', {
@@ -216,7 +247,12 @@
       const tokens = Math.max(turnTokens, Math.floor(account.heldTokens * LENT_SHARE));
       const obtained =
         mayUseStore && canUseStore
-          ? await this.#takeFromStore(budget, { programId: key, turnTokens: tokens, requester })
+          ? await this.#takeFromStore(budget, {
+              programId: key,
+              turnTokens: tokens,
+              requester,
+              isForPeer: true,
+            })
           : this.#reserveHeld(budget, tokens);
       if (obtained === 'spent') return { kind: 'spent' };
       if (obtained === 'unavailable') return this.#declineLoan(request);
@@ -226,6 +262,13 @@
     });
   }
 
+  /** Called when the store responds again. */
+  async recordStoreRegained(): Promise<void> {
+    this.recordStoreLoss();
+    await this.#ledger.probe();
+    await this.recordGrants();
+  }
+
   /** Records in the store the tokens granted while it was unreachable. */
   async recordGrants(): Promise<void> {
     const unrecorded = [...this.#budgets.values()].filter(
@@ -313,18 +356,6 @@
     return true;
   }
 
-  /** Learns the promises of the other instances; returns whether none can be missing. */
-  async #learnPromises(): Promise<boolean> {
-    const { peers, memberLists } = this.#parts;
-    const replies = await peers.listPromises();
-    replies.forEach(({ budgetKeys, formerLists }) => {
-      budgetKeys.forEach((key) => this.memory.recordStart(key));
-      memberLists.learn(formerLists);
-    });
-    const complete = replies.filter(({ isComplete }) => isComplete).map(({ name }) => name);
-    return meetEveryMajority(this.#listsInForce, new Set(complete));
-  }
-
   #reserveHeld({ account }: ProgramBudget, tokens: number): 'reserved' | 'unavailable' {
     return account.reserve(tokens) ? 'reserved' : 'unavailable';
   }
@@ -346,14 +377,18 @@
       const obtained = await this.#takeFromStore(budget, request);
       if (obtained !== 'unavailable') return obtained;
     }
+    const askedAtMilliseconds = performance.now();
     const loan = await this.#borrow(budget, request.turnTokens, true);
+    const isStale =
+      this.#parts.stoodStillUntil() > askedAtMilliseconds &&
+      performance.now() - askedAtMilliseconds > PROMISE_LIFETIME_MILLISECONDS;
     switch (loan.kind) {
       case 'lent':
         return this.#reserveHeld(budget, request.turnTokens);
       case 'spent':
         return 'spent';
       case 'none':
-        return this.#grantOffline(budget, request, loan.promisers);
+        return this.#grantOffline(budget, request, isStale ? [] : loan.promisers);
     }
   }
 
@@ -459,10 +494,15 @@
   /** Takes tokens from the store until the turn's tokens are reserved or the budget is spent. */
   async #takeFromStore(
     budget: ProgramBudget,
-    { programId, turnTokens, requester }: StoreRequest,
+    { programId, turnTokens, requester, isForPeer = false }: StoreRequest,
   ): Promise<AcquireOutcome> {
     const { account } = budget;
-    this.#presumeOfflineGrant(budget, turnTokens, requester);
+    const isPresumed = await this.#mustPresumeOfflineGrant(budget, requester, isForPeer);
+    if (isPresumed === undefined) return 'unavailable';
+    const mutableBudget = budget;
+    mutableBudget.presumedTokens = isPresumed
+      ? computePresumedTokens(budget.limitTokens, turnTokens)
+      : 0;
     let hasRecalled = false;
     for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt += 1) {
       if (account.reserve(turnTokens)) return 'reserved';
@@ -480,7 +520,6 @@
         const written = await this.#ledger.change(budget, plan.tokens);
         if (written === 'done') {
           account.deposit(plan.tokens);
-          const mutableBudget = budget;
           mutableBudget.isFirstGrantOwn ||= wasAbsent;
         }
         if (written === 'failed') return 'unavailable';
@@ -494,19 +533,27 @@
   }
 
   /**
-   * Presumes an offline grant by another process where that can't be ruled out: the program may have
-   * started, or this process may not know of it. The maximum of such a grant is then counted in the
-   * store, unless the store already has the program. Tokens borrowed from a peer don't rule it out.
+   * Whether the maximum of an offline grant by another process is counted in the store, unless the
+   * store already has the program: the program may have started, or this process may not know of it.
+   * Tokens borrowed from a peer don't rule it out. Undefined if the store doesn't respond.
    */
-  #presumeOfflineGrant(budget: ProgramBudget, turnTokens: number, requester?: string): void {
-    const mayHaveOfflineGrant =
-      this.memory.mayHaveStarted(budget.key, requester) || !this.memory.isComplete;
+  async #mustPresumeOfflineGrant(
+    budget: ProgramBudget,
+    requester: string | undefined,
+    isForPeer: boolean,
+  ): Promise<boolean | undefined> {
     const isOwnGrant = budget.unrecordedTokens > 0;
-    const mutableBudget = budget;
-    mutableBudget.presumedTokens =
-      mayHaveOfflineGrant && !isOwnGrant
-        ? computePresumedTokens(budget.limitTokens, turnTokens)
-        : 0;
+    if (isOwnGrant || budget.stored) return false;
+    const isPossible = (): boolean =>
+      this.memory.mayHaveStarted(budget.key, requester) || !this.memory.isComplete;
+    if (isPossible()) return true;
+    if (!this.#unseenGrants.mayExist) return false;
+    if (isForPeer) return true;
+    // The store must respond before the others are asked: they promise nothing once they reach it.
+    if (!(await this.#ledger.refresh(budget))) return undefined;
+    if (budget.stored) return false;
+    await this.#unseenGrants.learn();
+    return isPossible() || this.#unseenGrants.mayExist;
   }
 
   #isSpent({ spent }: ProgramBudget, turnTokens: number): boolean {
--- a/packages/gateway/src/budgets/grantPeers.ts
+++ b/packages/gateway/src/budgets/grantPeers.ts
@@ -1,14 +1,17 @@
+import type { GrantPromise } from './grantMemory';
 import type { Loan, LoanRequest } from './loan';
 import type { MemberListsInForce } from './majorities';
 
 /** Promises of another instance. */
 export interface PeerPromises {
   readonly name: string;
-  /** Keys of the budgets that it has promised. */
-  readonly budgetKeys: readonly string[];
+  /** Promises, its own and those that it knows of, for grants that the store may not have. */
+  readonly promises: readonly GrantPromise[];
   readonly isComplete: boolean;
-  /** Lists of members that were replaced while a grant may still matter. */
-  readonly formerLists: MemberListsInForce;
+  /** Whether it can reach the store, so that it leaves no further grants to others. */
+  readonly canUseStore: boolean;
+  /** Lists of members on which a grant that still matters may rest. */
+  readonly memberLists: MemberListsInForce;
 }
 
 /** What another instance told when it returned tokens of a budget. */
@@ -34,6 +37,6 @@
    * those that don't respond are left out of the result.
    */
   releaseBudget(budgetKey: string, names?: readonly string[]): Promise<readonly BudgetRelease[]>;
-  /** Asks all other instances for their promises; those that don't respond are left out. */
-  listPromises(): Promise<readonly PeerPromises[]>;
+  /** Asks other instances for their promises; those that don't respond are left out. */
+  listPromises(names: readonly string[]): Promise<readonly PeerPromises[]>;
 }
--- a/packages/gateway/src/budgets/memberListHistory.ts
+++ b/packages/gateway/src/budgets/memberListHistory.ts
@@ -47,6 +47,12 @@
     return [...this.formerWithin(milliseconds), this.#current.members];
   }
 
+  /** Returns all known lists in force within a time up to now, also a current one that is new. */
+  knownWithin(milliseconds: number): MemberListsInForce {
+    const current = this.#current ? [this.#current.members] : [];
+    return [...this.formerWithin(milliseconds), ...current];
+  }
+
   get #hasSettled(): boolean {
     const sinceMilliseconds = this.#current?.sinceMilliseconds ?? Infinity;
     return performance.now() - sinceMilliseconds >= SETTLE_MILLISECONDS;
--- a/packages/gateway/src/fleet/fleetFollower.ts
+++ b/packages/gateway/src/fleet/fleetFollower.ts
@@ -37,6 +37,7 @@
   readonly onConfiguration: (configuration: FleetConfiguration) => void;
   readonly onTargetsChanged: () => void;
   readonly onRetirement: (instance: string) => void;
+  readonly onStoreLost: () => void;
   readonly onStoreRegained: () => void;
 }
 
@@ -117,6 +118,7 @@
       lost: (detail, lostMilliseconds) => {
         state.isConfigurationUnconfirmed = true;
         watchStatus.recordLoss(detail, lostMilliseconds);
+        this.#parts.onStoreLost();
       },
     };
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -58,6 +58,7 @@
 import { TargetLoads } from './targets/targetLoads';
 import { TurnRetention } from './turns/turnRetention';
 import { rankInstances } from './util/rankInstances';
+import { StallClock } from './util/stallClock';
 import { CountedStore } from './work/countedStore';
 import { createWorkReport } from './work/createWorkReport';
 import { WorkCounts } from './work/workCounts';
@@ -141,6 +142,8 @@
 
   readonly #budgets: EscrowBudgets;
 
+  readonly #stallClock = new StallClock();
+
   readonly #originLedger: OriginLedger;
 
   readonly #origins: OriginSharing;
@@ -291,6 +294,7 @@
       memory: new GrantMemory(`${settings.instance}/${randomUUID()}`, settings.isFirstStart),
       peers: this.#peers,
       memberLists: this.#membership.history,
+      stoodStillUntil: () => this.#stallClock.stalledUntilMilliseconds,
       programRetention: () =>
         computeProgramRetention(this.#fleet.index?.configuration.routes ?? []),
     });
@@ -324,8 +328,9 @@
       onRetirement: (instance) => {
         void retirementReporter.report(instance);
       },
+      onStoreLost: () => this.#budgets.recordStoreLoss(),
       onStoreRegained: () => {
-        void this.#budgets.recordGrants();
+        void this.#budgets.recordStoreRegained();
       },
     });
     const limitedDispatch = new LimitedDispatch({
@@ -448,6 +453,7 @@
       this.#observation.task,
       this.#quarantineLedger.task,
       this.#originLedger.task,
+      this.#stallClock.task,
       this.#limits.sharing.task,
       this.#pathChecker.task,
       createEventLoopMonitor({ logger, metrics }),
--- a/packages/gateway/src/peers/fleetListener.ts
+++ b/packages/gateway/src/peers/fleetListener.ts
@@ -79,11 +79,13 @@
     }
   },
   listPromises: async () => {
-    const { promisedKeys, isComplete } = budgets.memory;
+    const { promises, isComplete, canUseStore, memberLists } = budgets.promises;
     return {
-      budgets: [...promisedKeys],
+      budgets: promises.map(({ budgetKey }) => budgetKey),
+      processes: promises.map(({ process }) => process),
       isMemoryWhole: isComplete,
-      formerLists: budgets.formerLists.map((members) => ({ members: [...members] })),
+      hasLostStore: !canUseStore,
+      formerLists: memberLists.map((members) => ({ members: [...members] })),
     };
   },
   announcePrograms: async ({ budgets: keys }) => {
--- a/packages/gateway/src/peers/fleetPeers.ts
+++ b/packages/gateway/src/peers/fleetPeers.ts
@@ -344,12 +344,12 @@
     };
   }
 
-  /** Asks all peers for their promises; those that don't respond are left out. */
-  async listPromises(): Promise<readonly PeerPromises[]> {
-    const names = [...this.#peers.keys()];
+  /** Asks peers for their promises; those that don't respond are left out. */
+  async listPromises(names: readonly string[]): Promise<readonly PeerPromises[]> {
+    const remaining = names.filter((name) => this.#peers.has(name));
     const replies: Reply<ListPromisesResponse>[] = [];
-    while (names.length > 0) {
-      const asked = names.splice(0, CONCURRENT_BROADCAST_CALLS);
+    while (remaining.length > 0) {
+      const asked = remaining.splice(0, CONCURRENT_BROADCAST_CALLS);
       replies.push(
         ...(await this.#callEach(asked, {
           call: 'listPromises',
@@ -360,9 +360,13 @@
     }
     return replies.map(({ name, answer }) => ({
       name,
-      budgetKeys: answer.budgets,
+      promises: answer.budgets.map((budgetKey, index) => ({
+        budgetKey,
+        process: answer.processes[index] ?? '',
+      })),
       isComplete: answer.isMemoryWhole,
-      formerLists: answer.formerLists.map(({ members }) => members),
+      canUseStore: !answer.hasLostStore,
+      memberLists: answer.formerLists.map(({ members }) => members),
     }));
   }
 
--- a/packages/gateway/tests/budgets/budgetFleet.ts
+++ b/packages/gateway/tests/budgets/budgetFleet.ts
@@ -2,7 +2,6 @@
 import { chooseInformedPeers } from '../../src/budgets/chooseInformedPeers';
 import { EscrowBudgets } from '../../src/budgets/escrowBudgets';
 import { GrantMemory } from '../../src/budgets/grantMemory';
-import type { PeerPromises } from '../../src/budgets/grantPeers';
 import type { Loan, LoanRequest } from '../../src/budgets/loan';
 import { MemberListHistory } from '../../src/budgets/memberListHistory';
 import { MemoryStore } from '../support/memoryStore';
@@ -13,8 +12,20 @@
 interface Process {
   readonly budgets: EscrowBudgets;
   readonly lists: MemberListHistory;
+  /** Until when the process was suspended. */
+  readonly stall: { untilMilliseconds: number };
 }
 
+/** What is lost on the way from one instance to another. */
+export type PeerCut = 'requests' | 'responses';
+
+type ReachedPeer = readonly [
+  name: string,
+  budgets: EscrowBudgets,
+  /** Whether its responses arrive. */
+  isHeard: boolean,
+];
+
 /** Longer than a list of members takes to settle. */
 const SETTLE_MILLISECONDS = 3_000;
 
@@ -33,6 +44,18 @@
   /** Number of requests for tokens between instances. */
   calls = 0;
 
+  /** Number of questions for promises between instances. */
+  questions = 0;
+
+  /** Indices of instances that stand still: they neither respond nor observe anything. */
+  readonly suspended = new Set<number>();
+
+  /** Indices of instances that the others have removed from the members. */
+  readonly removed = new Set<number>();
+
+  /** What is lost between instances, by their indices, as in `0>1`. */
+  readonly cuts = new Map<string, PeerCut>();
+
   /** Whether the first and the second half can't reach each other. */
   isSplit = false;
 
@@ -70,8 +93,15 @@
     return this.#processes.map(({ budgets }) => budgets);
   }
 
+  /** Removes a member that does not run, once the store is up. */
+  remove(index: number): void {
+    this.removed.add(index);
+    this.#recordMembers();
+  }
+
   /** Replaces an instance by a new process without any state. */
   restart(index: number): void {
+    this.removed.delete(index);
     this.#processes[index] = this.#start(index, false);
     this.#recordMembers();
   }
@@ -82,26 +112,48 @@
     this.#recordMembers();
   }
 
+  /** Starts an outage of the store, which the instances notice. */
+  startOutage(): void {
+    this.store.isDown = true;
+    this.#observing.forEach(({ budgets }) => budgets.recordStoreLoss());
+  }
+
   /** Ends an outage of the store: instances read the members and record their grants. */
   async endOutage(): Promise<void> {
     this.store.isDown = false;
     this.#recordMembers();
-    await Promise.all(
-      this.instances
-        .filter((_one, index) => !this.unresponsive.has(index))
-        .map((budgets) => budgets.recordGrants()),
+    await Promise.all(this.#observing.map(({ budgets }) => budgets.recordStoreRegained()));
+  }
+
+  /** Lets an instance run again that stood still. */
+  async resume(index: number): Promise<void> {
+    if (!this.suspended.delete(index)) return;
+    const { stall, budgets } = this.#processes[index]!;
+    stall.untilMilliseconds = performance.now();
+    this.#recordMembers();
+    if (!this.store.isDown) await budgets.recordStoreRegained();
+  }
+
+  /** Processes that run. */
+  get #observing(): readonly Process[] {
+    return this.#processes.filter(
+      (_process, index) => !this.unresponsive.has(index) && !this.suspended.has(index),
     );
   }
 
   #recordMembers(): void {
     if (this.store.isDown) return;
-    const names = this.#processes.map((_process, index) => toName(index));
-    this.#processes.forEach(({ lists }) => lists.record(names));
+    const names = this.#processes
+      .map((_process, index) => index)
+      .filter((index) => !this.removed.has(index))
+      .map(toName);
+    this.#observing.forEach(({ lists }) => lists.record(names));
   }
 
   #start(index: number, isFirstProcess: boolean): Process {
     this.#processCount += 1;
     const lists = new MemberListHistory();
+    const stall = { untilMilliseconds: -Infinity };
     const budgets = new EscrowBudgets({
       store: this.store.client,
       logger: silentLogger,
@@ -109,12 +161,16 @@
       instance: toName(index),
       memory: new GrantMemory(`${toName(index)}/${this.#processCount}`, isFirstProcess),
       peers: {
-        releaseBudget: (key, names) => {
+        releaseBudget: async (key, names) => {
           const peers = this.#peersOf(index, names);
           this.calls += peers.length;
-          return Promise.all(
-            peers.map(async ([name, peer]) => ({ name, ...(await peer.release(key)) })),
+          const replies = await Promise.all(
+            peers.map(async ([name, peer, isHeard]) => {
+              const released = await peer.release(key);
+              return isHeard ? [{ name, ...released }] : [];
+            }),
           );
+          return replies.flat();
         },
         borrowBudget: (request, names) => this.#borrow(index, request, names),
         announceProgram: (key) => {
@@ -123,48 +179,46 @@
           const informed = chooseInformedPeers(key, names.toSpliced(index, 1));
           this.#peersOf(index, informed).forEach(([, peer]) => peer.recordProgramStart(key));
         },
-        listPromises: async () => this.#listPromises(index),
+        listPromises: async (names) => {
+          this.questions += names.length;
+          return this.#peersOf(index, names).flatMap(([name, { promises }, isHeard]) =>
+            isHeard ? [{ name, ...promises }] : [],
+          );
+        },
       },
       memberLists: lists,
+      stoodStillUntil: () => stall.untilMilliseconds,
       programRetention: () => RETENTION_MILLISECONDS,
     });
-    return { budgets, lists };
+    return { budgets, lists, stall };
   }
 
-  #peersOf(
-    index: number,
-    names?: readonly string[],
-  ): readonly (readonly [string, EscrowBudgets])[] {
+  #peersOf(index: number, names?: readonly string[]): readonly ReachedPeer[] {
     const half = this.#processes.length / 2;
     return this.instances.flatMap((budgets, other) => {
       const isReached = !this.isSplit || index < half === other < half;
       const isAsked = other !== index && (!names || names.includes(toName(other)));
-      return isAsked && isReached && !this.unresponsive.has(other)
-        ? [[toName(other), budgets] as const]
+      const isRunning = !this.unresponsive.has(other) && !this.suspended.has(other);
+      const cut = this.cuts.get(`${index}>${other}`);
+      return isAsked && isReached && isRunning && cut !== 'requests'
+        ? [[toName(other), budgets, cut === undefined] as const]
         : [];
     });
   }
 
-  #listPromises(index: number): readonly PeerPromises[] {
-    return this.#peersOf(index).map(([name, { memory, formerLists }]) => ({
-      name,
-      budgetKeys: memory.promisedKeys,
-      isComplete: memory.isComplete,
-      formerLists,
-    }));
-  }
-
   /** Borrows from the reachable peers, as the connections between instances do. */
   async #borrow(index: number, request: LoanRequest, names?: readonly string[]): Promise<Loan> {
     let isKnown = false;
     const promisers: string[] = [];
-    for (const [name, peer] of this.#peersOf(index, names)) {
+    for (const [name, peer, isHeard] of this.#peersOf(index, names)) {
       this.calls += 1;
       const answer = await peer.lend(request);
-      if (answer.kind === 'lent') return { ...answer, lenders: [name] };
-      if (answer.kind === 'spent') return answer;
-      isKnown ||= answer.isKnown;
-      if (answer.isPromised) promisers.push(name);
+      if (isHeard && answer.kind === 'lent') return { ...answer, lenders: [name] };
+      if (isHeard && answer.kind === 'spent') return answer;
+      if (isHeard && answer.kind === 'none') {
+        isKnown ||= answer.isKnown;
+        if (answer.isPromised) promisers.push(name);
+      }
     }
     return { kind: 'none', isKnown, promisers };
   }
--- a/packages/gateway/tests/budgets/budgetInvariant.test.ts
+++ b/packages/gateway/tests/budgets/budgetInvariant.test.ts
@@ -1,4 +1,5 @@
 import fc from 'fast-check';
+import type { PeerCut } from './budgetFleet';
 import { BudgetFleet, RETENTION_MILLISECONDS } from './budgetFleet';
 
 const TURN_TOKENS = 288;
@@ -8,40 +9,116 @@
 const INSTANCES = 4;
 const MAXIMUM_INSTANCES = 6;
 
-/** Longer than any call of an instance waits for the store or for a peer. */
-const CALL_MILLISECONDS = 2_000;
+/** Longer than the turns of a step wait for the store and for peers. */
+const CALL_MILLISECONDS = 10_000;
 
 type Change =
-  | { readonly kind: 'none' | 'restart-all' | 'add' }
-  | { readonly kind: 'kill' | 'start' | 'restart'; readonly instance: number };
+  | { readonly kind: 'none' | 'restart-all' | 'add' | 'heal' }
+  | {
+      readonly kind: 'kill' | 'start' | 'restart' | 'remove' | 'suspend' | 'resume' | 'isolate';
+      readonly instance: number;
+    }
+  | { readonly kind: 'cut'; readonly from: number; readonly to: number; readonly cut: PeerCut };
+
+/** Turns of a program at one instance, or at two at the same time. */
+interface Turns {
+  readonly program: number;
+  readonly instance: number;
+  readonly other: number | undefined;
+}
 
 /** Time in which the store is up or down: faults at its begin and its end, and turns in between. */
 interface Phase {
   readonly isDown: boolean;
-  readonly first: Change;
+  readonly first: readonly Change[];
   readonly waitMilliseconds: number;
-  readonly turns: readonly { readonly program: number; readonly instance: number }[];
-  readonly last: Change;
+  readonly turns: readonly Turns[];
+  readonly last: readonly Change[];
 }
 
 const instance = fc.nat(MAXIMUM_INSTANCES - 1);
 
 const anyChange: fc.Arbitrary<Change> = fc.oneof(
-  fc.record({ kind: fc.constantFrom('none' as const, 'restart-all' as const, 'add' as const) }),
   fc.record({
-    kind: fc.constantFrom('kill' as const, 'start' as const, 'restart' as const),
+    kind: fc.constantFrom('none' as const, 'restart-all' as const, 'add' as const, 'heal' as const),
+  }),
+  fc.record({
+    kind: fc.constantFrom('kill', 'start', 'restart', 'remove'),
+    instance,
+  }),
+  fc.record({
+    kind: fc.constantFrom('suspend' as const, 'resume' as const, 'isolate' as const),
     instance,
   }),
+  fc.record({
+    kind: fc.constant('cut' as const),
+    from: instance,
+    to: instance,
+    cut: fc.constantFrom('requests' as const, 'responses' as const),
+  }),
 );
 
+const changes = fc.array(anyChange, { maxLength: 3 });
+
+const anyTurns: fc.Arbitrary<Turns> = fc.record({
+  program: fc.nat(BUDGETS.length - 1),
+  instance,
+  other: fc.option(instance, { nil: undefined, freq: 1 }),
+});
+
 const anyPhase: fc.Arbitrary<Phase> = fc.record({
   isDown: fc.boolean(),
-  first: anyChange,
+  first: changes,
   waitMilliseconds: fc.constantFrom(400, 3_000, 7_000, 25_000),
-  turns: fc.array(fc.record({ program: fc.nat(BUDGETS.length - 1), instance }), { maxLength: 4 }),
-  last: anyChange,
+  turns: fc.array(anyTurns, { maxLength: 4 }),
+  last: changes,
 });
 
+/** An outage in which some instances are away and others end, and a program that returns after it. */
+const anyAbsence: fc.Arbitrary<readonly Phase[]> = fc
+  .record({
+    program: fc.nat(BUDGETS.length - 1),
+    granting: instance,
+    away: instance,
+    absence: fc.constantFrom('suspend' as const, 'isolate' as const),
+    end: fc.constantFrom('kill' as const, 'restart' as const, 'isolate' as const),
+    further: changes,
+    isHealed: fc.boolean(),
+    waitMilliseconds: fc.constantFrom(400, 3_000),
+    other: fc.option(instance, { nil: undefined }),
+  })
+  .map(({ program, granting, away, absence, end, further, isHealed, waitMilliseconds, other }) => {
+    const turns = { program, other: undefined };
+    const ends: Change[] = [{ kind: end, instance: granting }, ...further];
+    const returns: Change[] = [{ kind: 'resume', instance: away }];
+    return [
+      {
+        isDown: true,
+        first: [{ kind: absence, instance: away }],
+        waitMilliseconds: 3_000,
+        turns: Array(2).fill({ ...turns, instance: granting }),
+        last: ends,
+      },
+      {
+        isDown: false,
+        first: isHealed ? [...returns, { kind: 'heal' }] : returns,
+        waitMilliseconds,
+        turns: Array(3).fill({ program, instance: away, other }),
+        last: [],
+      },
+    ];
+  });
+
+const anyPlay: fc.Arbitrary<readonly Phase[]> = fc
+  .array(
+    fc.oneof(
+      anyPhase.map((phase) => [phase]),
+      anyAbsence,
+    ),
+    { minLength: 2, maxLength: 5 },
+  )
+  .map((parts) => parts.flat());
+
 /** Plays phases on a fleet, and counts the tokens that each program received. */
 class BudgetPlay {
   readonly #fleet = new BudgetFleet(INSTANCES);
@@ -51,21 +128,40 @@
   readonly #lastTurnMilliseconds = BUDGETS.map(() => performance.now());
 
   async play({ isDown, first, waitMilliseconds, turns, last }: Phase): Promise<void> {
-    if (isDown) this.#fleet.store.isDown = true;
+    if (isDown) await this.#startOutage();
     else await this.#finish(this.#fleet.endOutage());
-    this.#change(first);
+    for (const change of first) await this.#change(change);
     await jest.advanceTimersByTimeAsync(waitMilliseconds);
     await this.#finish(
       Promise.all(this.#running.map((index) => this.#fleet.instances[index]!.restoreMemory())),
     );
-    for (const turn of turns) await this.#finish(this.#takeTurns(turn.program, turn.instance));
-    this.#change(last);
+    for (const turn of turns) {
+      const instances = turn.other === undefined ? [turn.instance] : [turn.instance, turn.other];
+      await this.#finish(
+        Promise.all(instances.map((index) => this.#takeTurns(turn.program, index))),
+      );
+    }
+    for (const change of last) await this.#change(change);
+  }
+
+  /** Starts an outage; the instances that run have noticed it before the next turn. */
+  async #startOutage(): Promise<void> {
+    this.#fleet.startOutage();
+    const programId = 'organisation/unknown';
+    const asked = this.#running.map((index) =>
+      this.#fleet.instances[index]!.hasProgramStarted(programId),
+    );
+    await this.#finish(Promise.all(asked));
   }
 
   get #running(): readonly number[] {
     return this.#fleet.instances
       .map((_one, index) => index)
-      .filter((index) => !this.#fleet.unresponsive.has(index));
+      .filter((index) => this.#isRunning(index));
+  }
+
+  #isRunning(index: number): boolean {
+    return !this.#fleet.unresponsive.has(index) && !this.#fleet.suspended.has(index);
   }
 
   async #finish(work: Promise<unknown>): Promise<void> {
@@ -79,7 +175,7 @@
     await work;
   }
 
-  #change(change: Change): void {
+  async #change(change: Change): Promise<void> {
     const fleet = this.#fleet;
     const count = fleet.instances.length;
     switch (change.kind) {
@@ -99,11 +195,33 @@
         return;
       case 'add':
         if (count < MAXIMUM_INSTANCES) fleet.add();
+        return;
+      case 'remove':
+        if (!this.#isRunning(change.instance % count)) fleet.remove(change.instance % count);
+        return;
+      case 'suspend':
+        fleet.suspended.add(change.instance % count);
+        return;
+      case 'resume':
+        await this.#finish(fleet.resume(change.instance % count));
+        return;
+      case 'isolate':
+        for (let other = 0; other < MAXIMUM_INSTANCES; other += 1) {
+          fleet.cuts.set(`${change.instance % count}>${other}`, 'requests');
+          fleet.cuts.set(`${other}>${change.instance % count}`, 'requests');
+        }
+        return;
+      case 'heal':
+        fleet.cuts.clear();
+        return;
+      case 'cut':
+        fleet.cuts.set(`${change.from % count}>${change.to % count}`, change.cut);
     }
   }
 
   #restart(index: number): void {
     this.#fleet.unresponsive.delete(index);
+    this.#fleet.suspended.delete(index);
     this.#fleet.restart(index);
   }
 
@@ -113,7 +231,7 @@
     const now = performance.now();
     const isOver = now - this.#lastTurnMilliseconds[program]! > RETENTION_MILLISECONDS;
     const hasStarted = this.spentTokens[program]! > 0;
-    if (this.#fleet.unresponsive.has(index) || (hasStarted && isOver)) return;
+    if (!this.#isRunning(index) || (hasStarted && isOver)) return;
     for (let turn = 0; turn < 3; turn += 1) {
       const decision = await this.#fleet.instances[index]!.reserve({
         programId: `organisation/${program}`,
@@ -138,9 +256,9 @@
 
 // Tokens granted over all processes of all instances stay within the budget and one turn: a grant
 // without the store was made again after a restart, and added to what the store had left.
-test('no order of outages, restarts, moves and additions exceeds a budget', async () => {
+test('no order of outages, restarts, cuts, suspensions, moves and additions exceeds a budget', async () => {
   await fc.assert(
-    fc.asyncProperty(fc.array(anyPhase, { minLength: 2, maxLength: 7 }), async (phases) => {
+    fc.asyncProperty(anyPlay, async (phases) => {
       const play = new BudgetPlay();
       for (const phase of phases) await play.play(phase);
       jest.restoreAllMocks();
--- a/packages/gateway/tests/budgets/grantMemory.test.ts
+++ b/packages/gateway/tests/budgets/grantMemory.test.ts
@@ -21,5 +21,5 @@
   expect(memory.promise('key', 'b/1')).toBe(false);
   memory.markComplete();
   expect(memory.promise('key', 'b/1')).toBe(true);
-  expect(memory.promisedKeys).toEqual(['key']);
+  expect(memory.listPromises(0)).toEqual([{ budgetKey: 'key', process: 'b/1' }]);
 });
--- a/packages/gateway/tests/fleet/coldAnnouncement.test.ts
+++ b/packages/gateway/tests/fleet/coldAnnouncement.test.ts
@@ -56,6 +56,7 @@
         .filter((id) => !state.coldTargets.get(id));
     },
     onRetirement: () => undefined,
+    onStoreLost: () => undefined,
     onStoreRegained: () => undefined,
   });
   const [, targetTask] = follower.tasks;
--- a/packages/gateway/tests/fleet/evacuation.test.ts
+++ b/packages/gateway/tests/fleet/evacuation.test.ts
@@ -47,6 +47,7 @@
     onConfiguration: () => undefined,
     onTargetsChanged: () => undefined,
     onRetirement: () => undefined,
+    onStoreLost: () => undefined,
     onStoreRegained: () => undefined,
   });
   const [operatorTask] = follower.tasks;
--- a/packages/gateway/tests/fleet/fleetFollower.test.ts
+++ b/packages/gateway/tests/fleet/fleetFollower.test.ts
@@ -23,6 +23,7 @@
     onConfiguration: () => undefined,
     onTargetsChanged: () => undefined,
     onRetirement: () => undefined,
+    onStoreLost: () => undefined,
     onStoreRegained: () => undefined,
   });
   const { signal } = new AbortController();
--- a/packages/gateway/tests/fleet/storeCalls.test.ts
+++ b/packages/gateway/tests/fleet/storeCalls.test.ts
@@ -80,6 +80,7 @@
     onConfiguration: () => undefined,
     onTargetsChanged: () => undefined,
     onRetirement: () => undefined,
+    onStoreLost: () => undefined,
     onStoreRegained: () => undefined,
   });
   const supervisor = new Supervisor({ name, logger: silentLogger, metrics });
--- a/packages/gateway/tests/peers/fleetPeers.test.ts
+++ b/packages/gateway/tests/peers/fleetPeers.test.ts
@@ -55,5 +55,5 @@
     isKnown: false,
     promisers: [],
   });
-  expect(await peers.listPromises()).toEqual([]);
+  expect(await peers.listPromises(['old'])).toEqual([]);
 });
