Close a connection that brought the response to another request

Cause: a copy takes the place of the response to the next request; that response still follows, but the connection counted as idle, so that the request after it got the response of the one before, and so on.

Change: the exchange itself compares the identifier of a response with that of its request, and closes the connection at the first response of another one, on direct and on forwarded ways. The codec decodes the identifier alone for that (decodeResponseId).

--- a/packages/gateway/src/calls/attempt.ts
+++ b/packages/gateway/src/calls/attempt.ts
@@ -155,8 +155,10 @@
         priority,
       });
     const { id, method, pathAndQuery } = envelope;
-    const request = { id, method, pathAndQuery, headers, body: call.dispatchBody };
-    const { connections } = this.#parts;
+    const { connections, codec } = this.#parts;
+    const { decodeResponseId } = codec;
+    const body = call.dispatchBody;
+    const request = { id, method, pathAndQuery, headers, body, decodeResponseId };
     call.forwarder = undefined;
     switch (connection.kind) {
       case 'shared':
--- a/packages/gateway/src/calls/wireCodec.ts
+++ b/packages/gateway/src/calls/wireCodec.ts
@@ -72,6 +72,8 @@
   decodeRequest(request: IncomingMessage): CallEnvelope | EnvelopeError;
   /** Returns alternating header names and values. */
   encodeDispatch(envelope: DispatchedEnvelope, metadata: DispatchMetadata): string[];
+  /** Returns the identifier of the request that a response belongs to; undefined if it has none. */
+  decodeResponseId(rawHeaders: readonly string[]): string | undefined;
   decodeResponse(status: number, rawHeaders: readonly string[]): ResponseHead;
   /** Returns alternating header names and values for a response of the gateway itself. */
   encodeGatewayResponse(envelope: CallEnvelope | undefined, retryAfterSeconds?: number): string[];
--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -28,7 +28,7 @@
 /** Dependencies of an {@link ExchangeForwarder}. */
 export interface ExchangeForwarderParts {
   readonly fleet: FleetState;
-  readonly codec: Pick<WireCodec, 'encodeDispatch' | 'decodeResponse'>;
+  readonly codec: Pick<WireCodec, 'encodeDispatch' | 'decodeResponse' | 'decodeResponseId'>;
   readonly connections: TargetConnections;
   readonly loads: TargetLoads;
   readonly paths: TargetPaths;
@@ -151,7 +151,9 @@
     const { id, method, pathAndQuery } = envelope;
     const connectionLimit = fleet.index?.findService(target.service)?.connectionLimit ?? 1;
     const share = Math.max(1, Math.floor(connectionLimit / Math.max(2, instanceCount())));
-    return connections.send(target, share, { id, method, pathAndQuery, headers, body });
+    const { decodeResponseId } = codec;
+    const sent = { id, method, pathAndQuery, headers, body, decodeResponseId };
+    return connections.send(target, share, sent);
   }
 
   async *#relay(
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -50,6 +50,8 @@
     readonly bytesRead: number;
     readonly failureCode: string | undefined;
   };
+  /** Whether a response with these headers belongs to the request of the exchange. */
+  readonly isOwnResponse: (rawHeaders: readonly string[]) => boolean;
   /** Called once when the exchange no longer needs the connection; tells whether it is reusable. */
   readonly onRelease: (isReusable: boolean) => void;
 }
@@ -164,11 +166,17 @@
       controller.abort(new Error(`status ${status}`));
       return;
     }
+    const rawHeaders = rawHeadersOf(headers);
+    // The response to this request still follows, so that the connection can carry no other one.
+    if (this.#connectionHandle?.isOwnResponse(rawHeaders) === false) {
+      this.#fail({ kind: 'broken', detail: 'response to another request' });
+      controller.abort(new Error('response to another request'));
+      return;
+    }
     this.#state = 'answering';
     const framing = responseFramingOf(headers);
     this.#framing = framing;
     this.#recordPart();
-    const rawHeaders = rawHeadersOf(headers);
     this.#head.resolve(ok({ status, rawHeaders, framing, body: this.#read() }));
   }
 
--- a/packages/gateway/src/targets/targetConnection.ts
+++ b/packages/gateway/src/targets/targetConnection.ts
@@ -47,7 +47,10 @@
     exchange: Exchange,
     onRelease: ConnectionHandle['onRelease'] = () => undefined,
   ): void {
-    exchange.attach({ connection: this, onRelease });
+    const { id, decodeResponseId } = request;
+    const isOwnResponse = (rawHeaders: readonly string[]): boolean =>
+      decodeResponseId(rawHeaders) === id;
+    exchange.attach({ connection: this, isOwnResponse, onRelease });
     this.#client.dispatch(toDispatchOptions(request), exchange);
   }
 
--- a/packages/gateway/src/targets/targetRequest.ts
+++ b/packages/gateway/src/targets/targetRequest.ts
@@ -13,6 +13,8 @@
 export interface TargetRequest {
   /** Identifier that the target repeats in its response. */
   readonly id: string;
+  /** Returns the identifier in a response, from alternating names and values of its headers. */
+  readonly decodeResponseId: (rawHeaders: readonly string[]) => string | undefined;
   readonly method: string;
   readonly pathAndQuery: string;
   /**
--- a/packages/gateway/tests/calls/duplicateResponse.test.ts
+++ b/packages/gateway/tests/calls/duplicateResponse.test.ts
@@ -125,6 +125,25 @@
   },
 );
 
+// The connection was used again, so that each further request got the response to the one before.
+test('a late response costs one request its own, and not those that follow', async () => {
+  let requests = 0;
+  await harness.addTarget('t0', (request) => {
+    const { socket } = request;
+    const id = String(request.headers['x-id']);
+    request.resume();
+    requests += 1;
+    if (requests === 2) socket.write(formatResponse('first'));
+    setTimeout(() => socket.write(formatResponse(id)), requests === 1 ? 0 : 50);
+  });
+  const statuses: number[] = [];
+  for (const id of ['first', 'second', 'third', 'fourth']) {
+    const { status } = await harness.run({ execution: { kind: 'at-most-once' } }, id);
+    statuses.push(status);
+  }
+  expect(statuses).toEqual([200, 502, 200, 200]);
+});
+
 // A target wrote its refusal of an earlier request once more, while it ran the next one.
 test.each(EXECUTIONS)(
   'a refusal that is written once more does not decide the next request ($kind)',
--- a/packages/gateway/tests/forwarding/forwarderFleet.ts
+++ b/packages/gateway/tests/forwarding/forwarderFleet.ts
@@ -21,13 +21,16 @@
 import { fleetTarget } from '../support/fleetTarget';
 
 /** Codec whose headers tell what a forwarder was given. */
-const codec: Pick<WireCodec, 'encodeDispatch' | 'decodeResponse'> = {
+const codec: Pick<WireCodec, 'encodeDispatch' | 'decodeResponse' | 'decodeResponseId'> = {
   encodeDispatch: (envelope, dispatch) => [
     ...envelope.passedHeaders,
     ...['x-id', envelope.id, 'x-target', dispatch.targetId],
     ...['x-remaining', String(Math.round(dispatch.remainingMilliseconds ?? 0))],
     ...['x-after', dispatch.lastEventId ?? '', 'x-organisation', dispatch.organisation ?? ''],
   ],
+  // Most tests send one request, which their targets don't name.
+  decodeResponseId: (rawHeaders) =>
+    rawHeaders.includes('x-id') ? rawHeaders[rawHeaders.indexOf('x-id') + 1] : 'r1',
   decodeResponse: (status, rawHeaders) => ({
     status,
     requestId: undefined,
--- a/packages/gateway/tests/support/callHarness.ts
+++ b/packages/gateway/tests/support/callHarness.ts
@@ -32,17 +32,20 @@
 const toNamedLimit = (text: string | undefined): NamedLimit =>
   text === undefined ? { kind: 'none' } : { kind: 'limited', requestsPerSecond: Number(text) };
 
+const findValue = (rawHeaders: readonly string[], name: string): string | undefined => {
+  const index = rawHeaders.indexOf(name);
+  return index < 0 ? undefined : rawHeaders[index + 1];
+};
+
 /** Codec for headers that only these tests use. */
 const codec: WireCodec = {
   decodeRequest: () => ({ kind: 'malformed-request', detail: 'unused' }),
   encodeDispatch: (envelope, note) => [
     ...['x-id', envelope.id, 'x-target', note.targetId, 'x-after', note.lastEventId ?? ''],
   ],
+  decodeResponseId: (rawHeaders) => findValue(rawHeaders, 'x-id'),
   decodeResponse: (status, rawHeaders): ResponseHead => {
-    const value = (name: string): string | undefined => {
-      const index = rawHeaders.indexOf(name);
-      return index < 0 ? undefined : rawHeaders[index + 1];
-    };
+    const value = (name: string): string | undefined => findValue(rawHeaders, name);
     return {
       status,
       requestId: value('x-id'),
--- a/packages/gateway/tests/support/testWireCodec.ts
+++ b/packages/gateway/tests/support/testWireCodec.ts
@@ -43,6 +43,7 @@
     });
   },
   encodeDispatch: (envelope, note) => ['x-id', envelope.id, 'x-target', note.targetId],
+  decodeResponseId: (rawHeaders) => rawHeaders[rawHeaders.indexOf('x-id') + 1],
   decodeResponse: (status, rawHeaders): ResponseHead => ({
     status,
     requestId: rawHeaders[rawHeaders.indexOf('x-id') + 1],
--- a/packages/gateway/tests/targets/targetConnections.test.ts
+++ b/packages/gateway/tests/targets/targetConnections.test.ts
@@ -9,6 +9,7 @@
 
 const REQUEST: TargetRequest = {
   id: 'r1',
+  decodeResponseId: () => 'r1',
   method: 'POST',
   pathAndQuery: '/',
   headers: () => [],
@@ -109,7 +110,12 @@
   });
   const headers = (): string[] => ['x-finished', String(finished)];
   const exchanges = ['r1', 'r2', 'r3'].map((id) =>
-    connections.send(fleetTarget({ address }), 1, { ...REQUEST, id, headers }),
+    connections.send(fleetTarget({ address }), 1, {
+      ...REQUEST,
+      id,
+      decodeResponseId: () => id,
+      headers,
+    }),
   );
   expect(await Promise.all(exchanges.map(readBody))).toEqual(['done', 'done', 'done']);
   expect([encodedAfter, sockets.length]).toEqual([[0, 1, 2], 1]);
