Write origins of streams that begin together in one call, less often

Cause: an instance wrote every 100 ms, which is about once for each stream of a small fleet.

Change: it writes every 250 ms at most, and waits 20 ms before the first write after a pause, so that streams that begin at the same moment are written before a fault soon after. With 250 ms and no such delay the case of resumedStreams in which all instances are killed failed (once, beside other load): the second batch came later than the kill, 450 ms after the streams had begun.

--- a/packages/gateway/src/resumption/originLedger.ts
+++ b/packages/gateway/src/resumption/originLedger.ts
@@ -19,7 +19,10 @@
 /** Writes a second of all instances together; the platform's store accepts 400 of all kinds. */
 const FLEET_WRITES_PER_SECOND = 100;
 
-const SHORTEST_INTERVAL_MILLISECONDS = 100;
+const SHORTEST_INTERVAL_MILLISECONDS = 250;
+
+/** Streams that begin within this time are written together, even after a pause. */
+const BATCH_DELAY_MILLISECONDS = 20;
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -129,6 +132,7 @@
       } else {
         this.#wake = new Deferred();
         await Promise.race([this.#wake.promise, aborted]);
+        await delay(BATCH_DELAY_MILLISECONDS, signal);
       }
     }
   }
