Hold the origins to be written by digest, not by a stream's key

What callers saw: nothing; found by reading. Identifiers of requests may be as long as a head allows, and up to 16,384 keys of streams under way are held until their deadline.

Change: they are held by their key in the store, which has a bounded length. Clearer names in the choice of a batch.

--- a/packages/gateway/src/resumption/originLedger.ts
+++ b/packages/gateway/src/resumption/originLedger.ts
@@ -63,6 +63,7 @@
 export class OriginLedger {
   readonly #parts: OriginLedgerParts;
 
+  /** By key in the store, whose length is bounded, unlike that of a stream's key. */
   readonly #unwritten = new Map<string, UnwrittenStream>();
 
   #lease: { readonly leaseId: string; readonly endsAtMilliseconds: number } | undefined;
@@ -83,8 +84,9 @@
     const { streamKey, origin, remainingMilliseconds, windowMilliseconds } = stream;
     const { service, version } = origin;
     if (windowMilliseconds === undefined || version === undefined) return;
-    this.#unwritten.delete(streamKey);
-    this.#unwritten.set(streamKey, {
+    const key = toOriginKey(streamKey);
+    this.#unwritten.delete(key);
+    this.#unwritten.set(key, {
       origin: { service, version },
       endsAtMilliseconds: performance.now() + remainingMilliseconds,
       windowMilliseconds,
@@ -115,9 +117,9 @@
   /** Drops streams that have ended, and those beyond the bound. */
   #dropOldest(): void {
     const now = performance.now();
-    for (const [streamKey, { endsAtMilliseconds }] of this.#unwritten) {
+    for (const [key, { endsAtMilliseconds }] of this.#unwritten) {
       if (endsAtMilliseconds > now && this.#unwritten.size <= MAXIMUM_STREAMS) return;
-      this.#unwritten.delete(streamKey);
+      this.#unwritten.delete(key);
     }
   }
 
@@ -146,20 +148,22 @@
     );
   }
 
+  /** Returns streams under way of services that have several versions, those that began first. */
   #chooseBatch(): Batch {
     const now = performance.now();
     const batch: [string, UnwrittenStream][] = [];
-    const isWritten = new Map<string, boolean>();
-    for (const [streamKey, stream] of this.#unwritten) {
+    const severalByService = new Map<string, boolean>();
+    for (const [key, stream] of this.#unwritten) {
       const { origin, endsAtMilliseconds, windowMilliseconds } = stream;
       if (endsAtMilliseconds <= now) {
-        this.#unwritten.delete(streamKey);
+        this.#unwritten.delete(key);
       } else {
         const { service } = origin;
         const hasSeveral =
-          isWritten.get(service) ?? this.#parts.versions.hasSeveral(service, windowMilliseconds);
-        isWritten.set(service, hasSeveral);
-        if (hasSeveral) batch.push([streamKey, stream]);
+          severalByService.get(service) ??
+          this.#parts.versions.hasSeveral(service, windowMilliseconds);
+        severalByService.set(service, hasSeveral);
+        if (hasSeveral) batch.push([key, stream]);
         if (batch.length === MAXIMUM_PUTS) break;
       }
     }
@@ -169,8 +173,8 @@
   /** Writes a batch; returns whether the store has accepted it. */
   async #write(batch: Batch): Promise<boolean> {
     const { store, logger, metrics } = this.#parts;
-    const puts = batch.map(([streamKey, { origin }]) => ({
-      key: toOriginKey(streamKey),
+    const puts = batch.map(([key, { origin }]) => ({
+      key,
       value: JSON.stringify(origin),
     }));
     const lease = await this.#holdLease(batch);
@@ -185,9 +189,9 @@
       logger.info('origins.not-written', { streams: batch.length, detail: written.error.detail });
       return false;
     }
-    batch.forEach(([streamKey, stream]) => {
+    batch.forEach(([key, stream]) => {
       // The stream may have been recorded again in the meantime.
-      if (this.#unwritten.get(streamKey) === stream) this.#unwritten.delete(streamKey);
+      if (this.#unwritten.get(key) === stream) this.#unwritten.delete(key);
     });
     return true;
   }
