--- a/packages/gateway/src/resumption/originLedger.ts
+++ b/packages/gateway/src/resumption/originLedger.ts
@@ -19,11 +19,14 @@
 /** Writes a second of all instances together; the platform's store accepts 400 of all kinds. */
 const FLEET_WRITES_PER_SECOND = 100;
 
-const SHORTEST_INTERVAL_MILLISECONDS = 250;
+const SHORTEST_INTERVAL_MILLISECONDS = 100;
 
-/** Streams that begin within this time are written together, even after a pause. */
+/** Streams that begin within this time are written together. */
 const BATCH_DELAY_MILLISECONDS = 20;
 
+/** Writes that may follow each other at once after a pause, so that few streams are not yet stored. */
+const BURST_WRITES = 5;
+
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /** Maximum number of streams under way whose origins are kept; the oldest are dropped. */
@@ -68,6 +71,9 @@
 
   #lease: { readonly leaseId: string; readonly endsAtMilliseconds: number } | undefined;
 
+  /** Time of the next write if all came at their interval. */
+  #nextRegularWriteMilliseconds = -Infinity;
+
   #wake = new Deferred();
 
   constructor(parts: OriginLedgerParts) {
@@ -130,7 +136,7 @@
       const batch = this.#chooseBatch();
       if (batch.length > 0) {
         const hasWritten = await this.#write(batch);
-        await delay(hasWritten ? this.#intervalMilliseconds : RETRY_DELAY_MILLISECONDS, signal);
+        await delay(hasWritten ? this.#countWrite() : RETRY_DELAY_MILLISECONDS, signal);
       } else {
         this.#wake = new Deferred();
         await Promise.race([this.#wake.promise, aborted]);
@@ -139,6 +145,16 @@
     }
   }
 
+  /** Counts a write; returns the time until the next one. */
+  #countWrite(): number {
+    const now = performance.now();
+    const interval = this.#intervalMilliseconds;
+    this.#nextRegularWriteMilliseconds =
+      Math.max(now, this.#nextRegularWriteMilliseconds) + interval;
+    const ahead = this.#nextRegularWriteMilliseconds - now - (BURST_WRITES - 1) * interval;
+    return Math.max(BATCH_DELAY_MILLISECONDS, ahead);
+  }
+
   /** Interval of the writes of one instance, with which those of all stay within their bound. */
   get #intervalMilliseconds(): number {
     const shareMilliseconds = MILLISECONDS_PER_SECOND / FLEET_WRITES_PER_SECOND;
