--- a/packages/gateway/src/budgets/memberListHistory.ts
+++ b/packages/gateway/src/budgets/memberListHistory.ts
@@ -43,8 +43,7 @@
 
   /** Returns all lists in force within a time up to now; none if the current one has not settled. */
   within(milliseconds: number): MemberListsInForce {
-    if (!this.#current || !this.#hasSettled) return [];
-    return [...this.formerWithin(milliseconds), this.#current.members];
+    return this.#hasSettled ? this.knownWithin(milliseconds) : [];
   }
 
   /** Returns all known lists in force within a time up to now, also a current one that is new. */
--- a/packages/gateway/src/budgets/programBudget.ts
+++ b/packages/gateway/src/budgets/programBudget.ts
@@ -1,13 +1,12 @@
-import { createHash } from 'node:crypto';
 import { EscrowAccount } from '@limpetnotch/programs';
+import { toDigestKey } from '../util/toDigestKey';
 import type { StoredBudget } from './storedBudget';
 
 /** Prefix of the store keys of program token budgets. */
 export const BUDGET_PREFIX = 'budgets/';
 
 /** Returns the key of a program's budget, both in the store and between instances. */
-export const toBudgetKey = (programId: string): string =>
-  `${BUDGET_PREFIX}${createHash('sha256').update(programId).digest('base64url')}`;
+export const toBudgetKey = (programId: string): string => toDigestKey(BUDGET_PREFIX, programId);
 
 /** Local state of a program's token budget on one instance. */
 export interface ProgramBudget {
--- a/packages/gateway/src/resumption/serviceVersions.ts
+++ b/packages/gateway/src/resumption/serviceVersions.ts
@@ -50,24 +50,22 @@
     if (milliseconds > RETENTION_MILLISECONDS) return undefined;
     const since = performance.now() - milliseconds;
     if (this.#observedSinceMilliseconds > since) return undefined;
-    this.#announced.forEach((target) => this.#see(target));
-    return this.#seen
-      .filter((seen) => seen.service === service && seen.lastSeenAtMilliseconds >= since)
-      .map(({ version }) => version);
+    return this.#listSeen(service, since);
   }
 
   /** Whether more than one version of a service was seen within the given time. */
   hasSeveral(service: string, milliseconds: number): boolean {
-    const since = performance.now() - milliseconds;
-    const found = new Set(
-      this.#seen
-        .filter((seen) => seen.service === service && seen.lastSeenAtMilliseconds >= since)
-        .map(({ version }) => version),
-    );
-    this.#announced.forEach((target) => {
-      if (target.service === service) found.add(target.version);
-    });
-    return found.size > 1;
+    return this.#listSeen(service, performance.now() - milliseconds).length > 1;
+  }
+
+  /** Returns each version of a service that was seen since a time. */
+  #listSeen(service: string, sinceMilliseconds: number): readonly (string | undefined)[] {
+    this.#announced.forEach((target) => this.#see(target));
+    return this.#seen
+      .filter(
+        (seen) => seen.service === service && seen.lastSeenAtMilliseconds >= sinceMilliseconds,
+      )
+      .map(({ version }) => version);
   }
 
   #see({ service, version }: FleetTarget): void {
--- a/packages/gateway/src/resumption/storedOrigin.ts
+++ b/packages/gateway/src/resumption/storedOrigin.ts
@@ -1,7 +1,7 @@
-import { createHash } from 'node:crypto';
 import type { StoreEntry } from '@limpetnotch/store';
 import { parseJson } from '@limpetnotch/store';
 import { z } from 'zod';
+import { toDigestKey } from '../util/toDigestKey';
 import type { StreamOrigin } from './streamOrigin';
 
 /** Outside the prefix that all instances watch. */
@@ -13,8 +13,7 @@
 export type StoredOrigin = z.infer<typeof storedOriginSchema>;
 
 /** Returns the key in the store for a stream. */
-export const toOriginKey = (streamKey: string): string =>
-  `${ORIGIN_PREFIX}${createHash('sha256').update(streamKey).digest('base64url')}`;
+export const toOriginKey = (streamKey: string): string => toDigestKey(ORIGIN_PREFIX, streamKey);
 
 /** Parses a stored origin; returns undefined if the value is malformed. */
 export const parseStoredOrigin = ({ value }: StoreEntry): StreamOrigin | undefined =>
--- a/packages/gateway/src/targets/exchange.ts
+++ b/packages/gateway/src/targets/exchange.ts
@@ -157,20 +157,17 @@
     if (status < 200) {
       this.#informationalResponses += 1;
       if (this.#informationalResponses <= MAXIMUM_INFORMATIONAL_RESPONSES) return;
-      this.#fail({ kind: 'excessive', detail: 'too many informational responses' });
-      controller.abort(new Error('too many informational responses'));
+      this.#reject(controller, 'excessive', 'too many informational responses');
       return;
     }
     if (!isFinalStatus(status)) {
-      this.#fail({ kind: 'broken', detail: `status ${status}` });
-      controller.abort(new Error(`status ${status}`));
+      this.#reject(controller, 'broken', `status ${status}`);
       return;
     }
     const rawHeaders = rawHeadersOf(headers);
     // The response to this request still follows, so that the connection can carry no other one.
     if (this.#connectionHandle?.isOwnResponse(rawHeaders) === false) {
-      this.#fail({ kind: 'broken', detail: 'response to another request' });
-      controller.abort(new Error('response to another request'));
+      this.#reject(controller, 'broken', 'response to another request');
       return;
     }
     this.#state = 'answering';
@@ -184,8 +181,7 @@
     this.#recordPart();
     if (chunk.length < TINY_CHUNK_BYTES) this.#tinyChunks += 1;
     if (this.#tinyChunks > MAXIMUM_TINY_CHUNKS) {
-      this.#fail({ kind: 'excessive', detail: 'too many tiny chunks' });
-      controller.abort(new Error('too many tiny chunks'));
+      this.#reject(controller, 'excessive', 'too many tiny chunks');
       return;
     }
     this.#chunks.push(chunk);
@@ -235,6 +231,16 @@
     this.#bytesReadAtLastPart = this.#bytesReadOnConnection;
   }
 
+  /** Fails on a response that must not be used, and closes its connection. */
+  #reject(
+    controller: Dispatcher.DispatchController,
+    kind: 'broken' | 'excessive',
+    detail: string,
+  ): void {
+    this.#fail({ kind, detail });
+    controller.abort(new Error(detail));
+  }
+
   #fail(failure: ExchangeError): void {
     if (this.hasEnded) return;
     this.#state = 'failed';
--- a/packages/gateway/tests/peers/fleetPeers.test.ts
+++ b/packages/gateway/tests/peers/fleetPeers.test.ts
@@ -1,3 +1,4 @@
+import type { ServiceImpl } from '@connectrpc/connect';
 import { connectNodeAdapter } from '@connectrpc/connect-node';
 import {
   FleetService,
@@ -15,15 +16,18 @@
   await listener?.close();
 });
 
-test('calls that a peer of an earlier version lacks do not suspend its other calls', async () => {
+/** Starts a peer of an earlier version, which has only some calls. */
+const startOld = async (calls: Partial<ServiceImpl<typeof FleetService>>): Promise<void> => {
   listener = await HttpListener.start({
     host: '127.0.0.1',
     port: 0,
-    listener: connectNodeAdapter({
-      routes: (router) => router.service(FleetService, { takeTokens: async () => ({ given: 1 }) }),
-    }),
+    listener: connectNodeAdapter({ routes: (router) => router.service(FleetService, calls) }),
   });
   peers.setPeers(new Map([['old', `127.0.0.1:${listener.port}`]]));
+};
+
+test('calls that a peer of an earlier version lacks do not suspend its other calls', async () => {
+  await startOld({ takeTokens: async () => ({ given: 1 }) });
   for (let call = 0; call < 4; call += 1) expect(await peers.listLimits('old')).toBeUndefined();
   const tokens = await peers.takeTokens('organisation', { wanted: 1, ahead: 2 });
   expect(tokens).toEqual({ given: 1, ahead: 0, nextMilliseconds: undefined });
@@ -31,17 +35,9 @@
 
 // Answers of an instance that makes no promises, counted as promises, let two instances grant.
 test('an answer of an earlier version is no promise, and its promises are not listed', async () => {
-  listener = await HttpListener.start({
-    host: '127.0.0.1',
-    port: 0,
-    listener: connectNodeAdapter({
-      routes: (router) =>
-        router.service(FleetService, {
-          lendBudget: async () => ({ outcome: LendOutcome.UNAVAILABLE, isMemoryWhole: true }),
-        }),
-    }),
+  await startOld({
+    lendBudget: async () => ({ outcome: LendOutcome.UNAVAILABLE, isMemoryWhole: true }),
   });
-  peers.setPeers(new Map([['old', `127.0.0.1:${listener.port}`]]));
   const request = {
     budget: 'budgets/key',
     limitTokens: 900,
@@ -59,17 +55,7 @@
 });
 
 test('promises that an earlier version lists are told without their processes', async () => {
-  listener = await HttpListener.start({
-    host: '127.0.0.1',
-    port: 0,
-    listener: connectNodeAdapter({
-      routes: (router) =>
-        router.service(FleetService, {
-          listPromises: async () => ({ budgets: ['key'], isMemoryWhole: true }),
-        }),
-    }),
-  });
-  peers.setPeers(new Map([['old', `127.0.0.1:${listener.port}`]]));
+  await startOld({ listPromises: async () => ({ budgets: ['key'], isMemoryWhole: true }) });
   expect(await peers.listPromises(['old', 'absent'])).toEqual([
     {
       name: 'old',
