Don't report a target as crashed for an unexplained refusal at a forwarder

Callers saw: nothing directly, but a serving target counted as crashed ("targets.crashed", evidence connection-refused), and the request that it interrupted got one of the crashes that lead to its quarantine.

Cause: an instance that forwards for another one may be cut off in the same moment. When its connection was refused and PathChecker.explainFailure could not tell the target from the path ("unknown"), ExchangeForwarder still answered "refused", which the other instance takes for the target's crash. TargetAccess.explain, on the direct path, doesn't believe such a refusal.

Change: an unexplained refusal is "not-sent". The regression test failed before with "refused".

--- a/packages/gateway/src/forwarding/exchangeForwarder.ts
+++ b/packages/gateway/src/forwarding/exchangeForwarder.ts
@@ -221,16 +221,13 @@
     if (isLeaving) fleet.targets.markLeaving(target);
   }
 
-  /** A connection that fails because this instance is cut off, too, says nothing of the target. */
   async #toFailure(error: ExchangeError, target: FleetTarget): Promise<FailurePart> {
     const { detail } = error;
     switch (error.kind) {
-      case 'not-sent': {
-        if (!error.hasConnectionFailed) return failed('not-sent', detail);
-        const verdict = await this.#parts.pathChecker.explainFailure(target, error.isRefused);
-        if (verdict === 'cut') return failed('target-unavailable', detail);
-        return failed(error.isRefused ? 'refused' : 'not-sent', detail);
-      }
+      case 'not-sent':
+        return error.hasConnectionFailed
+          ? this.#explainFailedConnection(target, error.isRefused, detail)
+          : failed('not-sent', detail);
       case 'broken':
       case 'excessive':
       case 'aborted':
@@ -238,6 +235,23 @@
     }
   }
 
+  /** A connection that fails because this instance is cut off, too, says nothing of the target. */
+  async #explainFailedConnection(
+    target: FleetTarget,
+    isRefused: boolean,
+    detail: string,
+  ): Promise<FailurePart> {
+    const verdict = await this.#parts.pathChecker.explainFailure(target, isRefused);
+    switch (verdict) {
+      case 'cut':
+        return failed('target-unavailable', detail);
+      case 'target-refuses':
+        return failed(isRefused ? 'refused' : 'not-sent', detail);
+      case 'unknown':
+        return failed('not-sent', detail);
+    }
+  }
+
   #record({ envelope, target }: ForwardedRequest, outcome: string, detail: string): void {
     this.#parts.metrics.increment('forwarding.for-others', 1, { outcome });
     this.#parts.logger.info('forwarding.ended', {
--- a/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
+++ b/packages/gateway/tests/forwarding/exchangeForwarder.test.ts
@@ -210,6 +210,14 @@
   expect(kindsOf(await forward())).toEqual(['target-unavailable']);
 });
 
+// An instance that was cut off, too, reported a serving target as crashed.
+test('a refusal that may be one of the path is no refusal of the target', async () => {
+  await start(() => undefined);
+  await fleet.refuseConnections();
+  fleet.verdict = 'unknown';
+  expect(kindsOf(await forward())).toEqual(['not-sent']);
+});
+
 // Two instances that are both cut off must not hand work to each other.
 test('an instance without a path of its own declines', async () => {
   await start((_request, response) => response.end());
