Wait for wakes without keeping memory for each wait

Callers saw nothing yet. It is woken by every change of the targets, up to 50 times a second, so that a process would lose up to 15 KB a second of its 160 MB. QuarantineLedger waits in the same way, which the ledger copied, but is woken rarely.

OwnerGroup already waited by a listener that it removes. That wait is now WakeSignal in supervision, and serves all three; a wake still ends only the wait under way. The test fails with the race put in its place: 457 bytes a wait, 100 allowed, and a listener left behind. 359 tests of supervision, admission, quarantine and resumption pass.

--- a/packages/admission/src/entry/ownerGroup.ts
+++ b/packages/admission/src/entry/ownerGroup.ts
@@ -1,5 +1,5 @@
 import type { Metrics } from '@limpetnotch/observability';
-import { Deferred, delay } from '@limpetnotch/supervision';
+import { delay, WakeSignal } from '@limpetnotch/supervision';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
 import { err } from 'neverthrow';
 import type { Result } from 'neverthrow';
@@ -34,7 +34,7 @@
 
   readonly #pending = new Set<OrganisationQueue>();
 
-  #wake = new Deferred();
+  readonly #wakeSignal = new WakeSignal();
 
   #usedMilliseconds = performance.now();
 
@@ -50,7 +50,7 @@
   add(queue: OrganisationQueue): void {
     this.#usedMilliseconds = performance.now();
     this.#pending.add(queue);
-    this.#wake.resolve(undefined);
+    this.#wakeSignal.wake();
   }
 
   /** Whether no organisation has queued a demand for `IDLE_MILLISECONDS`. */
@@ -67,7 +67,7 @@
   async #run({ signal, ready }: ChildContext): Promise<void> {
     ready();
     while (!signal.aborted) {
-      await this.#waitForPending(signal);
+      if (this.#pending.size === 0) await this.#wakeSignal.wait(signal);
       await this.#exchange();
       await delay(EXCHANGE_INTERVAL_MILLISECONDS, signal);
     }
@@ -75,16 +75,6 @@
     this.#pending.clear();
   }
 
-  async #waitForPending(signal: AbortSignal): Promise<void> {
-    if (this.#pending.size > 0 || signal.aborted) return;
-    const wake = new Deferred();
-    const stop = (): void => wake.resolve(undefined);
-    this.#wake = wake;
-    signal.addEventListener('abort', stop, { once: true });
-    await wake.promise;
-    signal.removeEventListener('abort', stop);
-  }
-
   async #exchange(): Promise<void> {
     const sentAt = readInstant();
     const queuedDemands = this.#drainPending();
--- a/packages/gateway/src/quarantine/quarantineLedger.ts
+++ b/packages/gateway/src/quarantine/quarantineLedger.ts
@@ -4,7 +4,7 @@
 import type { KeyValueStore, StoreEntry } from '@limpetnotch/store';
 import { boundStoreCall, parseJson } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
-import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
+import { delay, WakeSignal } from '@limpetnotch/supervision';
 import type { RequestQuarantine } from './requestQuarantine';
 
 /** Prefix of the keys in the store; the rest of a key is the digest of its request. */
@@ -53,7 +53,7 @@
 
   readonly #pending = new Map<string, QuarantineEntry>();
 
-  #wake = new Deferred();
+  readonly #wakeSignal = new WakeSignal();
 
   constructor(parts: QuarantineLedgerParts) {
     this.#parts = parts;
@@ -74,7 +74,7 @@
       this.#pending.delete(oldest);
       this.#parts.logger.warn('quarantine.not-written', { digest: oldest, reason: 'too many' });
     }
-    this.#wake.resolve(undefined);
+    this.#wakeSignal.wake();
   }
 
   /** Replaces all entries by those listed in the store. */
@@ -101,14 +101,12 @@
 
   async #run({ signal, ready }: ChildContext): Promise<void> {
     ready();
-    const aborted = untilAborted(signal);
     while (!signal.aborted) {
       const [next] = this.#pending;
       if (next) {
         await this.#writeNext(...next, signal);
       } else {
-        this.#wake = new Deferred();
-        await Promise.race([this.#wake.promise, aborted]);
+        await this.#wakeSignal.wait(signal);
       }
     }
   }
--- a/packages/gateway/src/resumption/originLedger.ts
+++ b/packages/gateway/src/resumption/originLedger.ts
@@ -2,7 +2,7 @@
 import type { BatchStore, StoreError } from '@limpetnotch/store';
 import { boundStoreCall, MAXIMUM_PUTS } from '@limpetnotch/store';
 import type { ChildContext, ChildSpecification } from '@limpetnotch/supervision';
-import { Deferred, delay, untilAborted } from '@limpetnotch/supervision';
+import { delay, WakeSignal } from '@limpetnotch/supervision';
 import type { Result } from 'neverthrow';
 import { ok } from 'neverthrow';
 import type { BegunStream } from './begunStream';
@@ -74,7 +74,7 @@
   /** Time of the next write if all came at their interval. */
   #nextRegularWriteMilliseconds = -Infinity;
 
-  #wake = new Deferred();
+  readonly #wakeSignal = new WakeSignal();
 
   constructor(parts: OriginLedgerParts) {
     this.#parts = parts;
@@ -103,7 +103,7 @@
 
   /** Writes what has to be written, after a change of the announced targets. */
   wake(): void {
-    this.#wake.resolve(undefined);
+    this.#wakeSignal.wake();
   }
 
   /** Returns the stored origin of a stream; undefined if there is none or the store doesn't respond. */
@@ -131,15 +131,13 @@
 
   async #run({ signal, ready }: ChildContext): Promise<void> {
     ready();
-    const aborted = untilAborted(signal);
     while (!signal.aborted) {
       const batch = this.#chooseBatch();
       if (batch.length > 0) {
         const hasWritten = await this.#write(batch);
         await delay(hasWritten ? this.#countWrite() : RETRY_DELAY_MILLISECONDS, signal);
       } else {
-        this.#wake = new Deferred();
-        await Promise.race([this.#wake.promise, aborted]);
+        await this.#wakeSignal.wait(signal);
         await delay(BATCH_DELAY_MILLISECONDS, signal);
       }
     }
--- a/packages/supervision/src/index.ts
+++ b/packages/supervision/src/index.ts
@@ -14,3 +14,4 @@
 export { Supervisor } from './supervisor';
 export type { SupervisorOptions } from './supervisor';
 export { untilAborted } from './untilAborted';
+export { WakeSignal } from './wakeSignal';
