Ask for the versions of a service without walking all targets

OriginLedger asks ServiceVersions.hasSeveral for each resumable stream that begins, and each question marked every announced target as seen.

The announced targets are kept as their versions, of which there are few, so that a question marks only those.

--- a/packages/gateway/src/resumption/serviceVersions.ts
+++ b/packages/gateway/src/resumption/serviceVersions.ts
@@ -13,8 +13,8 @@
 export class ServiceVersions {
   #seen: SeenVersion[] = [];
 
-  /** Announced until now; these are seen at any time until they are no longer announced. */
-  #announced: readonly FleetTarget[] = [];
+  /** Versions announced now, which are seen at any time until they no longer are. */
+  #announced: ReadonlySet<SeenVersion> = new Set();
 
   #observedSinceMilliseconds = Infinity;
 
@@ -32,9 +32,8 @@
 
   /** Records the announced targets after a change. */
   observe(targets: readonly FleetTarget[]): void {
-    this.#announced.forEach((target) => this.#see(target));
-    targets.forEach((target) => this.#see(target));
-    this.#announced = targets;
+    this.#seeAnnounced();
+    this.#announced = new Set(targets.map((target) => this.#see(target)));
     const oldest = performance.now() - RETENTION_MILLISECONDS;
     this.#seen = this.#seen.filter(({ lastSeenAtMilliseconds }) => lastSeenAtMilliseconds > oldest);
   }
@@ -60,7 +59,7 @@
 
   /** Returns each version of a service that was seen since a time. */
   #listSeen(service: string, sinceMilliseconds: number): readonly (string | undefined)[] {
-    this.#announced.forEach((target) => this.#see(target));
+    this.#seeAnnounced();
     return this.#seen
       .filter(
         (seen) => seen.service === service && seen.lastSeenAtMilliseconds >= sinceMilliseconds,
@@ -68,10 +67,23 @@
       .map(({ version }) => version);
   }
 
-  #see({ service, version }: FleetTarget): void {
-    const known = this.#seen.find((seen) => seen.service === service && seen.version === version);
+  #seeAnnounced(): void {
+    const now = performance.now();
+    this.#announced.forEach((announced) => {
+      const mutableVersion = announced;
+      mutableVersion.lastSeenAtMilliseconds = now;
+    });
+  }
+
+  #see({ service, version }: FleetTarget): SeenVersion {
     const lastSeenAtMilliseconds = performance.now();
-    if (known) known.lastSeenAtMilliseconds = lastSeenAtMilliseconds;
-    else this.#seen.push({ service, version, lastSeenAtMilliseconds });
+    const known = this.#seen.find((seen) => seen.service === service && seen.version === version);
+    if (known) {
+      known.lastSeenAtMilliseconds = lastSeenAtMilliseconds;
+      return known;
+    }
+    const added = { service, version, lastSeenAtMilliseconds };
+    this.#seen.push(added);
+    return added;
   }
 }
