Decide for each stream by its own window whether its origin is written

Callers could see: a stream of a route with a long timeout is refused when it is resumed after all instances that knew it have ended. Found by reading: a batch asked once per service whether several versions serve, with the window of the first stream, and took the answer for streams of the same service with longer windows, for which a version that left earlier still counts.

The test failed before: nothing was written where the second of two streams must be.

--- a/packages/gateway/src/resumption/originLedger.ts
+++ b/packages/gateway/src/resumption/originLedger.ts
@@ -91,14 +91,15 @@
     const { service, version } = origin;
     if (windowMilliseconds === undefined || version === undefined) return;
     const key = toOriginKey(streamKey);
-    this.#unwritten.delete(key);
-    this.#unwritten.set(key, {
+    const unwritten = {
       origin: { service, version },
       endsAtMilliseconds: performance.now() + remainingMilliseconds,
       windowMilliseconds,
-    });
+    };
+    this.#unwritten.delete(key);
+    this.#unwritten.set(key, unwritten);
     this.#dropOldest();
-    if (this.#parts.versions.hasSeveral(service, windowMilliseconds)) this.wake();
+    if (this.#mustWrite(unwritten)) this.wake();
   }
 
   /** Writes what has to be written, after a change of the announced targets. */
@@ -162,24 +163,19 @@
     );
   }
 
-  /** Returns streams under way of services that have several versions, those that began first. */
+  /** Whether targets of several versions serve or have served within the window of a stream. */
+  #mustWrite({ origin, windowMilliseconds }: UnwrittenStream): boolean {
+    return this.#parts.versions.hasSeveral(origin.service, windowMilliseconds);
+  }
+
+  /** Returns streams under way that must be written, those that began first. */
   #chooseBatch(): Batch {
     const now = performance.now();
     const batch: [string, UnwrittenStream][] = [];
-    const severalByService = new Map<string, boolean>();
     for (const [key, stream] of this.#unwritten) {
-      const { origin, endsAtMilliseconds, windowMilliseconds } = stream;
-      if (endsAtMilliseconds <= now) {
-        this.#unwritten.delete(key);
-      } else {
-        const { service } = origin;
-        const hasSeveral =
-          severalByService.get(service) ??
-          this.#parts.versions.hasSeveral(service, windowMilliseconds);
-        severalByService.set(service, hasSeveral);
-        if (hasSeveral) batch.push([key, stream]);
-        if (batch.length === MAXIMUM_PUTS) break;
-      }
+      if (stream.endsAtMilliseconds <= now) this.#unwritten.delete(key);
+      else if (this.#mustWrite(stream)) batch.push([key, stream]);
+      if (batch.length === MAXIMUM_PUTS) break;
     }
     return batch;
   }
--- a/packages/gateway/tests/resumption/originLedger.test.ts
+++ b/packages/gateway/tests/resumption/originLedger.test.ts
@@ -4,10 +4,12 @@
 import { errAsync, okAsync } from 'neverthrow';
 import type { BegunStream } from '../../src/resumption/begunStream';
 import { OriginLedger } from '../../src/resumption/originLedger';
+import { toOriginKey } from '../../src/resumption/storedOrigin';
 
 const WINDOW_MILLISECONDS = 60_000;
 
 let hasSeveral: boolean;
+let goneForMilliseconds: number;
 let instanceCount: number;
 let failure: StoreError | undefined;
 let leaseLengths: number[];
@@ -34,6 +36,7 @@
 beforeEach(async () => {
   jest.useFakeTimers();
   hasSeveral = true;
+  goneForMilliseconds = 0;
   instanceCount = 4;
   failure = undefined;
   leaseLengths = [];
@@ -56,7 +59,9 @@
         return okAsync(undefined);
       },
     },
-    versions: { hasSeveral: () => hasSeveral },
+    versions: {
+      hasSeveral: (_service, milliseconds) => hasSeveral && milliseconds >= goneForMilliseconds,
+    },
     instanceCount: () => instanceCount,
   });
   stopping = new AbortController();
@@ -108,6 +113,15 @@
   expect(batches.flat()).toHaveLength(30);
 });
 
+// The shortest window of a service was taken for that of all its streams.
+test('a stream is written while a second version was seen within its own window', async () => {
+  goneForMilliseconds = 2 * WINDOW_MILLISECONDS;
+  ledger.record(stream(0));
+  ledger.record(stream(1, { windowMilliseconds: 3 * WINDOW_MILLISECONDS }));
+  await jest.advanceTimersByTimeAsync(1_000);
+  expect(batches.flat().map(({ key }) => key)).toEqual([toOriginKey('/r1')]);
+});
+
 test('streams that may not go on are not written', async () => {
   record(1, { windowMilliseconds: undefined });
   record(1, { origin: { service: 's', version: undefined } });
