--- a/packages/gateway/tests/budgets/unseenGrants.test.ts
+++ b/packages/gateway/tests/budgets/unseenGrants.test.ts
@@ -65,21 +65,23 @@
   fleet.unresponsive.add(0);
 };
 
-// A member that was cut off took its own complete memory for proof that there was no grant.
-test('an instance that was cut off in an outage counts a grant that was lost', async () => {
+/** Loses a grant in an outage in which an instance is cut off from the others. */
+const loseGrantBehindCut = async (): Promise<void> => {
   await startOutage();
   isolate(3);
   await loseGrant();
   await endOutage();
+};
+
+// A member that was cut off took its own complete memory for proof that there was no grant.
+test('an instance that was cut off in an outage counts a grant that was lost', async () => {
+  await loseGrantBehindCut();
   fleet.cuts.clear();
   expect(await spendAll(3)).toBe(BUDGET_TOKENS / 2);
 });
 
 test('an instance that is still cut off after an outage counts a grant that may exist', async () => {
-  await startOutage();
-  isolate(3);
-  await loseGrant();
-  await endOutage();
+  await loseGrantBehindCut();
   expect(await spendAll(3)).toBe(BUDGET_TOKENS / 2);
 });
 
@@ -93,10 +95,7 @@
 });
 
 test('a lost grant is known after those who promised it have restarted one by one', async () => {
-  await startOutage();
-  isolate(3);
-  await loseGrant();
-  await endOutage();
+  await loseGrantBehindCut();
   fleet.cuts.clear();
   for (const index of [1, 2]) {
     fleet.restart(index);
@@ -107,10 +106,7 @@
 });
 
 test('a program that begins after an outage gets its whole budget', async () => {
-  await startOutage();
-  isolate(3);
-  await loseGrant();
-  await endOutage();
+  await loseGrantBehindCut();
   fleet.cuts.clear();
   expect(await spendAll(3, 'another')).toBe(BUDGET_TOKENS);
 });
